--- /dev/null
+++ b/crates/arbutuslane_balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Server choice, subsets, ramp-up and per-peer load estimates.
--- /dev/null
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenario runs of decision code in virtual time, result files and plots.
--- /dev/null
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The arbutuslane command line.
--- /dev/null
+++ b/crates/arbutuslane_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `arbutuslane` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/arbutuslane_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log for the catalogue: elections, commits, membership changes.
--- /dev/null
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control daemon: catalogue replicas and the operator API.
--- /dev/null
+++ b/crates/arbutuslane_control/src/main.rs
@@ -0,0 +1,3 @@
+//! The `arbutuslane-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/arbutuslane_core/src/lib.rs
@@ -0,0 +1,27 @@
+//! Ids, virtual time, seeded randomness and hashing that every other crate shares.
+//!
+//! Nothing in this crate does I/O. Time is a [`Time`](time::Time) that the caller passes in, so the
+//! decision code of the other crates runs the same under a real and under a virtual clock.
+//!
+//! ```
+//! use arbutuslane_core::prelude::*;
+//!
+//! let nodes = vec!["node-a".to_string(), "node-b".to_string(), "node-c".to_string()];
+//! let first = hash::rendezvous(&nodes, "slots", 1);
+//! assert_eq!(first, hash::rendezvous(&nodes, "slots", 1));
+//! ```
+
+pub mod hash;
+pub mod id;
+pub mod rng;
+pub mod time;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::hash;
+    pub use crate::id::{
+        Attempt, DomainName, Exchange, Incarnation, NodeId, Revision, ServerId, ServiceName, Shard,
+    };
+    pub use crate::rng::{self, Rng};
+    pub use crate::time::{Clock, Time};
+}
--- /dev/null
+++ b/crates/arbutuslane_event/src/lib.rs
@@ -0,0 +1,1 @@
+//! Time line of events with hybrid logical clock stamps, metrics and the log format.
--- /dev/null
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -0,0 +1,1 @@
+//! Outlier detection against peers, ejection permits and return by trial.
--- /dev/null
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, slots, queues, rate limits, deadlines and retry budgets.
--- /dev/null
+++ b/crates/arbutuslane_member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership table, gossip, failure detection and revision spreading.
--- /dev/null
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon: entry, admission beside backend servers, record replica.
--- /dev/null
+++ b/crates/arbutuslane_node/src/main.rs
@@ -0,0 +1,3 @@
+//! The `arbutuslane-node` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/arbutuslane_record/src/lib.rs
@@ -0,0 +1,1 @@
+//! Quorum registers for idempotency keys, ejection permits and quarantined requests.
--- /dev/null
+++ b/crates/arbutuslane_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in backend server and caller for demos, tests and measurements.
--- /dev/null
+++ b/crates/arbutuslane_standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `arbutuslane-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/arbutuslane_storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable segmented log and snapshots with checksums and a disk fake.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! A proxy fleet for backend servers that fail in gray ways.
+//!
+//! This crate only re-exports the parts; each lives in its own crate under `crates/`.
+
+pub use arbutuslane_balance as balance;
+pub use arbutuslane_bench as bench;
+pub use arbutuslane_catalogue as catalogue;
+pub use arbutuslane_consensus as consensus;
+pub use arbutuslane_control as control;
+pub use arbutuslane_core as core;
+pub use arbutuslane_event as event;
+pub use arbutuslane_health as health;
+pub use arbutuslane_limit as limit;
+pub use arbutuslane_member as member;
+pub use arbutuslane_node as node;
+pub use arbutuslane_record as record;
+pub use arbutuslane_standin as standin;
+pub use arbutuslane_storage as storage;
+pub use arbutuslane_wire as wire;
