--- /dev/null
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -0,0 +1,155 @@
+//! The listener for backend servers, operators and metrics.
+
+use std::sync::Arc;
+
+use ntex::http::{Method, Response, StatusCode};
+use serde::Serialize;
+
+use arbutuslane_wire::announce::{Announcement, Lease};
+use arbutuslane_wire::operator::Refusal;
+
+use crate::announce::{LEASE, RENEWAL};
+use crate::metrics;
+use crate::shared::Shared;
+
+/// The largest request body in bytes.
+pub(crate) const BODY_BYTES: usize = 64 << 10;
+
+/// The state of a node as `/v1/status` shows it.
+#[derive(Debug, Serialize)]
+struct Status<'a> {
+    node: &'a str,
+    domain: &'a str,
+    incarnation: u64,
+    revision: u64,
+    awaited_revision: u64,
+    stopping: bool,
+    in_flight: i64,
+    servers: Vec<ServerStatus>,
+    remote_servers: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct ServerStatus {
+    server: String,
+    service: String,
+    incarnation: u64,
+    address: String,
+    leased: bool,
+    draining: bool,
+    in_flight: u32,
+    queued: u32,
+    slots: u32,
+    latency_us: u32,
+}
+
+/// Answers a request on the `admin` listener.
+pub(crate) fn answer(shared: &Arc<Shared>, method: &Method, path: &str, body: &[u8]) -> Response {
+    if let Some(rest) = path.strip_prefix("/v1/servers") {
+        return servers(shared, method, rest, body);
+    }
+    if method != Method::GET {
+        return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use GET");
+    }
+    match path {
+        "/health" => health(shared),
+        "/metrics" => Response::build(StatusCode::OK)
+            .content_type("text/plain; version=0.0.4")
+            .body(metrics::render(shared)),
+        "/v1/status" => Response::build(StatusCode::OK).json(&status(shared)),
+        _ => refuse(StatusCode::NOT_FOUND, "no such path", "see the HTTP interfaces of a node"),
+    }
+}
+
+/// Returns a refusal with its remedy.
+pub(crate) fn refuse(status: StatusCode, error: &str, remedy: &str) -> Response {
+    let refusal = Refusal { error: error.to_string(), remedy: remedy.to_string() };
+    Response::build(status).json(&refusal)
+}
+
+fn servers(shared: &Arc<Shared>, method: &Method, rest: &str, body: &[u8]) -> Response {
+    let rest = rest.strip_prefix('/').unwrap_or(rest);
+    if rest.is_empty() {
+        if method != Method::POST {
+            return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use POST");
+        }
+        return announce(shared, body);
+    }
+    let known = match (method, rest.strip_suffix("/drain")) {
+        (&Method::POST, Some(server)) => shared.servers.drain(server),
+        (&Method::DELETE, None) => shared.servers.leave(rest, shared.clock.now()),
+        _ => return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use DELETE"),
+    };
+    if !known {
+        let remedy = "send it to the node that holds the lease";
+        return refuse(StatusCode::NOT_FOUND, "server is not announced here", remedy);
+    }
+    Response::new(StatusCode::NO_CONTENT)
+}
+
+fn announce(shared: &Arc<Shared>, body: &[u8]) -> Response {
+    if shared.stopping() {
+        let remedy = "announce to another node";
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "node is stopping", remedy);
+    }
+    let announcement: Announcement = match serde_json::from_slice(body) {
+        Ok(announcement) => announcement,
+        Err(error) => {
+            let remedy = "correct the named key of the announcement";
+            return refuse(StatusCode::BAD_REQUEST, &error.to_string(), remedy);
+        }
+    };
+    shared.await_revision(announcement.revision);
+    if let Err(refused) = shared.servers.announce(&announcement, shared.clock.now()) {
+        let remedy = "correct the announcement or raise the incarnation";
+        return refuse(StatusCode::CONFLICT, &refused.to_string(), remedy);
+    }
+    let lease = Lease {
+        lease_ms: u64::try_from(LEASE.as_millis()).unwrap_or(u64::MAX),
+        renew_ms: u64::try_from(RENEWAL.as_millis()).unwrap_or(u64::MAX),
+        revision: shared.configuration().revision(),
+    };
+    Response::build(StatusCode::OK).json(&lease)
+}
+
+fn health(shared: &Shared) -> Response {
+    if shared.stopping() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "node is stopping", "use another node");
+    }
+    if shared.configuration().revision() == 0 {
+        let remedy = "check that a control instance or another node is reachable";
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", remedy);
+    }
+    Response::new(StatusCode::OK)
+}
+
+fn status(shared: &Shared) -> Status<'_> {
+    let now = shared.clock.now();
+    let mut servers = Vec::new();
+    for server in shared.servers.all() {
+        let report = server.report();
+        servers.push(ServerStatus {
+            server: server.id.clone(),
+            service: server.service.clone(),
+            incarnation: server.incarnation,
+            address: server.address.to_string(),
+            leased: server.leased(now),
+            draining: server.draining(),
+            in_flight: report.in_flight,
+            queued: report.queued,
+            slots: report.slots,
+            latency_us: report.latency_us,
+        });
+    }
+    Status {
+        node: &shared.settings.node,
+        domain: &shared.settings.domain,
+        incarnation: shared.incarnation,
+        revision: shared.configuration().revision(),
+        awaited_revision: shared.awaited(),
+        stopping: shared.stopping(),
+        in_flight: shared.metrics.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+        servers,
+        remote_servers: shared.remotes().len(),
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -0,0 +1,294 @@
+//! The backend servers that announced themselves to this node, and their leases.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
+use arbutuslane_core::time::Time;
+use arbutuslane_wire::announce::Announcement;
+use arbutuslane_wire::load::{Report, Serving};
+
+use crate::traffic::Admission;
+
+/// How long nothing renews a lease before dispatch stops.
+///
+/// 2.5 s plus clock drift stays below the 3 s after which a server that left gets no new work.
+pub(crate) const LEASE: Duration = Duration::from_millis(2_500);
+
+/// How often a server renews its lease.
+pub(crate) const RENEWAL: Duration = Duration::from_secs(1);
+
+/// How long a departed incarnation is refused, so that a delayed renewal does not bring it back.
+const DEPARTED_KEPT: Duration = Duration::from_secs(60);
+
+/// The most slots that an announcement may state.
+const SLOTS: u32 = 4_096;
+
+/// One backend server that this node owns.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// The name of the server.
+    pub(crate) id: ServerId,
+    /// The service that it belongs to.
+    pub(crate) service: ServiceName,
+    /// The incarnation that announced itself.
+    pub(crate) incarnation: Incarnation,
+    /// Where it takes requests.
+    pub(crate) address: SocketAddr,
+    /// Admission to its slots.
+    pub(crate) admission: Arc<Admission>,
+    renewed_ms: AtomicU64,
+    draining: AtomicBool,
+    echoes: AtomicBool,
+    latency_us: AtomicU32,
+}
+
+/// The backend servers of this node in ascending order of their names.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    servers: RwLock<Vec<Arc<Server>>>,
+    departed: RwLock<Vec<(ServerId, Incarnation, Time)>>,
+}
+
+/// An announcement that was refused.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Refused {
+    /// The address is no IP address with a port.
+    #[error("address is not an IP address with a port")]
+    Address,
+    /// The number of slots is outside its range.
+    #[error("slots must be between 1 and {SLOTS}")]
+    Slots,
+    /// A name is empty or too long.
+    #[error("service and server must have 1 to 128 characters")]
+    Name,
+    /// A newer incarnation is known, or this one left or differs from what it said before.
+    #[error("incarnation {known} of this server is known; announce with a higher one")]
+    Incarnation {
+        /// The incarnation that is known.
+        known: Incarnation,
+    },
+}
+
+impl Server {
+    /// Returns whether the lease is valid at `now`.
+    pub(crate) fn leased(&self, now: Time) -> bool {
+        let renewed = Duration::from_millis(self.renewed_ms.load(Ordering::Acquire));
+        now < renewed + LEASE
+    }
+
+    /// Returns whether the server takes no new work.
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns whether new work may be dispatched at `now`.
+    pub(crate) fn open(&self, now: Time) -> bool {
+        self.leased(now) && !self.draining()
+    }
+
+    /// Returns whether the server echoed an exchange id.
+    pub(crate) fn echoes(&self) -> bool {
+        self.echoes.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the server echoes exchange ids.
+    pub(crate) fn set_echoes(&self) {
+        self.echoes.store(true, Ordering::Relaxed);
+    }
+
+    /// Adds a latency to the moving average, in which it weighs one eighth.
+    pub(crate) fn note_latency(&self, latency: Duration) {
+        let latest = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
+        let average = self.latency_us.load(Ordering::Relaxed);
+        let next = if average == 0 { latest } else { average - average / 8 + latest / 8 };
+        self.latency_us.store(next, Ordering::Relaxed);
+    }
+
+    /// Returns the load of the server as entries see it.
+    pub(crate) fn report(&self) -> Report {
+        let (in_flight, queued, slots) = self.admission.occupancy();
+        Report {
+            in_flight,
+            queued,
+            slots,
+            latency_us: self.latency_us.load(Ordering::Relaxed),
+            serving: if self.draining() { Serving::Draining } else { Serving::Open },
+            ramp_percent: 100,
+        }
+    }
+
+    fn renew(&self, now: Time) {
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.renewed_ms.fetch_max(now, Ordering::AcqRel);
+    }
+}
+
+impl Table {
+    /// Accepts an announcement or a renewal at `now`.
+    pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<(), Refused> {
+        let address = announcement.address.parse().map_err(|_| Refused::Address)?;
+        if announcement.slots == 0 || announcement.slots > SLOTS {
+            return Err(Refused::Slots);
+        }
+        for name in [&announcement.service, &announcement.server] {
+            if name.is_empty() || name.len() > 128 {
+                return Err(Refused::Name);
+            }
+        }
+        self.check_departed(announcement, now)?;
+        let mut servers = self.servers.write().unwrap_or_else(PoisonError::into_inner);
+        let index = servers.binary_search_by(|server| server.id.cmp(&announcement.server));
+        if let Ok(index) = index {
+            let known = &servers[index];
+            let same = known.address == address && known.service == announcement.service;
+            if known.incarnation == announcement.incarnation && same {
+                known.admission.set_slots(announcement.slots);
+                known.renew(now);
+                return Ok(());
+            }
+            if known.incarnation >= announcement.incarnation {
+                return Err(Refused::Incarnation { known: known.incarnation });
+            }
+        }
+        let server = Arc::new(Server {
+            id: announcement.server.clone(),
+            service: announcement.service.clone(),
+            incarnation: announcement.incarnation,
+            address,
+            admission: Arc::new(Admission::new(announcement.slots)),
+            renewed_ms: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            echoes: AtomicBool::new(false),
+            latency_us: AtomicU32::new(0),
+        });
+        server.renew(now);
+        match index {
+            Ok(index) => servers[index] = server,
+            Err(index) => servers.insert(index, server),
+        }
+        Ok(())
+    }
+
+    /// Stops new work for a server; returns whether it is known.
+    pub(crate) fn drain(&self, server: &str) -> bool {
+        let Some(server) = self.get(server) else { return false };
+        server.draining.store(true, Ordering::Release);
+        true
+    }
+
+    /// Removes a server at once; returns whether it was known.
+    pub(crate) fn leave(&self, server: &str, now: Time) -> bool {
+        if !self.drain(server) {
+            return false;
+        }
+        let mut servers = self.servers.write().unwrap_or_else(PoisonError::into_inner);
+        let index = servers.binary_search_by(|known| known.id.as_str().cmp(server));
+        let Ok(index) = index else { return false };
+        let left = servers.remove(index);
+        let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
+        departed.push((left.id.clone(), left.incarnation, now));
+        true
+    }
+
+    /// Removes servers whose lease has been over for a while and forgets old departures.
+    pub(crate) fn expire(&self, now: Time) {
+        let mut servers = self.servers.write().unwrap_or_else(PoisonError::into_inner);
+        servers.retain(|server| {
+            let renewed = Duration::from_millis(server.renewed_ms.load(Ordering::Acquire));
+            now < renewed + LEASE * 4
+        });
+        let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
+        departed.retain(|(_, _, left)| now < *left + DEPARTED_KEPT);
+    }
+
+    /// Returns a server by name.
+    pub(crate) fn get(&self, server: &str) -> Option<Arc<Server>> {
+        let servers = self.servers.read().unwrap_or_else(PoisonError::into_inner);
+        let index = servers.binary_search_by(|known| known.id.as_str().cmp(server)).ok()?;
+        Some(Arc::clone(&servers[index]))
+    }
+
+    /// Returns all servers.
+    pub(crate) fn all(&self) -> Vec<Arc<Server>> {
+        self.servers.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn check_departed(&self, announcement: &Announcement, now: Time) -> Result<(), Refused> {
+        let departed = self.departed.read().unwrap_or_else(PoisonError::into_inner);
+        for (server, incarnation, left) in departed.iter() {
+            let recent = now < *left + DEPARTED_KEPT;
+            if *server == announcement.server && announcement.incarnation <= *incarnation && recent
+            {
+                return Err(Refused::Incarnation { known: *incarnation });
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn announcement(incarnation: Incarnation) -> Announcement {
+        Announcement {
+            service: "slots".to_string(),
+            server: "s1".to_string(),
+            incarnation,
+            address: "127.0.0.1:9000".to_string(),
+            slots: 5,
+            revision: 0,
+        }
+    }
+
+    /// Guards against dispatch to a server that stopped renewing.
+    #[test]
+    fn open_expired() {
+        let table = Table::default();
+        table.announce(&announcement(1), Duration::from_millis(100)).unwrap();
+        let server = table.get("s1").unwrap();
+        assert!(server.open(Duration::from_millis(2_599)));
+        assert!(!server.open(Duration::from_millis(2_600)));
+        table.announce(&announcement(1), Duration::from_millis(2_700)).unwrap();
+        assert!(server.open(Duration::from_millis(2_800)));
+    }
+
+    /// Guards against a delayed renewal that brings a departed server back.
+    #[test]
+    fn announce_departed() {
+        let table = Table::default();
+        let now = Duration::from_secs(1);
+        table.announce(&announcement(1), now).unwrap();
+        let server = table.get("s1").unwrap();
+        assert!(table.leave("s1", now));
+        assert!(!server.open(now));
+        assert_eq!(table.announce(&announcement(1), now), Err(Refused::Incarnation { known: 1 }));
+        assert_eq!(table.announce(&announcement(2), now), Ok(()));
+    }
+
+    /// Guards against an outdated announcement that replaces a newer one.
+    #[test]
+    fn announce_outdated() {
+        let table = Table::default();
+        let now = Duration::from_secs(1);
+        table.announce(&announcement(7), now).unwrap();
+        assert_eq!(table.announce(&announcement(6), now), Err(Refused::Incarnation { known: 7 }));
+        let mut moved = announcement(7);
+        moved.address = "127.0.0.1:9001".to_string();
+        assert_eq!(table.announce(&moved, now), Err(Refused::Incarnation { known: 7 }));
+    }
+
+    /// Guards against a drain that the next renewal undoes.
+    #[test]
+    fn drain_renewed() {
+        let table = Table::default();
+        let now = Duration::from_secs(1);
+        table.announce(&announcement(1), now).unwrap();
+        assert!(table.drain("s1"));
+        table.announce(&announcement(1), now).unwrap();
+        assert!(!table.get("s1").unwrap().open(now));
+    }
+}
--- a/crates/arbutuslane_node/src/main.rs
+++ b/crates/arbutuslane_node/src/main.rs
@@ -1,3 +1,5 @@
 //! The `arbutuslane-node` program.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    arbutuslane_node::run::from_arguments()
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -0,0 +1,106 @@
+//! Messages to and from other nodes and control instances.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::header::{HOST, HeaderName, HeaderValue};
+use ntex::http::{HeaderMap, Method, Response, StatusCode};
+use ntex::util::Bytes;
+
+use arbutuslane_wire::{codec, header, peer};
+
+use crate::seeds;
+use crate::shared::Shared;
+use crate::traffic::{self, Echo, Failure, Pool, Upload};
+
+/// The largest message in bytes.
+pub(crate) const MESSAGE_BYTES: usize = 16 << 20;
+
+/// Sends `message` to the peer at `address` and returns its answer.
+pub(crate) async fn ask(
+    shared: &Shared,
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    message: &peer::Message,
+    wait: Duration,
+) -> Result<peer::Answer, String> {
+    let body = codec::encode(message).map_err(|error| error.to_string())?;
+    let bytes = post(shared, pool, address, "/v1/peer", body.into(), wait).await?;
+    codec::decode(&bytes).map_err(|error| error.to_string())
+}
+
+/// Sends `body` to a path of the peer at `address` and returns the body of a 200 response.
+pub(crate) async fn post(
+    shared: &Shared,
+    pool: &Rc<Pool>,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+    wait: Duration,
+) -> Result<Bytes, String> {
+    let mut headers = HeaderMap::new();
+    let token = HeaderValue::from_str(&shared.token()).map_err(|error| error.to_string())?;
+    headers.insert(HeaderName::from_static(header::TOKEN), token);
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|error| error.to_string())?;
+    headers.insert(HOST, host);
+    let upload = Upload::Whole(body);
+    let request =
+        traffic::Request { method: Method::POST, target: path.to_string(), headers, upload };
+    let reading = async {
+        let connection = match pool.take(address) {
+            Some(connection) => connection,
+            None => pool.connect(address, wait).await?,
+        };
+        let exchange = traffic::new_exchange();
+        // Control instances need not echo the id, so their connections are not kept.
+        let reply = connection.exchange(request, exchange, Echo::Unknown, true, wait).await?;
+        let status = reply.status;
+        Ok::<_, Failure>((status, reply.body.collect(MESSAGE_BYTES).await?))
+    };
+    match ntex::time::timeout_checked(wait, reading).await {
+        Ok(Ok((StatusCode::OK, bytes))) => Ok(bytes),
+        Ok(Ok((status, _))) => Err(format!("status {status}")),
+        Ok(Err(failure)) => {
+            pool.purge(address);
+            Err(failure.to_string())
+        }
+        Err(()) => {
+            pool.purge(address);
+            Err("no answer in time".to_string())
+        }
+    }
+}
+
+/// Answers a message of another process.
+pub(crate) fn answer(shared: &Arc<Shared>, path: &str, body: &[u8]) -> Response {
+    match path {
+        "/v1/peer" => {
+            let Ok(message) = codec::decode::<peer::Message>(body) else {
+                return Response::new(StatusCode::BAD_REQUEST);
+            };
+            match codec::encode(&respond(shared, &message)) {
+                Ok(bytes) => Response::build(StatusCode::OK).body(bytes),
+                Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+            }
+        }
+        seeds::PATH => seeds::answer(shared, body),
+        _ => Response::new(StatusCode::NOT_FOUND),
+    }
+}
+
+fn respond(shared: &Shared, message: &peer::Message) -> peer::Answer {
+    match message {
+        peer::Message::FetchSnapshot { known_revision } => {
+            let configuration = shared.configuration();
+            if configuration.revision() <= *known_revision {
+                return peer::Answer::Unchanged;
+            }
+            match codec::encode(configuration.snapshot()) {
+                Ok(bytes) => peer::Answer::Snapshot(bytes),
+                Err(_) => peer::Answer::Unsupported,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/run.rs
@@ -0,0 +1,128 @@
+//! Starts the threads of a node and stops them in order.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, Command, value_parser};
+use ntex::rt::signals::{Signal, signal};
+use ntex::rt::{DefaultRuntime, System};
+use ntex::time::sleep;
+
+use crate::configuration;
+use crate::seeds;
+use crate::settings::{self, Settings};
+use crate::shared::{Shared, read_token};
+use crate::traffic::{Pool, listener};
+
+/// How long a stopping node still accepts connections.
+///
+/// It covers a server lease (2.5 s) and the exchange of server lists, so that servers have
+/// announced themselves elsewhere and other nodes know it before the listeners close.
+const LINGER: Duration = Duration::from_millis(3_500);
+
+/// A node that cannot start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::Error),
+    /// The token cannot be read.
+    #[error("cannot read token file {path}: {source}")]
+    #[diagnostic(help("write the fleet's shared secret to the file that `token_file` names"))]
+    Token {
+        /// The path of the file.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The catalogue file cannot be used.
+    #[error("cannot read catalogue file {path}: {reason}")]
+    #[diagnostic(help(
+        "write a catalogue snapshot in JSON to the file that `catalogue_file` names"
+    ))]
+    Catalogue {
+        /// The path of the file.
+        path: PathBuf,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// A listener cannot be opened or a thread cannot be started.
+    #[error("cannot start: {0}")]
+    #[diagnostic(help(
+        "check that the addresses of the settings are free and belong to this host"
+    ))]
+    Start(#[from] std::io::Error),
+}
+
+/// Reads the arguments of the process and runs a node.
+pub fn from_arguments() -> miette::Result<()> {
+    let settings = Arg::new("settings")
+        .help("The JSON file with the settings of the node")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    let matches = Command::new("arbutuslane-node")
+        .about("Runs a node of the proxy fleet")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(settings)
+        .get_matches();
+    let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let settings = Settings::read(&path)?;
+    Ok(run(settings)?)
+}
+
+/// Runs a node until the process is told to stop.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let path = settings.token_file.clone();
+    let token = read_token(&path).map_err(|source| Error::Token { path, source })?;
+    let shared = Shared::new(settings, token);
+    if let Some(path) = &shared.settings.catalogue_file {
+        let read = configuration::read(path);
+        let configuration =
+            read.map_err(|reason| Error::Catalogue { path: path.clone(), reason })?;
+        shared.adopt(configuration);
+    }
+    let control = Arc::clone(&shared);
+    std::thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || System::new("control", DefaultRuntime).block_on(control_work(control)))?;
+    System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
+}
+
+async fn serve(shared: Arc<Shared>) -> Result<(), Error> {
+    let server = listener::start(&shared)?;
+    System::current().enable_signals();
+    tracing::info!(event = "started", node = shared.settings.node);
+    loop {
+        match signal().await {
+            Ok(signals) if signals.iter().all(|signal| matches!(signal, Signal::Hup)) => {}
+            Ok(_) => break,
+            Err(_) => sleep(Duration::from_secs(1)).await,
+        }
+    }
+    shared.stop();
+    tracing::info!(event = "stopping", node = shared.settings.node);
+    sleep(LINGER.min(Duration::from_millis(shared.settings.stop_ms))).await;
+    server.stop(true).await;
+    tracing::info!(event = "stopped", node = shared.settings.node);
+    Ok(())
+}
+
+/// Fetches the configuration and exchanges server lists until the process ends.
+async fn control_work(shared: Arc<Shared>) {
+    let pool = Pool::new();
+    loop {
+        shared.reload_token();
+        shared.servers.expire(shared.clock.now());
+        let settings = &shared.settings;
+        for address in settings.control.iter().chain(&settings.seeds) {
+            if *address != settings.advertised() {
+                configuration::fetch(&shared, &pool, *address).await;
+            }
+        }
+        seeds::exchange(&shared, &pool).await;
+        pool.expire();
+        sleep(seeds::PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -0,0 +1,127 @@
+//! The settings of a node, read from a JSON file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+/// The settings of one node.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the node, unique in the fleet.
+    pub node: String,
+    /// The failure domain that the node runs in.
+    pub domain: String,
+    /// The address of the listener for callers.
+    pub callers: SocketAddr,
+    /// The address of the listener for other nodes and control instances.
+    pub peers: SocketAddr,
+    /// The address of the listener for backend servers, operators and metrics.
+    pub admin: SocketAddr,
+    /// The address under which other nodes reach `peers`; `peers` itself when absent.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// The file with the secret that processes of the fleet share.
+    pub token_file: PathBuf,
+    /// The `peers` addresses of nodes that are asked first.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The `peers` addresses of control instances.
+    #[serde(default)]
+    pub control: Vec<SocketAddr>,
+    /// A file with a catalogue snapshot, for tests and fleets without control instances.
+    #[serde(default)]
+    pub catalogue_file: Option<PathBuf>,
+    /// The number of threads that carry traffic.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: usize,
+    /// The longest time in milliseconds that a planned stop waits for requests in flight.
+    #[serde(default = "default_stop_ms")]
+    pub stop_ms: u64,
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("cannot read settings file {path}: {source}")]
+    #[diagnostic(help("check that the file exists and that this user may read it"))]
+    Read {
+        /// The path of the file.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The text does not describe settings.
+    #[error("bad settings: {0}")]
+    #[diagnostic(help("correct the named key; docs/design.md lists the keys of a node"))]
+    Parse(#[from] serde_json::Error),
+    /// A value is outside its range.
+    #[error("bad settings: {key}: {reason}")]
+    #[diagnostic(help("correct the value of the named key"))]
+    Value {
+        /// The path of the key.
+        key: &'static str,
+        /// What is wrong with its value.
+        reason: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads settings from the file at `path`.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: path.to_path_buf(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from JSON text; an unknown key is an error.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let settings: Self = serde_json::from_str(text)?;
+        if settings.node.is_empty() {
+            return Err(Error::Value { key: "node", reason: "must not be empty" });
+        }
+        if settings.traffic_threads == 0 {
+            return Err(Error::Value { key: "traffic_threads", reason: "must be at least 1" });
+        }
+        Ok(settings)
+    }
+
+    /// Returns the address under which other nodes reach this one.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peers)
+    }
+}
+
+fn default_traffic_threads() -> usize {
+    2
+}
+
+fn default_stop_ms() -> u64 {
+    60_000
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const COMPLETE: &str = r#"{"node": "a", "domain": "d", "callers": "127.0.0.1:1",
+        "peers": "127.0.0.1:2", "admin": "127.0.0.1:3", "token_file": "t"}"#;
+
+    /// Guards against a misspelt key that is ignored.
+    #[test]
+    fn parse_unknown_key() {
+        let text = COMPLETE.replace("\"node\"", "\"seed\": [], \"node\"");
+        let error = Settings::parse(&text).unwrap_err().to_string();
+        assert!(error.contains("seed"), "{error}");
+    }
+
+    /// Guards against a node without threads, which accepts callers and never answers.
+    #[test]
+    fn parse_no_threads() {
+        let text = COMPLETE.replace("\"node\"", "\"traffic_threads\": 0, \"node\"");
+        assert!(Settings::parse(&text).unwrap_err().to_string().contains("traffic_threads"));
+        assert_eq!(Settings::parse(COMPLETE).unwrap().advertised().port(), 2);
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -0,0 +1,156 @@
+//! What the threads of a node share.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use subtle::ConstantTimeEq;
+
+use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
+use arbutuslane_core::time::Clock;
+
+use crate::announce::Table;
+use crate::configuration::Configuration;
+use crate::metrics::Metrics;
+use crate::seeds::Known;
+use crate::settings::Settings;
+
+/// A backend server that another node owns.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Remote {
+    /// The service that the server belongs to.
+    pub(crate) service: ServiceName,
+    /// The name of the server.
+    pub(crate) server: ServerId,
+    /// The incarnation of the server.
+    pub(crate) incarnation: Incarnation,
+    /// The number of requests that the server runs at a time.
+    pub(crate) slots: u32,
+    /// The node that owns the server.
+    pub(crate) owner: NodeId,
+    /// The `peers` address of the owner.
+    pub(crate) address: SocketAddr,
+    /// The failure domain of the owner.
+    pub(crate) domain: DomainName,
+}
+
+/// What the threads of a node share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// The settings of the node.
+    pub(crate) settings: Settings,
+    /// The clock that every thread counts by.
+    pub(crate) clock: Clock,
+    /// The start time of the node in milliseconds, which rises with each restart.
+    pub(crate) incarnation: Incarnation,
+    /// The backend servers that announced themselves here.
+    pub(crate) servers: Table,
+    /// The counters of the node.
+    pub(crate) metrics: Metrics,
+    /// What the seeds said about other nodes.
+    pub(crate) known: Known,
+    configuration: RwLock<Arc<Configuration>>,
+    remotes: RwLock<Arc<Vec<Remote>>>,
+    token: RwLock<Arc<String>>,
+    stopping: AtomicBool,
+    awaited: AtomicU64,
+}
+
+impl Shared {
+    /// Returns the state of a node that has learned nothing yet.
+    pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Arc::new(Self {
+            settings,
+            clock: Clock::start(),
+            incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            servers: Table::default(),
+            metrics: Metrics::default(),
+            known: Known::default(),
+            configuration: RwLock::default(),
+            remotes: RwLock::default(),
+            token: RwLock::new(Arc::new(token)),
+            stopping: AtomicBool::new(false),
+            awaited: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&self.configuration.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts `newer` in force unless it is older than the one in force or than one that a backend
+    /// server was told; returns whether it did.
+    pub(crate) fn adopt(&self, newer: Configuration) -> bool {
+        let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        if !newer.is_newer_than(&current) || newer.revision() < self.awaited() {
+            return false;
+        }
+        *current = Arc::new(newer);
+        true
+    }
+
+    /// Returns the highest revision that a backend server was told.
+    pub(crate) fn awaited(&self) -> Revision {
+        self.awaited.load(Ordering::Relaxed)
+    }
+
+    /// Notes a revision that a backend server was told.
+    pub(crate) fn await_revision(&self, revision: Revision) {
+        self.awaited.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Returns the servers of other nodes in ascending order of service and name.
+    pub(crate) fn remotes(&self) -> Arc<Vec<Remote>> {
+        Arc::clone(&self.remotes.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the servers of other nodes.
+    pub(crate) fn set_remotes(&self, mut remotes: Vec<Remote>) {
+        remotes.sort_by(|left, right| {
+            (&left.service, &left.server).cmp(&(&right.service, &right.server))
+        });
+        *self.remotes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(remotes);
+    }
+
+    /// Returns the secret that processes of the fleet share.
+    pub(crate) fn token(&self) -> Arc<String> {
+        Arc::clone(&self.token.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns whether `candidate` is the shared secret, in a time that does not depend on it.
+    pub(crate) fn accepts(&self, candidate: &[u8]) -> bool {
+        self.token().as_bytes().ct_eq(candidate).into()
+    }
+
+    /// Reads the secret again, so that it can be replaced without a restart.
+    pub(crate) fn reload_token(&self) {
+        let Ok(token) = read_token(&self.settings.token_file) else { return };
+        if token == *self.token() {
+            return;
+        }
+        *self.token.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(token);
+    }
+
+    /// Returns whether the node is in a planned stop.
+    pub(crate) fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Reads a secret from a file; surrounding white space is ignored.
+pub(crate) fn read_token(path: &Path) -> std::io::Result<String> {
+    let token = std::fs::read_to_string(path)?.trim().to_string();
+    match token.is_empty() {
+        true => Err(std::io::Error::other("the file is empty")),
+        false => Ok(token),
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -0,0 +1,59 @@
+//! The response of a backend server on its way back.
+
+use std::task::{Context, Poll};
+
+use ntex::http::{HeaderMap, StatusCode};
+use ntex::util::Bytes;
+
+use super::admission::Permit;
+use super::choice::Ongoing;
+use super::client::{Body, Failure};
+
+/// The response of a backend server whose body is still to be read.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The end-to-end header fields.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Stream,
+}
+
+/// The body of a response together with what is held until its end.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    body: Body,
+    permit: Option<Permit>,
+    ongoing: Option<Ongoing>,
+}
+
+impl Stream {
+    /// Returns a stream that holds `permit` until its end.
+    pub(crate) fn new(body: Body, permit: Option<Permit>) -> Self {
+        Self { body, permit, ongoing: None }
+    }
+
+    /// Counts the request as in flight at the entry until the end of the stream.
+    pub(crate) fn hold(&mut self, ongoing: Ongoing) {
+        self.ongoing = Some(ongoing);
+    }
+
+    /// Returns the stated length.
+    pub(crate) fn length(&self) -> Option<u64> {
+        self.body.length()
+    }
+
+    /// Polls for the next bytes; nothing follows the verified end.
+    pub(crate) fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Failure>>> {
+        let next = self.body.poll_next(cx);
+        if matches!(next, Poll::Ready(None | Some(Err(_)))) {
+            self.permit = None;
+            self.ongoing = None;
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -0,0 +1,244 @@
+//! The entry's stages: route, limits, deadline, choice, forwarding, retries.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::header::{HOST, HeaderName};
+use ntex::http::{self, HeaderMap, Method, Payload, Response, StatusCode};
+use ntex::time::timeout_checked;
+use ntex::util::BytesMut;
+
+use arbutuslane_catalogue::entry::{Class, Entry};
+use arbutuslane_core::id::ServerId;
+
+use crate::metrics::count;
+
+use super::answer::Answer;
+use super::choice::{self, Candidate, Loads};
+use super::client::{Request, Upload};
+use super::deadline::Deadline;
+use super::fields;
+use super::owner::{self, Work};
+use super::refusal::{Outcome, Refusal};
+use super::relay::{InFlight, Relay};
+use super::remote;
+use super::resume;
+use super::worker::Worker;
+
+/// The most servers that one request is sent to.
+const ATTEMPTS: usize = 3;
+
+/// The largest request body that is held whole, so that it can be sent again.
+const HELD_BYTES: u64 = 64 << 10;
+
+/// A request of a caller after routing.
+#[derive(Debug, Clone)]
+pub(crate) struct Routed {
+    /// The service that runs it.
+    pub(crate) service: String,
+    /// Its class.
+    pub(crate) class: Class,
+    /// When its response is of no use any more.
+    pub(crate) deadline: Deadline,
+    /// The request with its end-to-end header fields.
+    pub(crate) request: Request,
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
+    let in_flight = InFlight::begin(&worker.shared);
+    let io = incoming.io().cloned();
+    let result = run(&worker, &mut incoming).await;
+    let metrics = &worker.shared.metrics;
+    let (routed, answer, tried) = match result {
+        Ok(success) => success,
+        Err(refusal) => {
+            in_flight.finish();
+            match refusal.outcome {
+                Outcome::NotRun => count(&metrics.not_run),
+                Outcome::Unknown => count(&metrics.unknown),
+            }
+            let mut response = refusal.response();
+            if worker.shared.stopping() {
+                response.head_mut().set_connection_type(http::ConnectionType::Close);
+            }
+            return response;
+        }
+    };
+    count(&metrics.answered);
+    if routed.class == Class::Download {
+        let shared = Arc::clone(&worker.shared);
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let source = resume::source(&worker, routed, answer, tried);
+        return Relay::respond_with(&shared, status, &headers, source, io, in_flight, None);
+    }
+    let limit = routed.deadline.remaining(worker.shared.clock.now());
+    Relay::respond(&worker.shared, answer, io, in_flight, Some(limit))
+}
+
+/// Returns the stated length of a request body.
+pub(crate) fn content_length(headers: &HeaderMap) -> Option<u64> {
+    fields::text(headers, "content-length").and_then(|text| text.parse().ok())
+}
+
+/// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
+pub(crate) async fn attempt(
+    worker: &Worker,
+    routed: &Routed,
+    tried: &mut Vec<ServerId>,
+    last: bool,
+) -> Result<Answer, Refusal> {
+    let candidates = choice::candidates(worker, &routed.service, tried);
+    let alternatives = candidates.len() > 1;
+    let Some(candidate) = choice::choose(worker, candidates) else {
+        return Err(Refusal {
+            elsewhere: false,
+            ..Refusal::not_run(format!("no server of {} takes work", routed.service))
+        });
+    };
+    let server = candidate.server().to_string();
+    tried.push(server.clone());
+    let remaining = routed.deadline.remaining(worker.shared.clock.now());
+    // Leaves time for another server when this one or its connection is silent.
+    let shared = routed.class != Class::NonIdempotent && alternatives && !last;
+    let limit = if shared { remaining / 2 } else { remaining };
+    let ongoing = Loads::begin(&worker.loads, &server);
+    let work = Work {
+        server,
+        incarnation: match &candidate {
+            Candidate::Local(server) => server.incarnation,
+            Candidate::Remote { incarnation, .. } => *incarnation,
+        },
+        class: routed.class,
+        deadline: routed.deadline,
+        limit,
+        request: routed.request.clone(),
+    };
+    let mut answer = match candidate {
+        Candidate::Local(_) => owner::dispatch(worker, work).await?,
+        Candidate::Remote { address, .. } => {
+            let forwarding = remote::forward(worker, work, address);
+            let limit = limit.max(Duration::from_millis(1));
+            match timeout_checked(limit, forwarding).await {
+                Ok(result) => result?,
+                Err(()) => {
+                    worker.pool.purge(address);
+                    let error = "no response within the deadline";
+                    return Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error));
+                }
+            }
+        }
+    };
+    answer.body.hold(ongoing);
+    Ok(answer)
+}
+
+async fn run(
+    worker: &Worker,
+    incoming: &mut http::Request,
+) -> Result<(Routed, Answer, Vec<ServerId>), Refusal> {
+    let routed = route(worker, incoming).await?;
+    let mut tried = Vec::new();
+    loop {
+        let last = tried.len() + 1 >= ATTEMPTS;
+        let result = attempt(worker, &routed, &mut tried, last).await;
+        let again = !last && may_retry(worker, &routed, &result);
+        if !again {
+            return result.map(|answer| (routed, answer, tried));
+        }
+        // The next attempt fails only when no other server is left; then this result stands.
+        if choice::candidates(worker, &routed.service, &tried).is_empty() {
+            return result.map(|answer| (routed, answer, tried));
+        }
+        count(&worker.shared.metrics.retries);
+    }
+}
+
+/// Returns whether another server may run the request after `result`.
+fn may_retry(worker: &Worker, routed: &Routed, result: &Result<Answer, Refusal>) -> bool {
+    if !routed.request.upload.replayable() || routed.deadline.passed(worker.shared.clock.now()) {
+        return false;
+    }
+    match result {
+        Ok(answer) => {
+            let failed =
+                answer.status.is_server_error() || answer.status == StatusCode::TOO_MANY_REQUESTS;
+            failed && routed.class != Class::NonIdempotent
+        }
+        Err(refusal) if !refusal.elsewhere => false,
+        Err(refusal) => refusal.outcome == Outcome::NotRun || routed.class != Class::NonIdempotent,
+    }
+}
+
+async fn route(worker: &Worker, incoming: &mut http::Request) -> Result<Routed, Refusal> {
+    let configuration = worker.shared.configuration();
+    if configuration.revision() == 0 {
+        return Err(Refusal::not_run("this node has no configuration yet"));
+    }
+    let host = incoming.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let Some((entry, class)) = configuration.route(host, incoming.path()) else {
+        let remedy = "check host and path against the routes of the catalogue";
+        return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
+    };
+    let now = worker.shared.clock.now();
+    let deadline = Deadline::read(incoming.headers(), entry.limits.deadline, now);
+    if deadline.passed(now) {
+        return Err(Refusal::not_run("the deadline passed before the request arrived"));
+    }
+    let length = content_length(incoming.headers());
+    let upload = upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
+    let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
+    let mut headers = fields::end_to_end(incoming.headers());
+    if !headers.contains_key(HOST) {
+        fields::set(&mut headers, "host", "localhost");
+    }
+    // The caller's own statement of its address must not be trusted by servers.
+    headers.remove(HeaderName::from_static("x-forwarded-for"));
+    if let Some(caller) = incoming.peer_addr() {
+        fields::set(&mut headers, "x-forwarded-for", &caller.ip().to_string());
+    }
+    let method = incoming.method().clone();
+    let request = Request { method, target: target.to_string(), headers, upload };
+    Ok(Routed { service: entry.service.clone(), class, deadline, request })
+}
+
+/// Holds a small body, so that it can be sent again, and streams any other.
+async fn upload(
+    entry: &Entry,
+    mut payload: Payload,
+    length: Option<u64>,
+    remaining: Duration,
+) -> Result<Upload, Refusal> {
+    let limit = entry.limits.body_bytes;
+    if length.is_some_and(|length| length > limit) {
+        let error = format!("request body exceeds the {limit} bytes that the service allows");
+        let remedy = "send a smaller body or raise the limit in the catalogue";
+        return Err(Refusal::rejected(StatusCode::PAYLOAD_TOO_LARGE, &error, remedy));
+    }
+    if matches!(payload, Payload::None) {
+        return Ok(Upload::Empty);
+    }
+    let Some(held) = length.filter(|length| *length <= HELD_BYTES) else {
+        return Ok(Upload::stream(payload, length, limit));
+    };
+    let reading = async {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = payload.recv().await {
+            whole.extend_from_slice(&chunk.map_err(|_| ())?);
+        }
+        (whole.len() as u64 == held).then(|| whole.freeze()).ok_or(())
+    };
+    match timeout_checked(remaining, reading).await {
+        Ok(Ok(whole)) => Ok(Upload::Whole(whole)),
+        Ok(Err(())) | Err(()) => {
+            let remedy = "send the complete body within the deadline";
+            Err(Refusal::rejected(StatusCode::BAD_REQUEST, "request body is incomplete", remedy))
+        }
+    }
+}
+
+/// Returns whether a response to `method` may be continued from another server.
+pub(crate) fn resumable(method: &Method) -> bool {
+    owner::is_get(method)
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -0,0 +1,201 @@
+//! The three listeners of a node and what runs on the connections that they accept.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::http::h1::control::Reason;
+use ntex::http::h1::{Control, ControlAck};
+use ntex::http::{HttpService, HttpServiceConfig, Payload, Request, Response, StatusCode};
+use ntex::io::{Base, IoConfig};
+use ntex::server::{Server, ServerBuilder, build, create_tcp_listener};
+use ntex::service::fn_service;
+use ntex::time::{Seconds, timeout_checked};
+use ntex::util::{Bytes, BytesMut};
+
+use arbutuslane_wire::header;
+
+use crate::shared::Shared;
+use crate::{admin, peers};
+
+use super::worker::Worker;
+use super::{entry, fields, owner};
+
+/// How long a connection without requests is kept open.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// How long a request head may take.
+const HEAD_WAIT: Seconds = Seconds(5);
+
+/// The largest request head in bytes.
+const HEAD_BYTES: usize = 32 << 10;
+
+/// The size of the read and write buffers of a connection in bytes.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// How long the body of a message to `peers` or `admin` may take.
+const MESSAGE_WAIT: Duration = Duration::from_secs(5);
+
+/// The number of connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// The purpose of a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    Callers,
+    Peers,
+    Admin,
+}
+
+thread_local! {
+    /// The state of this traffic thread, which its three listeners share.
+    static WORKER: RefCell<Option<Rc<Worker>>> = const { RefCell::new(None) };
+}
+
+/// Opens the listeners and starts the traffic threads.
+pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
+    let settings = &shared.settings;
+    let stop = Seconds::checked_new(usize::try_from(settings.stop_ms / 1_000).unwrap_or(60));
+    let mut builder = build()
+        .workers(settings.traffic_threads)
+        .backlog(BACKLOG)
+        .disable_signals()
+        .shutdown_timeout(stop);
+    for (purpose, address) in [
+        (Purpose::Callers, settings.callers),
+        (Purpose::Peers, settings.peers),
+        (Purpose::Admin, settings.admin),
+    ] {
+        builder = listen(builder, shared, purpose, address)?;
+    }
+    Ok(builder.run())
+}
+
+fn listen(
+    builder: ServerBuilder,
+    shared: &Arc<Shared>,
+    purpose: Purpose,
+    address: SocketAddr,
+) -> std::io::Result<ServerBuilder> {
+    let name = format!("{purpose:?}");
+    let listener = create_tcp_listener(address, BACKLOG)
+        .map_err(|error| std::io::Error::new(error.kind(), format!("{name} {address}: {error}")))?;
+    let shared = Arc::clone(shared);
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(HEAD_WAIT)
+        .set_max_buf_size(HEAD_BYTES);
+    let io = IoConfig::new().set_read_buf(BUFFER_BYTES, 4 << 10, 32).set_write_buf(
+        BUFFER_BYTES,
+        4 << 10,
+        32,
+    );
+    let builder = builder.listen(&name, listener, async move |_| {
+        let worker = worker(&shared);
+        let service = fn_service(async move |request: Request| {
+            Ok::<_, std::io::Error>(serve(Rc::clone(&worker), purpose, request).await)
+        });
+        HttpService::h1(service)
+            .control(fn_service(async |control| Ok::<_, Infallible>(acknowledge(control))))
+    })?;
+    Ok(builder.config(&name, SharedCfg::new("incoming").add(http).add(io)))
+}
+
+fn worker(shared: &Arc<Shared>) -> Rc<Worker> {
+    WORKER.with_borrow_mut(|worker| {
+        Rc::clone(worker.get_or_insert_with(|| Worker::new(Arc::clone(shared))))
+    })
+}
+
+/// Answers a request that cannot be parsed; everything else goes its way.
+fn acknowledge(control: Control<Base, std::io::Error>) -> ControlAck<Base> {
+    match control {
+        Control::Disconnect(Reason::ProtocolError(error)) => {
+            let text = error.err().to_string();
+            let remedy = "send a valid HTTP/1.1 request with a head of at most 32 KiB";
+            let mut response = Response::new(StatusCode::BAD_REQUEST);
+            if let Some(refused) = refuse_head(&error, &text, remedy) {
+                response = refused;
+            }
+            fields::set(response.headers_mut(), header::OUTCOME, header::OUTCOME_NOT_RUN);
+            error.fail_with(response)
+        }
+        control => control.ack(),
+    }
+}
+
+fn refuse_head(
+    error: &ntex::http::h1::control::ProtocolError,
+    text: &str,
+    remedy: &str,
+) -> Option<Response> {
+    use ntex::http::error::DecodeError;
+    use ntex::http::h1::ProtocolError;
+    let status = match error.err() {
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+        }
+        ProtocolError::Decode(_) => StatusCode::BAD_REQUEST,
+        ProtocolError::SlowRequestTimeout | ProtocolError::SlowPayloadTimeout => {
+            StatusCode::REQUEST_TIMEOUT
+        }
+        _ => return None,
+    };
+    Some(admin::refuse(status, text, remedy))
+}
+
+async fn serve(worker: Rc<Worker>, purpose: Purpose, mut request: Request) -> Response {
+    match purpose {
+        Purpose::Callers => entry::handle(worker, request).await,
+        Purpose::Peers => {
+            let token = request.headers().get(header::TOKEN);
+            if !token.is_some_and(|token| worker.shared.accepts(token.as_bytes())) {
+                let remedy = "send the fleet's token in the header arbutuslane-token";
+                return admin::refuse(
+                    StatusCode::UNAUTHORIZED,
+                    "token is missing or wrong",
+                    remedy,
+                );
+            }
+            if request.path().starts_with(owner::FORWARD) {
+                return owner::handle(worker, request).await;
+            }
+            match read(request.take_payload(), peers::MESSAGE_BYTES).await {
+                Ok(body) => peers::answer(&worker.shared, request.path(), &body),
+                Err(response) => response,
+            }
+        }
+        Purpose::Admin => match read(request.take_payload(), admin::BODY_BYTES).await {
+            Ok(body) => admin::answer(&worker.shared, request.method(), request.path(), &body),
+            Err(response) => response,
+        },
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+async fn read(mut payload: Payload, limit: usize) -> Result<Bytes, Response> {
+    let reading = async {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = payload.recv().await {
+            let remedy = "send the complete body";
+            let chunk = chunk.map_err(|error| {
+                admin::refuse(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
+            })?;
+            whole.extend_from_slice(&chunk);
+            if whole.len() > limit {
+                let remedy = "send a smaller body";
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                return Err(admin::refuse(status, "body is too large", remedy));
+            }
+        }
+        Ok(whole.freeze())
+    };
+    timeout_checked(MESSAGE_WAIT, reading).await.unwrap_or_else(|()| {
+        let remedy = "send the body within 5 s";
+        Err(admin::refuse(StatusCode::REQUEST_TIMEOUT, "body came too slowly", remedy))
+    })
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -0,0 +1,24 @@
+//! The request path: caller, entry node, owner node, backend server.
+//!
+//! A request of a caller passes through the stages of [`entry`]: route, limits, deadline, choice of
+//! a server, forwarding to the owner of that server. The stages of [`owner`] are lease, admission
+//! and dispatch. Both use the same client, which knows whether a byte of the request was sent.
+
+mod admission;
+mod answer;
+mod choice;
+mod client;
+mod deadline;
+mod entry;
+mod fields;
+pub(crate) mod listener;
+mod owner;
+mod refusal;
+mod relay;
+mod remote;
+mod resume;
+mod worker;
+
+pub(crate) use admission::Admission;
+pub(crate) use client::{Echo, Failure, Pool, Request, Upload};
+pub(crate) use worker::new_exchange;
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -0,0 +1,223 @@
+//! The owner's stages: lease, admission, dispatch to the backend server.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::id::{Incarnation, ServerId};
+use arbutuslane_wire::header;
+
+use crate::announce::Server;
+use crate::metrics::count;
+
+use super::admission::Denied;
+use super::answer::{Answer, Stream};
+use super::client::{Connection, Echo, Failure, Reply, Request, Upload};
+use super::deadline::Deadline;
+use super::refusal::{Outcome, Refusal};
+use super::relay::{InFlight, Relay};
+use super::worker::{Worker, new_exchange};
+use super::{entry, fields};
+
+/// The start of the paths by which entries forward requests.
+pub(crate) const FORWARD: &str = "/v1/forward";
+
+/// The longest wait for a connection to a backend server; a new one takes about 1 ms.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// A request for one backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Work {
+    /// The server that the entry chose.
+    pub(crate) server: ServerId,
+    /// The incarnation that the entry knows.
+    pub(crate) incarnation: Incarnation,
+    /// The class of the request.
+    pub(crate) class: Class,
+    /// When the response is of no use any more.
+    pub(crate) deadline: Deadline,
+    /// How long to wait for the response head.
+    pub(crate) limit: Duration,
+    /// The request with its end-to-end header fields.
+    pub(crate) request: Request,
+}
+
+/// Answers a request that an entry forwarded.
+pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
+    let in_flight = InFlight::begin(&worker.shared);
+    let exchange = fields::text(incoming.headers(), header::EXCHANGE).map(str::to_string);
+    let server = fields::text(incoming.headers(), header::SERVER).unwrap_or_default().to_string();
+    let io = incoming.io().cloned();
+    let result = match read(&worker, &mut incoming) {
+        Ok(work) => dispatch(&worker, work).await,
+        Err(refusal) => Err(refusal),
+    };
+    let load = worker.shared.servers.get(&server).map(|server| server.report().encode());
+    let mut response = match result {
+        Ok(answer) => Relay::respond(&worker.shared, answer, io, in_flight, None),
+        Err(refusal) => refusal.response(),
+    };
+    let headers = response.headers_mut();
+    if let Some(exchange) = exchange {
+        fields::set(headers, header::EXCHANGE, &exchange);
+    }
+    if let Some(load) = load {
+        fields::set(headers, header::LOAD, &load);
+    }
+    response
+}
+
+/// Sends `work` to its server, which this node owns.
+pub(crate) async fn dispatch(worker: &Worker, work: Work) -> Result<Answer, Refusal> {
+    let clock = &worker.shared.clock;
+    let server = find(worker, &work)?;
+    let limit = work.deadline.remaining(clock.now()).min(work.limit);
+    let permit =
+        server.admission.enter(work.class, limit).await.map_err(|denied| match denied {
+            Denied::Full => Refusal::not_run("all slots and the queue of the server are taken"),
+            Denied::Late => Refusal::not_run("no slot was free within the deadline"),
+        })?;
+    let started = clock.now();
+    let reply = send(worker, &server, &work).await.map_err(|failure| {
+        if matches!(failure, Failure::WrongExchange) {
+            count(&worker.shared.metrics.wrong_exchange);
+        }
+        tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
+        Refusal::from_failure(&failure)
+    })?;
+    server.note_latency(clock.now().saturating_sub(started));
+    if reply.echoed {
+        server.set_echoes();
+    }
+    if let Some(refusal) = shed(&reply.headers, reply.status) {
+        return Err(refusal);
+    }
+    Ok(Answer {
+        status: reply.status,
+        headers: fields::end_to_end(&reply.headers),
+        body: Stream::new(reply.body, Some(permit)),
+    })
+}
+
+fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
+    let bad = |what: &str| {
+        let remedy = "check that all nodes run compatible releases";
+        Refusal::rejected(StatusCode::BAD_REQUEST, what, remedy)
+    };
+    let headers = incoming.headers();
+    let server = fields::text(headers, header::SERVER).ok_or_else(|| bad("no server"))?;
+    let incarnation = fields::text(headers, header::INCARNATION);
+    let incarnation = incarnation.and_then(|text| text.parse().ok());
+    let incarnation = incarnation.ok_or_else(|| bad("no incarnation"))?;
+    let class = match fields::text(headers, header::CLASS) {
+        Some("idempotent") => Class::Idempotent,
+        Some("non-idempotent") => Class::NonIdempotent,
+        Some("download") => Class::Download,
+        _ => return Err(bad("no class")),
+    };
+    let now = worker.shared.clock.now();
+    let deadline = Deadline::read(headers, Duration::ZERO, now);
+    let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
+    let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
+    let target = target.ok_or_else(|| bad("no path"))?.to_string();
+    let (server, length) = (server.to_string(), entry::content_length(headers));
+    let (method, headers) = (incoming.method().clone(), fields::end_to_end(headers));
+    // The entry has checked the limit of the service.
+    let upload = match incoming.take_payload() {
+        http::Payload::None => Upload::Empty,
+        payload => Upload::stream(payload, length, u64::MAX),
+    };
+    let request = Request { method, target, headers, upload };
+    let limit = deadline.remaining(now);
+    Ok(Work { server, incarnation, class, deadline, limit, request })
+}
+
+fn find(worker: &Worker, work: &Work) -> Result<Arc<Server>, Refusal> {
+    let now = worker.shared.clock.now();
+    if work.deadline.passed(now) {
+        return Err(Refusal::not_run("the deadline passed before dispatch"));
+    }
+    let server = worker.shared.servers.get(&work.server);
+    let server = server.filter(|server| server.incarnation == work.incarnation);
+    let server = server.ok_or_else(|| Refusal::not_run("this node does not own the server"))?;
+    match server.open(now) {
+        true => Ok(server),
+        false => Err(Refusal::not_run("the server left or takes no new work")),
+    }
+}
+
+async fn send(worker: &Worker, server: &Server, work: &Work) -> Result<Reply, Failure> {
+    let clock = &worker.shared.clock;
+    // A booking never depends on whether an idle connection is still open.
+    let keep = work.class != Class::NonIdempotent;
+    let mut idle = if keep && server.echoes() { worker.pool.take(server.address) } else { None };
+    loop {
+        let limit = work.deadline.remaining(clock.now()).min(work.limit);
+        let connection = match idle.take() {
+            Some(connection) => connection,
+            None => worker.pool.connect(server.address, limit.min(CONNECT)).await?,
+        };
+        // Checked after the last wait, so that nothing is dispatched after the lease.
+        if !server.open(clock.now()) {
+            return Err(Failure::ClosedUnused);
+        }
+        let limit = work.deadline.remaining(clock.now()).min(work.limit);
+        let reused = connection.reused();
+        count_connection(worker, &connection);
+        let echo = if server.echoes() { Echo::Required } else { Echo::Unknown };
+        let request = request_for(work, clock.now());
+        let result = connection.exchange(request, new_exchange(), echo, keep, limit).await;
+        match result {
+            Err(Failure::ClosedUnused) if reused => {}
+            Err(failure) => {
+                worker.pool.purge(server.address);
+                return Err(failure);
+            }
+            Ok(reply) => {
+                count(&worker.shared.metrics.dispatched);
+                return Ok(reply);
+            }
+        }
+    }
+}
+
+fn request_for(work: &Work, now: arbutuslane_core::time::Time) -> Request {
+    let mut request = work.request.clone();
+    fields::set(&mut request.headers, header::DEADLINE_MS, &work.deadline.encode(now));
+    request
+}
+
+/// Counts an opened or reused connection.
+pub(crate) fn count_connection(worker: &Worker, connection: &Connection) {
+    let metrics = &worker.shared.metrics;
+    match connection.reused() {
+        true => count(&metrics.connections_reused),
+        false => count(&metrics.connections_opened),
+    }
+}
+
+/// Returns the refusal of a server that says itself that it did not run the request.
+///
+/// A bare 503 is no proof: a server may fail with it after it began.
+fn shed(headers: &HeaderMap, status: StatusCode) -> Option<Refusal> {
+    let refused =
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+    if !refused || fields::text(headers, header::OUTCOME) != Some(header::OUTCOME_NOT_RUN) {
+        return None;
+    }
+    let retry_after = fields::text(headers, "retry-after").and_then(|text| text.parse().ok());
+    Some(Refusal {
+        outcome: Outcome::NotRun,
+        status,
+        retry_after: retry_after.or(Some(1)),
+        ..Refusal::not_run("the server refused the request and did not run it")
+    })
+}
+
+/// Returns whether `method` may be sent again and resumed.
+pub(crate) fn is_get(method: &Method) -> bool {
+    method == Method::GET
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -0,0 +1,108 @@
+//! Final responses of the fleet itself.
+
+use ntex::http::{Response, StatusCode};
+
+use arbutuslane_wire::{header, operator};
+
+use super::client::Failure;
+
+/// Why a request has no response of a backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    /// Whether the request can have run.
+    pub(crate) outcome: Outcome,
+    /// The status for the caller.
+    pub(crate) status: StatusCode,
+    /// What is wrong.
+    pub(crate) error: String,
+    /// What the caller can do.
+    pub(crate) remedy: &'static str,
+    /// The seconds after which a resend may succeed.
+    pub(crate) retry_after: Option<u32>,
+    /// Whether another server may succeed where this one did not.
+    pub(crate) elsewhere: bool,
+}
+
+/// Whether a request without a response of a backend server can have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that did not run and that another server may run.
+    pub(crate) fn not_run(error: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            error: error.into(),
+            remedy: "send the request again after the stated time",
+            retry_after: Some(1),
+            elsewhere: true,
+        }
+    }
+
+    /// Returns a refusal of a request that did not run and that no server would run.
+    pub(crate) fn rejected(status: StatusCode, error: &str, remedy: &'static str) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            status,
+            error: error.to_string(),
+            remedy,
+            retry_after: None,
+            elsewhere: false,
+        }
+    }
+
+    /// Returns the report that a request may have run.
+    pub(crate) fn unknown(status: StatusCode, error: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            status,
+            error: error.into(),
+            remedy: "send the request again only under the same idempotency key",
+            retry_after: Some(1),
+            elsewhere: true,
+        }
+    }
+
+    /// Returns the refusal that follows from a failed exchange.
+    pub(crate) fn from_failure(failure: &Failure) -> Self {
+        if !failure.sent() {
+            return Self::not_run(failure.to_string());
+        }
+        match failure {
+            Failure::Deadline | Failure::Stalled => {
+                Self::unknown(StatusCode::GATEWAY_TIMEOUT, failure.to_string())
+            }
+            // The server may have begun before the body exceeded the limit.
+            Failure::BodyTooLarge => Self {
+                elsewhere: false,
+                ..Self::unknown(StatusCode::PAYLOAD_TOO_LARGE, failure.to_string())
+            },
+            Failure::CallerGone => Self {
+                elsewhere: false,
+                ..Self::unknown(StatusCode::BAD_REQUEST, failure.to_string())
+            },
+            _ => Self::unknown(StatusCode::BAD_GATEWAY, failure.to_string()),
+        }
+    }
+
+    /// Returns the response for a caller or an entry.
+    pub(crate) fn response(&self) -> Response {
+        let outcome = match self.outcome {
+            Outcome::NotRun => header::OUTCOME_NOT_RUN,
+            Outcome::Unknown => header::OUTCOME_UNKNOWN,
+        };
+        let mut builder = Response::build(self.status);
+        builder.header(header::OUTCOME, outcome);
+        if let Some(seconds) = self.retry_after {
+            builder.header("retry-after", seconds.to_string());
+        }
+        builder
+            .json(&operator::Refusal { error: self.error.clone(), remedy: self.remedy.to_string() })
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/relay.rs
@@ -0,0 +1,183 @@
+//! Passes the body of a response on, and breaks the connection when it cannot be completed.
+
+use std::error::Error;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ntex::http::body::{Body, BodySize, MessageBody};
+use ntex::http::{HeaderMap, Response, StatusCode};
+use ntex::io::IoRef;
+use ntex::time::{Millis, Sleep, sleep};
+use ntex::util::Bytes;
+
+use arbutuslane_wire::header;
+
+use crate::metrics::count;
+use crate::shared::Shared;
+
+use super::answer::{Answer, Stream};
+use super::client::Failure;
+
+/// How long a body may make no progress.
+const STALL: Duration = Duration::from_secs(10);
+
+/// A body that can be passed on.
+pub(crate) trait Source: 'static {
+    /// Returns the stated length.
+    fn length(&self) -> Option<u64>;
+
+    /// Polls for the next bytes; nothing follows the verified end.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>>;
+}
+
+/// The body of a response to a caller or an entry.
+pub(crate) struct Relay {
+    source: Box<dyn Source>,
+    size: BodySize,
+    io: Option<IoRef>,
+    stall: Sleep,
+    ends: Option<Sleep>,
+    shared: Arc<Shared>,
+    in_flight: InFlight,
+}
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    finished: bool,
+}
+
+impl Source for Stream {
+    fn length(&self) -> Option<u64> {
+        Stream::length(self)
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
+        Stream::poll_next(self, cx)
+    }
+}
+
+impl Relay {
+    /// Returns the response that passes `answer` on; its body must end within `limit`.
+    pub(crate) fn respond(
+        shared: &Arc<Shared>,
+        answer: Answer,
+        io: Option<IoRef>,
+        in_flight: InFlight,
+        limit: Option<Duration>,
+    ) -> Response {
+        let Answer { status, headers, body, .. } = answer;
+        Self::respond_with(shared, status, &headers, Box::new(body), io, in_flight, limit)
+    }
+
+    /// Returns the response that passes the bytes of `source` on.
+    pub(crate) fn respond_with(
+        shared: &Arc<Shared>,
+        status: StatusCode,
+        headers: &HeaderMap,
+        source: Box<dyn Source>,
+        io: Option<IoRef>,
+        mut in_flight: InFlight,
+        limit: Option<Duration>,
+    ) -> Response {
+        let mut builder = Response::build(status);
+        for (name, value) in headers {
+            builder.header(name.clone(), value.clone());
+        }
+        builder.set_header(header::OUTCOME, header::OUTCOME_ANSWERED);
+        if shared.stopping() {
+            builder.force_close();
+        }
+        let size = match source.length() {
+            Some(0) => {
+                in_flight.finished = true;
+                return builder.finish();
+            }
+            Some(length) => BodySize::Sized(length),
+            None => BodySize::Stream,
+        };
+        let relay = Self {
+            source,
+            size,
+            io,
+            stall: sleep(STALL),
+            ends: limit.map(sleep),
+            shared: Arc::clone(shared),
+            in_flight,
+        };
+        builder.body(Body::from_message(relay))
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
+        if let Poll::Ready(next) = self.source.poll_next(cx) {
+            self.stall.reset(Millis::from(STALL));
+            return Poll::Ready(next);
+        }
+        if self.stall.poll_elapsed(cx).is_ready() {
+            return Poll::Ready(Some(Err(Failure::Stalled)));
+        }
+        if self.ends.as_ref().is_some_and(|ends| ends.poll_elapsed(cx).is_ready()) {
+            return Poll::Ready(Some(Err(Failure::Deadline)));
+        }
+        Poll::Pending
+    }
+}
+
+impl MessageBody for Relay {
+    fn size(&self) -> BodySize {
+        self.size
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
+        let next = match self.poll(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(next) => next,
+        };
+        Poll::Ready(match next {
+            Some(Ok(bytes)) => Some(Ok(bytes)),
+            None => {
+                self.in_flight.finished = true;
+                None
+            }
+            Some(Err(failure)) => {
+                self.in_flight.finished = true;
+                count(&self.shared.metrics.truncated);
+                // The server library answers a failed body with a second response head, which the
+                // receiver would read as part of the body. A closed connection prevents that.
+                if let Some(io) = &self.io {
+                    io.terminate();
+                }
+                Some(Err(Rc::new(failure)))
+            }
+        })
+    }
+}
+
+impl InFlight {
+    /// Counts a request as in flight.
+    pub(crate) fn begin(shared: &Arc<Shared>) -> Self {
+        shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { shared: Arc::clone(shared), finished: false }
+    }
+
+    /// Notes that the request has its final response.
+    pub(crate) fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.metrics.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !self.finished {
+            count(&self.shared.metrics.cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -0,0 +1,108 @@
+//! Forwards a request from the entry to the owner of the chosen server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_wire::{header, load, operator};
+
+use super::answer::{Answer, Stream};
+use super::client::{Echo, Failure, Reply};
+use super::fields;
+use super::owner::{FORWARD, Work, count_connection};
+use super::refusal::{Outcome, Refusal};
+use super::worker::{Worker, new_exchange};
+
+/// The longest wait for a connection to an owner.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// The largest refusal in bytes.
+const REFUSAL_BYTES: usize = 16 << 10;
+
+/// Sends `work` to the owner at `address`.
+pub(crate) async fn forward(
+    worker: &Worker,
+    work: Work,
+    address: SocketAddr,
+) -> Result<Answer, Refusal> {
+    let server = work.server.clone();
+    let reply = match send(worker, work, address).await {
+        Ok(reply) => reply,
+        Err(failure) => {
+            tracing::debug!(event = "forward-failed", server, %failure);
+            worker.pool.purge(address);
+            if !failure.sent() {
+                worker.loads.borrow_mut().skip(&server, worker.shared.clock.now());
+            }
+            return Err(Refusal::from_failure(&failure));
+        }
+    };
+    let load = fields::text(&reply.headers, header::LOAD).and_then(load::Report::parse);
+    if let Some(report) = load {
+        worker.loads.borrow_mut().note(&server, report, worker.shared.clock.now());
+    }
+    match fields::text(&reply.headers, header::OUTCOME) {
+        Some(header::OUTCOME_ANSWERED) => Ok(Answer {
+            status: reply.status,
+            headers: fields::end_to_end(&reply.headers),
+            body: Stream::new(reply.body, None),
+        }),
+        Some(header::OUTCOME_NOT_RUN) => Err(refusal(reply, Outcome::NotRun).await),
+        _ => Err(refusal(reply, Outcome::Unknown).await),
+    }
+}
+
+async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
+    let clock = &worker.shared.clock;
+    let Work { server, incarnation, class, deadline, limit, mut request } = work;
+    request.target = format!("{FORWARD}{}", request.target);
+    let class_name = match class {
+        Class::Idempotent => "idempotent",
+        Class::NonIdempotent => "non-idempotent",
+        Class::Download => "download",
+    };
+    fields::set(&mut request.headers, header::TOKEN, &worker.shared.token());
+    fields::set(&mut request.headers, header::SERVER, &server);
+    fields::set(&mut request.headers, header::INCARNATION, &incarnation.to_string());
+    fields::set(&mut request.headers, header::CLASS, class_name);
+    let keep = class != Class::NonIdempotent;
+    let mut idle = if keep { worker.pool.take(address) } else { None };
+    loop {
+        let wait = deadline.remaining(clock.now()).min(limit);
+        let connection = match idle.take() {
+            Some(connection) => connection,
+            None => worker.pool.connect(address, wait.min(CONNECT)).await?,
+        };
+        let reused = connection.reused();
+        count_connection(worker, &connection);
+        let wait = deadline.remaining(clock.now()).min(limit);
+        let mut request = request.clone();
+        fields::set(&mut request.headers, header::DEADLINE_MS, &deadline.encode(clock.now()));
+        let result = connection.exchange(request, new_exchange(), Echo::Required, keep, wait).await;
+        match result {
+            Err(Failure::ClosedUnused) if reused => {}
+            result => return result,
+        }
+    }
+}
+
+async fn refusal(reply: Reply, outcome: Outcome) -> Refusal {
+    let status = reply.status;
+    let retry_after = fields::text(&reply.headers, "retry-after");
+    let retry_after = retry_after.and_then(|text| text.parse().ok());
+    let body = reply.body.collect(REFUSAL_BYTES).await.unwrap_or_default();
+    let error = match serde_json::from_slice::<operator::Refusal>(&body) {
+        Ok(refusal) => refusal.error,
+        Err(_) => format!("the owner responded with status {status}"),
+    };
+    match outcome {
+        Outcome::NotRun => Refusal { status, retry_after, ..Refusal::not_run(error) },
+        // Without the outcome field the owner proves nothing.
+        Outcome::Unknown if status.is_success() => {
+            Refusal::unknown(StatusCode::BAD_GATEWAY, "the owner stated no outcome")
+        }
+        Outcome::Unknown => Refusal { retry_after, ..Refusal::unknown(status, error) },
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_standin/src/backend/serve.rs
@@ -0,0 +1,100 @@
+//! The listener of a stand-in backend server.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::http::{HttpService, HttpServiceConfig, Method, Request, Response, StatusCode};
+use ntex::rt::signals::signal;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::server::{Server, build};
+use ntex::service::fn_service;
+use ntex::time::{Seconds, sleep};
+use ntex::util::BytesMut;
+
+use super::state::State;
+use super::work::{self, Swap};
+use super::{Faults, Settings, announce};
+
+/// How long requests in flight may take after the server left.
+const FINISH: Seconds = Seconds(60);
+
+/// Runs a backend server until the process is told to stop; then it drains and leaves.
+pub fn run(settings: Settings) -> std::io::Result<()> {
+    let listener = TcpListener::bind(settings.listen)?;
+    let address = listener.local_addr()?;
+    println!("{address}");
+    System::build().name("backend").build(DefaultRuntime).block_on(async move {
+        let state = Arc::new(State::new(settings));
+        let server = start(&state, listener)?;
+        System::current().enable_signals();
+        let announcing = ntex::rt::spawn(announce::run(Arc::clone(&state), address));
+        let _ = signal().await;
+        state.draining.store(true, Ordering::Relaxed);
+        sleep(Duration::from_millis(500)).await;
+        state.left.store(true, Ordering::Relaxed);
+        let _ = announcing.await;
+        server.stop(true).await;
+        Ok(())
+    })
+}
+
+fn start(state: &Arc<State>, listener: TcpListener) -> std::io::Result<Server> {
+    let state = Arc::clone(state);
+    let http = HttpServiceConfig::new().set_keepalive(Seconds(75)).set_client_timeout(Seconds(5));
+    let server = build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(FINISH)
+        .listen("backend", listener, async move |_| {
+            let (state, swap) = (Arc::clone(&state), Rc::<Swap>::default());
+            HttpService::h1(fn_service(async move |request: Request| {
+                Ok::<_, std::io::Error>(answer(&state, &swap, request).await)
+            }))
+        })?
+        .config("backend", SharedCfg::new("backend").add(http));
+    Ok(server.run())
+}
+
+async fn answer(state: &State, swap: &Rc<Swap>, mut request: Request) -> Response {
+    let path = request.path().to_string();
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, "/health") => match state.healthy() {
+            true => Response::new(StatusCode::OK),
+            false => Response::new(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        (Method::POST, "/standin/faults") => set_faults(state, &mut request).await,
+        (Method::GET, "/standin/runs") => {
+            let (total, by_key) = state.runs();
+            let runs = serde_json::json!({ "total": total, "by_key": by_key });
+            Response::build(StatusCode::OK).json(&runs)
+        }
+        (Method::POST, "/standin/drain") => {
+            state.draining.store(true, Ordering::Relaxed);
+            Response::new(StatusCode::NO_CONTENT)
+        }
+        (Method::POST, "/standin/leave") => {
+            state.left.store(true, Ordering::Relaxed);
+            Response::new(StatusCode::NO_CONTENT)
+        }
+        _ => work::answer(state, swap, request).await,
+    }
+}
+
+async fn set_faults(state: &State, request: &mut Request) -> Response {
+    let mut body = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(Ok(chunk)) = payload.recv().await {
+        body.extend_from_slice(&chunk);
+    }
+    match serde_json::from_slice::<Faults>(&body) {
+        Ok(faults) => {
+            state.set_faults(faults);
+            Response::new(StatusCode::NO_CONTENT)
+        }
+        Err(error) => Response::build(StatusCode::BAD_REQUEST).body(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_standin/src/backend/state.rs
@@ -0,0 +1,183 @@
+//! What the connections of a stand-in backend server share.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use arbutuslane_core::rng::{self, Rng};
+
+use super::{Faults, Settings};
+
+/// What the connections of a stand-in backend server share.
+#[derive(Debug)]
+pub(super) struct State {
+    /// The settings of the server.
+    pub(super) settings: Settings,
+    /// When the server started.
+    pub(super) started: Instant,
+    /// The highest catalogue revision that a node told.
+    pub(super) revision: AtomicU64,
+    /// Whether the server asked its node to drain it.
+    pub(super) draining: AtomicBool,
+    /// Whether the server has left.
+    pub(super) left: AtomicBool,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    faults: Faults,
+    /// Health results with the time from which they show.
+    health: VecDeque<(Instant, bool)>,
+    runs: BTreeMap<String, u64>,
+    total: u64,
+    running: u32,
+    waiting: u32,
+    rng: Rng,
+}
+
+/// A slot in use.
+#[derive(Debug)]
+pub(super) struct Slot<'a>(&'a State);
+
+/// A place in the queue for a slot.
+#[derive(Debug)]
+pub(super) struct Place<'a>(&'a State);
+
+impl State {
+    /// Returns the state of a server that starts now.
+    pub(super) fn new(settings: Settings) -> Self {
+        let inner = Inner {
+            faults: settings.faults.clone(),
+            health: VecDeque::new(),
+            runs: BTreeMap::new(),
+            total: 0,
+            running: 0,
+            waiting: 0,
+            rng: rng::seeded(settings.seed),
+        };
+        Self {
+            settings,
+            started: Instant::now(),
+            revision: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            left: AtomicBool::new(false),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Returns the faults that are on now.
+    pub(super) fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    /// Switches faults; the health endpoint shows the change after its lag.
+    pub(super) fn set_faults(&self, faults: Faults) {
+        let mut inner = self.lock();
+        if inner.faults.unhealthy != faults.unhealthy {
+            let from = Instant::now() + self.settings.health_lag;
+            inner.health.push_back((from, !faults.unhealthy));
+        }
+        inner.faults = faults;
+    }
+
+    /// Returns whether the health endpoint passes now.
+    pub(super) fn healthy(&self) -> bool {
+        let inner = self.lock();
+        let now = Instant::now();
+        let shown = inner.health.iter().rev().find(|(from, _)| *from <= now);
+        shown.is_none_or(|(_, passes)| *passes)
+    }
+
+    /// Counts a run under `key`.
+    pub(super) fn count_run(&self, key: Option<&str>) {
+        let mut inner = self.lock();
+        inner.total += 1;
+        if let Some(key) = key {
+            *inner.runs.entry(key.to_string()).or_default() += 1;
+        }
+    }
+
+    /// Returns all runs and the runs by key.
+    pub(super) fn runs(&self) -> (u64, BTreeMap<String, u64>) {
+        let inner = self.lock();
+        (inner.total, inner.runs.clone())
+    }
+
+    /// Takes a slot, or a place in the queue, or nothing when the server sheds load.
+    pub(super) fn enter(&self) -> Option<Place<'_>> {
+        let mut inner = self.lock();
+        if inner.running + inner.waiting >= self.settings.slots + self.settings.queue {
+            return None;
+        }
+        inner.waiting += 1;
+        Some(Place(self))
+    }
+
+    /// Draws the time that one piece of work takes.
+    pub(super) fn service_time(&self) -> Duration {
+        let mut inner = self.lock();
+        // The sum of twelve uniform numbers is close enough to a normal distribution.
+        let normal: f64 = (0..12).map(|_| inner.rng.random::<f64>()).sum::<f64>() - 6.0;
+        let mut factor = (self.settings.spread * normal).exp() * inner.faults.straggler;
+        let age = self.started.elapsed();
+        if age < self.settings.cold_start {
+            let left = 1.0 - age.as_secs_f64() / self.settings.cold_start.as_secs_f64();
+            factor *= 1.0 + (self.settings.cold_factor - 1.0) * left;
+        }
+        self.settings.service_time.mul_f64(factor.clamp(0.0, 10_000.0))
+    }
+
+    /// Returns whether one piece of work fails.
+    pub(super) fn fails(&self) -> bool {
+        let age = self.started.elapsed().as_millis();
+        let mut inner = self.lock();
+        let period = u128::from(inner.faults.flap_ms);
+        if period > 0 && (age / period) % 2 == 1 {
+            return true;
+        }
+        let fail = inner.faults.fail;
+        fail > 0.0 && inner.rng.random::<f64>() < fail
+    }
+
+    /// Returns whether the server takes no new announcements.
+    pub(super) fn gone(&self) -> bool {
+        self.left.load(Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<'a> Place<'a> {
+    /// Exchanges the place for a slot when one is free.
+    pub(super) fn advance(self) -> Result<Slot<'a>, Self> {
+        let state = self.0;
+        {
+            let mut inner = state.lock();
+            if inner.running >= state.settings.slots {
+                drop(inner);
+                return Err(self);
+            }
+            inner.running += 1;
+        }
+        Ok(Slot(state))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
--- a/crates/arbutuslane_standin/src/main.rs
+++ b/crates/arbutuslane_standin/src/main.rs
@@ -1,3 +1,5 @@
 //! The `arbutuslane-standin` program.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    arbutuslane_standin::run::from_arguments()
+}
