Add control daemon with operator API and durable log

Cause: nodes and the command line need a control instance to work against. Conclusion: other parts can fetch the catalogue from one instance.

--- a/crates/arbutuslane_catalogue/src/border.rs
+++ b/crates/arbutuslane_catalogue/src/border.rs
@@ -120,6 +120,15 @@
     pub groups: Vec<Group>,
 }
 
+/// The catalogue as the operator API shows it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalogue {
+    /// The revision of the entries.
+    pub revision: u64,
+    /// The entries in ascending order of their service.
+    pub entries: Vec<Entry>,
+}
+
 /// The serialized form of [`change::Change`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/arbutuslane_catalogue/src/lib.rs
+++ b/crates/arbutuslane_catalogue/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry;
 pub mod group;
 pub mod state;
+pub mod stored;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_catalogue/src/state.rs
+++ b/crates/arbutuslane_catalogue/src/state.rs
@@ -4,7 +4,7 @@
 
 use arbutuslane_core::id::Revision;
 
-use crate::change::{Change, Outcome};
+use crate::change::{self, Change, Edit, Outcome, Proposal};
 use crate::entry::Entry;
 use crate::group::Group;
 
@@ -20,6 +20,8 @@
     pub change_id: String,
     /// The operator who made it.
     pub author: String,
+    /// What the change did, in ascending order of the service.
+    pub edits: Vec<Edit>,
 }
 
 /// The replicated state: catalogue, register groups and the answers to past changes.
@@ -27,6 +29,8 @@
 pub struct State {
     /// The current revision.
     pub revision: Revision,
+    /// Raised by one with each change of a register group.
+    pub group_version: u64,
     /// The entries in ascending order of their service.
     pub entries: Vec<Entry>,
     /// The register groups in ascending order of their shard.
@@ -40,21 +44,39 @@
 impl State {
     /// Applies `change` and returns its answer; a change id seen before gets its first answer.
     pub fn apply_change(&mut self, change: Change) -> Outcome {
-        if let Some((_, outcome)) = self.answered.iter().find(|(id, _)| *id == change.id) {
+        let proposal = self.reduce(change);
+        self.apply(proposal)
+    }
+
+    /// Reduces `change` to its edits; a change from another revision has none and will conflict.
+    pub fn reduce(&self, mut change: Change) -> Proposal {
+        change.entries.sort_by(|left, right| left.service.cmp(&right.service));
+        let edits = match change.base == self.revision {
+            true => change::edits(&self.entries, &change.entries),
+            false => Vec::new(),
+        };
+        Proposal { id: change.id, author: change.author, base: change.base, edits }
+    }
+
+    /// Applies `proposal` and returns its answer; a change id seen before gets its first answer.
+    pub fn apply(&mut self, proposal: Proposal) -> Outcome {
+        if let Some(outcome) = self.answer(&proposal.id) {
             return outcome.clone();
         }
-        let outcome = self.decide(&change);
+        let outcome = self.decide(&proposal);
+        self.answered.push_back((proposal.id.clone(), outcome.clone()));
         if let Outcome::Accepted { revision } = outcome {
             self.revision = revision;
+            for edit in &proposal.edits {
+                set(&mut self.entries, &edit.service, edit.after.as_ref());
+            }
             self.history.push_back(Record {
                 revision,
-                change_id: change.id.clone(),
-                author: change.author.clone(),
+                change_id: proposal.id,
+                author: proposal.author,
+                edits: proposal.edits,
             });
-            self.entries = change.entries;
-            self.entries.sort_by(|left, right| left.service.cmp(&right.service));
         }
-        self.answered.push_back((change.id, outcome.clone()));
         while self.answered.len() > ANSWERED_CHANGES_KEPT {
             self.answered.pop_front();
         }
@@ -64,6 +86,35 @@
         outcome
     }
 
+    /// Returns the answer that the change `id` got.
+    pub fn answer(&self, id: &str) -> Option<&Outcome> {
+        self.answered.iter().rev().find(|(known, _)| known == id).map(|(_, outcome)| outcome)
+    }
+
+    /// Returns the entries as they were at `revision`, while the history reaches back so far.
+    pub fn entries_at(&self, revision: Revision) -> Option<Vec<Entry>> {
+        let oldest = self.history.front().map_or(self.revision, |record| record.revision - 1);
+        if !(oldest..=self.revision).contains(&revision) {
+            return None;
+        }
+        let mut entries = self.entries.clone();
+        for record in self.history.iter().rev().take_while(|record| record.revision > revision) {
+            for edit in &record.edits {
+                set(&mut entries, &edit.service, edit.before.as_ref());
+            }
+        }
+        Some(entries)
+    }
+
+    /// Returns the records after `revision`, or nothing when the history starts later.
+    pub fn records_after(&self, revision: Revision) -> Option<impl Iterator<Item = &Record>> {
+        let oldest = self.history.front().map_or(self.revision, |record| record.revision - 1);
+        if !(oldest..=self.revision).contains(&revision) {
+            return None;
+        }
+        Some(self.history.iter().skip_while(move |record| record.revision <= revision))
+    }
+
     /// Returns the entry of `service`.
     pub fn entry(&self, service: &str) -> Option<&Entry> {
         let index = self.entries.binary_search_by(|entry| entry.service.as_str().cmp(service));
@@ -74,12 +125,13 @@
     pub fn apply_group(&mut self, group: Group) {
         match self.groups.binary_search_by_key(&group.shard, |known| known.shard) {
             Ok(index) if self.groups[index].epoch < group.epoch => self.groups[index] = group,
-            Ok(_) => {}
+            Ok(_) => return,
             Err(index) => self.groups.insert(index, group),
         }
+        self.group_version += 1;
     }
 
-    fn decide(&self, change: &Change) -> Outcome {
+    fn decide(&self, change: &Proposal) -> Outcome {
         if change.base == self.revision {
             return Outcome::Accepted { revision: self.revision + 1 };
         }
@@ -91,6 +143,18 @@
     }
 }
 
+fn set(entries: &mut Vec<Entry>, service: &str, entry: Option<&Entry>) {
+    let found = entries.binary_search_by(|known| known.service.as_str().cmp(service));
+    match (found, entry) {
+        (Ok(index), Some(entry)) => entries[index] = entry.clone(),
+        (Ok(index), None) => {
+            entries.remove(index);
+        }
+        (Err(index), Some(entry)) => entries.insert(index, entry.clone()),
+        (Err(_), None) => {}
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/arbutuslane_catalogue/src/stored.rs
@@ -0,0 +1,214 @@
+//! Serialized forms of the replicated state and of its commands, for the log and its snapshots.
+
+use serde::{Deserialize, Serialize};
+
+use crate::border::{Entry, Group, Snapshot};
+use crate::change;
+use crate::state;
+
+/// A command of the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A change that an operator proposed.
+    Change(Proposal),
+    /// Groups of the quorum registers that control assigns.
+    Groups(Vec<Group>),
+}
+
+/// The serialized form of [`change::Edit`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edit {
+    /// The service of the entry.
+    pub service: String,
+    /// The entry before the change.
+    pub before: Option<Entry>,
+    /// The entry after the change.
+    pub after: Option<Entry>,
+}
+
+/// The serialized form of [`change::Proposal`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// The id of the change.
+    pub id: String,
+    /// The operator who made the change.
+    pub author: String,
+    /// The revision that the change was made from.
+    pub base: u64,
+    /// The edits in ascending order of their service.
+    pub edits: Vec<Edit>,
+}
+
+/// The serialized form of [`change::Outcome`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// See [`change::Outcome::Accepted`].
+    Accepted {
+        /// The revision that the change made.
+        revision: u64,
+    },
+    /// See [`change::Outcome::Conflict`].
+    Conflict {
+        /// The current revision.
+        revision: u64,
+        /// The id of the change that made it.
+        winner: String,
+        /// The author of that change.
+        author: String,
+    },
+}
+
+/// The serialized form of [`state::Record`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The revision that the change made.
+    pub revision: u64,
+    /// The id of the change.
+    pub change_id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// What the change did.
+    pub edits: Vec<Edit>,
+}
+
+/// The serialized form of [`state::State`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The current revision.
+    pub revision: u64,
+    /// Raised with each change of a register group.
+    pub group_version: u64,
+    /// The entries in ascending order of their service.
+    pub entries: Vec<Entry>,
+    /// The register groups in ascending order of their shard.
+    pub groups: Vec<Group>,
+    /// Accepted changes, oldest first.
+    pub history: Vec<Record>,
+    /// Answers to change ids, oldest first.
+    pub answered: Vec<(String, Outcome)>,
+}
+
+impl From<Edit> for change::Edit {
+    fn from(edit: Edit) -> Self {
+        Self {
+            service: edit.service,
+            before: edit.before.map(Into::into),
+            after: edit.after.map(Into::into),
+        }
+    }
+}
+
+impl From<change::Edit> for Edit {
+    fn from(edit: change::Edit) -> Self {
+        Self {
+            service: edit.service,
+            before: edit.before.map(Into::into),
+            after: edit.after.map(Into::into),
+        }
+    }
+}
+
+impl From<Proposal> for change::Proposal {
+    fn from(proposal: Proposal) -> Self {
+        Self {
+            id: proposal.id,
+            author: proposal.author,
+            base: proposal.base,
+            edits: proposal.edits.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<change::Proposal> for Proposal {
+    fn from(proposal: change::Proposal) -> Self {
+        Self {
+            id: proposal.id,
+            author: proposal.author,
+            base: proposal.base,
+            edits: proposal.edits.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<Outcome> for change::Outcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Accepted { revision } => Self::Accepted { revision },
+            Outcome::Conflict { revision, winner, author } => {
+                Self::Conflict { revision, winner, author }
+            }
+        }
+    }
+}
+
+impl From<change::Outcome> for Outcome {
+    fn from(outcome: change::Outcome) -> Self {
+        match outcome {
+            change::Outcome::Accepted { revision } => Self::Accepted { revision },
+            change::Outcome::Conflict { revision, winner, author } => {
+                Self::Conflict { revision, winner, author }
+            }
+        }
+    }
+}
+
+impl From<Record> for state::Record {
+    fn from(record: Record) -> Self {
+        Self {
+            revision: record.revision,
+            change_id: record.change_id,
+            author: record.author,
+            edits: record.edits.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<state::Record> for Record {
+    fn from(record: state::Record) -> Self {
+        Self {
+            revision: record.revision,
+            change_id: record.change_id,
+            author: record.author,
+            edits: record.edits.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<State> for state::State {
+    fn from(state: State) -> Self {
+        let answered = state.answered.into_iter();
+        Self {
+            revision: state.revision,
+            group_version: state.group_version,
+            entries: state.entries.into_iter().map(Into::into).collect(),
+            groups: state.groups.into_iter().map(Into::into).collect(),
+            history: state.history.into_iter().map(Into::into).collect(),
+            answered: answered.map(|(id, outcome)| (id, outcome.into())).collect(),
+        }
+    }
+}
+
+impl From<&state::State> for State {
+    fn from(state: &state::State) -> Self {
+        let answered = state.answered.iter().cloned();
+        Self {
+            revision: state.revision,
+            group_version: state.group_version,
+            entries: state.entries.iter().cloned().map(Into::into).collect(),
+            groups: state.groups.iter().cloned().map(Into::into).collect(),
+            history: state.history.iter().cloned().map(Into::into).collect(),
+            answered: answered.map(|(id, outcome)| (id, outcome.into())).collect(),
+        }
+    }
+}
+
+impl From<&state::State> for Snapshot {
+    fn from(state: &state::State) -> Self {
+        Self {
+            revision: state.revision,
+            group_version: state.group_version,
+            entries: state.entries.iter().cloned().map(Into::into).collect(),
+            groups: state.groups.iter().cloned().map(Into::into).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/daemon.rs
@@ -0,0 +1,181 @@
+//! Starting and stopping the daemon.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::thread::{self, JoinHandle};
+
+use clap::{Arg, ArgAction, Command};
+use ntex::web::{self, App, HttpServer};
+
+use crate::settings::Settings;
+use crate::token::Tokens;
+use crate::{engine, operators, peers, settings};
+
+/// A daemon that cannot start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::Error),
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Storage(#[from] arbutuslane_storage::error::Error),
+    /// A listener cannot be opened.
+    #[error("cannot listen on {address}: {source}")]
+    #[diagnostic(
+        code(daemon::listen),
+        help("check that the address belongs to this instance and that its port is free")
+    )]
+    Listen {
+        /// The address from the settings.
+        address: String,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The server ended with an error.
+    #[error("cannot serve: {0}")]
+    #[diagnostic(code(daemon::serve), help("check the limits on open files and threads"))]
+    Serve(std::io::Error),
+}
+
+/// Parses the command line and runs the daemon until a stop signal.
+pub fn main() -> miette::Result<()> {
+    let matches = command().get_matches();
+    let path = matches.get_one::<String>("settings").cloned().unwrap_or_default();
+    let settings = Settings::load(Path::new(&path)).map_err(Error::from)?;
+    run(&settings, true)?;
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("arbutuslane-control")
+        .about("Control instance of an arbutuslane fleet")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .help("JSON file with the settings of this instance"),
+        )
+        .arg(
+            Arg::new("rebuild")
+                .long("rebuild")
+                .action(ArgAction::SetTrue)
+                .help("Set a damaged data folder aside and copy the state from the others"),
+        )
+}
+
+/// Runs the daemon until a stop signal, or for ever when `signals` is false.
+///
+/// # Errors
+///
+/// See [`Error`]; the data folder and the listeners are opened before anything is served.
+pub fn run(settings: &Settings, signals: bool) -> Result<(), Error> {
+    let listeners = Listeners::open(settings)?;
+    let engine = engine::start(settings)?;
+    serve(settings, listeners, engine, signals, None)
+}
+
+struct Listeners {
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    fn open(settings: &Settings) -> Result<Self, Error> {
+        let listen = |address: &str| {
+            TcpListener::bind(address)
+                .map_err(|source| Error::Listen { address: address.to_string(), source })
+        };
+        Ok(Self { operators: listen(&settings.operators)?, peers: listen(&settings.peers)? })
+    }
+}
+
+type Stop = Box<dyn FnOnce() + Send>;
+
+fn serve(
+    settings: &Settings,
+    listeners: Listeners,
+    engine: engine::Handle,
+    signals: bool,
+    stops: Option<Sender<Stop>>,
+) -> Result<(), Error> {
+    let token = Arc::new(Tokens::new(&settings.peer_token));
+    let for_operators = Arc::new(operators::Shared {
+        engine: engine.clone(),
+        tokens: Tokens::new(&settings.operator_tokens),
+    });
+    let for_peers = Arc::new(peers::Shared { engine, token });
+    let system = ntex::rt::System::new("arbutuslane-control", ntex::rt::DefaultRuntime);
+    system
+        .block_on(async move {
+            let mut operators = HttpServer::new(async move || {
+                App::new()
+                    .state(Arc::clone(&for_operators))
+                    .configure(operators::configure)
+                    .default_service(web::route().to(operators::unknown))
+            })
+            .workers(1)
+            .listen(listeners.operators)?;
+            let mut peers = HttpServer::new(async move || {
+                App::new().state(Arc::clone(&for_peers)).configure(peers::configure)
+            })
+            .workers(1)
+            .listen(listeners.peers)?;
+            if !signals {
+                operators = operators.disable_signals();
+                peers = peers.disable_signals();
+            }
+            let operators = operators.run();
+            let peers = peers.run();
+            if let Some(stops) = stops {
+                let system = ntex::rt::System::current();
+                let _ = stops.send(Box::new(move || system.stop()));
+            }
+            let (first, second) = futures_util::future::join(operators, peers).await;
+            first.and(second)
+        })
+        .map_err(Error::Serve)
+}
+
+/// A daemon on threads of this process.
+pub struct Daemon {
+    thread: Option<JoinHandle<Result<(), Error>>>,
+    stop: Option<Stop>,
+}
+
+impl Daemon {
+    /// Starts a daemon and returns when its listeners are open.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let listeners = Listeners::open(&settings)?;
+        let engine = engine::start(&settings)?;
+        let (stops, stop) = channel();
+        let thread = thread::spawn(move || serve(&settings, listeners, engine, false, Some(stops)));
+        Ok(Self { thread: Some(thread), stop: stop.recv().ok() })
+    }
+
+    /// Stops the daemon without any preparation, as a killed process does, and waits for the end.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            stop();
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -1,1 +1,19 @@
 //! The control daemon: catalogue replicas and the operator API.
+//!
+//! [`Settings`](settings::Settings) come from a JSON file. [`run`](daemon::run) opens the data
+//! folder, serves operators, nodes and the other control instances, and returns after a stop
+//! signal. [`Daemon`](daemon::Daemon) is the same for tests that run several instances in one
+//! process.
+
+pub mod daemon;
+pub mod engine;
+mod operators;
+mod peers;
+pub mod settings;
+pub mod token;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::daemon::{self, Daemon};
+    pub use crate::settings::{self, Settings};
+}
--- a/crates/arbutuslane_control/src/main.rs
+++ b/crates/arbutuslane_control/src/main.rs
@@ -1,3 +1,5 @@
 //! The `arbutuslane-control` program.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    arbutuslane_control::daemon::main()
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -0,0 +1,207 @@
+//! The operator API.
+
+use std::sync::{Arc, PoisonError};
+
+use arbutuslane_catalogue::border::{self, Catalogue};
+use arbutuslane_catalogue::change::Outcome;
+use arbutuslane_wire::operator::{Accepted, Conflict, Events, History, NotLeader, Past, Refusal};
+use ntex::http::StatusCode;
+use ntex::util::BytesMut;
+use ntex::web::{self, HttpRequest, HttpResponse};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{Answer, Handle};
+use crate::token::Tokens;
+
+/// The largest accepted body: the catalogue of the target size (600 services) takes under 1 MB.
+const BODY_BYTES: usize = 8 << 20;
+
+/// What the handlers share.
+pub(crate) struct Shared {
+    pub(crate) engine: Handle,
+    pub(crate) tokens: Tokens,
+}
+
+type State = web::types::State<Arc<Shared>>;
+
+/// Adds the routes of the operator API.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .service(web::resource("/v1/catalogue").route(web::get().to(catalogue)))
+        .service(web::resource("/v1/history").route(web::get().to(history)))
+        .service(web::resource("/v1/status").route(web::get().to(status)))
+        .service(web::resource("/v1/events").route(web::get().to(events)))
+        .service(web::resource("/v1/changes").route(web::post().to(change)));
+}
+
+/// Answers any path that has no route.
+pub(crate) async fn unknown(request: HttpRequest, shared: State) -> HttpResponse {
+    if let Err(refused) = authorize(&request, &shared) {
+        return refused;
+    }
+    let error = format!("no resource {} {}", request.method(), request.path());
+    refuse(
+        StatusCode::NOT_FOUND,
+        error,
+        "use /v1/catalogue, /v1/history, /v1/status, /v1/events, /v1/changes or /v1/instances",
+    )
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct CatalogueQuery {
+    /// A past revision, for a rollback.
+    revision: Option<u64>,
+}
+
+async fn catalogue(
+    request: HttpRequest,
+    shared: State,
+    query: web::types::Query<CatalogueQuery>,
+) -> HttpResponse {
+    if let Err(refused) = admit_read(&request, &shared).await {
+        return refused;
+    }
+    let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
+    let revision = query.revision.unwrap_or(state.revision);
+    let Some(entries) = state.entries_at(revision) else {
+        drop(state);
+        let error = format!("revision {revision} is not kept");
+        return refuse(StatusCode::NOT_FOUND, error, "use a revision that /v1/history lists");
+    };
+    let entries = entries.into_iter().map(Into::into).collect();
+    json(StatusCode::OK, &Catalogue { revision, entries })
+}
+
+async fn history(request: HttpRequest, shared: State) -> HttpResponse {
+    if let Err(refused) = admit_read(&request, &shared).await {
+        return refused;
+    }
+    let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
+    let mut changes = Vec::new();
+    for record in &state.history {
+        changes.push(Past {
+            revision: record.revision,
+            change_id: record.change_id.clone(),
+            author: record.author.clone(),
+            services: record.edits.iter().map(|edit| edit.service.clone()).collect(),
+        });
+    }
+    json(StatusCode::OK, &History { revision: state.revision, changes })
+}
+
+async fn status(request: HttpRequest, shared: State) -> HttpResponse {
+    if let Err(refused) = authorize(&request, &shared) {
+        return refused;
+    }
+    let mut status = shared.engine.status.read().unwrap_or_else(PoisonError::into_inner).clone();
+    let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
+    status.revision = state.revision;
+    status.group_version = state.group_version;
+    json(StatusCode::OK, &status)
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct EventsQuery {
+    /// The sequence number of the last event that the reader knows.
+    since: u64,
+}
+
+async fn events(
+    request: HttpRequest,
+    shared: State,
+    query: web::types::Query<EventsQuery>,
+) -> HttpResponse {
+    if let Err(refused) = authorize(&request, &shared) {
+        return refused;
+    }
+    let events = shared.engine.events.read().unwrap_or_else(PoisonError::into_inner);
+    let start = events.partition_point(|event| event.sequence <= query.since);
+    json(StatusCode::OK, &Events { events: events[start..].to_vec() })
+}
+
+async fn change(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let holder = match authorize(&request, &shared) {
+        Ok(holder) => holder,
+        Err(refused) => return refused,
+    };
+    let change: border::Change = match body(&mut payload).await {
+        Ok(change) => change,
+        Err(refused) => return refused,
+    };
+    if !holder.is_empty() && holder != change.author {
+        let error = format!("the token belongs to `{holder}`, the change to `{}`", change.author);
+        return refuse(StatusCode::FORBIDDEN, error, "send the change under the token's own name");
+    }
+    if change.change_id.is_empty() || change.change_id.len() > 128 {
+        let error = "change_id has no or more than 128 bytes".to_string();
+        return refuse(StatusCode::UNPROCESSABLE_ENTITY, error, "use a random id, such as 32 hex");
+    }
+    match shared.engine.change(change.into()).await {
+        Answer::Outcome(Outcome::Accepted { revision }) => {
+            json(StatusCode::OK, &Accepted { revision })
+        }
+        Answer::Outcome(Outcome::Conflict { revision, winner, author }) => {
+            json(StatusCode::CONFLICT, &Conflict { revision, winner, author })
+        }
+        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
+    }
+}
+
+/// Checks the operator's token and that this instance may show the latest state.
+async fn admit_read(request: &HttpRequest, shared: &State) -> Result<(), HttpResponse> {
+    authorize(request, shared)?;
+    match shared.engine.read().await {
+        Answer::Outcome(_) => Ok(()),
+        Answer::NotLeader(leader) => {
+            Err(json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }))
+        }
+    }
+}
+
+/// Returns the name of the token's holder, or the refusal.
+fn authorize(request: &HttpRequest, shared: &State) -> Result<String, HttpResponse> {
+    let presented = request.headers().get("authorization").and_then(|value| value.to_str().ok());
+    let token = presented.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or_default();
+    shared.tokens.holder(token).ok_or_else(|| {
+        let error = "no operator has this token".to_string();
+        refuse(StatusCode::UNAUTHORIZED, error, "send `authorization: Bearer <token>`")
+    })
+}
+
+/// Reads a JSON body of bounded size; the refusal names the path of a bad key.
+async fn body<T: for<'a> Deserialize<'a>>(
+    payload: &mut web::types::Payload,
+) -> Result<T, HttpResponse> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = payload.recv().await {
+        let Ok(part) = part else {
+            let error = "the body broke off".to_string();
+            return Err(refuse(StatusCode::BAD_REQUEST, error, "send the request again"));
+        };
+        if bytes.len() + part.len() > BODY_BYTES {
+            let error = format!("the body is larger than {BODY_BYTES} bytes");
+            let remedy = "send fewer or shorter entries";
+            return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, error, remedy));
+        }
+        bytes.extend_from_slice(&part);
+    }
+    let mut input = serde_json::Deserializer::from_slice(&bytes);
+    serde_path_to_error::deserialize(&mut input).map_err(|error| {
+        let text = format!("at `{}`: {}", error.path(), error.inner());
+        refuse(StatusCode::UNPROCESSABLE_ENTITY, text, "correct or remove the key")
+    })
+}
+
+fn refuse(status: StatusCode, error: String, remedy: &str) -> HttpResponse {
+    json(status, &Refusal { error, remedy: remedy.to_string() })
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> HttpResponse {
+    HttpResponse::build(status).json(value)
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -0,0 +1,82 @@
+//! The listener for nodes and the other control instances.
+
+use std::sync::{Arc, PoisonError};
+
+use arbutuslane_catalogue::border::Snapshot;
+use arbutuslane_wire::peer::{Answer, Message};
+use arbutuslane_wire::{codec, header};
+use ntex::http::StatusCode;
+use ntex::util::BytesMut;
+use ntex::web::{self, HttpRequest, HttpResponse};
+
+use crate::engine::Handle;
+use crate::token::Tokens;
+
+/// The largest accepted body: a snapshot of the replicated state takes a few megabytes.
+const BODY_BYTES: usize = 256 << 20;
+
+/// What the handlers share.
+pub(crate) struct Shared {
+    pub(crate) engine: Handle,
+    pub(crate) token: Arc<Tokens>,
+}
+
+type State = web::types::State<Arc<Shared>>;
+
+/// Adds the routes for peers.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config.service(web::resource("/v1/peer").route(web::post().to(peer)));
+}
+
+async fn peer(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let bytes = match read(&request, &shared, &mut payload).await {
+        Ok(bytes) => bytes,
+        Err(status) => return HttpResponse::build(status).finish(),
+    };
+    let Ok(message) = codec::decode::<Message>(&bytes) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match codec::encode(&answer(&shared, &message)) {
+        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+fn answer(shared: &Shared, message: &Message) -> Answer {
+    match message {
+        Message::FetchSnapshot { known_revision } => {
+            let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
+            if state.revision <= *known_revision {
+                return Answer::Unchanged;
+            }
+            let snapshot = Snapshot::from(&*state);
+            drop(state);
+            codec::encode(&snapshot).map_or(Answer::Unsupported, Answer::Snapshot)
+        }
+    }
+}
+
+/// Checks the fleet's secret and reads the body.
+async fn read(
+    request: &HttpRequest,
+    shared: &State,
+    payload: &mut web::types::Payload,
+) -> Result<BytesMut, StatusCode> {
+    let presented = request.headers().get(header::TOKEN).and_then(|value| value.to_str().ok());
+    if shared.token.holder(presented.unwrap_or_default()).is_none() {
+        return Err(StatusCode::UNAUTHORIZED);
+    }
+    let mut bytes = BytesMut::new();
+    while let Some(part) = payload.recv().await {
+        let part = part.map_err(|_| StatusCode::BAD_REQUEST)?;
+        if bytes.len() + part.len() > BODY_BYTES {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -0,0 +1,122 @@
+//! The settings file of the daemon.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use arbutuslane_wire::operator::Address;
+
+/// The settings of one control instance, in JSON; unknown keys are refused.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this instance, one of `members`.
+    pub name: String,
+    /// The folder of the log and the snapshots; no other process may use it.
+    pub data: PathBuf,
+    /// The IP address and port of the operator API.
+    pub operators: String,
+    /// The IP address and port for other control instances and for nodes.
+    pub peers: String,
+    /// The control instances that form the fleet's first control group, this one included. Later
+    /// changes go through the operator API and are kept in the log.
+    pub members: Vec<Address>,
+    /// The file of operators' tokens: one `name token` a line.
+    pub operator_tokens: PathBuf,
+    /// The file of the secret that the processes of the fleet share.
+    pub peer_token: PathBuf,
+    /// The number of shards of the quorum registers.
+    #[serde(default = "default_shards")]
+    pub shards: u32,
+}
+
+fn default_shards() -> u32 {
+    64
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    #[diagnostic(code(settings::read), help("pass the path of a readable JSON file"))]
+    Read {
+        /// The path of the file.
+        path: String,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The file is no settings object.
+    #[error("{path}: at `{key}`: {reason}")]
+    #[diagnostic(code(settings::parse), help("correct or remove the key; README lists all keys"))]
+    Parse {
+        /// The path of the file.
+        path: String,
+        /// The path of the bad key in the file.
+        key: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The values contradict each other.
+    #[error("{path}: at `{key}`: {reason}")]
+    #[diagnostic(code(settings::value), help("{remedy}"))]
+    Value {
+        /// The path of the file.
+        path: String,
+        /// The path of the bad key in the file.
+        key: String,
+        /// What is wrong with it.
+        reason: String,
+        /// What to do about it.
+        remedy: String,
+    },
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let shown = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: shown.clone(), source })?;
+        let settings = Self::parse(&shown, &text)?;
+        settings.check(&shown)?;
+        Ok(settings)
+    }
+
+    fn parse(path: &str, text: &str) -> Result<Self, Error> {
+        let mut input = serde_json::Deserializer::from_str(text);
+        serde_path_to_error::deserialize(&mut input).map_err(|error| Error::Parse {
+            path: path.to_string(),
+            key: error.path().to_string(),
+            reason: error.inner().to_string(),
+        })
+    }
+
+    fn check(&self, path: &str) -> Result<(), Error> {
+        let refuse = |key: &str, reason: String, remedy: &str| Error::Value {
+            path: path.to_string(),
+            key: key.to_string(),
+            reason,
+            remedy: remedy.to_string(),
+        };
+        let mut names: Vec<&String> = self.members.iter().map(|member| &member.name).collect();
+        names.sort_unstable();
+        names.dedup();
+        if names.len() != self.members.len() {
+            let reason = "two members have the same name".to_string();
+            return Err(refuse("members", reason, "give each instance a name of its own"));
+        }
+        if self.shards == 0 {
+            let reason = "no shards".to_string();
+            return Err(refuse("shards", reason, "use 64, or 4096 in a large fleet"));
+        }
+        for (key, address) in [("operators", &self.operators), ("peers", &self.peers)] {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                let reason = format!("`{address}` is no IP address and port");
+                return Err(refuse(key, reason, "write it as 192.0.2.1:7100"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/token.rs
@@ -0,0 +1,81 @@
+//! Secrets from files, re-read without a restart and never logged.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use subtle::ConstantTimeEq;
+
+/// The age at which a file is read again.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// One accepted token.
+#[derive(Clone)]
+struct Token {
+    /// The operator who holds it, where the file names one.
+    name: Option<String>,
+    secret: String,
+}
+
+/// The tokens of one file: one `secret` or `name secret` a line.
+///
+/// The type has no `Debug` form, so that no log line can hold a secret.
+pub struct Tokens {
+    path: PathBuf,
+    cached: Mutex<(Option<Instant>, Vec<Token>)>,
+}
+
+impl Tokens {
+    /// Uses the file at `path`, which may appear later.
+    pub fn new(path: &Path) -> Self {
+        Self { path: path.to_path_buf(), cached: Mutex::new((None, Vec::new())) }
+    }
+
+    /// Returns the holder's name, or an empty name, when `presented` is an accepted token.
+    ///
+    /// Every token of the file is compared in constant time, so that the time of a refusal says
+    /// nothing about how much of a guess is right.
+    pub fn holder(&self, presented: &str) -> Option<String> {
+        let mut found = None;
+        for token in self.current() {
+            let equal: bool = token.secret.as_bytes().ct_eq(presented.as_bytes()).into();
+            if equal {
+                found = Some(token.name.unwrap_or_default());
+            }
+        }
+        found
+    }
+
+    /// Returns the first token of the file, which this process presents to others.
+    pub fn own(&self) -> Option<String> {
+        self.current().first().map(|token| token.secret.clone())
+    }
+
+    fn current(&self) -> Vec<Token> {
+        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
+        if cached.0.is_none_or(|read| read.elapsed() >= FRESH) {
+            // An unreadable file accepts nobody.
+            let text = fs::read_to_string(&self.path).unwrap_or_default();
+            *cached = (Some(Instant::now()), parse(&text));
+        }
+        cached.1.clone()
+    }
+}
+
+fn parse(text: &str) -> Vec<Token> {
+    let mut tokens = Vec::new();
+    for line in text.lines().map(str::trim) {
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let token = match line.split_once(char::is_whitespace) {
+            Some((name, secret)) => {
+                Token { name: Some(name.to_string()), secret: secret.trim().to_string() }
+            }
+            None => Token { name: None, secret: line.to_string() },
+        };
+        tokens.push(token);
+    }
+    tokens
+}
--- a/crates/arbutuslane_wire/src/operator.rs
+++ b/crates/arbutuslane_wire/src/operator.rs
@@ -35,3 +35,135 @@
     /// What to do about it.
     pub remedy: String,
 }
+
+/// One accepted change in the history.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// The revision that the change made.
+    pub revision: u64,
+    /// The id of the change.
+    pub change_id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// The services whose entries it added, replaced or removed.
+    pub services: Vec<String>,
+}
+
+/// The accepted changes, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// The current revision.
+    pub revision: u64,
+    /// The changes that are still kept.
+    pub changes: Vec<Past>,
+}
+
+/// One control instance as another one sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The name of the instance.
+    pub name: String,
+    /// Whether its vote counts.
+    pub voter: bool,
+    /// Whether it was heard from within the last two seconds.
+    pub reachable: bool,
+    /// Milliseconds since it was last heard from, unless it never was.
+    pub silent_ms: Option<u64>,
+    /// The index up to which it is known to hold the log; the leader knows this.
+    pub matched: Option<u64>,
+}
+
+/// A node's last report of the revision that it has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRevision {
+    /// The name of the node.
+    pub node: String,
+    /// The revision in force there.
+    pub revision: u64,
+    /// Milliseconds since the report.
+    pub age_ms: u64,
+}
+
+/// The state of one control instance.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The name of the instance.
+    pub name: String,
+    /// `catching-up`, `follower`, `pre-candidate`, `candidate`, `leader`, `waiting` or `stopped`.
+    pub role: String,
+    /// The current term.
+    pub term: u64,
+    /// The name of the leader, where known.
+    pub leader: Option<String>,
+    /// The address of the leader's operator API, where known.
+    pub leader_address: Option<String>,
+    /// The revision that this instance has applied.
+    pub revision: u64,
+    /// The version of the register groups that this instance has applied.
+    pub group_version: u64,
+    /// The index of the last applied log entry.
+    pub applied: u64,
+    /// Whether this instance hears from no majority.
+    pub isolated: bool,
+    /// Why the instance stopped for good.
+    pub failure: Option<String>,
+    /// The control instances, this one included.
+    pub instances: Vec<Instance>,
+    /// The revisions in force on nodes that report to this instance.
+    pub nodes: Vec<NodeRevision>,
+}
+
+/// One event of a control instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// The position of the event on this instance, from 1.
+    pub sequence: u64,
+    /// Milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The kind of the event, such as `leader-changed` or `instance-lost`.
+    pub kind: String,
+    /// What happened, as key=value pairs.
+    pub detail: String,
+}
+
+/// Events after a given one, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Events {
+    /// The events.
+    pub events: Vec<Event>,
+}
+
+/// A change of the control instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", tag = "action")]
+pub enum Membership {
+    /// Adds an instance, which votes after it has caught up.
+    Add {
+        /// The instance to add.
+        instance: Address,
+    },
+    /// Removes an instance.
+    Remove {
+        /// The name of the instance.
+        name: String,
+    },
+    /// Adds an instance and removes another one after the new one votes.
+    Replace {
+        /// The name of the instance to remove.
+        name: String,
+        /// The instance to add.
+        instance: Address,
+    },
+}
+
+/// Where a control instance is reached.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Address {
+    /// The name of the instance.
+    pub name: String,
+    /// The IP address and port of its `peers` listener.
+    pub peers: String,
+    /// The IP address and port of its `operators` listener.
+    pub operators: String,
+}
