--- /dev/null
+++ b/crates/arbutuslane_event/src/kind.rs
@@ -0,0 +1,339 @@
+//! What can happen in the fleet, as typed kinds.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+/// How much attention an event needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Part of normal operation.
+    Routine,
+    /// The fleet dealt with a fault on its own.
+    Handled,
+    /// An operator must act, though not at night.
+    Action,
+}
+
+/// Defines [`Kind`] with the name, level and fields of each variant in one place, so that the log,
+/// the JSON form and the parser cannot disagree.
+macro_rules! kinds {
+    ($($(#[$meta:meta])* $variant:ident = $name:literal, $level:ident {
+        $($(#[$field_meta:meta])* $field:ident: $type:ty),+ $(,)?
+    })+) => {
+        /// The kind of an event with its fields.
+        #[derive(Debug, Clone, PartialEq, Eq)]
+        pub enum Kind {
+            $($(#[$meta])* $variant { $($(#[$field_meta])* $field: $type),+ },)+
+        }
+
+        impl Kind {
+            /// The names of all kinds.
+            pub const NAMES: &[&str] = &[$($name),+];
+
+            /// Returns the name under which the kind is logged, filtered and counted.
+            pub fn name(&self) -> &'static str {
+                match self { $(Self::$variant { .. } => $name,)+ }
+            }
+
+            /// Returns how much attention the kind needs.
+            pub fn level(&self) -> Level {
+                match self { $(Self::$variant { .. } => Level::$level,)+ }
+            }
+
+            /// Returns the names and values of the fields in their order of declaration.
+            pub fn fields(&self) -> Vec<(&'static str, String)> {
+                match self {
+                    $(Self::$variant { $($field),+ } => {
+                        vec![$((stringify!($field), $field.to_string())),+]
+                    })+
+                }
+            }
+
+            /// Returns the kind with this name and these fields, or nothing when the name is
+            /// unknown or a field is missing or malformed.
+            pub fn parse(name: &str, fields: &BTreeMap<String, String>) -> Option<Self> {
+                match name {
+                    $($name => Some(Self::$variant {
+                        $($field: fields.get(stringify!($field))?.parse().ok()?),+
+                    }),)+
+                    _ => None,
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    /// A process started.
+    Start = "start", Routine {
+        /// The version of the program.
+        version: String,
+        /// The start time of the process in milliseconds, which is its incarnation.
+        incarnation: u64,
+    }
+    /// A process began a planned stop.
+    Stop = "stop", Routine {
+        /// Requests in flight, all of which are waited for.
+        in_flight: u64,
+    }
+    /// A process ended its planned stop.
+    Stopped = "stopped", Routine {
+        /// Requests that were interrupted; more than 0 is a defect.
+        interrupted: u64,
+    }
+    /// A backend server announced itself for the first time, or with a new incarnation.
+    ServerAnnounced = "server-announced", Routine {
+        /// The incarnation of the server.
+        incarnation: u64,
+        /// Requests that the server runs at a time.
+        slots: u32,
+    }
+    /// A backend server drains: it gets no new work and finishes what it runs.
+    Drain = "drain", Routine {
+        /// Requests in flight at the server.
+        in_flight: u32,
+    }
+    /// A backend server left.
+    ServerLeft = "server-left", Routine {
+        /// The incarnation of the server.
+        incarnation: u64,
+    }
+    /// A backend server did not renew its announcement in time.
+    LeaseLost = "lease-lost", Handled {
+        /// Milliseconds since the last renewal.
+        silent_ms: u64,
+    }
+    /// An unhealthy backend server was ejected.
+    Ejection = "ejection", Handled {
+        /// What the detector found.
+        reason: Reason,
+        /// How unhealthy the server is, in percent.
+        severity: u32,
+        /// The number of the permit that the ejection holds.
+        permit: u32,
+    }
+    /// An unhealthy backend server stays in use, because the service is at its floor.
+    EjectionRefused = "ejection-refused", Action {
+        /// What the detector found.
+        reason: Reason,
+        /// How unhealthy the server is, in percent.
+        severity: u32,
+    }
+    /// An ejected backend server is in use again.
+    Return = "return", Handled {
+        /// Why it returned.
+        cause: Cause,
+        /// Milliseconds for which it was ejected.
+        out_ms: u64,
+    }
+    /// A request crashed a backend server.
+    Strike = "strike", Handled {
+        /// The fingerprint of the request in hexadecimal digits.
+        fingerprint: String,
+        /// The strikes against the fingerprint.
+        strikes: u32,
+    }
+    /// A request that crashed two backend servers is refused everywhere.
+    RequestQuarantined = "request-quarantined", Action {
+        /// The fingerprint of the request in hexadecimal digits.
+        fingerprint: String,
+        /// Seconds until the quarantine ends.
+        for_s: u64,
+    }
+    /// The retry budget of a service was used up.
+    RetryBudgetSpent = "retry-budget-spent", Handled {
+        /// Retries that were not sent since the last event of this kind.
+        suppressed: u64,
+    }
+    /// Many requests were refused as not run.
+    NotRunBurst = "not-run-burst", Handled {
+        /// Requests that were refused.
+        count: u64,
+        /// The most frequent cause.
+        cause: String,
+        /// The length of the interval in milliseconds.
+        window_ms: u64,
+    }
+    /// Requests ended with an unknown outcome.
+    UnknownBurst = "unknown-burst", Handled {
+        /// Requests whose outcome is unknown.
+        count: u64,
+        /// The most frequent cause.
+        cause: String,
+        /// The length of the interval in milliseconds.
+        window_ms: u64,
+    }
+    /// A node joined or restarted.
+    NodeJoined = "node-joined", Routine {
+        /// The node.
+        node: String,
+        /// Its incarnation.
+        incarnation: u64,
+    }
+    /// A node answers neither directly nor through others.
+    NodeSuspected = "node-suspected", Handled {
+        /// The node.
+        node: String,
+    }
+    /// A suspected node proved that it is alive.
+    NodeRefuted = "node-refuted", Routine {
+        /// The node.
+        node: String,
+    }
+    /// A suspected node was declared dead.
+    NodeDead = "node-dead", Handled {
+        /// The node.
+        node: String,
+    }
+    /// A control instance follows another leader.
+    LeaderChange = "leader-change", Handled {
+        /// The term.
+        term: u64,
+        /// The leader's id.
+        leader: String,
+    }
+    /// A control instance has not heard from a majority.
+    ReplicaIsolated = "replica-isolated", Action {
+        /// Milliseconds since it last heard from a majority.
+        silent_ms: u64,
+    }
+    /// A control instance hears from a majority again.
+    ReplicaRejoined = "replica-rejoined", Routine {
+        /// Milliseconds for which it was isolated.
+        out_ms: u64,
+    }
+    /// A node reaches no control instance.
+    ControlUnreachable = "control-unreachable", Action {
+        /// Milliseconds since the last contact.
+        silent_ms: u64,
+    }
+    /// A node reaches a control instance again.
+    ControlReachable = "control-reachable", Routine {
+        /// Milliseconds without contact.
+        out_ms: u64,
+    }
+    /// A change of the catalogue was accepted.
+    ChangeAccepted = "change-accepted", Routine {
+        /// The revision that the change made.
+        revision: u64,
+        /// The id of the change.
+        change_id: String,
+        /// The operator who made it.
+        author: String,
+    }
+    /// A change of the catalogue lost against another one from the same revision.
+    ChangeRefused = "change-refused", Routine {
+        /// The current revision.
+        revision: u64,
+        /// The id of the refused change.
+        change_id: String,
+        /// The operator who made it.
+        author: String,
+    }
+    /// A process has a catalogue revision in force.
+    RevisionInForce = "revision-in-force", Routine {
+        /// The revision.
+        revision: u64,
+    }
+    /// A register group has a new member.
+    GroupChanged = "group-changed", Routine {
+        /// The shard.
+        shard: u32,
+        /// The epoch.
+        epoch: u64,
+    }
+    /// A register replica votes after it pulled its shard.
+    RegistersRecovered = "registers-recovered", Routine {
+        /// The shard.
+        shard: u32,
+        /// The number of registers.
+        registers: u64,
+    }
+    /// A shard has no quorum, so its keyed bookings are refused as not run.
+    RegistersUnavailable = "registers-unavailable", Action {
+        /// The shard.
+        shard: u32,
+    }
+    /// Storage failed, and the instance stopped.
+    DiskFault = "disk-fault", Action {
+        /// What failed.
+        detail: String,
+    }
+}
+
+/// Defines an enum of names without fields.
+macro_rules! names {
+    ($(#[$meta:meta])* $type:ident { $($(#[$variant_meta:meta])* $variant:ident = $name:literal,)+ }) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum $type { $($(#[$variant_meta])* $variant,)+ }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(match self { $(Self::$variant => $name,)+ })
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = ();
+
+            fn from_str(name: &str) -> Result<Self, ()> {
+                match name { $($name => Ok(Self::$variant),)+ _ => Err(()) }
+            }
+        }
+    };
+}
+
+names! {
+    /// What the detector found on a backend server.
+    Reason {
+        /// Too many requests failed.
+        Failures = "failures",
+        /// Requests were slower than the peers' 90th percentile too often.
+        Slowness = "slowness",
+        /// Requests in flight got no response.
+        Hanging = "hanging",
+    }
+}
+
+names! {
+    /// Why an ejected backend server is in use again.
+    Cause {
+        /// Its trial requests succeeded.
+        Trials = "trials",
+        /// Its permit was not renewed: partition, floor raised, or other servers lost.
+        PermitLost = "permit-lost",
+        /// A more severely unhealthy server needed the permit.
+        Yielded = "yielded",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a field that is logged in a form which the parser does not read back.
+    #[test]
+    fn parse_round_trip() {
+        let kinds = [
+            Kind::Ejection { reason: Reason::Hanging, severity: 91, permit: 2 },
+            Kind::Return { cause: Cause::PermitLost, out_ms: 7_000 },
+            Kind::DiskFault { detail: "fsync failed: \"EIO\" = 5".to_string() },
+        ];
+        for kind in kinds {
+            let fields: BTreeMap<String, String> =
+                kind.fields().into_iter().map(|(key, value)| (key.to_string(), value)).collect();
+            assert_eq!(Kind::parse(kind.name(), &fields), Some(kind));
+        }
+    }
+
+    /// Guards against two kinds that share a name, of which the parser would find only the first.
+    #[test]
+    fn names_unique() {
+        let mut names = Kind::NAMES.to_vec();
+        names.sort_unstable();
+        names.dedup();
+        assert_eq!(names.len(), Kind::NAMES.len());
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_event/src/log.rs
@@ -0,0 +1,124 @@
+//! The log: one line of `key=value` pairs an event, on standard error.
+
+use std::fmt;
+use std::io;
+
+use tracing::field::{Field, Visit};
+use tracing::{Level, Subscriber};
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
+
+use crate::clock;
+use crate::event::{Event, quoted};
+use crate::kind;
+
+/// The target of lines that [`write`] makes; their message is already in `key=value` form.
+const EVENT_TARGET: &str = "arbutuslane::event";
+
+/// Starts the log of this process.
+///
+/// `filter` selects what is written, for example `info` or `info,arbutuslane_node=debug`. An
+/// invalid filter is replaced by `info`. A second call has no effect.
+pub fn init(filter: &str) {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let started = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(io::stderr)
+        .event_format(Line)
+        .try_init();
+    if started.is_err() {
+        tracing::debug!("the log was already started");
+    }
+}
+
+/// Writes `event` as one line.
+pub fn write(event: &Event) {
+    match event.kind.level() {
+        kind::Level::Action => tracing::warn!(target: EVENT_TARGET, "{event}"),
+        kind::Level::Routine | kind::Level::Handled => {
+            tracing::info!(target: EVENT_TARGET, "{event}");
+        }
+    }
+}
+
+/// Formats a `tracing` event as `time=… level=… target=… key=value …`.
+struct Line;
+
+impl<S, N> FormatEvent<S, N> for Line
+where
+    S: Subscriber + for<'lookup> LookupSpan<'lookup>,
+    N: for<'writer> FormatFields<'writer> + 'static,
+{
+    fn format_event(
+        &self,
+        _context: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &tracing::Event<'_>,
+    ) -> fmt::Result {
+        let metadata = event.metadata();
+        let level = match *metadata.level() {
+            Level::ERROR => "error",
+            Level::WARN => "warn",
+            Level::INFO => "info",
+            Level::DEBUG => "debug",
+            Level::TRACE => "trace",
+        };
+        write!(writer, "time={} level={level}", utc(clock::wall_ms()))?;
+        let mut pairs = Pairs { text: String::new(), verbatim: metadata.target() == EVENT_TARGET };
+        if !pairs.verbatim {
+            write!(writer, " target={}", quoted(metadata.target()))?;
+        }
+        event.record(&mut pairs);
+        writeln!(writer, "{}", pairs.text)
+    }
+}
+
+struct Pairs {
+    text: String,
+    verbatim: bool,
+}
+
+impl Pairs {
+    fn push(&mut self, key: &str, value: &str) {
+        if self.verbatim && key == "message" {
+            self.text.push(' ');
+            self.text.push_str(value);
+            return;
+        }
+        self.text.push_str(&format!(" {key}={}", quoted(value)));
+    }
+}
+
+impl Visit for Pairs {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.push(field.name(), value);
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.push(field.name(), &format!("{value:?}"));
+    }
+}
+
+/// Returns `wall_ms` as an RFC 3339 time in UTC with milliseconds.
+///
+/// ```
+/// assert_eq!(arbutuslane_event::log::utc(951_782_400_123), "2000-02-29T00:00:00.123Z");
+/// ```
+pub fn utc(wall_ms: u64) -> String {
+    let (seconds, millis) = (wall_ms / 1_000, wall_ms % 1_000);
+    let (days, second) = (seconds / 86_400, seconds % 86_400);
+    // Days are counted in 400-year eras that begin on 1 March, so that the leap day comes last.
+    let shifted = days + 719_468;
+    let (era, day_of_era) = (shifted / 146_097, shifted % 146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
+    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
+    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    let (hour, minute, second) = (second / 3_600, second / 60 % 60, second % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{millis:03}Z")
+}
