Add catalogue check and diff, and the status border types

Cause: control must refuse invalid catalogues with the same findings as the command line, and nodes and control need one form of /v1/status.

--- a/crates/arbutuslane_catalogue/src/border.rs
+++ b/crates/arbutuslane_catalogue/src/border.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::change;
+use crate::check;
 use crate::entry;
 use crate::group;
 
@@ -134,6 +135,38 @@
     pub entries: Vec<Entry>,
 }
 
+/// A catalogue file: the entries of some or all services.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+/// The serialized form of [`check::Finding`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// The path of the key, such as `entries[2].routes[0].path_prefix`.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+/// The answer to a change whose entries are invalid.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Findings {
+    /// What is wrong, in the order of the entries.
+    pub findings: Vec<Finding>,
+}
+
+impl From<check::Finding> for Finding {
+    fn from(finding: check::Finding) -> Self {
+        Self { key: finding.key, problem: finding.problem, remedy: finding.remedy }
+    }
+}
+
 impl From<Class> for entry::Class {
     fn from(class: Class) -> Self {
         match class {
--- a/crates/arbutuslane_catalogue/src/entry.rs
+++ b/crates/arbutuslane_catalogue/src/entry.rs
@@ -11,14 +11,14 @@
     Idempotent,
     /// Runs at most once: bookings and holds.
     NonIdempotent,
-    /// A long answer that can be continued from where it broke, on another server.
+    /// A long response that can be resumed from where it broke off, on another server.
     Download,
 }
 
 /// What the owner of a service weighs more when the evidence against a server is thin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Preference {
-    /// Pulls a sick server early and accepts that a healthy one is pulled at times.
+    /// Ejects an unhealthy server early and accepts that a healthy one is ejected at times.
     FastDetection,
     /// Keeps healthy servers in use and accepts slower detection.
     FewFalseEjections,
--- a/crates/arbutuslane_wire/src/lib.rs
+++ b/crates/arbutuslane_wire/src/lib.rs
@@ -17,9 +17,10 @@
 pub mod load;
 pub mod operator;
 pub mod peer;
+pub mod status;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::load::Report;
-    pub use crate::{announce, codec, header, load, operator, peer};
+    pub use crate::{announce, codec, header, load, operator, peer, status};
 }
