Add the arbutuslane command line

Cause: operators need to check, compare and change the catalogue, and to see what the fleet did at night. Change: catalogue check, diff, apply, show, history and rollback; status; timeline as text, JSON lines or one HTML page; report; completions; exit codes; settings with the token in a file. The change id follows from base revision, author and entries, so that the same command is a resend.

--- /dev/null
+++ b/crates/arbutuslane_cli/src/catalogue/mod.rs
@@ -0,0 +1,179 @@
+//! The `catalogue` commands.
+
+mod apply;
+mod read;
+
+use std::path::PathBuf;
+
+use arbutuslane_catalogue::{border, diff};
+use serde::Serialize;
+
+use crate::client::Http;
+use crate::error::Error;
+use crate::exit::Code;
+use crate::files::{self, Finding};
+use crate::output;
+use crate::settings::Settings;
+
+pub(crate) use apply::{Proposal, apply, rollback};
+pub(crate) use read::{history, show};
+
+#[derive(Serialize)]
+struct Check<'findings> {
+    valid: bool,
+    findings: &'findings [Finding],
+}
+
+#[derive(Serialize)]
+struct DiffOutput {
+    base_revision: u64,
+    differences: Vec<DifferenceOutput>,
+    capacity_known: bool,
+}
+
+#[derive(Serialize)]
+struct DifferenceOutput {
+    service: String,
+    change: &'static str,
+    fields: Vec<FieldOutput>,
+    effects: Vec<EffectOutput>,
+}
+
+#[derive(Serialize)]
+struct FieldOutput {
+    key: String,
+    before: Option<String>,
+    after: Option<String>,
+}
+
+#[derive(Serialize)]
+struct EffectOutput {
+    harmful: bool,
+    effect: String,
+}
+
+/// Shows what is wrong with the catalogue in `paths`.
+pub(crate) fn check(paths: &[PathBuf], json: bool) -> Result<Code, Error> {
+    let catalogue = files::read(paths)?;
+    show_findings(&catalogue.findings, json);
+    if !catalogue.findings.is_empty() {
+        return Ok(Code::Invalid);
+    }
+    if !json {
+        output::line(&format!("{} services: valid", catalogue.entries.len()));
+    }
+    Ok(Code::Done)
+}
+
+/// Shows what the catalogue in `paths` would change and do to running capacity.
+pub(crate) async fn diff(
+    paths: Vec<PathBuf>,
+    settings: Settings,
+    json: bool,
+) -> Result<Code, Error> {
+    let catalogue = files::read(&paths)?;
+    if !catalogue.findings.is_empty() {
+        show_findings(&catalogue.findings, json);
+        return Ok(Code::Invalid);
+    }
+    let http = Http::new(Some(settings.token()?), settings.timeout_ms).await?;
+    let current = read::current(&http, &settings, None).await?;
+    let live = read::live(&http, &settings).await;
+    let before: Vec<_> = current.entries.into_iter().map(Into::into).collect();
+    let differences = diff::entries(&before, &catalogue.entries);
+    let effects = diff::effects(&differences, live.as_deref().unwrap_or_default());
+    let shown = DiffOutput {
+        base_revision: current.revision,
+        differences: differences
+            .iter()
+            .map(|difference| describe(difference, &effects, live.is_some()))
+            .collect(),
+        capacity_known: live.is_some(),
+    };
+    if json {
+        output::json(&shown);
+    } else {
+        output::line(&render(&shown));
+    }
+    Ok(Code::Done)
+}
+
+fn describe(
+    difference: &diff::Difference,
+    effects: &[diff::Effect],
+    capacity_known: bool,
+) -> DifferenceOutput {
+    let of_service = effects.iter().filter(|effect| effect.service == *difference.service());
+    DifferenceOutput {
+        service: difference.service().clone(),
+        change: match difference {
+            diff::Difference::Added(_) => "added",
+            diff::Difference::Removed(_) => "removed",
+            diff::Difference::Changed { .. } => "changed",
+        },
+        fields: difference
+            .fields()
+            .into_iter()
+            .map(|field| FieldOutput { key: field.key, before: field.before, after: field.after })
+            .collect(),
+        effects: of_service
+            .filter(|_| capacity_known)
+            .map(|effect| EffectOutput { harmful: effect.harmful, effect: effect.sentence.clone() })
+            .collect(),
+    }
+}
+
+fn render(shown: &DiffOutput) -> String {
+    let mut lines = vec![format!("against revision {}", shown.base_revision)];
+    for difference in &shown.differences {
+        lines.push(format!("{} {}", difference.change, difference.service));
+        for field in &difference.fields {
+            let before = field.before.as_deref().unwrap_or("(none)");
+            let after = field.after.as_deref().unwrap_or("(none)");
+            lines.push(format!("    {}: {before} -> {after}", field.key));
+        }
+        for effect in &difference.effects {
+            let mark = if effect.harmful { "capacity, harmful" } else { "capacity" };
+            lines.push(format!("    {mark}: {}", effect.effect));
+        }
+    }
+    if shown.differences.is_empty() {
+        lines.push("no differences".to_string());
+    }
+    if !shown.capacity_known {
+        lines.push("capacity: not known, because no status was received".to_string());
+    }
+    lines.push(format!("apply with: --base {}", shown.base_revision));
+    lines.join("\n")
+}
+
+fn show_findings(findings: &[Finding], json: bool) {
+    if json {
+        output::json(&Check { valid: findings.is_empty(), findings });
+        return;
+    }
+    for finding in findings {
+        output::line(&format!(
+            "{}:{}: {}: {}\n    remedy: {}",
+            finding.file.display(),
+            finding.line,
+            finding.key,
+            finding.problem,
+            finding.remedy
+        ));
+    }
+}
+
+fn show_refused(findings: &[border::Finding], json: bool) {
+    let findings: Vec<Finding> = findings
+        .iter()
+        .map(|finding| Finding {
+            file: PathBuf::from("(fleet)"),
+            line: 0,
+            key: finding.key.clone(),
+            problem: finding.problem.clone(),
+            remedy: finding.remedy.clone(),
+        })
+        .collect();
+    show_findings(&findings, json);
+}
--- /dev/null
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -0,0 +1,135 @@
+//! Reads the catalogue, its history and the live servers from the control instances.
+
+use arbutuslane_catalogue::{border, diff};
+use arbutuslane_wire::{operator, status};
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Http, Reply};
+use crate::error::Error;
+use crate::exit::Code;
+use crate::output;
+use crate::settings::Settings;
+
+/// The catalogue of one revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Current {
+    pub(super) revision: u64,
+    pub(super) entries: Vec<border::Entry>,
+}
+
+/// Shows the catalogue in the form of a catalogue file.
+pub(crate) async fn show(
+    revision: Option<u64>,
+    settings: Settings,
+    json: bool,
+) -> Result<Code, Error> {
+    let http = Http::new(Some(settings.token()?), settings.timeout_ms).await?;
+    let current = current(&http, &settings, revision).await?;
+    if json {
+        output::json(&current);
+        return Ok(Code::Done);
+    }
+    output::json(&border::File { entries: current.entries });
+    // The revision goes to standard error, so that standard output is a valid catalogue file.
+    eprintln!("revision {}", current.revision);
+    Ok(Code::Done)
+}
+
+/// Shows the most recent accepted changes.
+pub(crate) async fn history(limit: usize, settings: Settings, json: bool) -> Result<Code, Error> {
+    let http = Http::new(Some(settings.token()?), settings.timeout_ms).await?;
+    let (address, reply) = first_answer(&http, &settings, "/v1/history").await?;
+    let mut history: operator::History = reply.json(&address)?;
+    let skipped = history.records.len().saturating_sub(limit);
+    history.records.drain(..skipped);
+    if json {
+        output::json(&history);
+        return Ok(Code::Done);
+    }
+    let mut rows = vec![
+        vec!["revision", "time", "author", "change"]
+            .into_iter()
+            .map(str::to_string)
+            .collect::<Vec<_>>(),
+    ];
+    for record in history.records {
+        let time = match record.at_ms {
+            0 => "-".to_string(),
+            at_ms => arbutuslane_event::log::utc(at_ms),
+        };
+        rows.push(vec![record.revision.to_string(), time, record.author, record.change_id]);
+    }
+    output::line(&output::table(&rows));
+    Ok(Code::Done)
+}
+
+/// Returns the catalogue in force, or that of an earlier revision.
+pub(super) async fn current(
+    http: &Http,
+    settings: &Settings,
+    revision: Option<u64>,
+) -> Result<Current, Error> {
+    let path = match revision {
+        Some(revision) => format!("/v1/catalogue?revision={revision}"),
+        None => "/v1/catalogue".to_string(),
+    };
+    let (address, reply) = first_answer(http, settings, &path).await?;
+    let current: Current = match (reply.status, revision) {
+        (404, Some(revision)) => return Err(Error::NoRevision { address, revision }),
+        _ => reply.json(&address)?,
+    };
+    match revision {
+        Some(revision) if revision != current.revision => {
+            Err(Error::NoRevision { address, revision })
+        }
+        _ => Ok(current),
+    }
+}
+
+/// Returns the live servers of each service, or nothing when no instance tells.
+pub(super) async fn live(http: &Http, settings: &Settings) -> Option<Vec<diff::Live>> {
+    let (_, reply) = first_answer(http, settings, "/v1/status").await.ok()?;
+    let status: status::Status = reply.json_or_none()?;
+    let services = status.services.into_iter();
+    Some(
+        services
+            .map(|service| diff::Live {
+                service: service.service,
+                live: service.live,
+                ejected: service.ejected,
+            })
+            .collect(),
+    )
+}
+
+/// Returns the first response of a control instance that is not a fault of that instance.
+pub(super) async fn first_answer(
+    http: &Http,
+    settings: &Settings,
+    path: &str,
+) -> Result<(String, Reply), Error> {
+    if settings.controls.is_empty() {
+        return Err(Error::Missing { what: "control instance", key: "controls" });
+    }
+    let mut tried = Vec::new();
+    for address in &settings.controls {
+        match http.get(address, path).await {
+            Ok(reply) if matches!(reply.status, 401 | 403) => {
+                return Err(refused(address, &reply));
+            }
+            Ok(reply) if reply.status < 500 => return Ok((address.clone(), reply)),
+            Ok(reply) => tried.push(format!("{address}: status {}", reply.status)),
+            Err(fault) => tried.push(format!("{address}: {fault}")),
+        }
+    }
+    Err(Error::Unreachable { tried: tried.join("; ") })
+}
+
+/// Returns the error for a response that refuses the request.
+pub(super) fn refused(address: &str, reply: &Reply) -> Error {
+    let refusal = reply.json_or_none::<operator::Refusal>().unwrap_or(operator::Refusal {
+        error: format!("status {}", reply.status),
+        remedy: "check that the token file holds the token of an operator".to_string(),
+    });
+    Error::Refused { address: address.to_string(), problem: refusal.error, remedy: refusal.remedy }
+}
--- a/crates/arbutuslane_cli/src/lib.rs
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -1,1 +1,31 @@
-//! The arbutuslane command line.
+//! The `arbutuslane` command line: the catalogue, the status and the events of a fleet.
+//!
+//! [`run`] parses the arguments, runs one command and returns its exit code, one of
+//! [`exit::Code`]. Everything that a command shows goes to standard output, as text or, with
+//! `--json`, as JSON; errors go to standard error.
+//!
+//! ```
+//! use arbutuslane_cli::args;
+//!
+//! let arguments = ["arbutuslane", "catalogue", "check", "catalogue.json"];
+//! assert!(args::command().try_get_matches_from(arguments).is_ok());
+//! ```
+
+pub mod args;
+mod catalogue;
+mod client;
+mod dispatch;
+pub mod error;
+pub mod exit;
+pub mod files;
+pub mod gather;
+pub mod locate;
+pub mod output;
+pub mod page;
+pub mod report;
+pub mod settings;
+mod status;
+pub mod timeline;
+pub mod when;
+
+pub use dispatch::run;
--- a/crates/arbutuslane_cli/src/main.rs
+++ b/crates/arbutuslane_cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The `arbutuslane` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    arbutuslane_cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/arbutuslane_cli/src/report.rs
@@ -0,0 +1,370 @@
+//! The `report` command: what happened, in sentences with figures, and what needs action.
+
+use std::collections::BTreeMap;
+
+use arbutuslane_event::kind::Kind;
+use arbutuslane_event::{border, clock, log};
+use serde::Serialize;
+
+use crate::client::Http;
+use crate::error::Error;
+use crate::exit::Code;
+use crate::gather::{self, Cursor, Gathered};
+use crate::output;
+use crate::settings::Settings;
+use crate::timeline;
+use crate::when;
+
+/// What happened in a span of time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Sentences about each service, then about the instances and the catalogue.
+    pub happened: Vec<String>,
+    /// What an operator has to do.
+    pub action: Vec<String>,
+    /// What the report does not cover.
+    pub missing: Vec<String>,
+}
+
+/// Figures about one service.
+#[derive(Debug, Default)]
+struct Service {
+    ejections: u64,
+    reasons: BTreeMap<String, u64>,
+    returns: BTreeMap<String, u64>,
+    out_ms: u64,
+    refused: u64,
+    leases_lost: u64,
+    left: u64,
+    not_run: u64,
+    unknown: u64,
+    retries_suppressed: u64,
+    strikes: u64,
+}
+
+/// What still holds at the end of the span.
+#[derive(Debug, Default)]
+struct Open {
+    ejected: BTreeMap<(String, String), u64>,
+    refused: BTreeMap<(String, String), u64>,
+    isolated: BTreeMap<String, &'static str>,
+    dead: BTreeMap<String, u64>,
+}
+
+/// Shows the report on the time since `since_ms`.
+pub(crate) async fn show(since_ms: u64, settings: Settings, json: bool) -> Result<Code, Error> {
+    let token = if settings.controls.is_empty() { None } else { Some(settings.token()?) };
+    let http = Http::new(token, settings.timeout_ms).await?;
+    let gathered = gather::all(&http, &settings, &mut Cursor::default()).await?;
+    let now_ms = clock::wall_ms();
+    let report = build(&gathered, since_ms, now_ms);
+    if json {
+        output::json(&report);
+    } else {
+        output::line(&render(&report, since_ms, now_ms));
+    }
+    Ok(if gathered.unreached.is_empty() { Code::Done } else { Code::Partial })
+}
+
+/// Returns the report on the events of `gathered` from `since_ms` to `now_ms`.
+pub fn build(gathered: &Gathered, since_ms: u64, now_ms: u64) -> Report {
+    let mut services: BTreeMap<String, Service> = BTreeMap::new();
+    let mut open = Open::default();
+    let mut report = Report::default();
+    let mut fleet: BTreeMap<&'static str, u64> = BTreeMap::new();
+    let mut unknown_kinds = 0;
+    for event in &gathered.events {
+        let Some(kind) = event.typed() else {
+            unknown_kinds += 1;
+            continue;
+        };
+        // What began earlier may still hold, so earlier events are followed but not counted.
+        follow(&mut open, event, &kind);
+        if event.stamp.wall_ms < since_ms {
+            continue;
+        }
+        if let Some(service) = &event.service {
+            count(services.entry(service.clone()).or_default(), &kind);
+        }
+        *fleet.entry(kind.name()).or_default() += 1;
+        single(&mut report, event, &kind);
+    }
+    let mut happened: Vec<String> = Vec::new();
+    for (name, service) in &services {
+        happened.extend(sentences(name, service));
+    }
+    happened.extend(fleet_sentences(&fleet));
+    happened.append(&mut report.happened);
+    report.happened = happened;
+    remaining(&mut report, &open, now_ms);
+    report.missing = timeline::notices(gathered);
+    if unknown_kinds > 0 {
+        report.missing.push(format!("{unknown_kinds} events are of kinds that this release lacks"));
+    }
+    report
+}
+
+fn count(service: &mut Service, kind: &Kind) {
+    match kind {
+        Kind::Ejection { reason, .. } => {
+            service.ejections += 1;
+            *service.reasons.entry(reason.to_string()).or_default() += 1;
+        }
+        Kind::Return { cause, out_ms } => {
+            *service.returns.entry(cause.to_string()).or_default() += 1;
+            service.out_ms += out_ms;
+        }
+        Kind::EjectionRefused { .. } => service.refused += 1,
+        Kind::LeaseLost { .. } => service.leases_lost += 1,
+        Kind::ServerLeft { .. } => service.left += 1,
+        Kind::NotRunBurst { count, .. } => service.not_run += count,
+        Kind::UnknownBurst { count, .. } => service.unknown += count,
+        Kind::RetryBudgetSpent { suppressed } => service.retries_suppressed += suppressed,
+        Kind::Strike { .. } => service.strikes += 1,
+        _ => {}
+    }
+}
+
+fn follow(open: &mut Open, event: &border::Event, kind: &Kind) {
+    let of = |value: &Option<String>| value.clone().unwrap_or_default();
+    let server = (of(&event.service), of(&event.server));
+    match kind {
+        Kind::Ejection { .. } => {
+            open.refused.remove(&server);
+            open.ejected.insert(server, event.stamp.wall_ms);
+        }
+        Kind::EjectionRefused { .. } => {
+            open.refused.insert(server, event.stamp.wall_ms);
+        }
+        Kind::Return { .. } | Kind::ServerLeft { .. } | Kind::LeaseLost { .. } => {
+            open.ejected.remove(&server);
+            open.refused.remove(&server);
+        }
+        Kind::ReplicaIsolated { .. } => {
+            open.isolated.insert(event.instance.clone(), "a majority of the control instances");
+        }
+        Kind::ControlUnreachable { .. } => {
+            open.isolated.insert(event.instance.clone(), "any control instance");
+        }
+        Kind::ReplicaRejoined { .. } | Kind::ControlReachable { .. } => {
+            open.isolated.remove(&event.instance);
+        }
+        Kind::NodeDead { node } => {
+            open.dead.insert(node.clone(), event.stamp.wall_ms);
+        }
+        Kind::NodeJoined { node, .. } | Kind::NodeRefuted { node } => {
+            open.dead.remove(node);
+        }
+        Kind::Start { .. } => {
+            open.isolated.remove(&event.instance);
+            open.dead.remove(&event.instance);
+        }
+        _ => {}
+    }
+}
+
+/// Adds what one event alone reports.
+fn single(report: &mut Report, event: &border::Event, kind: &Kind) {
+    let time = log::utc(event.stamp.wall_ms);
+    let instance = &event.instance;
+    let service = event.service.as_deref().unwrap_or("a service");
+    match kind {
+        Kind::ChangeAccepted { revision, author, .. } => {
+            report.happened.push(format!("{author} made catalogue revision {revision} at {time}."));
+        }
+        Kind::Stopped { interrupted } if *interrupted > 0 => report.action.push(format!(
+            "{instance} interrupted {interrupted} requests in a planned stop at {time}. Report \
+             this as a defect."
+        )),
+        Kind::DiskFault { detail } => report.action.push(format!(
+            "{instance} stopped at {time}, because its storage failed: {detail}. Replace the \
+             disk, then rebuild the instance (docs/operations.md, disk-fault)."
+        )),
+        Kind::RequestQuarantined { fingerprint, for_s } => report.action.push(format!(
+            "A request crashed servers of {service}, and the fleet refused it for {} from {time}. \
+             Give fingerprint {fingerprint} to the owner of the service.",
+            when::words(for_s * 1_000)
+        )),
+        Kind::RegistersUnavailable { shard } => report.action.push(format!(
+            "Shard {shard} had no quorum at {time}, so its keyed bookings were refused as not \
+             run (docs/operations.md, registers-unavailable)."
+        )),
+        _ => {}
+    }
+}
+
+fn plural(count: u64, one: &str, many: &str) -> String {
+    format!("{count} {}", if count == 1 { one } else { many })
+}
+
+fn listed(counts: &BTreeMap<String, u64>) -> String {
+    let parts: Vec<String> = counts.iter().map(|(name, count)| format!("{count} {name}")).collect();
+    parts.join(", ")
+}
+
+fn sentences(name: &str, service: &Service) -> Vec<String> {
+    let mut sentences = Vec::new();
+    if service.ejections > 0 {
+        sentences.push(format!(
+            "{name}: {} ({}).",
+            plural(service.ejections, "ejection", "ejections"),
+            listed(&service.reasons)
+        ));
+    }
+    if !service.returns.is_empty() {
+        sentences.push(format!(
+            "{name}: {} ({}), after {} out of use in total.",
+            plural(service.returns.values().sum(), "return to use", "returns to use"),
+            listed(&service.returns),
+            when::words(service.out_ms)
+        ));
+    }
+    let counted = [
+        (service.refused, "ejection refused at the floor", "ejections refused at the floor"),
+        (service.leases_lost, "server stopped renewing", "servers stopped renewing"),
+        (service.left, "server left as planned", "servers left as planned"),
+        (service.not_run, "request refused as not run", "requests refused as not run"),
+        (service.unknown, "request with unknown outcome", "requests with unknown outcome"),
+        (service.retries_suppressed, "retry suppressed", "retries suppressed"),
+        (service.strikes, "crash of a server in mid-request", "crashes of servers in mid-request"),
+    ];
+    for (count, one, many) in counted {
+        if count > 0 {
+            sentences.push(format!("{name}: {}.", plural(count, one, many)));
+        }
+    }
+    sentences
+}
+
+fn fleet_sentences(fleet: &BTreeMap<&'static str, u64>) -> Vec<String> {
+    let shown = [
+        ("start", "instance started", "instances started"),
+        ("stopped", "instance stopped as planned", "instances stopped as planned"),
+        ("node-dead", "report of a dead node", "reports of dead nodes"),
+        ("leader-change", "report of a new leader", "reports of a new leader"),
+        ("change-refused", "change lost against another one", "changes lost against another one"),
+    ];
+    let mut sentences = Vec::new();
+    for (kind, one, many) in shown {
+        if let Some(count) = fleet.get(kind) {
+            sentences.push(format!("Fleet: {}.", plural(*count, one, many)));
+        }
+    }
+    sentences
+}
+
+fn remaining(report: &mut Report, open: &Open, now_ms: u64) {
+    for ((service, server), since) in &open.ejected {
+        let age = when::words(now_ms.saturating_sub(*since));
+        report.action.push(format!(
+            "{server} of {service} has been ejected for {age}. Ask the owner of the service to \
+             repair it; it returns on its own."
+        ));
+    }
+    for ((service, server), since) in &open.refused {
+        let age = when::words(now_ms.saturating_sub(*since));
+        report.action.push(format!(
+            "{server} of {service} was found unhealthy {age} ago and stays in use, because the \
+             service is at its floor. Add servers, or ask the owner to repair it."
+        ));
+    }
+    for (instance, whom) in &open.isolated {
+        report.action.push(format!(
+            "{instance} does not hear from {whom}. Check its network (docs/operations.md, \
+             isolated)."
+        ));
+    }
+    for (node, since) in &open.dead {
+        let age = when::words(now_ms.saturating_sub(*since));
+        report.action.push(format!(
+            "Node {node} was declared dead {age} ago and has not come back. Restart or replace it."
+        ));
+    }
+}
+
+fn render(report: &Report, since_ms: u64, now_ms: u64) -> String {
+    let mut lines = vec![format!("From {} to {}:", log::utc(since_ms), log::utc(now_ms))];
+    let sections = [
+        ("", &report.happened, "Nothing to report."),
+        ("Needs action:", &report.action, "Nothing needs action."),
+        ("Not covered:", &report.missing, ""),
+    ];
+    for (title, sentences, none) in sections {
+        if !title.is_empty() && !sentences.is_empty() {
+            lines.push(title.to_string());
+        }
+        lines.extend(sentences.iter().map(|sentence| format!("- {sentence}")));
+        if sentences.is_empty() && !none.is_empty() {
+            lines.push(none.to_string());
+        }
+    }
+    lines.join("\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use arbutuslane_event::kind::{Cause, Reason};
+
+    use super::*;
+
+    fn event(wall_ms: u64, server: &str, kind: &Kind) -> border::Event {
+        let fields = kind.fields().into_iter();
+        border::Event {
+            stamp: border::Stamp { wall_ms, counter: 0 },
+            instance: "node-1".to_string(),
+            sequence: wall_ms,
+            kind: kind.name().to_string(),
+            service: Some("agenda".to_string()),
+            server: Some(server.to_string()),
+            fields: fields.map(|(key, value)| (key.to_string(), value)).collect(),
+        }
+    }
+
+    fn ejection() -> Kind {
+        Kind::Ejection { reason: Reason::Failures, severity: 90, permit: 0 }
+    }
+
+    fn gathered(events: Vec<border::Event>) -> Gathered {
+        Gathered { events, ..Gathered::default() }
+    }
+
+    /// Guards against a server that still needs repair but is missing from the list of actions,
+    /// also when it was ejected before the span.
+    #[test]
+    fn build_open_ejection() {
+        let returned = Kind::Return { cause: Cause::Trials, out_ms: 6_000 };
+        let report = build(
+            &gathered(vec![
+                event(10, "agenda-1", &ejection()),
+                event(2_000, "agenda-2", &ejection()),
+                event(8_000, "agenda-2", &returned),
+            ]),
+            1_000,
+            60_010,
+        );
+        assert_eq!(
+            report.happened,
+            [
+                "agenda: 1 ejection (1 failures).",
+                "agenda: 1 return to use (1 trials), after 6 s out of use in total."
+            ]
+        );
+        assert_eq!(report.action.len(), 1);
+        assert!(report.action[0].starts_with("agenda-1 of agenda has been ejected for 1 min 0 s."));
+    }
+
+    /// Guards against a quiet report although events are missing.
+    #[test]
+    fn build_unreached() {
+        let mut gathered = gathered(vec![event(5, "a", &Kind::Drain { in_flight: 0 })]);
+        gathered.events[0].kind = "kind-of-a-later-release".to_string();
+        gathered.unreached.push(gather::Unreached {
+            address: "127.0.0.1:9".to_string(),
+            instance: Some("node-9".to_string()),
+            fault: "connection refused".to_string(),
+        });
+        let report = build(&gathered, 0, 10);
+        assert!(report.missing[0].contains("node-9") && report.missing[1].contains("1 events"));
+        assert!(render(&report, 0, 10).contains("Not covered:"));
+    }
+}
--- a/crates/arbutuslane_wire/src/operator.rs
+++ b/crates/arbutuslane_wire/src/operator.rs
@@ -35,3 +35,24 @@
     /// What to do about it.
     pub remedy: String,
 }
+
+/// The response to GET `/v1/history`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// Accepted changes, oldest first.
+    pub records: Vec<Record>,
+}
+
+/// One accepted change.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Record {
+    /// The revision that the change made.
+    pub revision: u64,
+    /// The id of the change.
+    pub change_id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// When the leader accepted it, in milliseconds since 1970-01-01 UTC; 0 when not known.
+    pub at_ms: u64,
+}
