--- a/crates/arbutuslane_cli/src/gather.rs
+++ b/crates/arbutuslane_cli/src/gather.rs
@@ -183,10 +183,12 @@
             if member.address.is_empty() || member.state == "dead" {
                 continue;
             }
+            // Only a control instance is believed about where the operator token may go: a
+            // compromised node could name its own address as that of a control instance.
             found.push(Target {
                 address: member.address.clone(),
                 instance: Some(member.instance.clone()),
-                control: member.role == "control",
+                control: member.role == "control" && answer.target.control,
             });
         }
         gathered.statuses.push(status);
--- /dev/null
+++ b/crates/arbutuslane_cli/tests/examples.rs
@@ -0,0 +1,28 @@
+//! Keeps the files under `examples/` valid.
+
+use std::path::{Path, PathBuf};
+
+use arbutuslane_cli::files;
+use arbutuslane_cli::settings::Settings;
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
+}
+
+/// Guards against an example catalogue that the current release refuses.
+#[test]
+fn catalogue_valid() {
+    let catalogue = files::read(&[examples().join("catalogue")]).unwrap();
+    assert_eq!(catalogue.findings, []);
+    let mut services: Vec<&str> =
+        catalogue.entries.iter().map(|entry| entry.service.as_str()).collect();
+    services.sort_unstable();
+    assert_eq!(services, ["agenda", "archives", "bookings", "reports", "slots", "vitrine"]);
+}
+
+/// Guards against example settings of the command line that the current release refuses.
+#[test]
+fn settings_valid() {
+    let settings = Settings::read(&examples().join("arbutuslane.json")).unwrap();
+    assert_eq!(settings.controls.len(), 3);
+}
