--- a/crates/arbutuslane_control/src/operators.rs
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -4,7 +4,7 @@
 
 use arbutuslane_catalogue::border::{self, Catalogue};
 use arbutuslane_catalogue::change::Outcome;
-use arbutuslane_wire::operator::{Accepted, Conflict, Events, History, NotLeader, Past, Refusal};
+use arbutuslane_wire::operator::{Accepted, Conflict, Events, History, NotLeader, Record, Refusal};
 use ntex::http::StatusCode;
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
@@ -78,16 +78,17 @@
         return refused;
     }
     let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
-    let mut changes = Vec::new();
+    let mut records = Vec::new();
     for record in &state.history {
-        changes.push(Past {
+        records.push(Record {
             revision: record.revision,
             change_id: record.change_id.clone(),
             author: record.author.clone(),
+            at_ms: 0,
             services: record.edits.iter().map(|edit| edit.service.clone()).collect(),
         });
     }
-    json(StatusCode::OK, &History { revision: state.revision, changes })
+    json(StatusCode::OK, &History { revision: state.revision, records })
 }
 
 async fn status(request: HttpRequest, shared: State) -> HttpResponse {
--- a/crates/arbutuslane_wire/src/operator.rs
+++ b/crates/arbutuslane_wire/src/operator.rs
@@ -36,28 +36,32 @@
     pub remedy: String,
 }
 
-/// One accepted change in the history.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Past {
+/// The response to GET `/v1/history`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct History {
+    /// The current revision.
+    pub revision: u64,
+    /// The accepted changes that are still kept, oldest first.
+    pub records: Vec<Record>,
+}
+
+/// One accepted change.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Record {
     /// The revision that the change made.
     pub revision: u64,
     /// The id of the change.
     pub change_id: String,
     /// The operator who made it.
     pub author: String,
+    /// When the leader accepted it, in milliseconds since 1970-01-01 UTC; 0 when not known.
+    pub at_ms: u64,
     /// The services whose entries it added, replaced or removed.
     pub services: Vec<String>,
 }
 
-/// The accepted changes, oldest first.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct History {
-    /// The current revision.
-    pub revision: u64,
-    /// The changes that are still kept.
-    pub changes: Vec<Past>,
-}
-
 /// One control instance as another one sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
