Add the decision code of the request path

Cause: the request path needs the interfaces of balance, limit and health to call them.

Change: balance::Picker, Subset; limit::Gate, Bucket, RetryBudget, Deadline, retry and hedge decisions; health::Detector, Summarizer, Baseline, Ejection and Stage, and three comparison rules in health::baseline. The three crates depend on arbutuslane_catalogue for Class and Preference.

Conclusion: first working versions, to be tuned by measurement.

--- /dev/null
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -0,0 +1,91 @@
+//! The load and latency of one server as an entry estimates them.
+
+use std::time::Duration;
+
+use arbutuslane_core::time::Time;
+
+use crate::candidate::{Load, Serving};
+
+/// What was measured of one server.
+#[derive(Debug, Clone)]
+pub(crate) struct Estimate {
+    pub(crate) own_in_flight: u32,
+    pub(crate) serving: Serving,
+    ramp_percent: u32,
+    reported_others: f64,
+    reported_at: Time,
+    latency: f64,
+    latency_at: Time,
+    success: f64,
+}
+
+/// Reports of other entries' work lose half their weight in this time: a report says little about
+/// the load after the requests that it counted have finished.
+const REPORT_HALF_LIFE: f64 = 0.2;
+
+/// The time constant of the latency mean.
+const LATENCY_SECONDS: f64 = 1.0;
+
+/// The weight of the newest outcome in the success rate.
+const SUCCESS_WEIGHT: f64 = 0.05;
+
+impl Estimate {
+    pub(crate) fn new(serving: Serving, now: Time) -> Self {
+        Self {
+            own_in_flight: 0,
+            serving,
+            ramp_percent: 100,
+            reported_others: 0.0,
+            reported_at: now,
+            latency: 0.0,
+            latency_at: now,
+            success: 1.0,
+        }
+    }
+
+    pub(crate) fn report(&mut self, load: &Load, now: Time) {
+        self.serving = load.serving;
+        self.ramp_percent = load.ramp_percent.clamp(1, 100);
+        let total = load.in_flight + load.queued;
+        self.reported_others = f64::from(total.saturating_sub(self.own_in_flight));
+        self.reported_at = now;
+    }
+
+    pub(crate) fn observe(&mut self, latency: Option<Duration>, success: bool, now: Time) {
+        let outcome = if success { 1.0 } else { 0.0 };
+        self.success += SUCCESS_WEIGHT * (outcome - self.success);
+        let Some(latency) = latency.filter(|_| success) else { return };
+        let sample = latency.as_secs_f64();
+        let elapsed = now.saturating_sub(self.latency_at).as_secs_f64();
+        // A sample weighs at least 5%, so that a busy server's mean is not one single request.
+        let keep = (-elapsed / LATENCY_SECONDS).exp().min(0.95);
+        self.latency =
+            if self.latency == 0.0 { sample } else { self.latency * keep + sample * (1.0 - keep) };
+        self.latency_at = now;
+    }
+
+    /// Returns the expected work per effective slot.
+    pub(crate) fn utilization(&self, slots: u32, now: Time) -> f64 {
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let others =
+            self.reported_others * (-age / REPORT_HALF_LIFE * std::f64::consts::LN_2).exp();
+        let ramp = f64::from(self.ramp_percent) / 100.0;
+        (f64::from(self.own_in_flight) + others) / (f64::from(slots.max(1)) * ramp)
+    }
+
+    /// Returns the mean latency of successful work in seconds, or `fallback` when none was seen.
+    pub(crate) fn latency(&self, fallback: f64) -> f64 {
+        if self.latency == 0.0 { fallback } else { self.latency }
+    }
+
+    /// Returns the cost of one more request here; the lowest is chosen.
+    ///
+    /// The square of the success rate keeps a server that fails at once, and therefore looks idle
+    /// and fast, from attracting work.
+    pub(crate) fn score(&self, slots: u32, fallback: f64, now: Time) -> f64 {
+        let ramp = f64::from(self.ramp_percent) / 100.0;
+        let share = 1.0 / (f64::from(slots.max(1)) * ramp);
+        let success = self.success.max(0.02);
+        (self.utilization(slots, now) + share) * self.latency(fallback) / (success * success)
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -0,0 +1,294 @@
+//! The owner's judgement of one backend server.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::{Class, Preference};
+use arbutuslane_core::time::Time;
+
+use crate::peers::{Baseline, Peers, index};
+use crate::test::{Cusum, Group, Mix};
+
+/// A request that the owner dispatches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    /// The class.
+    pub class: Class,
+    /// The hash of the route.
+    pub route: u64,
+    /// The hash of the caller.
+    pub caller: u64,
+    /// The time of the dispatch.
+    pub at: Time,
+}
+
+/// A finished request, for evidence that has no dispatch of its own (replays, tests).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Observation {
+    /// The dispatch.
+    pub start: Start,
+    /// Whether the server answered without an error of its own.
+    pub success: bool,
+    /// The time from the dispatch to the end.
+    pub latency: Duration,
+}
+
+/// What is wrong with a suspected server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// It fails more requests than its peers.
+    Failing,
+    /// It is slower than its peers.
+    Slow,
+}
+
+/// Evidence enough to claim an ejection permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Suspicion {
+    /// What is wrong.
+    pub kind: Kind,
+    /// How bad it is: 400 times the share of failures, or 10 times the slowdown (at most 200).
+    pub severity: u32,
+}
+
+/// Compares one server with its peers, per class, by a failure and a slowness test.
+///
+/// Requests in flight count as slow as soon as they are older than the peers' 90th percentile, so
+/// a server that answers late or never is not the last to be noticed.
+#[derive(Debug, Clone)]
+pub struct Detector {
+    threshold: f64,
+    classes: [ClassState; 3],
+    flights: Vec<Flight>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ClassState {
+    mix: Mix,
+    failure: Cusum,
+    slowness: Cusum,
+    failed: f64,
+    latency: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    id: u64,
+    start: Start,
+    /// How many of the `AGES` the request has reached.
+    level: usize,
+}
+
+/// The sum at which a server is suspected with `fast_detection`: by Wald's bound, a healthy
+/// server's sum reaches it about once in e^10 = 22,000 requests at most.
+const THRESHOLD_FAST: f64 = 10.0;
+
+/// The threshold with `few_false_ejections`: once in e^27 = 5e11 requests at most, while 24 h of
+/// the largest of the six services are 2e8.
+const THRESHOLD_FEW: f64 = 27.0;
+
+/// Sums end at this multiple of the threshold, so that a recovered server is cleared soon.
+const LIMIT: f64 = 1.5;
+
+/// The share of failures that a healthy server may have, whatever the peers do.
+const FAILED_HEALTHY: f64 = 0.02;
+
+/// The share of failures of an unhealthy server.
+const FAILED_UNHEALTHY: f64 = 0.6;
+
+/// The shares of requests (up to the median, up to the 90th percentile, above) of a healthy server.
+/// They allow for a server about 20% slower than its peers.
+const HEALTHY: [f64; 3] = [0.45, 0.40, 0.15];
+
+/// The same shares of an unhealthy server.
+const UNHEALTHY: [f64; 3] = [0.15, 0.35, 0.50];
+
+/// Multiples of the 90th percentile at which the age of a request is evidence.
+const AGES: [u32; 3] = [1, 4, 16];
+
+/// The share of requests at one age that a healthy server lets reach the next; a Pareto tail of
+/// exponent 1 has 0.25.
+const AGED_HEALTHY: f64 = 0.25;
+
+/// The same share of an unhealthy server.
+const AGED_UNHEALTHY: f64 = 0.6;
+
+/// The weight of the newest request in the recent failure share and latency.
+const RECENT_WEIGHT: f64 = 0.1;
+
+impl Detector {
+    /// Returns a detector without evidence.
+    pub fn new(preference: Preference) -> Self {
+        let threshold = match preference {
+            Preference::FastDetection => THRESHOLD_FAST,
+            Preference::FewFalseEjections => THRESHOLD_FEW,
+        };
+        Self { threshold, classes: Default::default(), flights: Vec::new() }
+    }
+
+    /// Changes the preference, as after a change of the catalogue; evidence is kept.
+    pub fn set_preference(&mut self, preference: Preference) {
+        self.threshold = Self::new(preference).threshold;
+    }
+
+    /// Takes in the dispatch of request `id`.
+    pub fn started(&mut self, id: u64, start: Start) {
+        self.flights.push(Flight { id, start, level: 0 });
+    }
+
+    /// Takes in the end of request `id`.
+    ///
+    /// `success` is false for an error of the server's own, a broken exchange and an expired
+    /// deadline, and true for every other response, errors of the caller (4xx) included.
+    pub fn finished(&mut self, id: u64, now: Time, success: bool, baseline: &Baseline) {
+        let Some(place) = self.flights.iter().position(|flight| flight.id == id) else { return };
+        let mut flight = self.flights.swap_remove(place);
+        let peers = baseline.peers(flight.start.class);
+        if let Some(peers) = peers {
+            self.age(&mut flight, now, &peers);
+        }
+        self.end(&flight, now, success, peers.as_ref());
+    }
+
+    /// Drops request `id`, which its caller gave up or the owner never sent.
+    pub fn cancelled(&mut self, id: u64) {
+        self.flights.retain(|flight| flight.id != id);
+    }
+
+    /// Takes in a request whose dispatch was not reported.
+    pub fn observe(&mut self, observation: &Observation, baseline: &Baseline) {
+        let id = u64::MAX;
+        self.started(id, observation.start);
+        let now = observation.start.at + observation.latency;
+        self.finished(id, now, observation.success, baseline);
+    }
+
+    /// Returns whether the server is suspected, with the ages of requests in flight counted.
+    ///
+    /// The owner calls this after each request and every 50 ms while requests are in flight.
+    pub fn suspicion(&mut self, now: Time, baseline: &Baseline) -> Option<Suspicion> {
+        let mut flights = std::mem::take(&mut self.flights);
+        for flight in &mut flights {
+            if let Some(peers) = baseline.peers(flight.start.class) {
+                self.age(flight, now, &peers);
+            }
+        }
+        self.flights = flights;
+        let mut worst: Option<Suspicion> = None;
+        for class in [Class::Idempotent, Class::NonIdempotent, Class::Download] {
+            let state = &self.classes[index(class)];
+            let mut found = Vec::new();
+            if state.failure.score(&state.mix) >= self.threshold {
+                found
+                    .push(Suspicion { kind: Kind::Failing, severity: scaled(400.0, state.failed) });
+            }
+            if state.slowness.score(&state.mix) >= self.threshold
+                && let Some(peers) = baseline.peers(class)
+            {
+                let ratio = state.latency / peers.median.as_secs_f64().max(1e-6);
+                let severity = scaled(10.0, ratio.clamp(1.0, 20.0));
+                found.push(Suspicion { kind: Kind::Slow, severity });
+            }
+            for suspicion in found {
+                if worst.is_none_or(|worst| worst.severity < suspicion.severity) {
+                    worst = Some(suspicion);
+                }
+            }
+        }
+        worst
+    }
+
+    /// Forgets all evidence, as after an ejection or a new incarnation; requests in flight stay.
+    pub fn reset(&mut self) {
+        for state in &mut self.classes {
+            *state = ClassState { mix: std::mem::take(&mut state.mix), ..ClassState::default() };
+        }
+    }
+
+    /// Counts the ages that a request has reached.
+    fn age(&mut self, flight: &mut Flight, now: Time, peers: &Peers) {
+        let age = now.saturating_sub(flight.start.at);
+        while let Some(multiple) = AGES.get(flight.level) {
+            if age <= peers.p90 * *multiple {
+                break;
+            }
+            let ratio = if flight.level == 0 {
+                slowness_ratio(2, peers)
+            } else {
+                ratio(AGED_UNHEALTHY, AGED_HEALTHY)
+            };
+            self.add_slowness(flight, ratio);
+            flight.level += 1;
+            let state = &mut self.classes[index(flight.start.class)];
+            state.latency = state.latency.max(age.as_secs_f64().min(20.0 * state.latency));
+        }
+    }
+
+    fn end(&mut self, flight: &Flight, now: Time, success: bool, peers: Option<&Peers>) {
+        let limit = self.threshold * LIMIT;
+        let group = Group::of(flight.start.caller, flight.start.route);
+        let state = &mut self.classes[index(flight.start.class)];
+        state.mix.count(group);
+        let healthy = peers.map_or(FAILED_HEALTHY, |peers| FAILED_HEALTHY.max(1.5 * peers.failed));
+        let unhealthy = FAILED_UNHEALTHY.max(f64::midpoint(1.0, healthy));
+        if healthy < 0.9 {
+            let ratio = if success {
+                ratio(1.0 - unhealthy, 1.0 - healthy)
+            } else {
+                ratio(unhealthy, healthy)
+            };
+            state.failure.add(ratio, group, limit);
+        }
+        let failed = if success { 0.0 } else { 1.0 };
+        state.failed += RECENT_WEIGHT * (failed - state.failed);
+        if !success {
+            return;
+        }
+        let latency = now.saturating_sub(flight.start.at);
+        let seconds = latency.as_secs_f64();
+        state.latency = if state.latency == 0.0 {
+            seconds
+        } else {
+            state.latency + RECENT_WEIGHT * (seconds - state.latency)
+        };
+        let Some(peers) = peers else { return };
+        let ratio = match flight.level {
+            0 => slowness_ratio(usize::from(latency > peers.median), peers),
+            level if level < AGES.len() => ratio(1.0 - AGED_UNHEALTHY, 1.0 - AGED_HEALTHY),
+            _ => return,
+        };
+        self.add_slowness(flight, ratio);
+    }
+
+    fn add_slowness(&mut self, flight: &Flight, ratio: f64) {
+        let limit = self.threshold * LIMIT;
+        let group = Group::of(flight.start.caller, flight.start.route);
+        self.classes[index(flight.start.class)].slowness.add(ratio, group, limit);
+    }
+}
+
+/// Returns the ratio of a request in one of the three ranges of latency.
+///
+/// When more peers than usual are slow, the shares of a healthy server shift with them, so a
+/// slowdown of the whole service is evidence against none of its servers.
+fn slowness_ratio(range: usize, peers: &Peers) -> f64 {
+    let slow = HEALTHY[2].max(1.5 * peers.slow);
+    if slow >= 0.9 {
+        return 0.0;
+    }
+    let rest = (1.0 - slow) / (1.0 - HEALTHY[2]);
+    let healthy = [HEALTHY[0] * rest, HEALTHY[1] * rest, slow];
+    let slow = UNHEALTHY[2].max(f64::midpoint(1.0, slow) - 0.1);
+    let rest = (1.0 - slow) / (1.0 - UNHEALTHY[2]);
+    let unhealthy = [UNHEALTHY[0] * rest, UNHEALTHY[1] * rest, slow];
+    ratio(unhealthy[range], healthy[range])
+}
+
+fn ratio(unhealthy: f64, healthy: f64) -> f64 {
+    (unhealthy / healthy).ln()
+}
+
+fn scaled(factor: f64, value: f64) -> u32 {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "0 to 400")]
+    let scaled = (factor * value).round() as u32;
+    scaled
+}
--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -1,1 +1,40 @@
 //! Outlier detection against peers, ejection permits and return by trial.
+//!
+//! The owner of a backend server keeps a [`Detector`](detector::Detector) and a
+//! [`Stage`](ejection::Stage) for it. Entries see all peers of a service: each keeps a
+//! [`Summarizer`](peers::Summarizer) and sends a [`Summary`](peers::Summary) with some of the
+//! requests that it forwards; the owner merges them in a [`Baseline`](peers::Baseline). The module
+//! [`baseline`] holds the three common rules that measurements compare the detector against.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use arbutuslane_catalogue::prelude::{Class, Preference};
+//! use arbutuslane_health::prelude::*;
+//!
+//! let peers = Baseline::default();
+//! let mut detector = Detector::new(Preference::FastDetection);
+//! for id in 0..12 {
+//!     let now = Duration::from_millis(id * 50);
+//!     let start = Start { class: Class::Idempotent, route: 1, caller: id, at: now };
+//!     detector.started(id, start);
+//!     detector.finished(id, now + Duration::from_millis(5), false, &peers);
+//! }
+//! let suspicion = detector.suspicion(Duration::from_secs(1), &peers).unwrap();
+//! assert_eq!(suspicion.kind, Kind::Failing);
+//! ```
+
+pub mod baseline;
+pub mod detector;
+pub mod ejection;
+pub mod peers;
+
+mod histogram;
+mod test;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::detector::{Detector, Kind, Observation, Start, Suspicion};
+    pub use crate::ejection::{Ejection, Input, Stage};
+    pub use crate::peers::{Baseline, Peers, Summarizer, Summary};
+}
--- /dev/null
+++ b/crates/arbutuslane_health/src/test.rs
@@ -0,0 +1,92 @@
+//! A sequential test that no single caller or route can decide.
+
+/// The number of groups into which callers, and routes, are hashed.
+const GROUPS: usize = 8;
+
+/// A group with more than this share of the requests is not left out: without it, almost nothing
+/// would remain to decide on.
+const DOMINANT: f64 = 0.95;
+
+/// The mix is halved when it holds this many requests.
+const HORIZON: f64 = 1_000.0;
+
+/// The shares of caller and route groups in the requests of one class.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Mix {
+    callers: [f64; GROUPS],
+    routes: [f64; GROUPS],
+    total: f64,
+}
+
+/// The groups of one request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Group {
+    caller: usize,
+    route: usize,
+}
+
+impl Group {
+    pub(crate) fn of(caller: u64, route: u64) -> Self {
+        Self { caller: group(caller), route: group(route) }
+    }
+}
+
+impl Mix {
+    pub(crate) fn count(&mut self, group: Group) {
+        self.callers[group.caller] += 1.0;
+        self.routes[group.route] += 1.0;
+        self.total += 1.0;
+        if self.total < HORIZON {
+            return;
+        }
+        self.total /= 2.0;
+        for count in self.callers.iter_mut().chain(&mut self.routes) {
+            *count /= 2.0;
+        }
+    }
+}
+
+/// Cumulative sums of log-likelihood ratios, one with each group left out.
+///
+/// The score is the lowest of the sums. A caller or route whose requests alone are bad raises all
+/// sums but that of its own group, and so never the score. False alarms stay as rare as for a
+/// single sum, because each sum is a cumulative sum test of its own over independent requests.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Cusum {
+    callers: [f64; GROUPS],
+    routes: [f64; GROUPS],
+}
+
+impl Cusum {
+    /// Adds the ratio of one request; sums stay between 0 and `limit`.
+    pub(crate) fn add(&mut self, ratio: f64, group: Group, limit: f64) {
+        for (place, sum) in self.callers.iter_mut().enumerate() {
+            if place != group.caller {
+                *sum = (*sum + ratio).clamp(0.0, limit);
+            }
+        }
+        for (place, sum) in self.routes.iter_mut().enumerate() {
+            if place != group.route {
+                *sum = (*sum + ratio).clamp(0.0, limit);
+            }
+        }
+    }
+
+    pub(crate) fn score(&self, mix: &Mix) -> f64 {
+        let dominant = mix.total * DOMINANT;
+        let mut lowest = f64::MAX;
+        let sums = self.callers.iter().zip(&mix.callers).chain(self.routes.iter().zip(&mix.routes));
+        for (sum, count) in sums {
+            if *count <= dominant {
+                lowest = lowest.min(*sum);
+            }
+        }
+        lowest
+    }
+}
+
+/// Returns the group of a caller or route id; ids may be consecutive numbers.
+fn group(id: u64) -> usize {
+    let spread = id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 61;
+    usize::try_from(spread).unwrap_or(0) % GROUPS
+}
--- /dev/null
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -0,0 +1,74 @@
+//! The retry budget: retries and hedges as a share of first requests.
+
+/// Whether a request is new work or a caller's resend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A request that the caller sends for the first time.
+    First,
+    /// A resend by the caller, known by its key or fingerprint.
+    Resend,
+}
+
+/// Limits retries and hedges of one service at one entry.
+///
+/// At any time, `spent <= percent / 100 * first requests + reserve`. The credit that a quiet time
+/// can save up is capped, so a burst of failures causes at most `cap` retries beyond the share.
+/// Callers' resends add nothing: in a retry storm they would otherwise raise the budget.
+///
+/// ```
+/// use arbutuslane_limit::budget::{Origin, RetryBudget};
+///
+/// let mut budget = RetryBudget::new(10, 0, 20);
+/// for _ in 0..10 {
+///     assert!(!budget.spend());
+///     budget.earn(Origin::First);
+/// }
+/// assert!(budget.spend());
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    percent: u32,
+    cap: u32,
+    credit: u32,
+}
+
+/// The credit that one retry costs; a first request earns `percent`.
+const COST: u32 = 100;
+
+impl Default for RetryBudget {
+    /// Returns the fleet's budget: 10% of first requests, one retry in reserve, at most 20 saved.
+    fn default() -> Self {
+        Self::new(10, 1, 20)
+    }
+}
+
+impl RetryBudget {
+    /// Returns a budget of `percent` of first requests with `reserve` retries at the start and at
+    /// most `cap` saved up.
+    pub fn new(percent: u32, reserve: u32, cap: u32) -> Self {
+        let cap = cap.saturating_mul(COST);
+        Self { percent, cap, credit: reserve.saturating_mul(COST).min(cap) }
+    }
+
+    /// Counts a request that arrived from a caller.
+    pub fn earn(&mut self, origin: Origin) {
+        if origin == Origin::First {
+            self.credit = self.credit.saturating_add(self.percent).min(self.cap);
+        }
+    }
+
+    /// Spends one retry or hedge and returns whether the budget allowed it.
+    #[must_use]
+    pub fn spend(&mut self) -> bool {
+        let allowed = self.credit >= COST;
+        if allowed {
+            self.credit -= COST;
+        }
+        allowed
+    }
+
+    /// Returns a retry that was not sent after all.
+    pub fn refund(&mut self) {
+        self.credit = self.credit.saturating_add(COST).min(self.cap);
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_limit/src/deadline.rs
@@ -0,0 +1,57 @@
+//! The time until which the answer to a request is of use.
+
+use std::time::Duration;
+
+use arbutuslane_core::time::Time;
+
+/// The end of a request's time, by the clock of the process that holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Deadline {
+    at: Time,
+}
+
+impl Deadline {
+    /// Returns the deadline `remaining` after `now`.
+    pub fn after(now: Time, remaining: Duration) -> Self {
+        Self { at: now.saturating_add(remaining) }
+    }
+
+    /// Returns the point in time of the deadline.
+    pub fn at(&self) -> Time {
+        self.at
+    }
+
+    /// Returns the time that remains, zero after expiry.
+    pub fn remaining(&self, now: Time) -> Duration {
+        self.at.saturating_sub(now)
+    }
+
+    /// Returns the whole milliseconds that remain, rounded down so that no hop extends a deadline.
+    pub fn remaining_ms(&self, now: Time) -> u64 {
+        u64::try_from(self.remaining(now).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns whether no time remains.
+    pub fn is_expired(&self, now: Time) -> bool {
+        now >= self.at
+    }
+
+    /// Returns this deadline less `allowance` for the way back, for the next hop.
+    pub fn reduced(&self, allowance: Duration) -> Self {
+        Self { at: self.at.saturating_sub(allowance) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a hop that hands on more time than it was given.
+    #[test]
+    fn remaining_ms_rounds_down() {
+        let deadline = Deadline::after(Duration::ZERO, Duration::from_micros(1_999));
+        assert_eq!(deadline.remaining_ms(Duration::ZERO), 1);
+        assert_eq!(deadline.remaining_ms(Duration::from_secs(9)), 0);
+        assert!(deadline.is_expired(Duration::from_micros(1_999)));
+    }
+}
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -1,1 +1,38 @@
-//! Admission, slots, queues, rate limits, deadlines and retry budgets.
+//! Admission, slots, queues, rate limits, deadlines, retries and hedging.
+//!
+//! Everything here is a pure function of explicit state and time. The owner of a backend server
+//! keeps one [`Gate`](gate::Gate) for it. An entry keeps [`Bucket`](bucket::Bucket)s per caller,
+//! route and service, one [`RetryBudget`](budget::RetryBudget) per service, and asks
+//! [`retry::decide`] and [`hedge::delay`] what to do with a late or failed attempt.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use arbutuslane_catalogue::prelude::Class;
+//! use arbutuslane_limit::prelude::*;
+//!
+//! let now = Duration::ZERO;
+//! let mut gate = Gate::new(1, 4);
+//! let deadline = Deadline::after(now, Duration::from_secs(5));
+//! let Admission::Run(ticket) = gate.arrive(now, Class::Idempotent, deadline) else { panic!() };
+//! assert!(matches!(gate.arrive(now, Class::Idempotent, deadline), Admission::Queued { .. }));
+//! let next = gate.finish(ticket, Duration::from_millis(20));
+//! assert_eq!(next.start.len(), 1);
+//! ```
+
+pub mod bucket;
+pub mod budget;
+pub mod deadline;
+pub mod gate;
+pub mod hedge;
+pub mod retry;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::bucket::Bucket;
+    pub use crate::budget::{Origin, RetryBudget};
+    pub use crate::deadline::Deadline;
+    pub use crate::gate::{Admission, Cancelled, Gate, Next, Reason, Refusal, Ticket};
+    pub use crate::retry::{Attempt, Decision, Outcome};
+    pub use crate::{hedge, retry};
+}
