Add membership, gossip and quorum register state machines

Cause: the node, the control daemon and the command line need the public interfaces of the member and record crates and of peer messages.

Change: member has Table, Record, Gossip and Detector; record has Replica (recovering or voting), Seat, Coordinator, Ledger, Permit and Strikes; wire::peer has the border types and their conversions, for which wire now depends on member and record. Replicas report the incarnations of the other members that they know; a coordinator does not count the acceptance of a member whose later life another accepting member knows. Without that, a member that restarts while a claim is on its way to a third replica could vote twice.

--- a/crates/arbutuslane_record/src/lib.rs
+++ b/crates/arbutuslane_record/src/lib.rs
@@ -1,1 +1,42 @@
 //! Quorum registers for idempotency keys, ejection permits and quarantined requests.
+//!
+//! A register is write-once: the first attempt that a majority of a group's replicas accepts may
+//! dispatch its request, and no other one. [`Seat`](replica::Seat) is one replica of a group, which
+//! is recovering or voting. [`Coordinator`](coordinator::Coordinator) claims a register and says
+//! what may be done with the request. [`Ledger`](permit::Ledger) and [`Permit`](permit::Permit) add
+//! a lease for ejections, and [`Strikes`](strike::Strikes) counts crashes by request.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use arbutuslane_record::prelude::*;
+//!
+//! let now = Duration::ZERO;
+//! let group = Group::founded(7, &[("node-a", 1)]);
+//! let mut seat = Seat::join(now, "node-a", 1, group.clone());
+//!
+//! let key = key::of("bookings", "order-17");
+//! let (mut coordinator, claim) = Coordinator::claim(group, key, 42, 1, Kind::Booking);
+//! let response = seat.handle(now, &Request::Claim(claim));
+//! assert_eq!(coordinator.replied("node-a", &response), Some(Decision::Dispatch));
+//! ```
+
+pub mod coordinator;
+pub mod group;
+pub mod key;
+pub mod message;
+pub mod permit;
+pub mod replica;
+pub mod store;
+pub mod strike;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::coordinator::{Coordinator, Decision};
+    pub use crate::group::{Group, Member};
+    pub use crate::key::{self, Key};
+    pub use crate::message::{Answer, Claim, Kind, Request, Response};
+    pub use crate::permit::{Ledger, Permit};
+    pub use crate::replica::{Recovering, Replica, Seat, Voting};
+    pub use crate::strike::{Strikes, Verdict};
+}
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -1,5 +1,8 @@
 //! Messages between nodes and control instances, sent by POST to `/v1/peer`.
 
+pub mod gossip;
+pub mod register;
+
 use serde::{Deserialize, Serialize};
 
 /// A request of one process to another.
@@ -10,6 +13,37 @@
         /// The revision that the sender has in force.
         known_revision: u64,
     },
+    /// Membership and configuration.
+    Gossip(gossip::Message),
+    /// To the replica of a quorum register.
+    Register(register::Message),
+    /// Tells the owner of other servers of a service about requests that crashed a server.
+    Strike {
+        /// The service.
+        service: String,
+        /// The server that crashed.
+        server: String,
+        /// The incarnation of that server.
+        incarnation: u64,
+        /// The fingerprints of the requests that it was running.
+        fingerprints: Vec<u64>,
+    },
+    /// Tells the owner of other servers of a service that a request has run without a crash.
+    ClearStrikes {
+        /// The service.
+        service: String,
+        /// The fingerprint of the request.
+        fingerprint: u64,
+    },
+    /// Tells a control instance which position a node has in force.
+    InForce {
+        /// The node.
+        node: String,
+        /// The revision.
+        revision: u64,
+        /// The shards whose groups the node votes in, with their epochs.
+        votes: Vec<(u32, u64)>,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -21,4 +55,10 @@
     Unchanged,
     /// The receiver does not handle this message.
     Unsupported,
+    /// To [`Message::Gossip`].
+    Gossip(gossip::Answer),
+    /// To [`Message::Register`].
+    Register(register::Answer),
+    /// Received.
+    Done,
 }
--- /dev/null
+++ b/crates/arbutuslane_wire/src/peer/register/convert.rs
@@ -0,0 +1,279 @@
+//! Conversions between the border types and those of the state machine.
+
+use arbutuslane_record::{message, permit};
+
+use super::{Answer, Ask, Claim, Copy, Holding, Kept, Kind, Message, Refusal, Wide};
+
+fn wide(number: u128) -> Wide {
+    let low = number & u128::from(u64::MAX);
+    (u64::try_from(number >> 64).unwrap_or(u64::MAX), u64::try_from(low).unwrap_or(u64::MAX))
+}
+
+fn narrow((high, low): Wide) -> u128 {
+    u128::from(high) << 64 | u128::from(low)
+}
+
+impl From<message::Kind> for Kind {
+    fn from(kind: message::Kind) -> Self {
+        match kind {
+            message::Kind::Booking => Self::Booking,
+            message::Kind::Exclusive => Self::Exclusive,
+        }
+    }
+}
+
+impl From<Kind> for message::Kind {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Booking => Self::Booking,
+            Kind::Exclusive => Self::Exclusive,
+        }
+    }
+}
+
+impl From<message::Answer> for Kept {
+    fn from(answer: message::Answer) -> Self {
+        Self { status: answer.status, headers: answer.headers, body: answer.body }
+    }
+}
+
+impl From<Kept> for message::Answer {
+    fn from(kept: Kept) -> Self {
+        Self { status: kept.status, headers: kept.headers, body: kept.body }
+    }
+}
+
+impl From<message::Claim> for Claim {
+    fn from(claim: message::Claim) -> Self {
+        Self {
+            shard: claim.shard,
+            epoch: claim.epoch,
+            key: wide(claim.key),
+            attempt: wide(claim.attempt),
+            fingerprint: claim.fingerprint,
+            kind: claim.kind.into(),
+        }
+    }
+}
+
+impl From<Claim> for message::Claim {
+    fn from(claim: Claim) -> Self {
+        Self {
+            shard: claim.shard,
+            epoch: claim.epoch,
+            key: narrow(claim.key),
+            attempt: narrow(claim.attempt),
+            fingerprint: claim.fingerprint,
+            kind: claim.kind.into(),
+        }
+    }
+}
+
+impl From<permit::Ask> for Ask {
+    fn from(ask: permit::Ask) -> Self {
+        match ask {
+            permit::Ask::Claim => Self::Claim,
+            permit::Ask::Renew => Self::Renew,
+            permit::Ask::Release => Self::Release,
+        }
+    }
+}
+
+impl From<Ask> for permit::Ask {
+    fn from(ask: Ask) -> Self {
+        match ask {
+            Ask::Claim => Self::Claim,
+            Ask::Renew => Self::Renew,
+            Ask::Release => Self::Release,
+        }
+    }
+}
+
+impl From<message::Request> for Message {
+    fn from(request: message::Request) -> Self {
+        match request {
+            message::Request::Claim(claim) => Self::Claim(claim.into()),
+            message::Request::Withdraw { shard, key, attempt } => {
+                Self::Withdraw { shard, key: wide(key), attempt: wide(attempt) }
+            }
+            message::Request::Complete { claim, answer } => {
+                Self::Complete { claim: claim.into(), answer: answer.map(Kept::from) }
+            }
+            message::Request::Pull { shard, epoch, node, incarnation, cursor } => {
+                Self::Pull { shard, epoch, node, incarnation, cursor }
+            }
+            message::Request::Permit(request) => Self::Permit {
+                shard: request.shard,
+                epoch: request.epoch,
+                service: request.service,
+                number: request.number,
+                server: request.server,
+                attempt: wide(request.attempt),
+                severity: request.severity,
+                ask: request.ask.into(),
+                round: request.round,
+            },
+        }
+    }
+}
+
+impl From<Message> for message::Request {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Claim(claim) => Self::Claim(claim.into()),
+            Message::Withdraw { shard, key, attempt } => {
+                Self::Withdraw { shard, key: narrow(key), attempt: narrow(attempt) }
+            }
+            Message::Complete { claim, answer } => {
+                Self::Complete { claim: claim.into(), answer: answer.map(message::Answer::from) }
+            }
+            Message::Pull { shard, epoch, node, incarnation, cursor } => {
+                Self::Pull { shard, epoch, node, incarnation, cursor }
+            }
+            Message::Permit {
+                shard,
+                epoch,
+                service,
+                number,
+                server,
+                attempt,
+                severity,
+                ask,
+                round,
+            } => Self::Permit(permit::Request {
+                shard,
+                epoch,
+                service,
+                number,
+                server,
+                attempt: narrow(attempt),
+                severity,
+                ask: ask.into(),
+                round,
+            }),
+        }
+    }
+}
+
+impl From<message::Refusal> for Refusal {
+    fn from(refusal: message::Refusal) -> Self {
+        match refusal {
+            message::Refusal::Recovering => Self::Recovering,
+            message::Refusal::Epoch => Self::Epoch,
+            message::Refusal::Withdrawn => Self::Withdrawn,
+            message::Refusal::Full => Self::Full,
+            message::Refusal::NoReplica => Self::NoReplica,
+        }
+    }
+}
+
+impl From<Refusal> for message::Refusal {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Recovering => Self::Recovering,
+            Refusal::Epoch => Self::Epoch,
+            Refusal::Withdrawn => Self::Withdrawn,
+            Refusal::Full => Self::Full,
+            Refusal::NoReplica => Self::NoReplica,
+        }
+    }
+}
+
+impl From<message::Holding> for Holding {
+    fn from(holding: message::Holding) -> Self {
+        match holding {
+            message::Holding::Accepted => Self::Accepted,
+            message::Holding::Taken { attempt, fingerprint, complete, answer } => Self::Taken {
+                attempt: wide(attempt),
+                fingerprint,
+                complete,
+                answer: answer.map(Kept::from),
+            },
+            message::Holding::Refused(refusal) => Self::Refused(refusal.into()),
+        }
+    }
+}
+
+impl From<Holding> for message::Holding {
+    fn from(holding: Holding) -> Self {
+        match holding {
+            Holding::Accepted => Self::Accepted,
+            Holding::Taken { attempt, fingerprint, complete, answer } => Self::Taken {
+                attempt: narrow(attempt),
+                fingerprint,
+                complete,
+                answer: answer.map(message::Answer::from),
+            },
+            Holding::Refused(refusal) => Self::Refused(refusal.into()),
+        }
+    }
+}
+
+impl From<message::Copy> for Copy {
+    fn from(copy: message::Copy) -> Self {
+        let attempts = copy.attempts.into_iter();
+        Self {
+            key: wide(copy.key),
+            attempts: attempts.map(|(attempt, print)| (wide(attempt), print)).collect(),
+            kind: copy.kind.into(),
+            age: copy.age,
+            complete: copy.complete,
+            answer: copy.answer.map(|(age, answer)| (age, answer.into())),
+        }
+    }
+}
+
+impl From<Copy> for message::Copy {
+    fn from(copy: Copy) -> Self {
+        let attempts = copy.attempts.into_iter();
+        Self {
+            key: narrow(copy.key),
+            attempts: attempts.map(|(attempt, print)| (narrow(attempt), print)).collect(),
+            kind: copy.kind.into(),
+            age: copy.age,
+            complete: copy.complete,
+            answer: copy.answer.map(|(age, kept)| (age, kept.into())),
+        }
+    }
+}
+
+impl From<message::Response> for Answer {
+    fn from(response: message::Response) -> Self {
+        match response {
+            message::Response::Claim { epoch, lives, holding } => {
+                Self::Claim { epoch, lives, holding: holding.into() }
+            }
+            message::Response::Page { epoch, voting, lives, copies, next } => {
+                let copies = copies.into_iter().map(Copy::from).collect();
+                Self::Page { epoch, voting, lives, copies, next }
+            }
+            message::Response::Permit(response) => Self::Permit {
+                attempt: wide(response.attempt),
+                round: response.round,
+                granted: response.granted,
+                waiting: response.waiting,
+                free: response.free,
+            },
+            message::Response::Done => Self::Done,
+        }
+    }
+}
+
+impl From<Answer> for message::Response {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::Claim { epoch, lives, holding } => {
+                Self::Claim { epoch, lives, holding: holding.into() }
+            }
+            Answer::Page { epoch, voting, lives, copies, next } => {
+                let copies = copies.into_iter().map(message::Copy::from).collect();
+                Self::Page { epoch, voting, lives, copies, next }
+            }
+            Answer::Permit { attempt, round, granted, waiting, free } => {
+                let attempt = narrow(attempt);
+                Self::Permit(permit::Response { attempt, round, granted, waiting, free })
+            }
+            Answer::Done => Self::Done,
+        }
+    }
+}
