--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -57,6 +57,7 @@
             drop(state);
             codec::encode(&snapshot).map_or(Answer::Unsupported, Answer::Snapshot)
         }
+        _ => Answer::Unsupported,
     }
 }
 
