--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -102,5 +102,7 @@
                 Err(_) => peer::Answer::Unsupported,
             }
         }
+        // Membership and registers answer these once their threads run in the node.
+        _ => peer::Answer::Unsupported,
     }
 }
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -9,6 +9,8 @@
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::sleep;
 
+use arbutuslane_event::log;
+
 use crate::configuration;
 use crate::seeds;
 use crate::settings::{self, Settings};
@@ -66,7 +68,9 @@
         .about("Runs a node of the proxy fleet")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings)
+        .arg(Arg::new("log").long("log").default_value("info").help("What is logged"))
         .get_matches();
+    log::init(matches.get_one::<String>("log").map_or("info", String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
     Ok(run(settings)?)
