Test the request path under faults and fix what the tests found

Cause: no test caused the faults of the design's verification table.

Change: 38 tests start nodes as processes against servers whose bytes the test decides. They found and this fixes: a stopping node withdrew its servers before they had announced themselves elsewhere (bookings were refused); a hop gave its whole remaining time to the next one, so a provable refusal at the deadline arrived too late and became outcome unknown; connections that lost their state were pooled again and again; a HEAD response lost its stated length.

The library's client did not resend on a broken pooled connection.

Conclusion: the rows of the table that concern the request path have a test each, except overload and crashing requests.

--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -23,6 +23,9 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
+/// What is logged by default: the server library reports every start of a thread.
+const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
+
 /// A node that cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum Error {
@@ -68,9 +71,9 @@
         .about("Runs a node of the proxy fleet")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings)
-        .arg(Arg::new("log").long("log").default_value("info").help("What is logged"))
+        .arg(Arg::new("log").long("log").default_value(LOG).help("What is logged"))
         .get_matches();
-    log::init(matches.get_one::<String>("log").map_or("info", String::as_str));
+    log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
     Ok(run(settings)?)
--- a/crates/arbutuslane_node/src/seeds.rs
+++ b/crates/arbutuslane_node/src/seeds.rs
@@ -83,7 +83,8 @@
     let now = shared.clock.now();
     let mut servers = Vec::new();
     for server in shared.servers.all() {
-        if shared.stopping() || !server.open(now) {
+        // A stopping node keeps its servers until they have announced themselves elsewhere.
+        if !server.open(now) {
             continue;
         }
         servers.push(Listed {
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -111,8 +111,11 @@
     /// Replaces the servers of other nodes.
     pub(crate) fn set_remotes(&self, mut remotes: Vec<Remote>) {
         remotes.sort_by(|left, right| {
-            (&left.service, &left.server).cmp(&(&right.service, &right.server))
+            let order = (&left.service, &left.server).cmp(&(&right.service, &right.server));
+            order.then(right.incarnation.cmp(&left.incarnation))
         });
+        // A server that moved is listed by its old owner too, under a lower incarnation.
+        remotes.dedup_by(|later, first| later.server == first.server);
         *self.remotes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(remotes);
     }
 
--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -2,12 +2,13 @@
 
 use std::task::{Context, Poll};
 
-use ntex::http::{HeaderMap, StatusCode};
+use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::Bytes;
 
 use super::admission::Permit;
 use super::choice::Ongoing;
-use super::client::{Body, Failure};
+use super::client::{Body, Failure, Reply};
+use super::fields;
 
 /// The response of a backend server whose body is still to be read.
 #[derive(Debug)]
@@ -18,6 +19,21 @@
     pub(crate) headers: HeaderMap,
     /// The body.
     pub(crate) body: Stream,
+    /// The length that the response to a HEAD request states for the body it leaves out.
+    pub(crate) stated: Option<u64>,
+}
+
+impl Answer {
+    /// Returns the answer that `reply` gives to a request with `method`.
+    pub(crate) fn new(reply: Reply, method: &Method, permit: Option<Permit>) -> Self {
+        let stated = (method == Method::HEAD).then(|| fields::length(&reply.headers)).flatten();
+        Self {
+            status: reply.status,
+            headers: fields::end_to_end(&reply.headers),
+            body: Stream::new(reply.body, permit),
+            stated,
+        }
+    }
 }
 
 /// The body of a response together with what is held until its end.
@@ -30,7 +46,7 @@
 
 impl Stream {
     /// Returns a stream that holds `permit` until its end.
-    pub(crate) fn new(body: Body, permit: Option<Permit>) -> Self {
+    fn new(body: Body, permit: Option<Permit>) -> Self {
         Self { body, permit, ongoing: None }
     }
 
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -105,7 +105,10 @@
         let head = match timeout_checked(limit.max(Duration::from_millis(1)), receive).await {
             Ok(head) => head?,
             Err(()) => {
-                pool.purge(address);
+                match reused {
+                    true => pool.distrust(address),
+                    false => pool.purge(address),
+                }
                 return Err(Failure::Deadline);
             }
         };
--- a/crates/arbutuslane_node/src/traffic/client/pool.rs
+++ b/crates/arbutuslane_node/src/traffic/client/pool.rs
@@ -21,10 +21,15 @@
 /// The size of a connection's read and write buffers in bytes; bounds the memory of a long body.
 const BUFFER_BYTES: usize = 64 << 10;
 
+/// How long no connection to an address is reused after a reused one went silent.
+const DISTRUST: Duration = Duration::from_secs(30);
+
 /// Idle connections of one traffic thread, by address in ascending order.
 #[derive(Debug)]
 pub(crate) struct Pool {
     idle: RefCell<Vec<(SocketAddr, Vec<Idle>)>>,
+    /// Addresses whose connections are not reused until a point in time.
+    distrusted: RefCell<Vec<(SocketAddr, Instant)>>,
     config: SharedCfg,
 }
 
@@ -43,7 +48,7 @@
             32,
         );
         let config = SharedCfg::new("outgoing").add(config).into();
-        Rc::new(Self { idle: RefCell::new(Vec::new()), config })
+        Rc::new(Self { idle: RefCell::default(), distrusted: RefCell::default(), config })
     }
 
     /// Returns an idle connection to `address` that still looks usable.
@@ -77,6 +82,10 @@
 
     /// Keeps a connection whose exchange was completed.
     pub(super) fn put(&self, address: SocketAddr, io: Io) {
+        let now = Instant::now();
+        if self.distrusted.borrow().iter().any(|(known, end)| *known == address && now < *end) {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let entry = Idle { io, since: Instant::now() };
         match idle.binary_search_by_key(&address, |(known, _)| *known) {
@@ -99,6 +108,17 @@
         }
     }
 
+    /// Reuses no connection to `address` for a while, because a reused one went silent.
+    ///
+    /// Whatever lost the state of one connection, such as a firewall, may lose that of others.
+    pub(crate) fn distrust(&self, address: SocketAddr) {
+        self.purge(address);
+        let now = Instant::now();
+        let mut distrusted = self.distrusted.borrow_mut();
+        distrusted.retain(|(known, end)| *known != address && now < *end);
+        distrusted.push((address, now + DISTRUST));
+    }
+
     /// Closes connections that were idle too long; called from time to time.
     pub(crate) fn expire(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/arbutuslane_node/src/traffic/deadline.rs
+++ b/crates/arbutuslane_node/src/traffic/deadline.rs
@@ -10,6 +10,13 @@
 /// The longest deadline that a caller may state.
 const LONGEST: Duration = Duration::from_secs(600);
 
+/// The time that the response needs on its way back over one hop.
+///
+/// Without it the next hop's refusal, which can prove that the request did not run, arrives after
+/// this hop has given up and must report that the request may have run. Its bound is the longest
+/// round trip between failure domains (3 ms) and the granularity of the timers.
+const HOP: Duration = Duration::from_millis(20);
+
 /// The point in time after which a response is of no use to the caller.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Deadline {
@@ -34,8 +41,9 @@
         self.remaining(now) < Duration::from_millis(1)
     }
 
-    /// Returns the header value for the next hop.
+    /// Returns the header value for the next hop, which has a little less time.
     pub(crate) fn encode(&self, now: Time) -> String {
-        self.remaining(now).as_millis().to_string()
+        let remaining = self.remaining(now);
+        remaining.saturating_sub(HOP.min(remaining / 4)).as_millis().to_string()
     }
 }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ntex::http::header::{HOST, HeaderName};
-use ntex::http::{self, HeaderMap, Method, Payload, Response, StatusCode};
+use ntex::http::{self, Method, Payload, Response, StatusCode};
 use ntex::time::timeout_checked;
 use ntex::util::BytesMut;
 
@@ -67,7 +67,7 @@
         }
     };
     count(&metrics.answered);
-    if routed.class == Class::Download {
+    if routed.class == Class::Download && answer.stated.is_none() {
         let shared = Arc::clone(&worker.shared);
         let (status, headers) = (answer.status, answer.headers.clone());
         let source = resume::source(&worker, routed, answer, tried);
@@ -77,11 +77,6 @@
     Relay::respond(&worker.shared, answer, io, in_flight, Some(limit))
 }
 
-/// Returns the stated length of a request body.
-pub(crate) fn content_length(headers: &HeaderMap) -> Option<u64> {
-    fields::text(headers, "content-length").and_then(|text| text.parse().ok())
-}
-
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
 pub(crate) async fn attempt(
     worker: &Worker,
@@ -186,7 +181,7 @@
     if deadline.passed(now) {
         return Err(Refusal::not_run("the deadline passed before the request arrived"));
     }
-    let length = content_length(incoming.headers());
+    let length = fields::length(incoming.headers());
     let upload = upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(incoming.headers());
--- a/crates/arbutuslane_node/src/traffic/fields.rs
+++ b/crates/arbutuslane_node/src/traffic/fields.rs
@@ -45,6 +45,11 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Returns the stated length of a body.
+pub(crate) fn length(headers: &HeaderMap) -> Option<u64> {
+    text(headers, "content-length").and_then(|text| text.parse().ok())
+}
+
 /// Returns whether the `connection` field names `name` as concerning one connection only.
 fn named(headers: &HeaderMap, name: &str) -> bool {
     headers.contains_key("connection") && super::client::lists(headers, "connection", name)
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -14,13 +14,13 @@
 use crate::metrics::count;
 
 use super::admission::Denied;
-use super::answer::{Answer, Stream};
+use super::answer::Answer;
 use super::client::{Connection, Echo, Failure, Reply, Request, Upload};
 use super::deadline::Deadline;
+use super::fields;
 use super::refusal::{Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::worker::{Worker, new_exchange};
-use super::{entry, fields};
 
 /// The start of the paths by which entries forward requests.
 pub(crate) const FORWARD: &str = "/v1/forward";
@@ -95,11 +95,7 @@
     if let Some(refusal) = shed(&reply.headers, reply.status) {
         return Err(refusal);
     }
-    Ok(Answer {
-        status: reply.status,
-        headers: fields::end_to_end(&reply.headers),
-        body: Stream::new(reply.body, Some(permit)),
-    })
+    Ok(Answer::new(reply, &work.request.method, Some(permit)))
 }
 
 fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
@@ -123,7 +119,7 @@
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
     let target = target.ok_or_else(|| bad("no path"))?.to_string();
-    let (server, length) = (server.to_string(), entry::content_length(headers));
+    let (server, length) = (server.to_string(), fields::length(headers));
     let (method, headers) = (incoming.method().clone(), fields::end_to_end(headers));
     // The entry has checked the limit of the service.
     let upload = match incoming.take_payload() {
--- a/crates/arbutuslane_node/src/traffic/relay.rs
+++ b/crates/arbutuslane_node/src/traffic/relay.rs
@@ -51,6 +51,19 @@
     finished: bool,
 }
 
+/// The body of a given length that a response to a HEAD request leaves out.
+struct Omitted(u64);
+
+impl Source for Omitted {
+    fn length(&self) -> Option<u64> {
+        Some(self.0)
+    }
+
+    fn poll_next(&mut self, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
+        Poll::Ready(None)
+    }
+}
+
 impl Source for Stream {
     fn length(&self) -> Option<u64> {
         Stream::length(self)
@@ -70,8 +83,12 @@
         in_flight: InFlight,
         limit: Option<Duration>,
     ) -> Response {
-        let Answer { status, headers, body, .. } = answer;
-        Self::respond_with(shared, status, &headers, Box::new(body), io, in_flight, limit)
+        let Answer { status, headers, body, stated } = answer;
+        let source: Box<dyn Source> = match stated {
+            Some(length) => Box::new(Omitted(length)),
+            None => Box::new(body),
+        };
+        Self::respond_with(shared, status, &headers, source, io, in_flight, limit)
     }
 
     /// Returns the response that passes the bytes of `source` on.
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -8,7 +8,7 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_wire::{header, load, operator};
 
-use super::answer::{Answer, Stream};
+use super::answer::Answer;
 use super::client::{Echo, Failure, Reply};
 use super::fields;
 use super::owner::{FORWARD, Work, count_connection};
@@ -27,7 +27,7 @@
     work: Work,
     address: SocketAddr,
 ) -> Result<Answer, Refusal> {
-    let server = work.server.clone();
+    let (server, method) = (work.server.clone(), work.request.method.clone());
     let reply = match send(worker, work, address).await {
         Ok(reply) => reply,
         Err(failure) => {
@@ -44,11 +44,7 @@
         worker.loads.borrow_mut().note(&server, report, worker.shared.clock.now());
     }
     match fields::text(&reply.headers, header::OUTCOME) {
-        Some(header::OUTCOME_ANSWERED) => Ok(Answer {
-            status: reply.status,
-            headers: fields::end_to_end(&reply.headers),
-            body: Stream::new(reply.body, None),
-        }),
+        Some(header::OUTCOME_ANSWERED) => Ok(Answer::new(reply, &method, None)),
         Some(header::OUTCOME_NOT_RUN) => Err(refusal(reply, Outcome::NotRun).await),
         _ => Err(refusal(reply, Outcome::Unknown).await),
     }
--- /dev/null
+++ b/crates/arbutuslane_node/tests/faults/leave.rs
@@ -0,0 +1,93 @@
+//! A server that leaves, drains or falls silent gets no new work.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+use crate::support::node::wait_until;
+use crate::support::server::write;
+use crate::support::{Node, Received, Server, call};
+
+fn echo(received: &Received, stream: &mut std::net::TcpStream) -> bool {
+    write(stream, &received.ok("done"))
+}
+
+/// Guards against dispatch after the lease, whether the leave was lost or never sent.
+#[test]
+fn leave_lease_expired() {
+    let owner = Node::start(&[]);
+    let entry = Node::start(&[owner.peers]);
+    let server = Server::start(&owner, "bookings", "s1", echo);
+    wait_until(|| entry.metric("arbutuslane_remote_servers") == 1);
+    assert_eq!(entry.call("POST", "/bookings", &[], b"x").status, 200);
+    server.stop_renewing();
+    wait_until(|| owner.status()["servers"][0]["leased"] == false);
+    let received = server.received().len();
+    for node in [&owner, &entry] {
+        let response = node.call("POST", "/bookings", &[], b"x");
+        assert_eq!((response.status, response.outcome()), (503, "not-run"));
+    }
+    assert_eq!(server.received().len(), received);
+}
+
+/// Guards against work after a leave, and against a delayed renewal that undoes it.
+#[test]
+fn leave_announced() {
+    let node = Node::start(&[]);
+    let server = Server::start(&node, "slots", "s1", echo);
+    assert_eq!(node.call("GET", "/slots", &[], b"").status, 200);
+    server.stop_renewing();
+    let incarnation = node.status()["servers"][0]["incarnation"].clone();
+    assert_eq!(call(node.admin, "DELETE", "/v1/servers/s1", &[], b"").status, 204);
+    let delayed = serde_json::json!({"service": "slots", "server": "s1", "address": server.address,
+        "incarnation": incarnation, "slots": 5, "revision": 0});
+    let renewed = call(node.admin, "POST", "/v1/servers", &[], delayed.to_string().as_bytes());
+    assert_eq!(renewed.status, 409);
+    let received = server.received().len();
+    let response = node.call("GET", "/slots", &[], b"");
+    assert_eq!((response.status, response.outcome()), (503, "not-run"));
+    assert_eq!(server.received().len(), received);
+}
+
+/// Guards against a drain that interrupts work in flight or lets waiting work through.
+#[test]
+fn leave_drained() {
+    let node = Node::start(&[]);
+    let release = Arc::new(AtomicBool::new(false));
+    let released = Arc::clone(&release);
+    let server = Server::start(&node, "bookings", "s1", move |received, stream| {
+        while !released.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(5));
+        }
+        write(stream, &received.ok("booked"))
+    });
+    let callers = node.callers;
+    let send = move || call(callers, "POST", "/bookings", &[], b"x");
+    let running: Vec<_> = (0..5).map(|_| spawn(send)).collect();
+    wait_until(|| server.received().len() == 5);
+    let waiting = spawn(send);
+    wait_until(|| node.status()["servers"][0]["queued"] == 1);
+    assert_eq!(call(node.admin, "POST", "/v1/servers/s1/drain", &[], b"").status, 204);
+    release.store(true, Ordering::Relaxed);
+    for thread in running {
+        assert_eq!(thread.join().unwrap().status, 200);
+    }
+    let refused = waiting.join().unwrap();
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(server.received().len(), 5);
+}
+
+/// Guards against two owners that both send to a server which moved from one to the other.
+#[test]
+fn leave_owner_died() {
+    let mut first = Node::start(&[]);
+    let second = Node::start(&[first.peers]);
+    let server = Server::listen("s1", echo);
+    server.announce(&[first.admin, second.admin], "slots");
+    wait_until(|| second.metric("arbutuslane_remote_servers") == 1);
+    first.child.kill().unwrap();
+    first.child.wait().unwrap();
+    wait_until(|| second.status()["servers"].as_array().is_some_and(|servers| !servers.is_empty()));
+    assert_eq!(second.call("GET", "/slots", &[], b"").status, 200);
+}
--- /dev/null
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -0,0 +1,13 @@
+//! Fault tests of the request path: a node as its own process, real sockets, small stand-ins.
+#![allow(missing_docs, reason = "the items of a test binary are not documented API")]
+
+mod download;
+mod leave;
+mod library;
+mod limits;
+mod outcome;
+mod process;
+mod response;
+mod silence;
+mod stop;
+mod support;
