--- a/crates/arbutuslane_storage/src/log.rs
+++ b/crates/arbutuslane_storage/src/log.rs
@@ -14,8 +14,11 @@
 
 pub(crate) const MAGIC: [u8; 8] = *b"ARBLSEGM";
 pub(crate) const SEGMENT_PREFIX: &str = "segment-";
-/// Magic, format version, sequence number and checksum.
-pub(crate) const SEGMENT_HEAD: usize = 24;
+/// Magic, format version, sequence number, number of the first batch, and checksum.
+///
+/// Recovery compares the number of a damaged batch with later ones, and the batch before it may be
+/// in a segment that is gone.
+pub(crate) const SEGMENT_HEAD: usize = 32;
 const DAMAGED_PREFIX: &str = "damaged-";
 
 /// One entry of the log.
@@ -147,12 +150,13 @@
     }
 
     fn write(&mut self, batch: &Batch) -> Result<(), Error> {
-        if batch.meta.is_some() {
-            self.meta.clone_from(&batch.meta);
-        }
         if self.active_bytes >= self.segment_bytes {
+            // The new segment repeats the old metadata: the new one counts only with its entries.
             self.begin_segment(false)?;
         }
+        if batch.meta.is_some() {
+            self.meta.clone_from(&batch.meta);
+        }
         let mut records: Vec<Record> = batch.meta.clone().map(Record::Meta).into_iter().collect();
         records.extend(batch.entries.iter().cloned().map(Record::Entry));
         self.write_records(&records)
@@ -187,7 +191,7 @@
         self.segments.push(Segment { sequence, last_index });
         self.active_bytes = SEGMENT_HEAD as u64;
         let name = self.active_name();
-        let head = segment_head(sequence);
+        let head = segment_head(sequence, self.next_batch);
         self.disk.append(&name, &head).map_err(|error| Error::io("write", &name, error))?;
         self.disk.sync(&name).map_err(|error| Error::io("sync", &name, error))?;
         self.disk.sync_folder().map_err(|error| Error::io("sync", ".", error))?;
@@ -216,10 +220,11 @@
     format!("{SEGMENT_PREFIX}{sequence:020}")
 }
 
-pub(crate) fn segment_head(sequence: u64) -> Vec<u8> {
+fn segment_head(sequence: u64, batch: u64) -> Vec<u8> {
     let mut head = MAGIC.to_vec();
     head.extend_from_slice(&FORMAT_VERSION.to_le_bytes());
     head.extend_from_slice(&sequence.to_le_bytes());
+    head.extend_from_slice(&batch.to_le_bytes());
     head.extend_from_slice(&crc32c::crc32c(&head).to_le_bytes());
     head
 }
--- a/crates/arbutuslane_storage/src/recovery.rs
+++ b/crates/arbutuslane_storage/src/recovery.rs
@@ -4,8 +4,7 @@
 use crate::error::Error;
 use crate::frame::{self, Frame, Record};
 use crate::log::{
-    Entry, FORMAT_VERSION, MAGIC, Recovered, SEGMENT_HEAD, SEGMENT_PREFIX, Segment, segment_head,
-    segment_name,
+    Entry, FORMAT_VERSION, MAGIC, Recovered, SEGMENT_HEAD, SEGMENT_PREFIX, Segment, segment_name,
 };
 use crate::snapshot;
 
@@ -45,8 +44,8 @@
     entries: &mut Vec<Entry>,
 ) -> Result<(), Error> {
     let bytes = disk.read(name).map_err(|error| Error::io("read", name, error))?;
-    let sequence = match head_sequence(name, &bytes) {
-        Ok(sequence) => sequence,
+    let (sequence, batch) = match parse_head(name, &bytes) {
+        Ok(head) => head,
         // A segment without a whole head is never written to, unless the head decayed later.
         Err(Error::Corrupt { .. }) if last && first_readable(&bytes, 0).is_none() => {
             disk.remove(name).map_err(|error| Error::io("remove", name, error))?;
@@ -61,35 +60,45 @@
         let reason = format!("segment {expected} is missing before this one");
         return Err(Error::corrupt(name, 0, reason));
     }
-    let mut offset = SEGMENT_HEAD;
-    let mut open_batch = 0;
     let last_index = entries.last().map_or(0, |entry| entry.index);
     found.segments.push(Segment { sequence, last_index });
-    while offset < bytes.len() {
+    found.next_batch = batch;
+    let mut offset = SEGMENT_HEAD;
+    // A batch counts as a whole or not at all: a part of one that stayed in front of later batches
+    // would make the next recovery take those for the rest of it.
+    let mut batch: Vec<Frame> = Vec::new();
+    let mut batch_start = offset;
+    while batch_start < bytes.len() {
         let frame = match frame::decode(&bytes[offset..]) {
             Ok(frame) => frame,
             Err(reason) => {
-                let acknowledged = first_batch_after(&bytes, offset + 1);
-                let damaged = found.next_batch - u64::from(open_batch > 0);
-                if !last || acknowledged.is_some_and(|batch| batch > damaged) {
+                let later = first_batch_after(&bytes, offset + 1);
+                if !last || later.is_some_and(|batch| batch > found.next_batch) {
                     return Err(Error::corrupt(name, offset, reason));
                 }
-                cut(disk, name, offset, &bytes)?;
-                found.recovered.cut_bytes += (bytes.len() - offset) as u64;
+                cut(disk, name, batch_start)?;
+                found.recovered.cut_bytes += (bytes.len() - batch_start) as u64;
                 break;
             }
         };
         offset += frame.length;
-        open_batch = frame.remaining;
-        found.next_batch = frame.batch + 1;
-        apply(name, offset, frame, found, entries)?;
+        let complete = frame.remaining == 0;
+        let number = frame.batch;
+        batch.push(frame);
+        if !complete {
+            continue;
+        }
+        for frame in batch.drain(..) {
+            apply(name, batch_start, frame, found, entries)?;
+        }
+        found.next_batch = number + 1;
+        batch_start = offset;
     }
-    found.active_bytes = offset as u64;
+    found.active_bytes = batch_start as u64;
     Ok(())
 }
 
-fn cut<D: Disk>(disk: &mut D, name: &str, offset: usize, bytes: &[u8]) -> Result<(), Error> {
-    debug_assert!(offset < bytes.len());
+fn cut<D: Disk>(disk: &mut D, name: &str, offset: usize) -> Result<(), Error> {
     disk.truncate(name, offset as u64).map_err(|error| Error::io("cut", name, error))?;
     disk.sync(name).map_err(|error| Error::io("sync", name, error))
 }
@@ -152,20 +161,23 @@
     Ok(())
 }
 
-fn head_sequence(name: &str, bytes: &[u8]) -> Result<u64, Error> {
+/// Returns the sequence number and the first batch number of a segment.
+fn parse_head(name: &str, bytes: &[u8]) -> Result<(u64, u64), Error> {
     let Some(head) = bytes.get(..SEGMENT_HEAD) else {
         return Err(Error::corrupt(name, bytes.len(), "segment head cut short"));
     };
     let version = head[8..12].try_into().map_or(0, u32::from_le_bytes);
     let sequence = head[12..20].try_into().map_or(0, u64::from_le_bytes);
-    if head[..8] == MAGIC && version != FORMAT_VERSION {
+    let batch = head[20..28].try_into().map_or(0, u64::from_le_bytes);
+    // The checksum comes first: a power loss can leave any version number in an unsynced head.
+    if head[28..] != crc32c::crc32c(&head[..28]).to_le_bytes() || head[..8] != MAGIC {
+        return Err(Error::corrupt(name, 0, "bad segment head"));
+    }
+    if version != FORMAT_VERSION {
         let supported = FORMAT_VERSION;
         return Err(Error::Version { file: name.to_string(), found: version, supported });
     }
-    if head != segment_head(sequence) {
-        return Err(Error::corrupt(name, 0, "bad segment head"));
-    }
-    Ok(sequence)
+    Ok((sequence, batch))
 }
 
 fn first_readable(bytes: &[u8], from: usize) -> Option<Frame> {
