--- /dev/null
+++ b/crates/arbutuslane_cli/tests/docs.rs
@@ -0,0 +1,49 @@
+//! Keeps the operators' pages in step with the code.
+
+use std::path::Path;
+
+use arbutuslane_cli::args;
+use arbutuslane_event::kind::{Kind, Level};
+
+fn page(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(name);
+    std::fs::read_to_string(&path).unwrap()
+}
+
+/// Guards against an event that operators find nowhere, and against an alarm without a runbook.
+#[test]
+fn operations_all_kinds() {
+    let text = page("docs/operations.md");
+    for (name, level) in Kind::NAMES.iter().zip(Kind::LEVELS) {
+        assert!(text.contains(&format!("| `{name}` |")), "{name} is not in the table");
+        if *level == Level::Action {
+            assert!(text.contains(&format!("### {name}\n")), "{name} has no runbook");
+        }
+    }
+}
+
+/// Guards against a command in the pages that the program does not accept.
+#[test]
+fn pages_commands() {
+    let mut found = 0;
+    for name in ["README.md", "docs/catalogue.md", "docs/operations.md", "docs/install.md"] {
+        let text = page(name);
+        let mut code = false;
+        for line in text.lines().map(str::trim) {
+            if line.starts_with("```") {
+                code = !code;
+                continue;
+            }
+            let command = line.strip_prefix("target/release/").unwrap_or(line);
+            if !code || !command.starts_with("arbutuslane ") {
+                continue;
+            }
+            found += 1;
+            let words = command.split_whitespace().take_while(|word| *word != ">");
+            if let Err(error) = args::command().try_get_matches_from(words) {
+                panic!("{name}: {line}: {error}");
+            }
+        }
+    }
+    assert!(found >= 7, "{found}");
+}
--- a/crates/arbutuslane_event/src/kind.rs
+++ b/crates/arbutuslane_event/src/kind.rs
@@ -31,6 +31,9 @@
             /// The names of all kinds.
             pub const NAMES: &[&str] = &[$($name),+];
 
+            /// The levels of all kinds, in the order of [`Self::NAMES`].
+            pub const LEVELS: &[Level] = &[$(Level::$level),+];
+
             /// Returns the name under which the kind is logged, filtered and counted.
             pub fn name(&self) -> &'static str {
                 match self { $(Self::$variant { .. } => $name,)+ }
