--- a/crates/arbutuslane_catalogue/src/lib.rs
+++ b/crates/arbutuslane_catalogue/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod entry;
 pub mod group;
 pub mod state;
+pub mod stored;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_cli/src/gather.rs
+++ b/crates/arbutuslane_cli/src/gather.rs
@@ -7,6 +7,7 @@
 use futures_util::{StreamExt, stream};
 use serde::Serialize;
 
+use crate::answers;
 use crate::client::Http;
 use crate::error::Error;
 use crate::settings::Settings;
@@ -147,9 +148,14 @@
 async fn ask(http: &Http, target: Target, since: u64) -> Answer {
     // Nodes show their events without a token, so they are not sent one.
     let http = if target.control { http.clone() } else { http.without_token() };
-    let status = get(&http, &target.address, "/v1/status").await;
+    let status = get::<answers::Status>(&http, &target.address, "/v1/status").await;
+    let status = status.map(status::Status::from);
     let page = match &status {
-        Ok(_) => get(&http, &target.address, &format!("/v1/events?since={since}")).await,
+        Ok(status) => {
+            let path = format!("/v1/events?since={since}");
+            let events = get::<answers::Events>(&http, &target.address, &path).await;
+            events.map(|events| events.page(&status.instance, since))
+        }
         Err(fault) => Err(fault.clone()),
     };
     Answer { target, status, page }
