--- a/crates/arbutuslane_cli/src/catalogue/read.rs
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -33,17 +33,21 @@
     let http = Http::new(Some(settings.token()?), settings.timeout_ms).await?;
     let (address, reply) = first_answer(&http, &settings, "/v1/history").await?;
     let mut history: operator::History = reply.json(&address)?;
-    let skipped = history.changes.len().saturating_sub(limit);
-    history.changes.drain(..skipped);
+    let skipped = history.records.len().saturating_sub(limit);
+    history.records.drain(..skipped);
     if json {
         output::json(&history);
         return Ok(Code::Done);
     }
-    let head = ["revision", "author", "services", "change"];
+    let head = ["revision", "time", "author", "services", "change"];
     let mut rows = vec![head.map(str::to_string).to_vec()];
-    for past in history.changes {
-        let services = past.services.join(",");
-        rows.push(vec![past.revision.to_string(), past.author, services, past.change_id]);
+    for record in history.records {
+        let time = match record.at_ms {
+            0 => "-".to_string(),
+            at_ms => arbutuslane_event::log::utc(at_ms),
+        };
+        let (revision, services) = (record.revision.to_string(), record.services.join(","));
+        rows.push(vec![revision, time, record.author, services, record.change_id]);
     }
     output::line(&output::table(&rows));
     Ok(Code::Done)
