--- a/crates/arbutuslane_cli/src/lib.rs
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(args::command().try_get_matches_from(arguments).is_ok());
 //! ```
 
+mod answers;
 pub mod args;
 mod catalogue;
 mod client;
--- a/crates/arbutuslane_cli/src/status.rs
+++ b/crates/arbutuslane_cli/src/status.rs
@@ -48,7 +48,7 @@
 /// Returns each service as the instance that knows most live servers of it sees it.
 ///
 /// An instance that just started, or that is cut off, knows fewer servers than there are.
-fn merge(statuses: &[Status]) -> Vec<Service> {
+pub(crate) fn merge(statuses: &[Status]) -> Vec<Service> {
     let mut merged: BTreeMap<&str, &Service> = BTreeMap::new();
     for service in statuses.iter().flat_map(|status| &status.services) {
         let known = merged.entry(&service.service).or_insert(service);
