Add virtual-time runs of the decision code

Cause: the decision code is to be tuned and judged by measurement.

Change: arbutuslane_bench has an event queue over callers, entries, owners and servers of the six services, ten faults, five policies, campaigns for detection, long healthy runs and overload, and result files. arbutuslane_limit gains Gate::refuse_queued, arbutuslane_balance Picker::set_serving, arbutuslane_health Stage::cold and Detector::set_warming, which the runs need.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -57,7 +57,7 @@
     until: Time,
 }
 
-/// The share of idempotent requests that is offered to ejected servers, one in this many.
+/// The share of requests (non-idempotent ones excepted) that is offered to ejected servers, one in this many.
 const TRIAL_ONE_IN: u32 = 100;
 
 /// A server of another domain is chosen over one with room in the own domain only when its score is
@@ -118,7 +118,7 @@
 
     /// Chooses a server, or none when no candidate is left.
     pub fn pick(&mut self, request: &Request<'_>, now: Time, rng: &mut Rng) -> Option<Pick> {
-        if request.class == Class::Idempotent
+        if request.class != Class::NonIdempotent
             && request.tried.is_empty()
             && let Some(pick) = self.pick_trial(now, rng)
         {
@@ -191,6 +191,13 @@
         self.peers[place].estimate.report(load, now);
     }
 
+    /// Takes in a change of state that membership spread.
+    pub fn set_serving(&mut self, server: &str, serving: Serving) {
+        let Some(place) = self.find(server) else { return };
+        self.peers[place].candidate.serving = serving;
+        self.peers[place].estimate.serving = serving;
+    }
+
     /// Skips the servers of an owner that could not be reached, for a back-off that doubles from
     /// 200 ms to 2.5 s.
     pub fn unreachable(&mut self, owner: &str, now: Time) {
--- /dev/null
+++ b/crates/arbutuslane_bench/src/campaign.rs
@@ -0,0 +1,245 @@
+//! Many runs in parallel, and the campaigns whose results are in `docs/MEASUREMENTS.md`.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Preference;
+use arbutuslane_core::time::Time;
+
+use crate::fault::Fault;
+use crate::outcome::Outcome;
+use crate::policy::{Phase, Policy};
+use crate::report::{Report, Row, Run, as_f64};
+use crate::service::{self, Service};
+use crate::sim::{Config, run};
+
+/// What a campaign runs.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The services, all six when empty.
+    pub services: Vec<String>,
+    /// The loads in percent.
+    pub loads: Vec<u32>,
+    /// The faults by name, all of the campaign when empty.
+    pub faults: Vec<String>,
+    /// The policies by name, all of the campaign when empty.
+    pub policies: Vec<String>,
+    /// The first seed.
+    pub first_seed: u64,
+    /// The number of seeds.
+    pub seeds: u64,
+    /// The number of threads.
+    pub threads: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            services: Vec::new(),
+            loads: vec![30, 60, 85],
+            faults: Vec::new(),
+            policies: Vec::new(),
+            first_seed: 1,
+            seeds: 20,
+            threads: 4,
+        }
+    }
+}
+
+/// One row to be measured.
+struct Job {
+    scenario: String,
+    load_percent: u32,
+    config: Config,
+    judge: fn(&Config, &Outcome, &mut Run),
+}
+
+/// Runs the detection scenarios: every fault, service, load and policy of the plan.
+pub fn detection(plan: &Plan) -> Report {
+    let mut jobs = Vec::new();
+    for fault in Fault::detection() {
+        if !selected(&plan.faults, &fault.name()) {
+            continue;
+        }
+        for service in services(plan) {
+            for load in &plan.loads {
+                for policy in Policy::compared() {
+                    if !selected(&plan.policies, policy.name()) {
+                        continue;
+                    }
+                    let config = Config {
+                        fault,
+                        ..Config::new(service, policy, f64::from(*load) / 100.0, 0)
+                    };
+                    jobs.push(Job {
+                        scenario: fault.name(),
+                        load_percent: *load,
+                        config,
+                        judge: |_, _, _| {},
+                    });
+                }
+            }
+        }
+    }
+    execute("detect", plan, &jobs)
+}
+
+/// Runs healthy servers with heavier tails for `span` of virtual time.
+pub fn soak(plan: &Plan, span: Duration) -> Report {
+    let mut jobs = Vec::new();
+    for mut service in services(plan) {
+        service.shape.sigma = 1.0;
+        service.shape.tail_share = 0.01;
+        service.shape.tail_exponent = 1.3;
+        for load in &plan.loads {
+            for policy in [
+                Policy::Fleet(Preference::FewFalseEjections),
+                Policy::Fleet(Preference::FastDetection),
+            ] {
+                if !selected(&plan.policies, policy.name()) {
+                    continue;
+                }
+                let load_factor = f64::from(*load) / 100.0;
+                let config = Config {
+                    warm_up: Duration::ZERO,
+                    measured: span,
+                    ..Config::new(service, policy, load_factor, 0)
+                };
+                jobs.push(Job {
+                    scenario: format!("heavy-tail-{}h", span.as_secs() / 3_600),
+                    load_percent: *load,
+                    config,
+                    judge: |_, _, _| {},
+                });
+            }
+        }
+    }
+    execute("soak", plan, &jobs)
+}
+
+/// The parts of an overload run: normal load, overload, normal load.
+const OVERLOAD_FROM: Duration = Duration::from_secs(20);
+const OVERLOAD_TO: Duration = Duration::from_secs(50);
+const OVERLOAD_END: Duration = Duration::from_secs(80);
+
+/// The load before and after an overload.
+const NORMAL_LOAD: f64 = 0.6;
+
+/// Runs the overload scenarios.
+pub fn overload(plan: &Plan) -> Report {
+    let mut jobs = Vec::new();
+    for service in services(plan) {
+        for (scenario, load, resends, fault) in [
+            ("overload-2x", 2.0, 0, Fault::None),
+            ("overload-2x-resends", 2.0, 3, Fault::None),
+            ("half-lost-at-peak", 0.85, 3, Fault::HalfLost),
+        ] {
+            if !selected(&plan.faults, scenario) {
+                continue;
+            }
+            for policy in [
+                Policy::Fleet(Preference::FastDetection),
+                Policy::Fleet(Preference::FewFalseEjections),
+                Policy::RoundRobin,
+            ] {
+                if !selected(&plan.policies, policy.name()) {
+                    continue;
+                }
+                let phases = vec![
+                    Phase { from: Time::ZERO, load: NORMAL_LOAD },
+                    Phase { from: OVERLOAD_FROM, load },
+                    Phase {
+                        from: OVERLOAD_TO,
+                        load: NORMAL_LOAD
+                            / if resends > 0 && fault == Fault::HalfLost { 2.0 } else { 1.0 },
+                    },
+                ];
+                let config = Config {
+                    fault,
+                    phases,
+                    caller_resends: resends,
+                    warm_up: OVERLOAD_FROM,
+                    measured: OVERLOAD_END - OVERLOAD_FROM,
+                    ..Config::new(service, policy, load, 0)
+                };
+                jobs.push(Job {
+                    scenario: scenario.to_string(),
+                    load_percent: if fault == Fault::HalfLost { 170 } else { 200 },
+                    config,
+                    judge: judge_overload,
+                });
+            }
+        }
+    }
+    execute("overload", plan, &jobs)
+}
+
+/// Adds the goodput in the last 20 s of the overload and the time of recovery.
+fn judge_overload(config: &Config, outcome: &Outcome, run: &mut Run) {
+    let lost = if config.fault == Fault::HalfLost { 0.5 } else { 1.0 };
+    let capacity = config.service.capacity() * lost;
+    let second = |at: Duration| usize::try_from(at.as_secs()).unwrap_or(0);
+    let from = second(OVERLOAD_FROM + Duration::from_secs(10));
+    let to = second(OVERLOAD_TO);
+    let good: u32 = outcome.seconds[from..to].iter().map(|second| second.good).sum();
+    run.goodput = Some(f64::from(good) / as_f64((to - from) as u64) / capacity);
+    let mut recovery = 0.0;
+    for (place, second) in outcome.seconds[to..].iter().enumerate() {
+        if f64::from(second.good) < 0.99 * f64::from(second.ended) {
+            recovery = as_f64(place as u64 + 1);
+        }
+    }
+    run.recovery_s = Some(recovery);
+}
+
+fn services(plan: &Plan) -> Vec<Service> {
+    service::all().into_iter().filter(|one| selected(&plan.services, one.name)).collect()
+}
+
+fn selected(names: &[String], name: &str) -> bool {
+    names.is_empty() || names.iter().any(|known| known == name)
+}
+
+/// Runs all seeds of all jobs; the result does not depend on the number of threads.
+fn execute(command: &str, plan: &Plan, jobs: &[Job]) -> Report {
+    let seeds = usize::try_from(plan.seeds).unwrap_or(usize::MAX).max(1);
+    let total = jobs.len() * seeds;
+    let next = AtomicUsize::new(0);
+    let results: Mutex<Vec<Option<Run>>> = Mutex::new(vec![None; total]);
+    thread::scope(|scope| {
+        for _ in 0..plan.threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let place = next.fetch_add(1, Ordering::Relaxed);
+                    if place >= total {
+                        return;
+                    }
+                    let job = &jobs[place / seeds];
+                    let seed = plan.first_seed + (place % seeds) as u64;
+                    let config = Config { seed, ..job.config.clone() };
+                    let outcome = run(&config);
+                    let mut figures = Run::of(seed, &outcome);
+                    (job.judge)(&config, &outcome, &mut figures);
+                    if let Ok(mut results) = results.lock() {
+                        results[place] = Some(figures);
+                    }
+                }
+            });
+        }
+    });
+    let runs = results.into_inner().unwrap_or_default();
+    let mut rows = Vec::new();
+    for (job, runs) in jobs.iter().zip(runs.chunks(seeds)) {
+        rows.push(Row {
+            scenario: job.scenario.clone(),
+            service: job.config.service.name.to_string(),
+            load_percent: job.load_percent,
+            policy: job.config.policy.name().to_string(),
+            runs: runs.iter().flatten().cloned().collect(),
+        });
+    }
+    let command = format!("{command} --first-seed {} --seeds {}", plan.first_seed, plan.seeds);
+    Report { command, rows }
+}
--- /dev/null
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -0,0 +1,102 @@
+//! The subcommands of the program `arbutuslane-bench`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use miette::{Context, IntoDiagnostic, Result};
+
+use crate::campaign::{self, Plan};
+use crate::report::Report;
+
+/// Parses the arguments of the process and runs the subcommand.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be read or written.
+pub fn execute() -> Result<ExitCode> {
+    let matches = definition().get_matches();
+    match matches.subcommand() {
+        Some(("detect", options)) => finish(&campaign::detection(&plan(options)), options),
+        Some(("soak", options)) => {
+            let hours = options.get_one::<u64>("hours").copied().unwrap_or(24);
+            finish(&campaign::soak(&plan(options), Duration::from_secs(hours * 3_600)), options)
+        }
+        Some(("overload", options)) => finish(&campaign::overload(&plan(options)), options),
+        _ => Ok(ExitCode::FAILURE),
+    }
+}
+
+/// Returns the definition of the arguments.
+pub fn definition() -> Command {
+    Command::new("arbutuslane-bench")
+        .about("Runs the decision code in virtual time")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(with_plan(Command::new("detect").about("Detection and false ejections")))
+        .subcommand(
+            with_plan(Command::new("soak").about("Healthy heavy-tailed servers for hours")).arg(
+                Arg::new("hours")
+                    .long("hours")
+                    .value_parser(value_parser!(u64))
+                    .default_value("24"),
+            ),
+        )
+        .subcommand(with_plan(Command::new("overload").about("Goodput, retries and recovery")))
+}
+
+fn with_plan(command: Command) -> Command {
+    let list = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).action(ArgAction::Append).value_delimiter(',').help(help)
+    };
+    command
+        .arg(list("service", "Services (default all six)"))
+        .arg(list("load", "Loads in percent (default 30,60,85)").value_parser(value_parser!(u32)))
+        .arg(list("scenario", "Scenarios (default all)"))
+        .arg(list("policy", "Policies (default all)"))
+        .arg(
+            Arg::new("first-seed")
+                .long("first-seed")
+                .value_parser(value_parser!(u64))
+                .default_value("1"),
+        )
+        .arg(Arg::new("seeds").long("seeds").value_parser(value_parser!(u64)).default_value("20"))
+        .arg(
+            Arg::new("threads")
+                .long("threads")
+                .value_parser(value_parser!(usize))
+                .default_value("4"),
+        )
+        .arg(Arg::new("out").long("out").value_parser(value_parser!(PathBuf)).help("Result file"))
+}
+
+fn plan(options: &ArgMatches) -> Plan {
+    let list = |name: &str| -> Vec<String> {
+        options.get_many::<String>(name).unwrap_or_default().cloned().collect()
+    };
+    let default = Plan::default();
+    let loads: Vec<u32> = options.get_many::<u32>("load").unwrap_or_default().copied().collect();
+    Plan {
+        services: list("service"),
+        loads: if loads.is_empty() { default.loads } else { loads },
+        faults: list("scenario"),
+        policies: list("policy"),
+        first_seed: options.get_one("first-seed").copied().unwrap_or(default.first_seed),
+        seeds: options.get_one("seeds").copied().unwrap_or(default.seeds),
+        threads: options.get_one("threads").copied().unwrap_or(default.threads),
+    }
+}
+
+fn finish(report: &Report, options: &ArgMatches) -> Result<ExitCode> {
+    if let Some(path) = options.get_one::<PathBuf>("out") {
+        report.write(path).wrap_err("the results were not saved")?;
+    }
+    print_text(&report.table())?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_text(text: &str) -> Result<()> {
+    use std::io::Write;
+    std::io::stdout().write_all(text.as_bytes()).into_diagnostic()
+}
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -1,1 +1,43 @@
-//! Scenario runs of decision code in virtual time, result files and plots.
+//! Runs of the decision code in virtual time, result files and plots.
+//!
+//! A [`run`](sim::run) puts the real picker, gate, detector and ejection life cycle on an event
+//! queue over servers with slots and service-time distributions. There is no network and no
+//! process: hops are delays, and ejection permits are granted by the stated rule
+//! ([`permit::Permits`]).
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use arbutuslane_bench::prelude::*;
+//! use arbutuslane_catalogue::prelude::Preference;
+//!
+//! let service = service::all()[0];
+//! let config = Config {
+//!     fault: Fault::Failing,
+//!     warm_up: Duration::from_secs(5),
+//!     measured: Duration::from_secs(5),
+//!     ..Config::new(service, Policy::Fleet(Preference::FastDetection), 0.6, 1)
+//! };
+//! assert!(run(&config).detection.is_some());
+//! ```
+
+pub mod campaign;
+pub mod command;
+pub mod fault;
+pub mod outcome;
+pub mod permit;
+pub mod phi;
+pub mod policy;
+pub mod report;
+pub mod sample;
+pub mod service;
+pub mod sim;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::fault::Fault;
+    pub use crate::outcome::Outcome;
+    pub use crate::policy::{Phase, Policy};
+    pub use crate::service::{self, Service};
+    pub use crate::sim::{Config, run};
+}
--- /dev/null
+++ b/crates/arbutuslane_bench/src/service.rs
@@ -0,0 +1,78 @@
+//! The six services of the two customers.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Class;
+
+use crate::sample::Shape;
+
+/// A service as the runs model it.
+#[derive(Debug, Clone, Copy)]
+pub struct Service {
+    /// The name.
+    pub name: &'static str,
+    /// The number of servers.
+    pub servers: usize,
+    /// Requests that a server runs at a time.
+    pub slots: usize,
+    /// The class of most requests.
+    pub class: Class,
+    /// The share of requests that are idempotent reads in a service of non-idempotent work.
+    pub reads: f64,
+    /// The service times of a healthy server.
+    pub shape: Shape,
+    /// The one-way delay between failure domains.
+    pub hop: Duration,
+    /// The deadline of a request.
+    pub deadline: Duration,
+    /// The number of healthy servers below which no ejection may bring the service.
+    pub floor: usize,
+}
+
+/// The number of failure domains of each service.
+pub const DOMAINS: usize = 3;
+
+/// Returns the six services; the floor is 70% of the servers, rounded up.
+///
+/// The design states numbers of servers, slots and network delays. Service times and deadlines are
+/// assumptions: lookups of tens of milliseconds, bookings about twice as long, downloads of some
+/// hundred milliseconds. One request in 200 takes a multiple with a Pareto tail.
+pub fn all() -> Vec<Service> {
+    let ee = Duration::from_micros(500);
+    let tn = Duration::from_micros(1_500);
+    vec![
+        build("slots", 10, Class::Idempotent, 0.030, 0.6, ee),
+        build("bookings", 20, Class::NonIdempotent, 0.060, 0.6, ee),
+        build("reports", 6, Class::Download, 0.300, 0.8, ee),
+        build("vitrine", 12, Class::Idempotent, 0.040, 0.6, tn),
+        build("agenda", 12, Class::NonIdempotent, 0.070, 0.6, tn),
+        build("archives", 6, Class::Download, 0.400, 0.8, tn),
+    ]
+}
+
+fn build(
+    name: &'static str,
+    servers: usize,
+    class: Class,
+    median: f64,
+    sigma: f64,
+    hop: Duration,
+) -> Service {
+    let shape = Shape { median, sigma, tail_share: 0.005, tail_exponent: 1.5, tail_limit: 100.0 };
+    let (reads, deadline) = match class {
+        Class::Idempotent => (1.0, 2),
+        Class::NonIdempotent => (0.2, 5),
+        Class::Download => (0.0, 30),
+    };
+    let floor = (servers * 7).div_ceil(10);
+    let deadline = Duration::from_secs(deadline);
+    Service { name, servers, slots: 5, class, reads, shape, hop, deadline, floor }
+}
+
+impl Service {
+    /// Returns the requests a second that all servers together can run.
+    pub fn capacity(&self) -> f64 {
+        let slots = u32::try_from(self.servers * self.slots).unwrap_or(u32::MAX);
+        f64::from(slots) / self.shape.mean()
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -0,0 +1,393 @@
+//! The event loop: callers, entries, owners and servers of one service.
+
+mod entry;
+mod owner;
+mod queue;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use arbutuslane_balance::candidate::{Candidate, Load, Serving};
+use arbutuslane_balance::picker::Picker;
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::rng::{self, Rng};
+use arbutuslane_core::time::Time;
+use arbutuslane_health::baseline::Rule;
+use arbutuslane_health::detector::Detector;
+use arbutuslane_health::ejection::Stage;
+use arbutuslane_health::peers::{Baseline, Summarizer, Summary};
+use arbutuslane_limit::budget::{Origin, RetryBudget};
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::gate::{Gate, Ticket};
+use rand::RngExt;
+
+use crate::fault::{Fault, HEAVY_CALLER, HEAVY_SHARE, SLOW_ROUTE, SLOW_ROUTE_SHARE, WARM_UP};
+use crate::outcome::Outcome;
+use crate::permit::Permits;
+use crate::policy::{Phase, Policy};
+use crate::sample::exponential;
+use crate::service::{DOMAINS, Service};
+use queue::{Event, Queue, Slab};
+
+/// The settings of one run.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The service.
+    pub service: Service,
+    /// How servers are chosen and ejected.
+    pub policy: Policy,
+    /// What goes wrong.
+    pub fault: Fault,
+    /// The offered load as a multiple of the capacity, from points in time on.
+    pub phases: Vec<Phase>,
+    /// The time before the fault.
+    pub warm_up: Duration,
+    /// The time from the fault to the end.
+    pub measured: Duration,
+    /// Times that a caller sends an unanswered request again.
+    pub caller_resends: u32,
+    /// Whether late idempotent requests are hedged.
+    pub hedging: bool,
+    /// Whether gates bound requests in flight by a gradient of the latency besides their slots.
+    pub gradient: bool,
+    /// The entries of the service.
+    pub entries: usize,
+    /// The seed of all random choices.
+    pub seed: u64,
+}
+
+impl Config {
+    /// Returns a run without fault at a constant load: 20 s before and 40 s after the fault.
+    pub fn new(service: Service, policy: Policy, load: f64, seed: u64) -> Self {
+        Self {
+            service,
+            policy,
+            fault: Fault::None,
+            phases: vec![Phase { from: Time::ZERO, load }],
+            warm_up: Duration::from_secs(20),
+            measured: Duration::from_secs(40),
+            caller_resends: 0,
+            hedging: false,
+            gradient: false,
+            entries: 6,
+            seed,
+        }
+    }
+}
+
+/// The callers of a service.
+const CALLERS: u64 = 20;
+
+/// Requests that wait at one server at most.
+const QUEUE_LIMIT: usize = 10;
+
+/// The timer of an owner.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The renewal of permits, and the pause before a refused claim is repeated.
+const RENEWAL: Duration = Duration::from_secs(1);
+
+/// The time in which membership spreads a change of state.
+const GOSSIP: Duration = Duration::from_secs(1);
+
+/// The one-way delay within a failure domain.
+const LOCAL_HOP: Duration = Duration::from_micros(100);
+
+/// Runs one configuration to its end.
+pub fn run(config: &Config) -> Outcome {
+    let mut sim = Sim::new(config);
+    sim.queue.push(Time::ZERO, Event::Arrival);
+    sim.queue.push(TICK, Event::Tick);
+    sim.queue.push(RENEWAL, Event::Renewal);
+    while let Some((now, event)) = sim.queue.pop() {
+        if now > sim.end {
+            break;
+        }
+        sim.now = now;
+        sim.handle(event);
+    }
+    sim.outcome
+}
+
+struct Sim<'a> {
+    config: &'a Config,
+    now: Time,
+    end: Time,
+    rng: Rng,
+    queue: Queue,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    requests: Slab<Request>,
+    attempts: Slab<Attempt>,
+    permits: Permits,
+    rule: Box<dyn Rule>,
+    rule_ejected: Vec<bool>,
+    capacity: f64,
+    next_id: u64,
+    outcome: Outcome,
+}
+
+struct Server {
+    name: String,
+    domain: usize,
+    gate: Gate,
+    detector: Detector,
+    baseline: Baseline,
+    stage: Stage,
+    claiming: bool,
+    held: Vec<(Ticket, usize)>,
+    speed: f64,
+    pause: (Time, Duration),
+    latency: Duration,
+    reports: VecDeque<(Time, Load)>,
+    gradient: Gradient,
+}
+
+/// A gradient concurrency limit: the long-term latency divided by the recent one.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gradient {
+    long: f64,
+    short: f64,
+}
+
+struct Entry {
+    domain: usize,
+    picker: Picker,
+    summarizer: Summarizer,
+    budget: RetryBudget,
+    next: usize,
+    summary_at: Time,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    entry: usize,
+    class: Class,
+    route: u64,
+    caller: u64,
+    arrived: Time,
+    deadline: Deadline,
+    tried: Vec<String>,
+    made: u32,
+    outstanding: u32,
+    timers: u32,
+    done: bool,
+    sent_before: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    id: u64,
+    request: usize,
+    server: usize,
+    trial: bool,
+    summary: Option<Summary>,
+    started: Time,
+    result: Result,
+    load: Option<Load>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Result {
+    Pending,
+    Answered { latency: Duration, success: bool },
+    NotRun,
+    Unreachable,
+}
+
+impl<'a> Sim<'a> {
+    fn new(config: &'a Config) -> Self {
+        let mut rng = rng::seeded(config.seed);
+        let service = &config.service;
+        let mut servers = Vec::new();
+        for place in 0..service.servers {
+            let preference = config
+                .policy
+                .preference()
+                .unwrap_or(arbutuslane_catalogue::entry::Preference::FastDetection);
+            servers.push(Server {
+                name: format!("s{place:02}"),
+                domain: place % DOMAINS,
+                gate: Gate::new(service.slots, QUEUE_LIMIT),
+                detector: Detector::new(preference),
+                baseline: Baseline::default(),
+                stage: Stage::new(Time::ZERO),
+                claiming: false,
+                held: Vec::new(),
+                speed: rng.random_range(0.9..1.1),
+                pause: (Time::ZERO, Duration::ZERO),
+                latency: Duration::ZERO,
+                reports: VecDeque::new(),
+                gradient: Gradient::default(),
+            });
+        }
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| {
+                let domain = format!("d{}", server.domain);
+                let slots = u32::try_from(service.slots).unwrap_or(u32::MAX);
+                Candidate::new(server.name.clone(), &server.name, &domain, slots)
+            })
+            .collect();
+        let mut entries = Vec::new();
+        for place in 0..config.entries {
+            let domain = place % DOMAINS;
+            let mut picker = Picker::new(format!("d{domain}"));
+            picker.set_candidates(candidates.clone());
+            entries.push(Entry {
+                domain,
+                picker,
+                summarizer: Summarizer::default(),
+                budget: RetryBudget::default(),
+                next: place,
+                summary_at: Time::ZERO,
+            });
+        }
+        Self {
+            config,
+            now: Time::ZERO,
+            end: config.warm_up + config.measured,
+            rng,
+            queue: Queue::default(),
+            rule: config.policy.rule(servers.len()),
+            rule_ejected: vec![false; servers.len()],
+            servers,
+            entries,
+            requests: Slab::new(),
+            attempts: Slab::new(),
+            permits: Permits::default(),
+            capacity: service.capacity(),
+            next_id: 0,
+            outcome: Outcome::new(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Resend(request) => self.resend(request),
+            Event::Hedge(request) => self.hedge(request),
+            Event::AtOwner(attempt) => self.at_owner(attempt),
+            Event::End(attempt) => self.service_end(attempt),
+            Event::AtEntry(attempt) => self.at_entry(attempt),
+            Event::Claim(server) => self.claim(server),
+            Event::Tick => self.tick(),
+            Event::Renewal => self.renewal(),
+            Event::Gossip { server, serving } => {
+                let name = &self.servers[server].name;
+                for entry in &mut self.entries {
+                    entry.picker.set_serving(name, Event::serving(serving));
+                }
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let mut load = 0.0;
+        for phase in &self.config.phases {
+            if phase.from <= self.now {
+                load = phase.load;
+            }
+        }
+        let rate = load * self.capacity * self.config.fault.arrivals(self.since_fault());
+        let wait = exponential(1.0 / rate, &mut self.rng);
+        self.queue.push(self.now + Duration::from_secs_f64(wait), Event::Arrival);
+        let service = &self.config.service;
+        let heavy = self.config.fault == Fault::HeavyCaller
+            && self.now >= self.config.warm_up
+            && self.rng.random::<f64>() < HEAVY_SHARE;
+        let caller =
+            if heavy { HEAVY_CALLER } else { self.rng.random_range(HEAVY_CALLER + 1..CALLERS) };
+        let read = self.rng.random::<f64>() < service.reads;
+        let class = if read { Class::Idempotent } else { service.class };
+        let entry = self.rng.random_range(0..self.entries.len());
+        let on_slow_route = self.rng.random::<f64>() < SLOW_ROUTE_SHARE;
+        let route = if on_slow_route { SLOW_ROUTE } else { self.rng.random_range(0..SLOW_ROUTE) };
+        let request = Request {
+            entry,
+            class,
+            route,
+            caller,
+            arrived: self.now,
+            deadline: Deadline::after(self.now, service.deadline),
+            tried: Vec::new(),
+            made: 0,
+            outstanding: 0,
+            timers: 0,
+            done: false,
+            sent_before: 0,
+        };
+        self.entries[entry].budget.earn(Origin::First);
+        if self.is_measured() {
+            self.outcome.offered += 1;
+        }
+        let place = self.requests.insert(request);
+        self.start_hedge_timer(place);
+        self.send(place);
+    }
+
+    /// Returns whether the fault has started.
+    fn is_measured(&self) -> bool {
+        self.now >= self.config.warm_up
+    }
+
+    /// Returns the time since the start of the fault.
+    fn since_fault(&self) -> Option<Time> {
+        self.now.checked_sub(self.config.warm_up)
+    }
+
+    fn hop(&self, entry: usize, server: usize) -> Duration {
+        if self.entries[entry].domain == self.servers[server].domain {
+            LOCAL_HOP
+        } else {
+            self.config.service.hop
+        }
+    }
+
+    fn tick(&mut self) {
+        self.queue.push(self.now + TICK, Event::Tick);
+        let starts_cold = self.config.fault == Fault::ColdStart
+            && self.since_fault().is_some_and(|since| since < TICK);
+        if starts_cold {
+            self.servers[0].stage = Stage::cold(self.now, WARM_UP);
+            self.servers[0].detector.reset();
+        }
+        for server in 0..self.servers.len() {
+            for ticket in self.servers[server].gate.expire(self.now) {
+                self.refuse_ticket(server, ticket);
+            }
+            let report = self.load_of(server);
+            let reports = &mut self.servers[server].reports;
+            reports.push_back((self.now, report));
+            if reports.len() > 60 {
+                reports.pop_front();
+            }
+            self.judge(server);
+            self.note_rule(server);
+        }
+    }
+
+    /// Records ejections by the rule that stands in for the detector.
+    fn note_rule(&mut self, server: usize) {
+        let is_ejected = self.rule.is_ejected(server, self.now);
+        if is_ejected && !self.rule_ejected[server] {
+            self.note_ejection(server);
+        }
+        self.rule_ejected[server] = is_ejected;
+    }
+
+    fn note_ejection(&mut self, server: usize) {
+        self.outcome.ejections += 1;
+        let since = self.since_fault();
+        if self.config.fault.is_false(server) || since.is_none() {
+            self.outcome.false_ejections += 1;
+        } else if server == 0 && self.config.fault.has_target() && self.outcome.detection.is_none()
+        {
+            self.outcome.detection = since;
+        }
+    }
+
+    fn serving_of(&self, server: usize) -> Serving {
+        if self.servers[server].stage.is_ejected() { Serving::Ejected } else { Serving::Open }
+    }
+}
--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -59,6 +59,7 @@
     threshold: f64,
     classes: [ClassState; 3],
     flights: Vec<Flight>,
+    warming: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -122,7 +123,7 @@
             Preference::FastDetection => THRESHOLD_FAST,
             Preference::FewFalseEjections => THRESHOLD_FEW,
         };
-        Self { threshold, classes: Default::default(), flights: Vec::new() }
+        Self { threshold, classes: Default::default(), flights: Vec::new(), warming: false }
     }
 
     /// Changes the preference, as after a change of the catalogue; evidence is kept.
@@ -130,6 +131,11 @@
         self.threshold = Self::new(preference).threshold;
     }
 
+    /// Ignores slowness while the server warms up after a cold start; failures still count.
+    pub fn set_warming(&mut self, warming: bool) {
+        self.warming = warming;
+    }
+
     /// Takes in the dispatch of request `id`.
     pub fn started(&mut self, id: u64, start: Start) {
         self.flights.push(Flight { id, start, level: 0 });
@@ -260,6 +266,9 @@
     }
 
     fn add_slowness(&mut self, flight: &Flight, ratio: f64) {
+        if self.warming {
+            return;
+        }
         let limit = self.threshold * LIMIT;
         let group = Group::of(flight.start.caller, flight.start.route);
         self.classes[index(flight.start.class)].slowness.add(ratio, group, limit);
--- a/crates/arbutuslane_health/src/ejection.rs
+++ b/crates/arbutuslane_health/src/ejection.rs
@@ -41,6 +41,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Returning {
     since: Time,
+    ramp: Duration,
     /// Whether no trial request was offered, as in a service of non-idempotent work only.
     untried: bool,
 }
@@ -160,8 +161,10 @@
 
 impl Ejection<Trial> {
     /// Takes the place of a trial request and returns whether one may run now.
+    ///
+    /// Downloads count as idempotent: in a service of downloads there is nothing else to try.
     pub fn admit(&mut self, class: Class, now: Time) -> bool {
-        if class != Class::Idempotent || self.state.running || now < self.state.next {
+        if class == Class::NonIdempotent || self.state.running || now < self.state.next {
             return false;
         }
         self.state.running = true;
@@ -179,7 +182,7 @@
         if self.state.running || now.saturating_sub(self.state.waiting_since) < UNTRIED_AFTER {
             return Err(self);
         }
-        Ok(self.with(Returning { since: now, untried: true }))
+        Ok(self.with(Returning { since: now, ramp: RAMP, untried: true }))
     }
 
     /// Takes in the result of the running trial request.
@@ -203,7 +206,11 @@
             return Stage::Ejected(self.with(Ejected { until: now }).hold(now));
         }
         if self.state.successes >= TRIALS {
-            return Stage::Returning(self.with(Returning { since: now, untried: false }));
+            return Stage::Returning(self.with(Returning {
+                since: now,
+                ramp: RAMP,
+                untried: false,
+            }));
         }
         Stage::Trial(self)
     }
@@ -213,7 +220,7 @@
     /// Returns the share of its load that the server takes, in percent.
     pub fn ramp_percent(&self, now: Time) -> u32 {
         let elapsed = now.saturating_sub(self.state.since).as_millis();
-        let risen = elapsed * u128::from(100 - RAMP_FIRST) / RAMP.as_millis();
+        let risen = elapsed * u128::from(100 - RAMP_FIRST) / self.state.ramp.as_millis().max(1);
         RAMP_FIRST + u32::try_from(risen).unwrap_or(100).min(100 - RAMP_FIRST)
     }
 
@@ -229,7 +236,7 @@
     ///
     /// Returns the unchanged state during the ramp-up.
     pub fn complete(self, now: Time) -> Result<Ejection<Serving>, Self> {
-        if now.saturating_sub(self.state.since) < RAMP {
+        if now.saturating_sub(self.state.since) < self.state.ramp {
             return Err(self);
         }
         Ok(self.with(Serving))
@@ -299,6 +306,12 @@
         Self::Serving(Ejection::new(now))
     }
 
+    /// Returns the stage of a server that started cold and takes its full load after `ramp`.
+    pub fn cold(now: Time, ramp: Duration) -> Self {
+        let returning = Returning { since: now, ramp, untried: true };
+        Self::Returning(Ejection::new(now).with(returning))
+    }
+
     /// Applies an input; inputs that the stage does not have are ignored.
     #[must_use]
     pub fn step(self, input: Input, now: Time) -> Self {
--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -196,6 +196,11 @@
         expired
     }
 
+    /// Takes all queued requests out, to be refused as not run when the server is ejected or drains.
+    pub fn refuse_queued(&mut self) -> Vec<Ticket> {
+        self.queue.drain(..).map(|waiting| waiting.ticket).collect()
+    }
+
     /// Stops or resumes the admission of new requests; requests in flight and queued go on.
     pub fn set_open(&mut self, open: bool) {
         self.open = open;
