Tune the slowness test: ages from the median on, thresholds by rate, bounded steering

Cause: the picker steered so much work away from a straggler that the detector starved, and one threshold for all services is too strict for quiet and too lax for busy ones.

Change: latency changes a score by a bounded factor (Weights); the age of a request counts from the peers' median on in steps of the square root of 2; the threshold is a base plus the logarithm of the request rate; requests of all classes are also tested together.

--- a/crates/arbutuslane_balance/src/estimate.rs
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -5,6 +5,7 @@
 use arbutuslane_core::time::Time;
 
 use crate::candidate::{Load, Serving};
+use crate::picker::Weights;
 
 /// What was measured of one server.
 #[derive(Debug, Clone)]
@@ -19,10 +20,6 @@
     success: f64,
 }
 
-/// Reports of other entries' work lose half their weight in this time: a report says little about
-/// the load after the requests that it counted have finished.
-const REPORT_HALF_LIFE: f64 = 0.2;
-
 /// The time constant of the latency mean.
 const LATENCY_SECONDS: f64 = 1.0;
 
@@ -65,27 +62,25 @@
     }
 
     /// Returns the expected work per effective slot.
-    pub(crate) fn utilization(&self, slots: u32, now: Time) -> f64 {
+    pub(crate) fn utilization(&self, slots: u32, weights: &Weights, now: Time) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
-        let others =
-            self.reported_others * (-age / REPORT_HALF_LIFE * std::f64::consts::LN_2).exp();
+        let kept = (-age / weights.report_half_life.max(1e-6)).exp2();
         let ramp = f64::from(self.ramp_percent) / 100.0;
-        (f64::from(self.own_in_flight) + others) / (f64::from(slots.max(1)) * ramp)
-    }
-
-    /// Returns the mean latency of successful work in seconds, or `fallback` when none was seen.
-    pub(crate) fn latency(&self, fallback: f64) -> f64 {
-        if self.latency == 0.0 { fallback } else { self.latency }
+        let work = f64::from(self.own_in_flight) + self.reported_others * kept;
+        work / (f64::from(slots.max(1)) * ramp)
     }
 
-    /// Returns the cost of one more request here; the lowest is chosen.
+    /// Returns the cost of one more request here, where `mean` is the latency over all servers in
+    /// seconds; the server with the lowest cost is chosen.
     ///
-    /// The square of the success rate keeps a server that fails at once, and therefore looks idle
-    /// and fast, from attracting work.
-    pub(crate) fn score(&self, slots: u32, fallback: f64, now: Time) -> f64 {
+    /// The success rate keeps a server that fails at once, and therefore looks idle, from
+    /// attracting work.
+    pub(crate) fn score(&self, slots: u32, mean: f64, weights: &Weights, now: Time) -> f64 {
         let ramp = f64::from(self.ramp_percent) / 100.0;
         let share = 1.0 / (f64::from(slots.max(1)) * ramp);
-        let success = self.success.max(0.02);
-        (self.utilization(slots, now) + share) * self.latency(fallback) / (success * success)
+        let latency = if self.latency == 0.0 { 1.0 } else { self.latency / mean };
+        let latency = latency.clamp(1.0 / weights.latency_limit, weights.latency_limit);
+        let success = self.success.max(weights.success_floor);
+        (self.utilization(slots, weights, now) + share) * latency / success
     }
 }
--- a/crates/arbutuslane_balance/src/lib.rs
+++ b/crates/arbutuslane_balance/src/lib.rs
@@ -31,6 +31,6 @@
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::candidate::{Candidate, Load, Serving};
-    pub use crate::picker::{Pick, Picker, Request};
+    pub use crate::picker::{Pick, Picker, Request, Weights};
     pub use crate::subset::Subset;
 }
--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -32,10 +32,32 @@
     pub trial: bool,
 }
 
+/// How much each part of the score counts; measurements compare others with the default.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Weights {
+    /// The largest factor by which latency raises or lowers a score; 1 ignores latency.
+    pub latency_limit: f64,
+    /// The success rate below which a server's score rises no further.
+    pub success_floor: f64,
+    /// The seconds in which reports of other entries' work lose half their weight: a report says
+    /// little about the load after the requests that it counted have finished.
+    pub report_half_life: f64,
+    /// A server of another domain is chosen over one with room in the own domain only when its
+    /// score is lower by this factor.
+    pub remote_penalty: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { latency_limit: 3.0, success_floor: 0.25, report_half_life: 0.2, remote_penalty: 2.0 }
+    }
+}
+
 /// Chooses servers of one service for one entry.
 #[derive(Debug, Clone)]
 pub struct Picker {
     domain: DomainName,
+    weights: Weights,
     peers: Vec<Peer>,
     unreachable: Vec<Backoff>,
     latency: f64,
@@ -60,10 +82,6 @@
 /// The share of requests (non-idempotent ones excepted) that is offered to ejected servers, one in this many.
 const TRIAL_ONE_IN: u32 = 100;
 
-/// A server of another domain is chosen over one with room in the own domain only when its score is
-/// lower by this factor.
-const REMOTE_PENALTY: f64 = 2.0;
-
 /// The first back-off of an owner that could not be reached; it doubles up to `BACKOFF_MAX`.
 const BACKOFF_FIRST: Duration = Duration::from_millis(200);
 
@@ -74,8 +92,14 @@
 impl Picker {
     /// Returns a picker without candidates for an entry in `domain`.
     pub fn new(domain: DomainName) -> Self {
+        Self::with_weights(domain, Weights::default())
+    }
+
+    /// Returns a picker with other weights than the default.
+    pub fn with_weights(domain: DomainName, weights: Weights) -> Self {
         Self {
             domain,
+            weights,
             peers: Vec::new(),
             unreachable: Vec::new(),
             latency: 0.02,
@@ -149,8 +173,9 @@
         let chosen = match (near, far) {
             (Some(near), Some(far)) => {
                 let peer = &self.peers[near.0];
-                let has_room = peer.estimate.utilization(peer.candidate.slots, now) < 1.0;
-                let penalty = if has_room { REMOTE_PENALTY } else { 1.0 };
+                let has_room =
+                    peer.estimate.utilization(peer.candidate.slots, &self.weights, now) < 1.0;
+                let penalty = if has_room { self.weights.remote_penalty } else { 1.0 };
                 if near.1 <= far.1 * penalty { near.0 } else { far.0 }
             }
             (Some((place, _)), None) | (None, Some((place, _))) => place,
@@ -257,7 +282,7 @@
     fn best_of_two(&self, places: &[usize], now: Time, rng: &mut Rng) -> Option<(usize, f64)> {
         let score = |place: usize| {
             let peer = &self.peers[place];
-            (place, peer.estimate.score(peer.candidate.slots, self.latency, now))
+            (place, peer.estimate.score(peer.candidate.slots, self.latency, &self.weights, now))
         };
         match places {
             [] => None,
--- a/crates/arbutuslane_bench/src/campaign.rs
+++ b/crates/arbutuslane_bench/src/campaign.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use arbutuslane_balance::picker::Weights;
 use arbutuslane_catalogue::entry::Preference;
 use arbutuslane_core::time::Time;
 
@@ -32,6 +33,12 @@
     pub seeds: u64,
     /// The number of threads.
     pub threads: usize,
+    /// The weights of the picker.
+    pub weights: Weights,
+    /// Whether late idempotent requests are hedged.
+    pub hedging: bool,
+    /// Whether a gradient of the latency bounds requests in flight.
+    pub gradient: bool,
 }
 
 impl Default for Plan {
@@ -44,6 +51,9 @@
             first_seed: 1,
             seeds: 20,
             threads: 4,
+            weights: Weights::default(),
+            hedging: false,
+            gradient: false,
         }
     }
 }
@@ -218,7 +228,13 @@
                     }
                     let job = &jobs[place / seeds];
                     let seed = plan.first_seed + (place % seeds) as u64;
-                    let config = Config { seed, ..job.config.clone() };
+                    let config = Config {
+                        seed,
+                        weights: plan.weights,
+                        hedging: plan.hedging,
+                        gradient: plan.gradient,
+                        ..job.config.clone()
+                    };
                     let outcome = run(&config);
                     let mut figures = Run::of(seed, &outcome);
                     (job.judge)(&config, &outcome, &mut figures);
--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use arbutuslane_balance::picker::Weights;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use miette::{Context, IntoDiagnostic, Result};
 
@@ -50,6 +51,9 @@
     let list = |name: &'static str, help: &'static str| {
         Arg::new(name).long(name).action(ArgAction::Append).value_delimiter(',').help(help)
     };
+    let number = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_parser(value_parser!(f64)).help(help)
+    };
     command
         .arg(list("service", "Services (default all six)"))
         .arg(list("load", "Loads in percent (default 30,60,85)").value_parser(value_parser!(u32)))
@@ -68,6 +72,12 @@
                 .value_parser(value_parser!(usize))
                 .default_value("4"),
         )
+        .arg(number("latency-limit", "Largest factor of latency in a score"))
+        .arg(number("success-floor", "Success rate below which a score rises no further"))
+        .arg(number("report-half-life", "Seconds in which a load report loses half its weight"))
+        .arg(number("remote-penalty", "Factor that favours the own failure domain"))
+        .arg(Arg::new("hedging").long("hedging").action(ArgAction::SetTrue))
+        .arg(Arg::new("gradient").long("gradient").action(ArgAction::SetTrue))
         .arg(Arg::new("out").long("out").value_parser(value_parser!(PathBuf)).help("Result file"))
 }
 
@@ -76,6 +86,13 @@
         options.get_many::<String>(name).unwrap_or_default().cloned().collect()
     };
     let default = Plan::default();
+    let number = |name: &str, default: f64| options.get_one(name).copied().unwrap_or(default);
+    let weights = Weights {
+        latency_limit: number("latency-limit", default.weights.latency_limit),
+        success_floor: number("success-floor", default.weights.success_floor),
+        report_half_life: number("report-half-life", default.weights.report_half_life),
+        remote_penalty: number("remote-penalty", default.weights.remote_penalty),
+    };
     let loads: Vec<u32> = options.get_many::<u32>("load").unwrap_or_default().copied().collect();
     Plan {
         services: list("service"),
@@ -85,6 +102,9 @@
         first_seed: options.get_one("first-seed").copied().unwrap_or(default.first_seed),
         seeds: options.get_one("seeds").copied().unwrap_or(default.seeds),
         threads: options.get_one("threads").copied().unwrap_or(default.threads),
+        weights,
+        hedging: options.get_flag("hedging"),
+        gradient: options.get_flag("gradient"),
     }
 }
 
--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use arbutuslane_balance::candidate::{Candidate, Load, Serving};
-use arbutuslane_balance::picker::Picker;
+use arbutuslane_balance::picker::{Picker, Weights};
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Time;
@@ -50,6 +50,8 @@
     pub hedging: bool,
     /// Whether gates bound requests in flight by a gradient of the latency besides their slots.
     pub gradient: bool,
+    /// The weights of the picker.
+    pub weights: Weights,
     /// The entries of the service.
     pub entries: usize,
     /// The seed of all random choices.
@@ -69,6 +71,7 @@
             caller_resends: 0,
             hedging: false,
             gradient: false,
+            weights: Weights::default(),
             entries: 6,
             seed,
         }
@@ -232,7 +235,7 @@
         let mut entries = Vec::new();
         for place in 0..config.entries {
             let domain = place % DOMAINS;
-            let mut picker = Picker::new(format!("d{domain}"));
+            let mut picker = Picker::with_weights(format!("d{domain}"), config.weights);
             picker.set_candidates(candidates.clone());
             entries.push(Entry {
                 domain,
--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -56,19 +56,29 @@
 /// a server that answers late or never is not the last to be noticed.
 #[derive(Debug, Clone)]
 pub struct Detector {
+    base: f64,
     threshold: f64,
+    counted: f64,
+    counted_at: Time,
     classes: [ClassState; 3],
+    all: Evidence,
     flights: Vec<Flight>,
     warming: bool,
 }
 
 #[derive(Debug, Clone, Default)]
 struct ClassState {
+    evidence: Evidence,
+    failed: f64,
+    latency: f64,
+}
+
+/// The two tests over the requests of one class, or of all classes together.
+#[derive(Debug, Clone, Default)]
+struct Evidence {
     mix: Mix,
     failure: Cusum,
     slowness: Cusum,
-    failed: f64,
-    latency: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -79,13 +89,19 @@
     level: usize,
 }
 
-/// The sum at which a server is suspected with `fast_detection`: by Wald's bound, a healthy
-/// server's sum reaches it about once in e^10 = 22,000 requests at most.
-const THRESHOLD_FAST: f64 = 10.0;
+/// The sum at which a server is suspected with `fast_detection` at one request a second. The
+/// logarithm of the rate is added, so that a healthy server of a busy service is suspected as
+/// rarely in time as one of a quiet service.
+const THRESHOLD_FAST: f64 = 4.6;
+
+/// The same for `few_false_ejections`.
+const THRESHOLD_FEW: f64 = 11.6;
 
-/// The threshold with `few_false_ejections`: once in e^27 = 5e11 requests at most, while 24 h of
-/// the largest of the six services are 2e8.
-const THRESHOLD_FEW: f64 = 27.0;
+/// The time constant of the rate in seconds.
+const RATE_SECONDS: f64 = 60.0;
+
+/// The rate that is assumed before any is measured.
+const RATE_FIRST: f64 = 50.0;
 
 /// Sums end at this multiple of the threshold, so that a recovered server is cleared soon.
 const LIMIT: f64 = 1.5;
@@ -97,21 +113,22 @@
 const FAILED_UNHEALTHY: f64 = 0.6;
 
 /// The shares of requests (up to the median, up to the 90th percentile, above) of a healthy server.
-/// They allow for a server about 20% slower than its peers.
-const HEALTHY: [f64; 3] = [0.45, 0.40, 0.15];
+/// They allow for a server about 10% slower than its peers; one 50% slower is as likely under both
+/// hypotheses.
+const HEALTHY: [f64; 3] = [0.48, 0.40, 0.12];
 
 /// The same shares of an unhealthy server.
-const UNHEALTHY: [f64; 3] = [0.15, 0.35, 0.50];
+const UNHEALTHY: [f64; 3] = [0.12, 0.33, 0.55];
 
 /// Multiples of the 90th percentile at which the age of a request is evidence.
-const AGES: [u32; 3] = [1, 4, 16];
+const AGES: [f64; 7] = [1.0, 1.414, 2.0, 2.828, 4.0, 5.657, 8.0];
 
-/// The share of requests at one age that a healthy server lets reach the next; a Pareto tail of
-/// exponent 1 has 0.25.
-const AGED_HEALTHY: f64 = 0.25;
+/// The share of requests at one age that a healthy server lets reach the next, 0.3 for each
+/// doubling. A log-normal with a deviation of 1 has 0.24, a Pareto tail of exponent 1.7 has 0.3.
+const AGED_HEALTHY: f64 = 0.548;
 
-/// The same share of an unhealthy server.
-const AGED_UNHEALTHY: f64 = 0.6;
+/// The same share of an unhealthy server, 0.5 for each doubling.
+const AGED_UNHEALTHY: f64 = 0.707;
 
 /// The weight of the newest request in the recent failure share and latency.
 const RECENT_WEIGHT: f64 = 0.1;
@@ -119,16 +136,22 @@
 impl Detector {
     /// Returns a detector without evidence.
     pub fn new(preference: Preference) -> Self {
-        let threshold = match preference {
-            Preference::FastDetection => THRESHOLD_FAST,
-            Preference::FewFalseEjections => THRESHOLD_FEW,
-        };
-        Self { threshold, classes: Default::default(), flights: Vec::new(), warming: false }
+        let base = base(preference);
+        Self {
+            base,
+            threshold: base + RATE_FIRST.ln(),
+            counted: RATE_FIRST * RATE_SECONDS,
+            counted_at: Time::ZERO,
+            classes: Default::default(),
+            all: Evidence::default(),
+            flights: Vec::new(),
+            warming: false,
+        }
     }
 
     /// Changes the preference, as after a change of the catalogue; evidence is kept.
     pub fn set_preference(&mut self, preference: Preference) {
-        self.threshold = Self::new(preference).threshold;
+        self.base = base(preference);
     }
 
     /// Ignores slowness while the server warms up after a cold start; failures still count.
@@ -180,14 +203,16 @@
         }
         self.flights = flights;
         let mut worst: Option<Suspicion> = None;
+        let all = self.all.verdict(self.threshold);
         for class in [Class::Idempotent, Class::NonIdempotent, Class::Download] {
             let state = &self.classes[index(class)];
+            let (failing, slow) = state.evidence.verdict(self.threshold);
             let mut found = Vec::new();
-            if state.failure.score(&state.mix) >= self.threshold {
-                found
-                    .push(Suspicion { kind: Kind::Failing, severity: scaled(400.0, state.failed) });
+            if failing || (all.0 && state.failed > 0.0) {
+                let severity = scaled(400.0, state.failed);
+                found.push(Suspicion { kind: Kind::Failing, severity });
             }
-            if state.slowness.score(&state.mix) >= self.threshold
+            if (slow || all.1)
                 && let Some(peers) = baseline.peers(class)
             {
                 let ratio = state.latency / peers.median.as_secs_f64().max(1e-6);
@@ -206,34 +231,44 @@
     /// Forgets all evidence, as after an ejection or a new incarnation; requests in flight stay.
     pub fn reset(&mut self) {
         for state in &mut self.classes {
-            *state = ClassState { mix: std::mem::take(&mut state.mix), ..ClassState::default() };
+            state.evidence.reset();
+            state.failed = 0.0;
+            state.latency = 0.0;
         }
+        self.all.reset();
     }
 
-    /// Counts the ages that a request has reached.
+    /// Counts the ages that a request has reached: the median, then multiples of the 90th
+    /// percentile.
     fn age(&mut self, flight: &mut Flight, now: Time, peers: &Peers) {
         let age = now.saturating_sub(flight.start.at);
-        while let Some(multiple) = AGES.get(flight.level) {
-            if age <= peers.p90 * *multiple {
+        let mut sum = 0.0;
+        while flight.level <= AGES.len() {
+            let limit = match flight.level {
+                0 => peers.median,
+                level => peers.p90.mul_f64(AGES[level - 1]),
+            };
+            if age <= limit {
                 break;
             }
-            let ratio = if flight.level == 0 {
-                slowness_ratio(2, peers)
-            } else {
-                ratio(AGED_UNHEALTHY, AGED_HEALTHY)
-            };
-            self.add_slowness(flight, ratio);
+            sum += passed(flight.level, peers);
             flight.level += 1;
-            let state = &mut self.classes[index(flight.start.class)];
-            state.latency = state.latency.max(age.as_secs_f64().min(20.0 * state.latency));
         }
+        if sum == 0.0 {
+            return;
+        }
+        self.add_slowness(flight, sum);
+        let state = &mut self.classes[index(flight.start.class)];
+        state.latency = state.latency.max(age.as_secs_f64().min(20.0 * state.latency));
     }
 
     fn end(&mut self, flight: &Flight, now: Time, success: bool, peers: Option<&Peers>) {
+        self.count(now);
         let limit = self.threshold * LIMIT;
         let group = Group::of(flight.start.caller, flight.start.route);
         let state = &mut self.classes[index(flight.start.class)];
-        state.mix.count(group);
+        state.evidence.mix.count(group);
+        self.all.mix.count(group);
         let healthy = peers.map_or(FAILED_HEALTHY, |peers| FAILED_HEALTHY.max(1.5 * peers.failed));
         let unhealthy = FAILED_UNHEALTHY.max(f64::midpoint(1.0, healthy));
         if healthy < 0.9 {
@@ -242,7 +277,8 @@
             } else {
                 ratio(unhealthy, healthy)
             };
-            state.failure.add(ratio, group, limit);
+            state.evidence.failure.add(ratio, group, limit);
+            self.all.failure.add(ratio, group, limit);
         }
         let failed = if success { 0.0 } else { 1.0 };
         state.failed += RECENT_WEIGHT * (failed - state.failed);
@@ -257,11 +293,7 @@
             state.latency + RECENT_WEIGHT * (seconds - state.latency)
         };
         let Some(peers) = peers else { return };
-        let ratio = match flight.level {
-            0 => slowness_ratio(usize::from(latency > peers.median), peers),
-            level if level < AGES.len() => ratio(1.0 - AGED_UNHEALTHY, 1.0 - AGED_HEALTHY),
-            _ => return,
-        };
+        let ratio = stopped(flight.level, peers);
         self.add_slowness(flight, ratio);
     }
 
@@ -271,25 +303,79 @@
         }
         let limit = self.threshold * LIMIT;
         let group = Group::of(flight.start.caller, flight.start.route);
-        self.classes[index(flight.start.class)].slowness.add(ratio, group, limit);
+        self.classes[index(flight.start.class)].evidence.slowness.add(ratio, group, limit);
+        self.all.slowness.add(ratio, group, limit);
+    }
+
+    /// Counts a request towards the rate and adjusts the threshold to it.
+    fn count(&mut self, now: Time) {
+        let elapsed = now.saturating_sub(self.counted_at).as_secs_f64();
+        self.counted_at = now;
+        self.counted = self.counted * (-elapsed / RATE_SECONDS).exp() + 1.0;
+        self.threshold = self.base + (self.counted / RATE_SECONDS).max(1.0).ln();
+    }
+}
+
+impl Evidence {
+    /// Returns whether the failure test and the slowness test have reached the threshold.
+    fn verdict(&self, threshold: f64) -> (bool, bool) {
+        let failing = self.failure.score(&self.mix) >= threshold;
+        (failing, self.slowness.score(&self.mix) >= threshold)
+    }
+
+    /// Forgets the sums; the mix of callers and routes is a property of the service.
+    fn reset(&mut self) {
+        self.failure = Cusum::default();
+        self.slowness = Cusum::default();
+    }
+}
+
+fn base(preference: Preference) -> f64 {
+    match preference {
+        Preference::FastDetection => THRESHOLD_FAST,
+        Preference::FewFalseEjections => THRESHOLD_FEW,
     }
 }
 
-/// Returns the ratio of a request in one of the three ranges of latency.
+/// Returns the shares of requests (up to the median, up to the 90th percentile, above) of a healthy
+/// and of an unhealthy server.
 ///
 /// When more peers than usual are slow, the shares of a healthy server shift with them, so a
 /// slowdown of the whole service is evidence against none of its servers.
-fn slowness_ratio(range: usize, peers: &Peers) -> f64 {
-    let slow = HEALTHY[2].max(1.5 * peers.slow);
-    if slow >= 0.9 {
-        return 0.0;
-    }
+fn shares(peers: &Peers) -> ([f64; 3], [f64; 3]) {
+    let slow = HEALTHY[2].max(1.2 * peers.slow).min(0.9);
     let rest = (1.0 - slow) / (1.0 - HEALTHY[2]);
     let healthy = [HEALTHY[0] * rest, HEALTHY[1] * rest, slow];
-    let slow = UNHEALTHY[2].max(f64::midpoint(1.0, slow) - 0.1);
+    let slow = UNHEALTHY[2].max(slow + 0.05);
     let rest = (1.0 - slow) / (1.0 - UNHEALTHY[2]);
-    let unhealthy = [UNHEALTHY[0] * rest, UNHEALTHY[1] * rest, slow];
-    ratio(unhealthy[range], healthy[range])
+    (healthy, [UNHEALTHY[0] * rest, UNHEALTHY[1] * rest, slow])
+}
+
+/// Returns the ratio of a request that grew older than the age of `level`.
+fn passed(level: usize, peers: &Peers) -> f64 {
+    let (healthy, unhealthy) = shares(peers);
+    match level {
+        0 => ratio(1.0 - unhealthy[0], 1.0 - healthy[0]),
+        1 => {
+            let all = ratio(unhealthy[2], healthy[2]);
+            all - ratio(1.0 - unhealthy[0], 1.0 - healthy[0])
+        }
+        _ => ratio(AGED_UNHEALTHY, AGED_HEALTHY),
+    }
+}
+
+/// Returns the ratio of a request that ended before it reached the age of `level`.
+fn stopped(level: usize, peers: &Peers) -> f64 {
+    let (healthy, unhealthy) = shares(peers);
+    match level {
+        0 => ratio(unhealthy[0], healthy[0]),
+        1 => {
+            let all = ratio(unhealthy[1], healthy[1]);
+            all - ratio(1.0 - unhealthy[0], 1.0 - healthy[0])
+        }
+        level if level <= AGES.len() => ratio(1.0 - AGED_UNHEALTHY, 1.0 - AGED_HEALTHY),
+        _ => 0.0,
+    }
 }
 
 fn ratio(unhealthy: f64, healthy: f64) -> f64 {
--- a/crates/arbutuslane_health/src/peers.rs
+++ b/crates/arbutuslane_health/src/peers.rs
@@ -107,7 +107,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// The half-life of the recent shares, which follow a slowdown of the whole service.
-const RECENT_HALF_LIFE: f32 = 1.0;
+const RECENT_HALF_LIFE: f32 = 0.3;
 
 impl Summarizer {
     /// Takes in the end of a request: `latency` is that at the owner.
