Keep a slowdown of the whole service from ejecting its servers

Cause: owners suspected servers before the summaries of the entries showed that all were slow.

Change: entries count requests in flight that are older than the 90th percentile; a summary is due by its age for each server (Summarizer::due), so a slow server, which gets few requests, is not compared with old figures; recent shares have a half-life of 150 ms and lose weight with the age of the summary; slowness loses weight as the share of slow peers grows from 0.15 to 0.35, and needs summaries that arrived 300 ms after it began.

--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -13,8 +13,9 @@
 use super::queue::Event;
 use super::{Attempt, Result, Sim};
 
-/// A summary of the peers is attached to at most one request in this time.
-const SUMMARY_EVERY: Duration = Duration::from_millis(100);
+/// A summary of the peers is attached to at most one request to each server in this time, which is
+/// 20 a second for the largest of the services.
+const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 
 /// A caller sends an unanswered request again after this time, doubled each time.
 const RESEND_AFTER: Duration = Duration::from_millis(100);
@@ -42,11 +43,9 @@
         let state = &mut self.entries[entry];
         state.picker.sent(&name, now);
         let mut summary = None;
-        if self.config.policy.preference().is_some()
-            && now.saturating_sub(state.summary_at) >= SUMMARY_EVERY
-        {
-            summary = state.summarizer.summary(&name, class, now);
-            state.summary_at = now;
+        if self.config.policy.preference().is_some() {
+            state.summarizer.sent(&name, class, self.next_id + 1, now);
+            summary = state.summarizer.due(&name, class, SUMMARY_EVERY, now);
         }
         let stored = self.requests.get(request);
         stored.tried.push(name);
@@ -92,6 +91,7 @@
         let Attempted { server, request, trial } = self.attempted(attempt);
         let result = self.attempts.get(attempt).result;
         let load = self.attempts.get(attempt).load;
+        let id = self.attempts.get(attempt).id;
         self.attempts.remove(attempt);
         let (entry, class) = {
             let request = self.requests.get(request);
@@ -103,6 +103,7 @@
         if let Some(load) = load {
             state.picker.report(&name, &load, now);
         }
+        state.summarizer.ended(id);
         match result {
             Result::Answered { latency, success } => {
                 state.picker.answered(&name, now, Some(latency), success);
--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -159,7 +159,6 @@
     summarizer: Summarizer,
     budget: RetryBudget,
     next: usize,
-    summary_at: Time,
 }
 
 #[derive(Debug, Clone)]
@@ -243,7 +242,6 @@
                 summarizer: Summarizer::default(),
                 budget: RetryBudget::default(),
                 next: place,
-                summary_at: Time::ZERO,
             });
         }
         Self {
--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -79,6 +79,8 @@
     mix: Mix,
     failure: Cusum,
     slowness: Cusum,
+    /// When the slowness sum last rose from (almost) nothing.
+    slow_since: Option<Time>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -130,6 +132,20 @@
 /// The same share of an unhealthy server, 0.5 for each doubling.
 const AGED_UNHEALTHY: f64 = 0.707;
 
+/// The share of slow requests among the peers up to which slowness is full evidence.
+const SLOW_USUAL: f64 = 0.15;
+
+/// The share from which slowness is no evidence at all.
+const SLOW_SERVICE: f64 = 0.35;
+
+/// The sum from which on slowness is taken to have begun.
+const SLOW_BEGINS: f64 = 2.0;
+
+/// A server is suspected of slowness only when entries have reported on its peers this long after
+/// the slowness began. Without it, a slowdown of the whole service ejects servers down to the floor
+/// before the report of it arrives.
+const CONFIRM: Duration = Duration::from_millis(300);
+
 /// The weight of the newest request in the recent failure share and latency.
 const RECENT_WEIGHT: f64 = 0.1;
 
@@ -212,8 +228,11 @@
                 let severity = scaled(400.0, state.failed);
                 found.push(Suspicion { kind: Kind::Failing, severity });
             }
+            let evidence = if slow { &state.evidence } else { &self.all };
             if (slow || all.1)
                 && let Some(peers) = baseline.peers(class)
+                && confidence(&peers) > 0.5
+                && evidence.slow_since.is_some_and(|at| baseline.is_fresh(class, at + CONFIRM))
             {
                 let ratio = state.latency / peers.median.as_secs_f64().max(1e-6);
                 let severity = scaled(10.0, ratio.clamp(1.0, 20.0));
@@ -251,13 +270,13 @@
             if age <= limit {
                 break;
             }
-            sum += passed(flight.level, peers);
+            sum += passed(flight.level);
             flight.level += 1;
         }
         if sum == 0.0 {
             return;
         }
-        self.add_slowness(flight, sum);
+        self.add_slowness(flight, sum * confidence(peers), now);
         let state = &mut self.classes[index(flight.start.class)];
         state.latency = state.latency.max(age.as_secs_f64().min(20.0 * state.latency));
     }
@@ -293,18 +312,24 @@
             state.latency + RECENT_WEIGHT * (seconds - state.latency)
         };
         let Some(peers) = peers else { return };
-        let ratio = stopped(flight.level, peers);
-        self.add_slowness(flight, ratio);
+        let ratio = stopped(flight.level);
+        self.add_slowness(flight, ratio * confidence(peers), now);
     }
 
-    fn add_slowness(&mut self, flight: &Flight, ratio: f64) {
+    fn add_slowness(&mut self, flight: &Flight, ratio: f64, now: Time) {
         if self.warming {
             return;
         }
         let limit = self.threshold * LIMIT;
         let group = Group::of(flight.start.caller, flight.start.route);
-        self.classes[index(flight.start.class)].evidence.slowness.add(ratio, group, limit);
-        self.all.slowness.add(ratio, group, limit);
+        for evidence in [&mut self.classes[index(flight.start.class)].evidence, &mut self.all] {
+            evidence.slowness.add(ratio, group, limit);
+            if evidence.slowness.highest() < SLOW_BEGINS {
+                evidence.slow_since = None;
+            } else if evidence.slow_since.is_none() {
+                evidence.slow_since = Some(now);
+            }
+        }
     }
 
     /// Counts a request towards the rate and adjusts the threshold to it.
@@ -327,6 +352,7 @@
     fn reset(&mut self) {
         self.failure = Cusum::default();
         self.slowness = Cusum::default();
+        self.slow_since = None;
     }
 }
 
@@ -337,41 +363,31 @@
     }
 }
 
-/// Returns the shares of requests (up to the median, up to the 90th percentile, above) of a healthy
-/// and of an unhealthy server.
-///
-/// When more peers than usual are slow, the shares of a healthy server shift with them, so a
-/// slowdown of the whole service is evidence against none of its servers.
-fn shares(peers: &Peers) -> ([f64; 3], [f64; 3]) {
-    let slow = HEALTHY[2].max(1.2 * peers.slow).min(0.9);
-    let rest = (1.0 - slow) / (1.0 - HEALTHY[2]);
-    let healthy = [HEALTHY[0] * rest, HEALTHY[1] * rest, slow];
-    let slow = UNHEALTHY[2].max(slow + 0.05);
-    let rest = (1.0 - slow) / (1.0 - UNHEALTHY[2]);
-    (healthy, [UNHEALTHY[0] * rest, UNHEALTHY[1] * rest, slow])
+/// Returns how far slowness is evidence, from 1 when as many peers as usual are slow to 0 when the
+/// whole service has slowed down and its quantiles have not followed yet.
+fn confidence(peers: &Peers) -> f64 {
+    (1.0 - (peers.slow - SLOW_USUAL) / (SLOW_SERVICE - SLOW_USUAL)).clamp(0.0, 1.0)
 }
 
 /// Returns the ratio of a request that grew older than the age of `level`.
-fn passed(level: usize, peers: &Peers) -> f64 {
-    let (healthy, unhealthy) = shares(peers);
+fn passed(level: usize) -> f64 {
     match level {
-        0 => ratio(1.0 - unhealthy[0], 1.0 - healthy[0]),
+        0 => ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0]),
         1 => {
-            let all = ratio(unhealthy[2], healthy[2]);
-            all - ratio(1.0 - unhealthy[0], 1.0 - healthy[0])
+            let all = ratio(UNHEALTHY[2], HEALTHY[2]);
+            all - ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0])
         }
         _ => ratio(AGED_UNHEALTHY, AGED_HEALTHY),
     }
 }
 
 /// Returns the ratio of a request that ended before it reached the age of `level`.
-fn stopped(level: usize, peers: &Peers) -> f64 {
-    let (healthy, unhealthy) = shares(peers);
+fn stopped(level: usize) -> f64 {
     match level {
-        0 => ratio(unhealthy[0], healthy[0]),
+        0 => ratio(UNHEALTHY[0], HEALTHY[0]),
         1 => {
-            let all = ratio(unhealthy[1], healthy[1]);
-            all - ratio(1.0 - unhealthy[0], 1.0 - healthy[0])
+            let all = ratio(UNHEALTHY[1], HEALTHY[1]);
+            all - ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0])
         }
         level if level <= AGES.len() => ratio(1.0 - AGED_UNHEALTHY, 1.0 - AGED_HEALTHY),
         _ => 0.0,
--- a/crates/arbutuslane_health/src/peers.rs
+++ b/crates/arbutuslane_health/src/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::hash;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 
@@ -77,11 +78,21 @@
 #[derive(Debug, Clone, Default)]
 pub struct Summarizer {
     servers: Vec<Server>,
+    flights: Vec<Flight>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    id: u64,
+    server: u64,
+    class: Class,
+    sent: Time,
 }
 
 #[derive(Debug, Clone)]
 struct Server {
     id: ServerId,
+    summarized: [Option<Time>; CLASSES],
     classes: [Option<Box<Cell>>; CLASSES],
 }
 
@@ -107,9 +118,46 @@
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// The half-life of the recent shares, which follow a slowdown of the whole service.
-const RECENT_HALF_LIFE: f32 = 0.3;
+const RECENT_HALF_LIFE: f32 = 0.15;
 
 impl Summarizer {
+    /// Takes in that request `id` was sent to the owner of `server`.
+    ///
+    /// A request in flight that is older than the 90th percentile counts as slow, so that a
+    /// slowdown of the whole service is known before its first slow responses arrive.
+    pub fn sent(&mut self, server: &str, class: Class, id: u64, now: Time) {
+        let server = hash::of_bytes(server.as_bytes());
+        self.flights.push(Flight { id, server, class, sent: now });
+    }
+
+    /// Takes in that request `id` has ended in any way.
+    pub fn ended(&mut self, id: u64) {
+        if let Some(place) = self.flights.iter().position(|flight| flight.id == id) {
+            self.flights.swap_remove(place);
+        }
+    }
+
+    /// Returns the summary to attach to a request to the owner of `server`, when the last one is at
+    /// least `every` old.
+    ///
+    /// Going by the age for each server, and not by chance, matters for a slow server: it gets few
+    /// requests, and would otherwise be compared with peers of seconds ago.
+    pub fn due(
+        &mut self,
+        server: &str,
+        class: Class,
+        every: Duration,
+        now: Time,
+    ) -> Option<Summary> {
+        let place = self.place(server).ok()?;
+        let last = self.servers[place].summarized[index(class)];
+        if last.is_some_and(|last| now.saturating_sub(last) < every) {
+            return None;
+        }
+        self.servers[place].summarized[index(class)] = Some(now);
+        self.summary(server, class, now)
+    }
+
     /// Takes in the end of a request: `latency` is that at the owner.
     pub fn observe(
         &mut self,
@@ -119,10 +167,14 @@
         success: bool,
         now: Time,
     ) {
-        let place = match self.servers.binary_search_by(|known| known.id.as_str().cmp(server)) {
+        let place = match self.place(server) {
             Ok(place) => place,
             Err(place) => {
-                let fresh = Server { id: server.to_string(), classes: Default::default() };
+                let fresh = Server {
+                    id: server.to_string(),
+                    summarized: [None; CLASSES],
+                    classes: Default::default(),
+                };
                 self.servers.insert(place, fresh);
                 place
             }
@@ -168,11 +220,21 @@
             return None;
         }
         let p90 = merged.quantile(0.9);
-        if let Ok(place) = self.servers.binary_search_by(|known| known.id.as_str().cmp(server))
+        if let Ok(place) = self.place(server)
             && let Some(cell) = &mut self.servers[place].classes[index(class)]
         {
             cell.p90 = Some(p90);
         }
+        let own = hash::of_bytes(server.as_bytes());
+        for flight in &self.flights {
+            if flight.class == class
+                && flight.server != own
+                && now.saturating_sub(flight.sent) > p90
+            {
+                recent.total += 1.0;
+                recent.slow += 1.0;
+            }
+        }
         let total = recent.total.max(f32::MIN_POSITIVE);
         Some(Summary {
             class,
@@ -185,6 +247,10 @@
         })
     }
 
+    fn place(&self, server: &str) -> Result<usize, usize> {
+        self.servers.binary_search_by(|known| known.id.as_str().cmp(server))
+    }
+
     /// Forgets the servers that are not in `kept`, which is sorted.
     pub fn retain(&mut self, kept: &[ServerId]) {
         self.servers.retain(|server| kept.binary_search(&server.id).is_ok());
@@ -244,8 +310,8 @@
 /// Quantiles of a summary are used for this long.
 const KEPT: Duration = Duration::from_secs(30);
 
-/// Shares of a summary are used for this long.
-const RECENT: Duration = Duration::from_secs(2);
+/// The shares of a summary lose half their weight in this time after its arrival.
+const SHARE_HALF_LIFE: f64 = 0.3;
 
 /// Merging is repeated at most this often.
 const MERGE_EVERY: Duration = Duration::from_millis(50);
@@ -254,7 +320,7 @@
 const WEIGHT_FLOOR: f32 = 20.0;
 
 /// Pseudo-observations that keep a share near its normal value while few requests are behind it.
-const PRIOR: f64 = 20.0;
+const PRIOR: f64 = 10.0;
 
 /// The share of requests that is normally above the 90th percentile.
 const NORMAL_SLOW: f64 = 0.1;
@@ -281,6 +347,14 @@
         self.classes[index(class)].merged
     }
 
+    /// Returns whether summaries of `class` have arrived since `since`: two, or one when only one
+    /// entry sends any.
+    pub fn is_fresh(&self, class: Class, since: Time) -> bool {
+        let received = &self.classes[index(class)].received;
+        let fresh = received.iter().filter(|received| received.at >= since).count();
+        fresh >= received.len().clamp(1, 2)
+    }
+
     /// Drops summaries that have become too old; the owner calls this about once a second.
     pub fn expire(&mut self, now: Time) {
         for class in &mut self.classes {
@@ -300,13 +374,12 @@
         }
         let (mut total, mut failed, mut slow) = (PRIOR, 0.0, PRIOR * NORMAL_SLOW);
         for received in &self.received {
-            if now.saturating_sub(received.at) >= RECENT {
-                continue;
-            }
+            let age = now.saturating_sub(received.at).as_secs_f64();
             let summary = received.summary;
-            total += f64::from(summary.recent);
-            failed += f64::from(summary.recent * summary.failed);
-            slow += f64::from(summary.recent * summary.slow);
+            let weight = f64::from(summary.recent) * (-age / SHARE_HALF_LIFE).exp2();
+            total += weight;
+            failed += weight * f64::from(summary.failed);
+            slow += weight * f64::from(summary.slow);
         }
         self.merged = Some(Peers {
             median: self.weighted_median(weight, |summary| summary.median),
--- a/crates/arbutuslane_health/src/test.rs
+++ b/crates/arbutuslane_health/src/test.rs
@@ -72,6 +72,10 @@
         }
     }
 
+    pub(crate) fn highest(&self) -> f64 {
+        self.callers.iter().chain(&self.routes).copied().fold(0.0, f64::max)
+    }
+
     pub(crate) fn score(&self, mix: &Mix) -> f64 {
         let dominant = mix.total * DOMINANT;
         let mut lowest = f64::MAX;
