--- /dev/null
+++ b/crates/arbutuslane_cli/src/answers.rs
@@ -0,0 +1,147 @@
+//! Reads statuses and events of control instances and of nodes, whose forms differ.
+
+use std::collections::BTreeMap;
+
+use arbutuslane_event::border;
+use arbutuslane_wire::{operator, status};
+use serde::Deserialize;
+
+/// A response to GET `/v1/status`.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum Status {
+    /// The form of control instances; all its fields are required, so it is tried first.
+    Control(operator::Status),
+    /// The form of nodes.
+    Node(status::Status),
+}
+
+/// A response to GET `/v1/events`.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum Events {
+    /// The form of nodes, and of control instances that record typed events.
+    Page(border::Page),
+    /// Events without causal stamps.
+    Plain(operator::Events),
+}
+
+impl From<Status> for status::Status {
+    fn from(status: Status) -> Self {
+        let control = match status {
+            Status::Node(status) => return status,
+            Status::Control(control) => control,
+        };
+        let mut members = Vec::new();
+        for instance in control.instances {
+            members.push(status::Member {
+                instance: instance.name,
+                role: "control".to_string(),
+                state: if instance.reachable { "alive" } else { "suspected" }.to_string(),
+                ..status::Member::default()
+            });
+        }
+        for node in control.nodes {
+            members.push(status::Member {
+                instance: node.node,
+                role: "node".to_string(),
+                state: "alive".to_string(),
+                revision: node.revision,
+                ..status::Member::default()
+            });
+        }
+        Self {
+            instance: control.name,
+            role: "control".to_string(),
+            revision: control.revision,
+            isolated: control.isolated,
+            log: Some(status::Log {
+                state: control.role,
+                term: control.term,
+                leader: control.leader,
+                committed: control.applied,
+            }),
+            members,
+            ..Self::default()
+        }
+    }
+}
+
+impl Events {
+    /// Returns the page of `instance` after the event with number `since`.
+    pub(crate) fn page(self, instance: &str, since: u64) -> border::Page {
+        let events = match self {
+            Self::Page(page) => return page,
+            Self::Plain(plain) => plain.events,
+        };
+        let next = events.last().map_or(since, |event| event.sequence);
+        let events = events.into_iter().map(|event| border::Event {
+            stamp: border::Stamp { wall_ms: event.at_ms, counter: 0 },
+            instance: instance.to_string(),
+            sequence: event.sequence,
+            kind: event.kind,
+            service: None,
+            server: None,
+            fields: pairs(&event.detail),
+        });
+        border::Page {
+            instance: instance.to_string(),
+            started_ms: 0,
+            next,
+            dropped: 0,
+            events: events.collect(),
+        }
+    }
+}
+
+/// Returns the `key=value` pairs of `detail`; words without a key stand under `detail`.
+fn pairs(detail: &str) -> BTreeMap<String, String> {
+    let mut pairs = BTreeMap::new();
+    let mut rest = Vec::new();
+    for word in detail.split_whitespace() {
+        match word.split_once('=') {
+            Some((key, value)) => {
+                pairs.insert(key.to_string(), value.to_string());
+            }
+            None => rest.push(word),
+        }
+    }
+    if !rest.is_empty() {
+        pairs.insert("detail".to_string(), rest.join(" "));
+    }
+    pairs
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a control instance whose status is read as that of an empty node.
+    #[test]
+    fn status_control() {
+        let sent = operator::Status {
+            name: "c1".to_string(),
+            role: "leader".to_string(),
+            revision: 4,
+            nodes: vec![operator::NodeRevision { node: "n1".to_string(), revision: 3, age_ms: 20 }],
+            ..operator::Status::default()
+        };
+        let text = serde_json::to_string(&sent).unwrap();
+        let status: status::Status = serde_json::from_str::<Status>(&text).unwrap().into();
+        assert_eq!((status.instance.as_str(), status.revision), ("c1", 4));
+        assert_eq!((status.members[0].revision, status.log.unwrap().state.as_str()), (3, "leader"));
+    }
+
+    /// Guards against events that are asked for again and again, or lost.
+    #[test]
+    fn page_plain() {
+        let text = "{\"events\": [{\"sequence\": 5, \"at_ms\": 9, \"kind\": \"leader-changed\", \
+                    \"detail\": \"leader=c2 term=3 after silence\"}]}";
+        let events: Events = serde_json::from_str(text).unwrap();
+        let page = events.page("c1", 4);
+        assert_eq!((page.next, page.events[0].fields["leader"].as_str()), (5, "c2"));
+        assert_eq!(page.events[0].fields["detail"], "after silence");
+        let empty: Events = serde_json::from_str("{\"events\": []}").unwrap();
+        assert_eq!(empty.page("c1", 4).next, 4);
+    }
+}
--- a/crates/arbutuslane_cli/src/catalogue/apply.rs
+++ b/crates/arbutuslane_cli/src/catalogue/apply.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use super::{read, show_findings, show_refused};
+use crate::answers;
 use crate::client::Http;
 use crate::error::Error;
 use crate::exit::Code;
@@ -176,7 +177,11 @@
                     return Ok(Answer::Accepted(accepted.revision));
                 }
                 409 => return Ok(Answer::Conflict(reply.json(&address)?)),
-                422 => return Ok(Answer::Invalid(reply.json(&address)?)),
+                422 => {
+                    let findings = reply.json_or_none::<border::Findings>();
+                    let refused = || read::refused(&address, &reply);
+                    return findings.map(Answer::Invalid).ok_or_else(refused);
+                }
                 400..=499 => return Err(read::refused(&address, &reply)),
                 status => {
                     tried.push(format!("{address}: status {status}, not the leader"));
@@ -211,7 +216,7 @@
         let mut statuses = Vec::new();
         for address in &settings.controls {
             let Ok(reply) = http.get(address, "/v1/status").await else { continue };
-            statuses.extend(reply.json_or_none::<status::Status>());
+            statuses.extend(reply.json_or_none::<answers::Status>().map(Into::into));
         }
         let in_force = progress(revision, &statuses);
         let complete = in_force.behind.is_empty() && in_force.instances > 0;
--- a/crates/arbutuslane_cli/src/catalogue/read.rs
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -2,21 +2,14 @@
 
 use arbutuslane_catalogue::{border, diff};
 use arbutuslane_wire::{operator, status};
-use serde::{Deserialize, Serialize};
 
+use crate::answers;
 use crate::client::{Http, Reply};
 use crate::error::Error;
 use crate::exit::Code;
 use crate::output;
 use crate::settings::Settings;
 
-/// The catalogue of one revision.
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Current {
-    pub(super) revision: u64,
-    pub(super) entries: Vec<border::Entry>,
-}
-
 /// Shows the catalogue in the form of a catalogue file.
 pub(crate) async fn show(
     revision: Option<u64>,
@@ -46,18 +39,15 @@
         output::json(&history);
         return Ok(Code::Done);
     }
-    let mut rows = vec![
-        vec!["revision", "time", "author", "change"]
-            .into_iter()
-            .map(str::to_string)
-            .collect::<Vec<_>>(),
-    ];
+    let head = ["revision", "time", "author", "services", "change"];
+    let mut rows = vec![head.map(str::to_string).to_vec()];
     for record in history.records {
         let time = match record.at_ms {
             0 => "-".to_string(),
             at_ms => arbutuslane_event::log::utc(at_ms),
         };
-        rows.push(vec![record.revision.to_string(), time, record.author, record.change_id]);
+        let (revision, services) = (record.revision.to_string(), record.services.join(","));
+        rows.push(vec![revision, time, record.author, services, record.change_id]);
     }
     output::line(&output::table(&rows));
     Ok(Code::Done)
@@ -68,13 +58,13 @@
     http: &Http,
     settings: &Settings,
     revision: Option<u64>,
-) -> Result<Current, Error> {
+) -> Result<border::Catalogue, Error> {
     let path = match revision {
         Some(revision) => format!("/v1/catalogue?revision={revision}"),
         None => "/v1/catalogue".to_string(),
     };
     let (address, reply) = first_answer(http, settings, &path).await?;
-    let current: Current = match (reply.status, revision) {
+    let current: border::Catalogue = match (reply.status, revision) {
         (404, Some(revision)) => return Err(Error::NoRevision { address, revision }),
         _ => reply.json(&address)?,
     };
@@ -86,20 +76,24 @@
     }
 }
 
-/// Returns the live servers of each service, or nothing when no instance tells.
+/// Returns the live servers of each service, or nothing when no instance in the settings tells.
 pub(super) async fn live(http: &Http, settings: &Settings) -> Option<Vec<diff::Live>> {
-    let (_, reply) = first_answer(http, settings, "/v1/status").await.ok()?;
-    let status: status::Status = reply.json_or_none()?;
-    let services = status.services.into_iter();
-    Some(
-        services
-            .map(|service| diff::Live {
-                service: service.service,
-                live: service.live,
-                ejected: service.ejected,
-            })
-            .collect(),
-    )
+    let mut statuses: Vec<status::Status> = Vec::new();
+    for (addresses, http) in
+        [(&settings.controls, http.clone()), (&settings.nodes, http.without_token())]
+    {
+        for address in addresses {
+            let Ok(reply) = http.get(address, "/v1/status").await else { continue };
+            statuses.extend(reply.json_or_none::<answers::Status>().map(Into::into));
+        }
+    }
+    let services = crate::status::merge(&statuses);
+    let live = |service: status::Service| diff::Live {
+        service: service.service,
+        live: service.live,
+        ejected: service.ejected,
+    };
+    (!services.is_empty()).then(|| services.into_iter().map(live).collect())
 }
 
 /// Returns the first response of a control instance that is not a fault of that instance.
