Use the gate, the picker, the retry budget and rate limits

Cause: admission and choice were small rules of the node itself, retries had no budget and rates no limit.

An owner that refuses because the entry's list is outdated says so (header arbutuslane-refusal), and the retry costs no budget, so that a drain or stop refuses nothing. A server that refuses is taken for full: a test showed that one which sheds quickly drew all requests and used up the budget.

Conclusion: the decision code carries the path; health and registers are not wired in.

--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_wire::announce::Announcement;
 use arbutuslane_wire::load::{Report, Serving};
 
@@ -46,8 +46,11 @@
 }
 
 /// The backend servers of this node in ascending order of their names.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Table {
+    clock: Clock,
+    /// Raised with every change that choices of servers depend on.
+    version: AtomicU64,
     servers: RwLock<Vec<Arc<Server>>>,
     departed: RwLock<Vec<(ServerId, Incarnation, Time)>>,
 }
@@ -127,6 +130,21 @@
 }
 
 impl Table {
+    /// Returns an empty table.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            version: AtomicU64::new(1),
+            servers: RwLock::default(),
+            departed: RwLock::default(),
+        }
+    }
+
+    /// Returns a number that rises with every server that comes, drains or goes.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.load(Ordering::Acquire)
+    }
+
     /// Accepts an announcement or a renewal at `now`.
     pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<(), Refused> {
         let address = announcement.address.parse().map_err(|_| Refused::Address)?;
@@ -158,7 +176,7 @@
             service: announcement.service.clone(),
             incarnation: announcement.incarnation,
             address,
-            admission: Arc::new(Admission::new(announcement.slots)),
+            admission: Arc::new(Admission::new(announcement.slots, self.clock)),
             renewed_ms: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             echoes: AtomicBool::new(false),
@@ -169,6 +187,8 @@
             Ok(index) => servers[index] = server,
             Err(index) => servers.insert(index, server),
         }
+        drop(servers);
+        self.changed();
         Ok(())
     }
 
@@ -176,6 +196,8 @@
     pub(crate) fn drain(&self, server: &str) -> bool {
         let Some(server) = self.get(server) else { return false };
         server.draining.store(true, Ordering::Release);
+        server.admission.close();
+        self.changed();
         true
     }
 
@@ -190,6 +212,7 @@
         let left = servers.remove(index);
         let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
         departed.push((left.id.clone(), left.incarnation, now));
+        self.changed();
         true
     }
 
@@ -202,6 +225,7 @@
         });
         let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
         departed.retain(|(_, _, left)| now < *left + DEPARTED_KEPT);
+        self.changed();
     }
 
     /// Returns a server by name.
@@ -216,6 +240,10 @@
         self.servers.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    fn changed(&self) {
+        self.version.fetch_add(1, Ordering::AcqRel);
+    }
+
     fn check_departed(&self, announcement: &Announcement, now: Time) -> Result<(), Refused> {
         let departed = self.departed.read().unwrap_or_else(PoisonError::into_inner);
         for (server, incarnation, left) in departed.iter() {
@@ -247,7 +275,7 @@
     /// Guards against dispatch to a server that stopped renewing.
     #[test]
     fn open_expired() {
-        let table = Table::default();
+        let table = Table::new(Clock::start());
         table.announce(&announcement(1), Duration::from_millis(100)).unwrap();
         let server = table.get("s1").unwrap();
         assert!(server.open(Duration::from_millis(2_599)));
@@ -259,7 +287,7 @@
     /// Guards against a delayed renewal that brings a departed server back.
     #[test]
     fn announce_departed() {
-        let table = Table::default();
+        let table = Table::new(Clock::start());
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         let server = table.get("s1").unwrap();
@@ -272,7 +300,7 @@
     /// Guards against an outdated announcement that replaces a newer one.
     #[test]
     fn announce_outdated() {
-        let table = Table::default();
+        let table = Table::new(Clock::start());
         let now = Duration::from_secs(1);
         table.announce(&announcement(7), now).unwrap();
         assert_eq!(table.announce(&announcement(6), now), Err(Refused::Incarnation { known: 7 }));
@@ -284,7 +312,7 @@
     /// Guards against a drain that the next renewal undoes.
     #[test]
     fn drain_renewed() {
-        let table = Table::default();
+        let table = Table::new(Clock::start());
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         assert!(table.drain("s1"));
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -53,8 +53,8 @@
         &self.snapshot
     }
 
-    /// Returns the entry and class that serve `host` and `path`.
-    pub(crate) fn route(&self, host: Option<&str>, path: &str) -> Option<(&Entry, Class)> {
+    /// Returns the entry, path prefix and class that serve `host` and `path`.
+    pub(crate) fn route(&self, host: Option<&str>, path: &str) -> Option<(&Entry, &str, Class)> {
         let host = host.map(|host| host.rsplit_once(':').map_or(host, |(name, _)| name));
         for rule in &self.routes {
             if !path.starts_with(&rule.prefix) {
@@ -65,7 +65,7 @@
                 (Some(wanted), Some(host)) if wanted.eq_ignore_ascii_case(host) => {}
                 _ => continue,
             }
-            return Some((&self.entries[rule.entry], rule.class));
+            return Some((&self.entries[rule.entry], &rule.prefix, rule.class));
         }
         None
     }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::seeds::Known;
 use crate::settings::Settings;
+use crate::traffic::Limiter;
 
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     pub(crate) metrics: Metrics,
     /// What the seeds said about other nodes.
     pub(crate) known: Known,
+    /// The rates that this node accepts as an entry.
+    pub(crate) limiter: Limiter,
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
@@ -62,13 +65,15 @@
     /// Returns the state of a node that has learned nothing yet.
     pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock::start();
         Arc::new(Self {
             settings,
-            clock: Clock::start(),
+            clock,
             incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
-            servers: Table::default(),
+            servers: Table::new(clock),
             metrics: Metrics::default(),
             known: Known::default(),
+            limiter: Limiter::default(),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -1,14 +1,15 @@
 //! The response of a backend server on its way back.
 
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::Bytes;
 
 use super::admission::Permit;
-use super::choice::Ongoing;
 use super::client::{Body, Failure, Reply};
 use super::fields;
+use super::services::Ongoing;
 
 /// The response of a backend server whose body is still to be read.
 #[derive(Debug)]
@@ -21,6 +22,8 @@
     pub(crate) body: Stream,
     /// The length that the response to a HEAD request states for the body it leaves out.
     pub(crate) stated: Option<u64>,
+    /// The latency of the response head at the owner.
+    pub(crate) took: Duration,
 }
 
 impl Answer {
@@ -32,6 +35,7 @@
             headers: fields::end_to_end(&reply.headers),
             body: Stream::new(reply.body, permit),
             stated,
+            took: Duration::ZERO,
         }
     }
 }
--- a/crates/arbutuslane_node/src/traffic/client/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/client/mod.rs
@@ -29,6 +29,9 @@
     /// The connection was closed before the first byte of the request was written.
     #[error("connection closed before the request was sent")]
     ClosedUnused,
+    /// The server left before the first byte of the request was written.
+    #[error("the server left before the request was sent")]
+    Left,
     /// The connection broke in mid-exchange.
     #[error("connection closed before the response was complete")]
     Closed,
@@ -61,6 +64,6 @@
 impl Failure {
     /// Returns whether a byte of the request can have reached the other side.
     pub(crate) fn sent(&self) -> bool {
-        !matches!(self, Self::Connect(_) | Self::ConnectTimeout | Self::ClosedUnused)
+        !matches!(self, Self::Connect(_) | Self::ConnectTimeout | Self::ClosedUnused | Self::Left)
     }
 }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -1,5 +1,6 @@
 //! The entry's stages: route, limits, deadline, choice, forwarding, retries.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,23 +12,29 @@
 
 use arbutuslane_catalogue::entry::{Class, Entry};
 use arbutuslane_core::id::ServerId;
+use arbutuslane_limit::budget::{Origin, RetryBudget};
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::retry;
 
 use crate::metrics::count;
 
 use super::answer::Answer;
-use super::choice::{self, Candidate, Loads};
 use super::client::{Request, Upload};
-use super::deadline::Deadline;
+use super::deadline;
 use super::fields;
 use super::owner::{self, Work};
 use super::refusal::{Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::remote;
 use super::resume;
+use super::services::{self, Place};
 use super::worker::Worker;
 
 /// The most servers that one request is sent to.
-const ATTEMPTS: usize = 3;
+const ATTEMPTS: usize = retry::ATTEMPTS as usize;
+
+/// The most servers that one request is sent to when owners refuse because servers have moved.
+const STALE_ATTEMPTS: usize = 6;
 
 /// The largest request body that is held whole, so that it can be sent again.
 const HELD_BYTES: u64 = 64 << 10;
@@ -84,86 +91,132 @@
     tried: &mut Vec<ServerId>,
     last: bool,
 ) -> Result<Answer, Refusal> {
-    let candidates = choice::candidates(worker, &routed.service, tried);
-    let alternatives = candidates.len() > 1;
-    let Some(candidate) = choice::choose(worker, candidates) else {
-        return Err(Refusal {
-            elsewhere: false,
-            ..Refusal::not_run(format!("no server of {} takes work", routed.service))
-        });
+    let service = &routed.service;
+    let chosen = services::choose(worker, service, routed.class, tried);
+    let Some((choice, mut ongoing)) = chosen else {
+        let error = format!("no server of {service} takes work");
+        return Err(Refusal { elsewhere: false, ..Refusal::not_run(error) });
     };
-    let server = candidate.server().to_string();
+    let server = choice.server;
     tried.push(server.clone());
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     // Leaves time for another server when this one or its connection is silent.
-    let shared = routed.class != Class::NonIdempotent && alternatives && !last;
-    let limit = if shared { remaining / 2 } else { remaining };
-    let ongoing = Loads::begin(&worker.loads, &server);
+    let may_change = routed.class != Class::NonIdempotent && !last;
+    let alternatives = may_change && services::has_other(worker, service, tried);
+    let limit = if alternatives { remaining / 2 } else { remaining };
     let work = Work {
-        server,
-        incarnation: match &candidate {
-            Candidate::Local(server) => server.incarnation,
-            Candidate::Remote { incarnation, .. } => *incarnation,
+        service: service.clone(),
+        server: server.clone(),
+        incarnation: match &choice.place {
+            Place::Local(server) => server.incarnation,
+            Place::Remote { incarnation, .. } => *incarnation,
         },
         class: routed.class,
+        trial: choice.trial,
         deadline: routed.deadline,
         limit,
         request: routed.request.clone(),
     };
-    let mut answer = match candidate {
-        Candidate::Local(_) => owner::dispatch(worker, work).await?,
-        Candidate::Remote { address, .. } => {
-            let forwarding = remote::forward(worker, work, address);
-            let limit = limit.max(Duration::from_millis(1));
-            match timeout_checked(limit, forwarding).await {
-                Ok(result) => result?,
-                Err(()) => {
-                    worker.pool.purge(address);
-                    let error = "no response within the deadline";
-                    return Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error));
-                }
+    let began = worker.shared.clock.now();
+    let result = match choice.place {
+        Place::Local(_) => owner::dispatch(worker, work).await,
+        Place::Remote { owner, address, .. } => {
+            forward_within(worker, work, (&owner, address), limit).await
+        }
+    };
+    let mut answer = match result {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            // A server that refuses or fails quickly must not look idle for it.
+            if !refusal.stale {
+                ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
             }
+            if refusal.outcome == Outcome::NotRun && !refusal.stale {
+                services::report_full(worker, service, &server);
+            }
+            return Err(refusal);
         }
     };
+    ongoing.note(answer.took, !failed(&answer));
     answer.body.hold(ongoing);
     Ok(answer)
 }
 
+/// Forwards `work` to the owner of its server and gives up after `limit`.
+async fn forward_within(
+    worker: &Worker,
+    work: Work,
+    place: (&str, SocketAddr),
+    limit: Duration,
+) -> Result<Answer, Refusal> {
+    let forwarding = remote::forward(worker, work, place);
+    match timeout_checked(limit.max(Duration::from_millis(1)), forwarding).await {
+        Ok(result) => result,
+        Err(()) => {
+            worker.pool.purge(place.1);
+            let error = "no response within the deadline";
+            Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error))
+        }
+    }
+}
+
 async fn run(
     worker: &Worker,
     incoming: &mut http::Request,
 ) -> Result<(Routed, Answer, Vec<ServerId>), Refusal> {
     let routed = route(worker, incoming).await?;
+    let earn = |budget: &mut RetryBudget| budget.earn(Origin::First);
+    worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let mut tried = Vec::new();
     loop {
         let last = tried.len() + 1 >= ATTEMPTS;
         let result = attempt(worker, &routed, &mut tried, last).await;
-        let again = !last && may_retry(worker, &routed, &result);
-        if !again {
-            return result.map(|answer| (routed, answer, tried));
-        }
-        // The next attempt fails only when no other server is left; then this result stands.
-        if choice::candidates(worker, &routed.service, &tried).is_empty() {
+        if !services::has_other(worker, &routed.service, &tried)
+            || !may_retry(worker, &routed, &result, tried.len())
+        {
             return result.map(|answer| (routed, answer, tried));
         }
         count(&worker.shared.metrics.retries);
     }
 }
 
-/// Returns whether another server may run the request after `result`.
-fn may_retry(worker: &Worker, routed: &Routed, result: &Result<Answer, Refusal>) -> bool {
-    if !routed.request.upload.replayable() || routed.deadline.passed(worker.shared.clock.now()) {
+/// Returns whether another server may run the request after `result`, and charges the budget.
+fn may_retry(
+    worker: &Worker,
+    routed: &Routed,
+    result: &Result<Answer, Refusal>,
+    made: usize,
+) -> bool {
+    let now = worker.shared.clock.now();
+    if !routed.request.upload.replayable() || deadline::passed(routed.deadline, now) {
         return false;
     }
-    match result {
-        Ok(answer) => {
-            let failed =
-                answer.status.is_server_error() || answer.status == StatusCode::TOO_MANY_REQUESTS;
-            failed && routed.class != Class::NonIdempotent
-        }
-        Err(refusal) if !refusal.elsewhere => false,
-        Err(refusal) => refusal.outcome == Outcome::NotRun || routed.class != Class::NonIdempotent,
-    }
+    let outcome = match result {
+        Ok(answer) if failed(answer) => retry::Outcome::Failed,
+        Ok(_) => return false,
+        Err(refusal) if !refusal.elsewhere => return false,
+        // A planned drain or stop must not use up the budget and then refuse requests.
+        Err(refusal) if refusal.stale => return made < STALE_ATTEMPTS,
+        Err(refusal) => match refusal.outcome {
+            Outcome::NotRun => retry::Outcome::NotRun,
+            Outcome::Unknown => retry::Outcome::Unknown,
+        },
+    };
+    let attempt = retry::Attempt {
+        class: routed.class,
+        outcome,
+        made: u32::try_from(made).unwrap_or(u32::MAX),
+        response_started: false,
+        deadline: routed.deadline,
+    };
+    let decide = |budget: &mut RetryBudget| retry::decide(&attempt, budget, now);
+    let mut services = worker.services.borrow_mut();
+    services.with_budget(&worker.shared, &routed.service, decide) == retry::Decision::Retry
+}
+
+/// Returns whether a server says that it failed.
+fn failed(answer: &Answer) -> bool {
+    answer.status.is_server_error() || answer.status == StatusCode::TOO_MANY_REQUESTS
 }
 
 async fn route(worker: &Worker, incoming: &mut http::Request) -> Result<Routed, Refusal> {
@@ -172,15 +225,18 @@
         return Err(Refusal::not_run("this node has no configuration yet"));
     }
     let host = incoming.headers().get(HOST).and_then(|host| host.to_str().ok());
-    let Some((entry, class)) = configuration.route(host, incoming.path()) else {
+    let Some((entry, prefix, class)) = configuration.route(host, incoming.path()) else {
         let remedy = "check host and path against the routes of the catalogue";
         return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
     };
     let now = worker.shared.clock.now();
-    let deadline = Deadline::read(incoming.headers(), entry.limits.deadline, now);
-    if deadline.passed(now) {
+    let deadline = deadline::read(incoming.headers(), entry.limits.deadline, now);
+    if deadline::passed(deadline, now) {
         return Err(Refusal::not_run("the deadline passed before the request arrived"));
     }
+    let caller = incoming.peer_addr().map(|caller| caller.ip());
+    let limiter = &worker.shared.limiter;
+    limiter.take(&entry.service, &entry.limits, prefix, caller, now).map_err(too_many)?;
     let length = fields::length(incoming.headers());
     let upload = upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
@@ -190,14 +246,24 @@
     }
     // The caller's own statement of its address must not be trusted by servers.
     headers.remove(HeaderName::from_static("x-forwarded-for"));
-    if let Some(caller) = incoming.peer_addr() {
-        fields::set(&mut headers, "x-forwarded-for", &caller.ip().to_string());
+    if let Some(caller) = caller {
+        fields::set(&mut headers, "x-forwarded-for", &caller.to_string());
     }
     let method = incoming.method().clone();
     let request = Request { method, target: target.to_string(), headers, upload };
     Ok(Routed { service: entry.service.clone(), class, deadline, request })
 }
 
+fn too_many(wait: Duration) -> Refusal {
+    let seconds = u32::try_from(wait.as_secs()).unwrap_or(u32::MAX).saturating_add(1);
+    Refusal {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        retry_after: Some(seconds.min(60)),
+        elsewhere: false,
+        ..Refusal::not_run("the rate of the caller, the route or the service is exceeded")
+    }
+}
+
 /// Holds a small body, so that it can be sent again, and streams any other.
 async fn upload(
     entry: &Entry,
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/limiter.rs
@@ -0,0 +1,163 @@
+//! The rates that an entry accepts from a caller, for a route and for a service.
+
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Limits;
+use arbutuslane_core::id::ServiceName;
+use arbutuslane_core::time::Time;
+use arbutuslane_limit::bucket::Bucket;
+
+/// The most callers that are counted for one service; the one that called longest ago is forgotten.
+const CALLERS: usize = 4_096;
+
+/// The buckets of all services, in ascending order of their names.
+#[derive(Debug, Default)]
+pub(crate) struct Limiter {
+    services: RwLock<Vec<(ServiceName, Arc<Mutex<Buckets>>)>>,
+}
+
+#[derive(Debug)]
+struct Buckets {
+    limits: Limits,
+    service: Bucket,
+    /// By path prefix in ascending order.
+    routes: Vec<(String, Bucket)>,
+    /// By address in ascending order, with the time of the last request.
+    callers: Vec<(IpAddr, Bucket, Time)>,
+}
+
+impl Limiter {
+    /// Takes one request from the buckets, or returns how long the caller must wait.
+    pub(crate) fn take(
+        &self,
+        service: &str,
+        limits: &Limits,
+        route: &str,
+        caller: Option<IpAddr>,
+        now: Time,
+    ) -> Result<(), Duration> {
+        let buckets = self.buckets(service, limits, now);
+        let mut buckets = buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        if buckets.limits != *limits {
+            buckets.reconfigure(limits, now);
+        }
+        if let Some(caller) = caller {
+            buckets.caller(caller, now).take(now)?;
+        }
+        buckets.route(route, now).take(now)?;
+        buckets.service.take(now)
+    }
+
+    fn buckets(&self, service: &str, limits: &Limits, now: Time) -> Arc<Mutex<Buckets>> {
+        {
+            let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+            let index = services.binary_search_by(|(name, _)| name.as_str().cmp(service));
+            if let Ok(index) = index {
+                return Arc::clone(&services[index].1);
+            }
+        }
+        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        match services.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
+            Ok(index) => Arc::clone(&services[index].1),
+            Err(index) => {
+                let fresh = Arc::new(Mutex::new(Buckets::new(limits, now)));
+                services.insert(index, (service.to_string(), Arc::clone(&fresh)));
+                fresh
+            }
+        }
+    }
+}
+
+impl Buckets {
+    fn new(limits: &Limits, now: Time) -> Self {
+        Self {
+            limits: limits.clone(),
+            service: full(limits.service_rate, now),
+            routes: Vec::new(),
+            callers: Vec::new(),
+        }
+    }
+
+    fn reconfigure(&mut self, limits: &Limits, now: Time) {
+        self.service.reconfigure(limits.service_rate, limits.service_rate, now);
+        for (_, bucket) in &mut self.routes {
+            bucket.reconfigure(limits.route_rate, limits.route_rate, now);
+        }
+        for (_, bucket, _) in &mut self.callers {
+            bucket.reconfigure(limits.caller_rate, limits.caller_rate, now);
+        }
+        self.limits = limits.clone();
+    }
+
+    fn route(&mut self, route: &str, now: Time) -> &mut Bucket {
+        let index = match self.routes.binary_search_by(|(known, _)| known.as_str().cmp(route)) {
+            Ok(index) => index,
+            Err(index) => {
+                let bucket = full(self.limits.route_rate, now);
+                self.routes.insert(index, (route.to_string(), bucket));
+                index
+            }
+        };
+        &mut self.routes[index].1
+    }
+
+    fn caller(&mut self, caller: IpAddr, now: Time) -> &mut Bucket {
+        if self.callers.len() >= CALLERS
+            && self.callers.binary_search_by_key(&caller, |(known, ..)| *known).is_err()
+        {
+            let longest = self.callers.iter().enumerate().min_by_key(|(_, (_, _, last))| *last);
+            if let Some((index, _)) = longest {
+                self.callers.remove(index);
+            }
+        }
+        let index = match self.callers.binary_search_by_key(&caller, |(known, ..)| *known) {
+            Ok(index) => index,
+            Err(index) => {
+                let bucket = full(self.limits.caller_rate, now);
+                self.callers.insert(index, (caller, bucket, now));
+                index
+            }
+        };
+        self.callers[index].2 = now;
+        &mut self.callers[index].1
+    }
+}
+
+/// Returns a full bucket that holds one second's worth.
+fn full(rate: u32, now: Time) -> Bucket {
+    Bucket::new(rate, rate, now)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against one caller that uses up the rate of the others.
+    #[test]
+    fn take_callers_apart() {
+        let limiter = Limiter::default();
+        let limits = Limits { caller_rate: 3, ..Limits::default() };
+        let now = Duration::from_secs(1);
+        let take = |caller: u8| {
+            limiter.take("slots", &limits, "/", Some(IpAddr::from([10, 0, 0, caller])), now)
+        };
+        for _ in 0..3 {
+            assert_eq!(take(1), Ok(()));
+        }
+        assert!(take(1).is_err());
+        assert_eq!(take(2), Ok(()));
+    }
+
+    /// Guards against memory that grows with the number of callers.
+    #[test]
+    fn take_callers_bounded() {
+        let limits = Limits::default();
+        let mut buckets = Buckets::new(&limits, Time::ZERO);
+        for caller in 0..10_000_u32 {
+            buckets.caller(IpAddr::from(caller.to_be_bytes()), Time::ZERO);
+        }
+        assert_eq!(buckets.callers.len(), CALLERS);
+    }
+}
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -6,19 +6,21 @@
 
 mod admission;
 mod answer;
-mod choice;
 mod client;
 mod deadline;
 mod entry;
 mod fields;
+mod limiter;
 pub(crate) mod listener;
 mod owner;
 mod refusal;
 mod relay;
 mod remote;
 mod resume;
+mod services;
 mod worker;
 
 pub(crate) use admission::Admission;
 pub(crate) use client::{Echo, Failure, Pool, Request, Upload};
+pub(crate) use limiter::Limiter;
 pub(crate) use worker::new_exchange;
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -7,20 +7,21 @@
 use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
 
 use arbutuslane_catalogue::entry::Class;
-use arbutuslane_core::id::{Incarnation, ServerId};
+use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
+use arbutuslane_core::time::Time;
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::gate::{self, Reason};
 use arbutuslane_wire::header;
 
 use crate::announce::Server;
 use crate::metrics::count;
 
-use super::admission::Denied;
 use super::answer::Answer;
 use super::client::{Connection, Echo, Failure, Reply, Request, Upload};
-use super::deadline::Deadline;
-use super::fields;
 use super::refusal::{Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::worker::{Worker, new_exchange};
+use super::{deadline, fields};
 
 /// The start of the paths by which entries forward requests.
 pub(crate) const FORWARD: &str = "/v1/forward";
@@ -31,12 +32,16 @@
 /// A request for one backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct Work {
+    /// The service of the server.
+    pub(crate) service: ServiceName,
     /// The server that the entry chose.
     pub(crate) server: ServerId,
     /// The incarnation that the entry knows.
     pub(crate) incarnation: Incarnation,
     /// The class of the request.
     pub(crate) class: Class,
+    /// Whether an ejected server may run the request as a trial.
+    pub(crate) trial: bool,
     /// When the response is of no use any more.
     pub(crate) deadline: Deadline,
     /// How long to wait for the response head.
@@ -56,6 +61,7 @@
         Err(refusal) => Err(refusal),
     };
     let load = worker.shared.servers.get(&server).map(|server| server.report().encode());
+    let took = result.as_ref().ok().map(|answer| answer.took.as_micros().to_string());
     let mut response = match result {
         Ok(answer) => Relay::respond(&worker.shared, answer, io, in_flight, None),
         Err(refusal) => refusal.response(),
@@ -67,6 +73,9 @@
     if let Some(load) = load {
         fields::set(headers, header::LOAD, &load);
     }
+    if let Some(took) = took {
+        fields::set(headers, header::TOOK_US, &took);
+    }
     response
 }
 
@@ -75,11 +84,8 @@
     let clock = &worker.shared.clock;
     let server = find(worker, &work)?;
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
-    let permit =
-        server.admission.enter(work.class, limit).await.map_err(|denied| match denied {
-            Denied::Full => Refusal::not_run("all slots and the queue of the server are taken"),
-            Denied::Late => Refusal::not_run("no slot was free within the deadline"),
-        })?;
+    let until = Deadline::after(clock.now(), limit);
+    let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
     let started = clock.now();
     let reply = send(worker, &server, &work).await.map_err(|failure| {
         if matches!(failure, Failure::WrongExchange) {
@@ -88,14 +94,15 @@
         tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
         Refusal::from_failure(&failure)
     })?;
-    server.note_latency(clock.now().saturating_sub(started));
+    let took = clock.now().saturating_sub(started);
+    server.note_latency(took);
     if reply.echoed {
         server.set_echoes();
     }
     if let Some(refusal) = shed(&reply.headers, reply.status) {
         return Err(refusal);
     }
-    Ok(Answer::new(reply, &work.request.method, Some(permit)))
+    Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some(permit)) })
 }
 
 fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
@@ -115,7 +122,7 @@
         _ => return Err(bad("no class")),
     };
     let now = worker.shared.clock.now();
-    let deadline = Deadline::read(headers, Duration::ZERO, now);
+    let deadline = deadline::read(headers, Duration::ZERO, now);
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
     let target = target.ok_or_else(|| bad("no path"))?.to_string();
@@ -128,20 +135,22 @@
     };
     let request = Request { method, target, headers, upload };
     let limit = deadline.remaining(now);
-    Ok(Work { server, incarnation, class, deadline, limit, request })
+    let trial = incoming.headers().contains_key(header::TRIAL);
+    let service = String::new();
+    Ok(Work { service, server, incarnation, class, trial, deadline, limit, request })
 }
 
 fn find(worker: &Worker, work: &Work) -> Result<Arc<Server>, Refusal> {
     let now = worker.shared.clock.now();
-    if work.deadline.passed(now) {
+    if deadline::passed(work.deadline, now) {
         return Err(Refusal::not_run("the deadline passed before dispatch"));
     }
     let server = worker.shared.servers.get(&work.server);
     let server = server.filter(|server| server.incarnation == work.incarnation);
-    let server = server.ok_or_else(|| Refusal::not_run("this node does not own the server"))?;
+    let server = server.ok_or_else(|| Refusal::stale("this node does not own the server"))?;
     match server.open(now) {
         true => Ok(server),
-        false => Err(Refusal::not_run("the server left or takes no new work")),
+        false => Err(Refusal::stale("the server left or takes no new work")),
     }
 }
 
@@ -158,7 +167,7 @@
         };
         // Checked after the last wait, so that nothing is dispatched after the lease.
         if !server.open(clock.now()) {
-            return Err(Failure::ClosedUnused);
+            return Err(Failure::Left);
         }
         let limit = work.deadline.remaining(clock.now()).min(work.limit);
         let reused = connection.reused();
@@ -180,9 +189,20 @@
     }
 }
 
-fn request_for(work: &Work, now: arbutuslane_core::time::Time) -> Request {
+fn denied(refusal: gate::Refusal) -> Refusal {
+    let error = match refusal.reason {
+        Reason::Expired => "the deadline passed before dispatch",
+        Reason::TooLate => "no slot becomes free within the deadline",
+        Reason::Full => "all slots and the queue of the server are taken",
+        Reason::Closed => return Refusal::stale("the server takes no new work"),
+    };
+    let seconds = u32::try_from(refusal.retry_after.as_secs()).unwrap_or(u32::MAX);
+    Refusal { retry_after: Some(seconds.saturating_add(1).min(60)), ..Refusal::not_run(error) }
+}
+
+fn request_for(work: &Work, now: Time) -> Request {
     let mut request = work.request.clone();
-    fields::set(&mut request.headers, header::DEADLINE_MS, &work.deadline.encode(now));
+    fields::set(&mut request.headers, header::DEADLINE_MS, &deadline::encode(work.deadline, now));
     request
 }
 
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -21,6 +21,9 @@
     pub(crate) retry_after: Option<u32>,
     /// Whether another server may succeed where this one did not.
     pub(crate) elsewhere: bool,
+    /// Whether the entry chose the server by an outdated list; a retry then costs no budget,
+    /// because the refusal says nothing about the load.
+    pub(crate) stale: bool,
 }
 
 /// Whether a request without a response of a backend server can have run.
@@ -42,9 +45,15 @@
             remedy: "send the request again after the stated time",
             retry_after: Some(1),
             elsewhere: true,
+            stale: false,
         }
     }
 
+    /// Returns a refusal of a request whose server has moved, left or begun to drain.
+    pub(crate) fn stale(error: impl Into<String>) -> Self {
+        Self { stale: true, ..Self::not_run(error) }
+    }
+
     /// Returns a refusal of a request that did not run and that no server would run.
     pub(crate) fn rejected(status: StatusCode, error: &str, remedy: &'static str) -> Self {
         Self {
@@ -54,6 +63,7 @@
             remedy,
             retry_after: None,
             elsewhere: false,
+            stale: false,
         }
     }
 
@@ -66,11 +76,15 @@
             remedy: "send the request again only under the same idempotency key",
             retry_after: Some(1),
             elsewhere: true,
+            stale: false,
         }
     }
 
     /// Returns the refusal that follows from a failed exchange.
     pub(crate) fn from_failure(failure: &Failure) -> Self {
+        if matches!(failure, Failure::Left) {
+            return Self::stale(failure.to_string());
+        }
         if !failure.sent() {
             return Self::not_run(failure.to_string());
         }
@@ -102,6 +116,9 @@
         if let Some(seconds) = self.retry_after {
             builder.header("retry-after", seconds.to_string());
         }
+        if self.stale {
+            builder.header(header::REFUSAL, header::REFUSAL_STALE);
+        }
         builder
             .json(&operator::Refusal { error: self.error.clone(), remedy: self.remedy.to_string() })
     }
--- a/crates/arbutuslane_node/src/traffic/relay.rs
+++ b/crates/arbutuslane_node/src/traffic/relay.rs
@@ -83,7 +83,7 @@
         in_flight: InFlight,
         limit: Option<Duration>,
     ) -> Response {
-        let Answer { status, headers, body, stated } = answer;
+        let Answer { status, headers, body, stated, .. } = answer;
         let source: Box<dyn Source> = match stated {
             Some(length) => Box::new(Omitted(length)),
             None => Box::new(body),
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -10,10 +10,10 @@
 
 use super::answer::Answer;
 use super::client::{Echo, Failure, Reply};
-use super::fields;
 use super::owner::{FORWARD, Work, count_connection};
 use super::refusal::{Outcome, Refusal};
 use super::worker::{Worker, new_exchange};
+use super::{deadline, fields, services};
 
 /// The longest wait for a connection to an owner.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -25,26 +25,33 @@
 pub(crate) async fn forward(
     worker: &Worker,
     work: Work,
-    address: SocketAddr,
+    place: (&str, SocketAddr),
 ) -> Result<Answer, Refusal> {
-    let (server, method) = (work.server.clone(), work.request.method.clone());
+    let (owner, address) = place;
+    let (service, server) = (work.service.clone(), work.server.clone());
+    let method = work.request.method.clone();
     let reply = match send(worker, work, address).await {
         Ok(reply) => reply,
         Err(failure) => {
             tracing::debug!(event = "forward-failed", server, %failure);
             worker.pool.purge(address);
             if !failure.sent() {
-                worker.loads.borrow_mut().skip(&server, worker.shared.clock.now());
+                services::unreachable(worker, owner);
             }
             return Err(Refusal::from_failure(&failure));
         }
     };
     let load = fields::text(&reply.headers, header::LOAD).and_then(load::Report::parse);
     if let Some(report) = load {
-        worker.loads.borrow_mut().note(&server, report, worker.shared.clock.now());
+        services::report(worker, &service, &server, &report);
     }
     match fields::text(&reply.headers, header::OUTCOME) {
-        Some(header::OUTCOME_ANSWERED) => Ok(Answer::new(reply, &method, None)),
+        Some(header::OUTCOME_ANSWERED) => {
+            let took = fields::text(&reply.headers, header::TOOK_US);
+            let took = took.and_then(|text| text.parse().ok()).unwrap_or_default();
+            let took = Duration::from_micros(took);
+            Ok(Answer { took, ..Answer::new(reply, &method, None) })
+        }
         Some(header::OUTCOME_NOT_RUN) => Err(refusal(reply, Outcome::NotRun).await),
         _ => Err(refusal(reply, Outcome::Unknown).await),
     }
@@ -52,7 +59,7 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, limit, mut request } = work;
+    let Work { server, incarnation, class, deadline, limit, mut request, trial, .. } = work;
     request.target = format!("{FORWARD}{}", request.target);
     let class_name = match class {
         Class::Idempotent => "idempotent",
@@ -63,6 +70,9 @@
     fields::set(&mut request.headers, header::SERVER, &server);
     fields::set(&mut request.headers, header::INCARNATION, &incarnation.to_string());
     fields::set(&mut request.headers, header::CLASS, class_name);
+    if trial {
+        fields::set(&mut request.headers, header::TRIAL, "1");
+    }
     let keep = class != Class::NonIdempotent;
     let mut idle = if keep { worker.pool.take(address) } else { None };
     loop {
@@ -75,7 +85,11 @@
         count_connection(worker, &connection);
         let wait = deadline.remaining(clock.now()).min(limit);
         let mut request = request.clone();
-        fields::set(&mut request.headers, header::DEADLINE_MS, &deadline.encode(clock.now()));
+        fields::set(
+            &mut request.headers,
+            header::DEADLINE_MS,
+            &deadline::encode(deadline, clock.now()),
+        );
         let result = connection.exchange(request, new_exchange(), Echo::Required, keep, wait).await;
         match result {
             Err(Failure::ClosedUnused) if reused => {}
@@ -86,6 +100,7 @@
 
 async fn refusal(reply: Reply, outcome: Outcome) -> Refusal {
     let status = reply.status;
+    let stale = fields::text(&reply.headers, header::REFUSAL) == Some(header::REFUSAL_STALE);
     let retry_after = fields::text(&reply.headers, "retry-after");
     let retry_after = retry_after.and_then(|text| text.parse().ok());
     let body = reply.body.collect(REFUSAL_BYTES).await.unwrap_or_default();
@@ -94,7 +109,7 @@
         Err(_) => format!("the owner responded with status {status}"),
     };
     match outcome {
-        Outcome::NotRun => Refusal { status, retry_after, ..Refusal::not_run(error) },
+        Outcome::NotRun => Refusal { status, retry_after, stale, ..Refusal::not_run(error) },
         // Without the outcome field the owner proves nothing.
         Outcome::Unknown if status.is_success() => {
             Refusal::unknown(StatusCode::BAD_GATEWAY, "the owner stated no outcome")
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -10,6 +10,7 @@
 use ntex::util::Bytes;
 
 use arbutuslane_core::id::ServerId;
+use arbutuslane_limit::deadline::Deadline;
 
 use crate::metrics::count;
 
@@ -91,8 +92,7 @@
         fields::set(&mut routed.request.headers, "if-range", &self.tag);
         let now = self.worker.shared.clock.now();
         // The deadline of the request covered its first response head only.
-        let headers = ntex::http::HeaderMap::new();
-        routed.deadline = super::deadline::Deadline::read(&headers, SILENCE, now);
+        routed.deadline = Deadline::after(now, SILENCE);
         let worker = Rc::clone(&self.worker);
         let (tag, length, received) = (self.tag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -0,0 +1,294 @@
+//! The choice of a server at the entry, and the retry budget, by service.
+//!
+//! Each traffic thread keeps its own pickers, so that a choice takes no lock. The candidates are
+//! renewed when the server lists change, and from time to time because leases end silently.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuslane_balance::candidate::{Candidate, Load, Serving};
+use arbutuslane_balance::picker::{Picker, Request};
+use arbutuslane_balance::subset::Subset;
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::id::{Incarnation, NodeId, ServerId, ServiceName};
+use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_limit::budget::RetryBudget;
+use arbutuslane_wire::load;
+
+use crate::announce::Server;
+use crate::shared::{Remote, Shared};
+
+use super::worker::Worker;
+
+/// How often candidates are renewed although no list changed.
+const RENEWAL: Duration = Duration::from_millis(250);
+
+/// The services that a thread has sent requests to, in ascending order of their names.
+#[derive(Debug, Default)]
+pub(crate) struct Services {
+    services: Vec<(ServiceName, Service)>,
+}
+
+/// Where a chosen server is reached.
+#[derive(Debug, Clone)]
+pub(crate) enum Place {
+    /// A server of this node.
+    Local(Arc<Server>),
+    /// A server of another node.
+    Remote {
+        /// The incarnation of the server.
+        incarnation: Incarnation,
+        /// The node that owns the server.
+        owner: NodeId,
+        /// The `peers` address of the owner.
+        address: SocketAddr,
+    },
+}
+
+/// A server that was chosen for a request.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    /// The name of the server.
+    pub(crate) server: ServerId,
+    /// Where it is reached.
+    pub(crate) place: Place,
+    /// Whether the request is offered to an ejected server as a trial.
+    pub(crate) trial: bool,
+}
+
+/// Counts a request as in flight at this thread until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Ongoing {
+    services: Rc<RefCell<Services>>,
+    clock: Clock,
+    service: ServiceName,
+    server: ServerId,
+    latency: Option<Duration>,
+    success: bool,
+}
+
+#[derive(Debug)]
+struct Service {
+    picker: Picker,
+    budget: RetryBudget,
+    places: Vec<(ServerId, Place)>,
+    remotes: Arc<Vec<Remote>>,
+    local_version: u64,
+    renewed: Option<Time>,
+}
+
+impl Services {
+    /// Runs `change` on the retry budget of `service`.
+    pub(crate) fn with_budget<R>(
+        &mut self,
+        shared: &Shared,
+        service: &str,
+        change: impl FnOnce(&mut RetryBudget) -> R,
+    ) -> R {
+        change(&mut self.service(shared, service).budget)
+    }
+
+    fn service(&mut self, shared: &Shared, service: &str) -> &mut Service {
+        let index = match self.services.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                let fresh = Service {
+                    picker: Picker::new(shared.settings.domain.clone()),
+                    budget: RetryBudget::default(),
+                    places: Vec::new(),
+                    remotes: Arc::default(),
+                    local_version: 0,
+                    renewed: None,
+                };
+                self.services.insert(index, (service.to_string(), fresh));
+                index
+            }
+        };
+        &mut self.services[index].1
+    }
+
+    fn known(&mut self, service: &str) -> Option<&mut Service> {
+        let index = self.services.binary_search_by(|(name, _)| name.as_str().cmp(service)).ok()?;
+        Some(&mut self.services[index].1)
+    }
+}
+
+impl Service {
+    fn renew(&mut self, shared: &Shared, name: &str, now: Time) {
+        let remotes = shared.remotes();
+        let local_version = shared.servers.version();
+        let recent = self.renewed.is_some_and(|renewed| now < renewed + RENEWAL);
+        let same = local_version == self.local_version && Arc::ptr_eq(&remotes, &self.remotes);
+        if recent && same {
+            return;
+        }
+        let mut places = places(shared, name, &remotes, now);
+        let names: Vec<ServerId> = places.iter().map(|(server, _, _)| server.clone()).collect();
+        let used = Subset::default().choose(&shared.settings.node, &names);
+        if used.len() < places.len() {
+            places.retain(|(server, _, _)| used.contains(server));
+        }
+        self.picker
+            .set_candidates(places.iter().map(|(_, _, candidate)| candidate.clone()).collect());
+        self.places = places.into_iter().map(|(server, place, _)| (server, place)).collect();
+        (self.remotes, self.local_version, self.renewed) = (remotes, local_version, Some(now));
+    }
+
+    fn place(&self, server: &str) -> Option<&Place> {
+        let index = self.places.binary_search_by(|(name, _)| name.as_str().cmp(server)).ok()?;
+        Some(&self.places[index].1)
+    }
+}
+
+impl Ongoing {
+    /// Notes what came of the request: its latency at the owner, and whether it succeeded.
+    pub(crate) fn note(&mut self, latency: Duration, success: bool) {
+        self.latency = Some(latency);
+        self.success = success;
+    }
+}
+
+impl Drop for Ongoing {
+    fn drop(&mut self) {
+        let mut services = self.services.borrow_mut();
+        let Some(service) = services.known(&self.service) else { return };
+        service.picker.answered(&self.server, self.clock.now(), self.latency, self.success);
+    }
+}
+
+/// Chooses a server of `service` that is not in `tried` and counts a request to it as in flight.
+pub(crate) fn choose(
+    worker: &Worker,
+    name: &str,
+    class: Class,
+    tried: &[ServerId],
+) -> Option<(Choice, Ongoing)> {
+    let shared = &worker.shared;
+    let now = shared.clock.now();
+    let mut services = worker.services.borrow_mut();
+    let service = services.service(shared, name);
+    service.renew(shared, name, now);
+    let request = Request { class, tried };
+    let pick = service.picker.pick(&request, now, &mut worker.rng.borrow_mut())?;
+    let place = service.place(&pick.server)?.clone();
+    service.picker.sent(&pick.server, now);
+    let ongoing = Ongoing {
+        services: Rc::clone(&worker.services),
+        clock: shared.clock,
+        service: name.to_string(),
+        server: pick.server.clone(),
+        latency: None,
+        success: false,
+    };
+    Some((Choice { server: pick.server, place, trial: pick.trial }, ongoing))
+}
+
+/// Returns whether `service` has a server that is not in `tried`.
+pub(crate) fn has_other(worker: &Worker, service: &str, tried: &[ServerId]) -> bool {
+    let mut services = worker.services.borrow_mut();
+    let Some(service) = services.known(service) else { return false };
+    service.places.iter().any(|(server, _)| !tried.contains(server))
+}
+
+/// Takes in the load that the owner of `server` reported.
+pub(crate) fn report(worker: &Worker, service: &str, server: &str, report: &load::Report) {
+    let load = Load {
+        in_flight: report.in_flight,
+        queued: report.queued,
+        slots: report.slots,
+        latency: Duration::from_micros(u64::from(report.latency_us)),
+        serving: serving(report.serving),
+        ramp_percent: report.ramp_percent,
+    };
+    let mut services = worker.services.borrow_mut();
+    let Some(service) = services.known(service) else { return };
+    service.picker.report(server, &load, worker.shared.clock.now());
+}
+
+/// Takes `server` for full, because it or its owner refused a request.
+///
+/// The load that an owner reports does not show work that reaches the server in other ways.
+pub(crate) fn report_full(worker: &Worker, service: &str, server: &str) {
+    let mut services = worker.services.borrow_mut();
+    let Some(service) = services.known(service) else { return };
+    let known = service.picker.candidates().find(|known| known.server == server);
+    let Some((slots, serving)) = known.map(|known| (known.slots, known.serving)) else { return };
+    let load = Load {
+        in_flight: slots,
+        queued: slots,
+        slots,
+        latency: Duration::ZERO,
+        serving,
+        ramp_percent: 100,
+    };
+    service.picker.report(server, &load, worker.shared.clock.now());
+}
+
+/// Skips the servers of `owner` for a short while because it could not be reached.
+pub(crate) fn unreachable(worker: &Worker, owner: &str) {
+    let now = worker.shared.clock.now();
+    for (_, service) in &mut worker.services.borrow_mut().services {
+        service.picker.unreachable(owner, now);
+    }
+}
+
+/// Returns the servers of `service` with an open lease, in ascending order of their names.
+fn places(
+    shared: &Shared,
+    service: &str,
+    remotes: &[Remote],
+    now: Time,
+) -> Vec<(ServerId, Place, Candidate)> {
+    let mut places = Vec::new();
+    for server in shared.servers.all() {
+        if server.service != service || !server.open(now) {
+            continue;
+        }
+        let candidate = Candidate {
+            server: server.id.clone(),
+            incarnation: server.incarnation,
+            owner: shared.settings.node.clone(),
+            domain: shared.settings.domain.clone(),
+            slots: server.report().slots,
+            serving: Serving::Open,
+        };
+        places.push((server.id.clone(), Place::Local(server), candidate));
+    }
+    let first = remotes.partition_point(|remote| remote.service.as_str() < service);
+    for remote in &remotes[first..] {
+        if remote.service != service {
+            break;
+        }
+        let candidate = Candidate {
+            server: remote.server.clone(),
+            incarnation: remote.incarnation,
+            owner: remote.owner.clone(),
+            domain: remote.domain.clone(),
+            slots: remote.slots,
+            serving: Serving::Open,
+        };
+        let place = Place::Remote {
+            incarnation: remote.incarnation,
+            owner: remote.owner.clone(),
+            address: remote.address,
+        };
+        places.push((remote.server.clone(), place, candidate));
+    }
+    // A server that is listed twice has moved: the higher incarnation is the later one.
+    places.sort_by(|left, right| {
+        left.0.cmp(&right.0).then(right.2.incarnation.cmp(&left.2.incarnation))
+    });
+    places.dedup_by(|later, first| later.0 == first.0);
+    places
+}
+
+fn serving(serving: load::Serving) -> Serving {
+    match serving {
+        load::Serving::Open => Serving::Open,
+        load::Serving::Ejected => Serving::Ejected,
+        load::Serving::Draining => Serving::Draining,
+    }
+}
--- a/crates/arbutuslane_node/src/traffic/worker.rs
+++ b/crates/arbutuslane_node/src/traffic/worker.rs
@@ -11,8 +11,8 @@
 
 use crate::shared::Shared;
 
-use super::choice::Loads;
 use super::client::Pool;
+use super::services::Services;
 
 /// What one traffic thread keeps to itself.
 #[derive(Debug)]
@@ -21,8 +21,8 @@
     pub(crate) shared: Arc<Shared>,
     /// The idle connections of this thread.
     pub(crate) pool: Rc<Pool>,
-    /// The load of servers as this thread last saw it.
-    pub(crate) loads: Rc<RefCell<Loads>>,
+    /// The pickers and retry budgets of this thread.
+    pub(crate) services: Rc<RefCell<Services>>,
     /// The generator for the choice of servers.
     pub(crate) rng: RefCell<Rng>,
 }
@@ -33,7 +33,7 @@
         Rc::new(Self {
             shared,
             pool: Pool::new(),
-            loads: Rc::default(),
+            services: Rc::default(),
             rng: RefCell::new(rng::seeded(rand::rng().random())),
         })
     }
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -44,3 +44,12 @@
 
 /// Tells a caller that the answer is the kept one of an earlier request with the same key.
 pub const REPLAYED: &str = "arbutuslane-replayed";
+
+/// The latency of the response head in microseconds, on responses from an owner.
+pub const TOOK_US: &str = "arbutuslane-took-us";
+
+/// Why an owner refused a request, on responses to an entry: one of the `REFUSAL_` values.
+pub const REFUSAL: &str = "arbutuslane-refusal";
+
+/// The entry chose the server by an outdated list.
+pub const REFUSAL_STALE: &str = "stale";
