--- a/crates/arbutuslane_cli/tests/docs.rs
+++ b/crates/arbutuslane_cli/tests/docs.rs
@@ -26,7 +26,13 @@
 #[test]
 fn pages_commands() {
     let mut found = 0;
-    for name in ["README.md", "docs/catalogue.md", "docs/operations.md", "docs/install.md"] {
+    for name in [
+        "README.md",
+        "examples/README.md",
+        "docs/catalogue.md",
+        "docs/operations.md",
+        "docs/install.md",
+    ] {
         let text = page(name);
         let mut code = false;
         for line in text.lines().map(str::trim) {
@@ -47,3 +53,31 @@
     }
     assert!(found >= 7, "{found}");
 }
+
+/// Guards against a settings page that lacks a key, or describes one that is refused.
+#[test]
+fn settings_all_keys() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.json");
+    // The message about an unknown key lists all keys that the code knows.
+    std::fs::write(&path, "{\"no-such-key\": 1}").unwrap();
+    let control = arbutuslane_control::settings::Settings::load(&path).unwrap_err().to_string();
+    let node = arbutuslane_node::settings::Settings::read(&path).unwrap_err().to_string();
+    let operator = arbutuslane_cli::settings::Settings::read(&path).unwrap_err().to_string();
+    let text = page("docs/settings.md");
+    for (title, message) in [
+        ("## arbutuslane-control\n", control),
+        ("## arbutuslane-node\n", node),
+        ("## arbutuslane\n", operator),
+    ] {
+        let (_, known) = message.split_once("expected one of").unwrap();
+        let mut known: Vec<&str> = known.split('`').skip(1).step_by(2).collect();
+        known.sort_unstable();
+        let (_, section) = text.split_once(title).unwrap();
+        let section = section.split("\n## ").next().unwrap();
+        let rows = section.lines().filter_map(|line| line.strip_prefix("| `"));
+        let mut described: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
+        described.sort_unstable();
+        assert_eq!(described, known, "{title}");
+    }
+}
--- a/crates/arbutuslane_cli/tests/examples.rs
+++ b/crates/arbutuslane_cli/tests/examples.rs
@@ -26,3 +26,12 @@
     let settings = Settings::read(&examples().join("arbutuslane.json")).unwrap();
     assert_eq!(settings.controls.len(), 3);
 }
+
+/// Guards against example settings of the daemons that the current release refuses.
+#[test]
+fn settings_daemons() {
+    let control = arbutuslane_control::settings::Settings::load(&examples().join("control.json"));
+    assert_eq!(control.unwrap().members.len(), 3);
+    let node = arbutuslane_node::settings::Settings::read(&examples().join("node.json"));
+    assert_eq!(node.unwrap().control.len(), 3);
+}
--- a/crates/arbutuslane_cli/tests/operate.rs
+++ b/crates/arbutuslane_cli/tests/operate.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -241,6 +241,60 @@
     assert!(node.seen().iter().all(|(_, authorization, _)| authorization.is_empty()));
 }
 
+/// Guards against events that are shown twice or not at all while following, also after the
+/// process that recorded them restarted.
+#[test]
+fn timeline_follow() {
+    let control = StandIn::start(Box::new(|(first, _, _), count| {
+        if !first.contains("/v1/events") {
+            return Some((200, "{\"instance\": \"c1\"}".to_string()));
+        }
+        let (started, last) = if count > 4 { (2, 1) } else { (1, 2) };
+        let since: u64 = first.split("since=").nth(1)?.split(' ').next()?.parse().ok()?;
+        let event = |sequence: u64| {
+            format!(
+                "{{\"stamp\": {{\"wall_ms\": {started}, \"counter\": {sequence}}}, \
+                 \"instance\": \"c1\", \"sequence\": {sequence}, \"kind\": \"k{started}-{sequence}\"}}"
+            )
+        };
+        let events: Vec<String> = (since + 1..=last).map(event).collect();
+        Some((
+            200,
+            format!(
+                "{{\"instance\": \"c1\", \"started_ms\": {started}, \"next\": {last}, \
+                 \"dropped\": 0, \"events\": [{}]}}",
+                events.join(",")
+            ),
+        ))
+    }));
+    let folder = folder(&[&control.address]);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_arbutuslane"))
+        .args(["timeline", "--follow", "--json"])
+        .current_dir(folder.path())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut kinds = Vec::new();
+    for line in BufReader::new(child.stdout.take().unwrap()).lines().take(3) {
+        let event: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+        kinds.push(event["kind"].as_str().unwrap().to_string());
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert_eq!(kinds, ["k1-1", "k1-2", "k2-1"]);
+}
+
+/// Guards against completions that a shell would load without a command in them.
+#[test]
+fn completions_each_shell() {
+    let folder = tempfile::tempdir().unwrap();
+    for shell in ["bash", "zsh", "fish"] {
+        let (code, text) = run(folder.path(), &format!("completions {shell}"));
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("arbutuslane") && text.contains("rollback"), "{shell}");
+    }
+}
+
 /// Guards against a node that obtains the operator token by posing as a control instance.
 #[test]
 fn status_false_control() {
