--- a/crates/arbutuslane_cli/src/report.rs
+++ b/crates/arbutuslane_cli/src/report/mod.rs
@@ -1,5 +1,7 @@
 //! The `report` command: what happened, in sentences with figures, and what needs action.
 
+mod sentences;
+
 use std::collections::BTreeMap;
 
 use arbutuslane_event::kind::Kind;
@@ -12,6 +14,7 @@
 use crate::gather::{self, Cursor, Gathered};
 use crate::output;
 use crate::settings::Settings;
+use crate::status;
 use crate::timeline;
 use crate::when;
 
@@ -26,22 +29,6 @@
     pub missing: Vec<String>,
 }
 
-/// Figures about one service.
-#[derive(Debug, Default)]
-struct Service {
-    ejections: u64,
-    reasons: BTreeMap<String, u64>,
-    returns: BTreeMap<String, u64>,
-    out_ms: u64,
-    refused: u64,
-    leases_lost: u64,
-    left: u64,
-    not_run: u64,
-    unknown: u64,
-    retries_suppressed: u64,
-    strikes: u64,
-}
-
 /// What still holds at the end of the span.
 #[derive(Debug, Default)]
 struct Open {
@@ -68,7 +55,7 @@
 
 /// Returns the report on the events of `gathered` from `since_ms` to `now_ms`.
 pub fn build(gathered: &Gathered, since_ms: u64, now_ms: u64) -> Report {
-    let mut services: BTreeMap<String, Service> = BTreeMap::new();
+    let mut services: BTreeMap<String, sentences::Service> = BTreeMap::new();
     let mut open = Open::default();
     let mut report = Report::default();
     let mut fleet: BTreeMap<&'static str, u64> = BTreeMap::new();
@@ -84,19 +71,20 @@
             continue;
         }
         if let Some(service) = &event.service {
-            count(services.entry(service.clone()).or_default(), &kind);
+            services.entry(service.clone()).or_default().count(&kind);
         }
         *fleet.entry(kind.name()).or_default() += 1;
         single(&mut report, event, &kind);
     }
     let mut happened: Vec<String> = Vec::new();
     for (name, service) in &services {
-        happened.extend(sentences(name, service));
+        happened.extend(service.sentences(name));
     }
-    happened.extend(fleet_sentences(&fleet));
+    happened.extend(sentences::fleet(&fleet));
     happened.append(&mut report.happened);
     report.happened = happened;
     remaining(&mut report, &open, now_ms);
+    short_of_capacity(&mut report, gathered);
     report.missing = timeline::notices(gathered);
     if unknown_kinds > 0 {
         report.missing.push(format!("{unknown_kinds} events are of kinds that this release lacks"));
@@ -104,27 +92,6 @@
     report
 }
 
-fn count(service: &mut Service, kind: &Kind) {
-    match kind {
-        Kind::Ejection { reason, .. } => {
-            service.ejections += 1;
-            *service.reasons.entry(reason.to_string()).or_default() += 1;
-        }
-        Kind::Return { cause, out_ms } => {
-            *service.returns.entry(cause.to_string()).or_default() += 1;
-            service.out_ms += out_ms;
-        }
-        Kind::EjectionRefused { .. } => service.refused += 1,
-        Kind::LeaseLost { .. } => service.leases_lost += 1,
-        Kind::ServerLeft { .. } => service.left += 1,
-        Kind::NotRunBurst { count, .. } => service.not_run += count,
-        Kind::UnknownBurst { count, .. } => service.unknown += count,
-        Kind::RetryBudgetSpent { suppressed } => service.retries_suppressed += suppressed,
-        Kind::Strike { .. } => service.strikes += 1,
-        _ => {}
-    }
-}
-
 fn follow(open: &mut Open, event: &border::Event, kind: &Kind) {
     let of = |value: &Option<String>| value.clone().unwrap_or_default();
     let server = (of(&event.service), of(&event.server));
@@ -193,66 +160,6 @@
     }
 }
 
-fn plural(count: u64, one: &str, many: &str) -> String {
-    format!("{count} {}", if count == 1 { one } else { many })
-}
-
-fn listed(counts: &BTreeMap<String, u64>) -> String {
-    let parts: Vec<String> = counts.iter().map(|(name, count)| format!("{count} {name}")).collect();
-    parts.join(", ")
-}
-
-fn sentences(name: &str, service: &Service) -> Vec<String> {
-    let mut sentences = Vec::new();
-    if service.ejections > 0 {
-        sentences.push(format!(
-            "{name}: {} ({}).",
-            plural(service.ejections, "ejection", "ejections"),
-            listed(&service.reasons)
-        ));
-    }
-    if !service.returns.is_empty() {
-        sentences.push(format!(
-            "{name}: {} ({}), after {} out of use in total.",
-            plural(service.returns.values().sum(), "return to use", "returns to use"),
-            listed(&service.returns),
-            when::words(service.out_ms)
-        ));
-    }
-    let counted = [
-        (service.refused, "ejection refused at the floor", "ejections refused at the floor"),
-        (service.leases_lost, "server stopped renewing", "servers stopped renewing"),
-        (service.left, "server left as planned", "servers left as planned"),
-        (service.not_run, "request refused as not run", "requests refused as not run"),
-        (service.unknown, "request with unknown outcome", "requests with unknown outcome"),
-        (service.retries_suppressed, "retry suppressed", "retries suppressed"),
-        (service.strikes, "crash of a server in mid-request", "crashes of servers in mid-request"),
-    ];
-    for (count, one, many) in counted {
-        if count > 0 {
-            sentences.push(format!("{name}: {}.", plural(count, one, many)));
-        }
-    }
-    sentences
-}
-
-fn fleet_sentences(fleet: &BTreeMap<&'static str, u64>) -> Vec<String> {
-    let shown = [
-        ("start", "instance started", "instances started"),
-        ("stopped", "instance stopped as planned", "instances stopped as planned"),
-        ("node-dead", "report of a dead node", "reports of dead nodes"),
-        ("leader-change", "report of a new leader", "reports of a new leader"),
-        ("change-refused", "change lost against another one", "changes lost against another one"),
-    ];
-    let mut sentences = Vec::new();
-    for (kind, one, many) in shown {
-        if let Some(count) = fleet.get(kind) {
-            sentences.push(format!("Fleet: {}.", plural(*count, one, many)));
-        }
-    }
-    sentences
-}
-
 fn remaining(report: &mut Report, open: &Open, now_ms: u64) {
     for ((service, server), since) in &open.ejected {
         let age = when::words(now_ms.saturating_sub(*since));
@@ -282,6 +189,21 @@
     }
 }
 
+/// Adds services that have fewer usable servers than their floor now.
+fn short_of_capacity(report: &mut Report, gathered: &Gathered) {
+    for service in status::merge(&gathered.statuses) {
+        let usable = service.live.saturating_sub(service.ejected);
+        if usable >= service.floor {
+            continue;
+        }
+        report.action.push(format!(
+            "{} has {usable} usable servers now, below its floor of {}. Bring servers back, or \
+             add others.",
+            service.service, service.floor
+        ));
+    }
+}
+
 fn render(report: &Report, since_ms: u64, now_ms: u64) -> String {
     let mut lines = vec![format!("From {} to {}:", log::utc(since_ms), log::utc(now_ms))];
     let sections = [
@@ -353,6 +275,24 @@
         assert!(report.action[0].starts_with("agenda-1 of agenda has been ejected for 1 min 0 s."));
     }
 
+    /// Guards against a quiet report while a service lacks servers that nobody ejected.
+    #[test]
+    fn build_below_floor() {
+        let service = |live| arbutuslane_wire::status::Service {
+            service: "agenda".to_string(),
+            floor: 8,
+            live,
+            ..Default::default()
+        };
+        let status = |live| arbutuslane_wire::status::Status {
+            services: vec![service(live)],
+            ..Default::default()
+        };
+        let with = |live| Gathered { statuses: vec![status(live)], ..Gathered::default() };
+        assert!(build(&with(7), 0, 1).action[0].contains("7 usable servers now"));
+        assert_eq!(build(&with(8), 0, 1).action, Vec::<String>::new());
+    }
+
     /// Guards against a quiet report although events are missing.
     #[test]
     fn build_unreached() {
