--- a/crates/arbutuslane_record/src/replica.rs
+++ b/crates/arbutuslane_record/src/replica.rs
@@ -66,6 +66,9 @@
         };
         let mut copies = Vec::new();
         let mut next = None;
+        // A puller that has adopted this epoch by the time it gets the response must not take an
+        // empty page for the whole shard.
+        let voting = voting && *epoch == self.group.epoch;
         if *epoch == self.group.epoch {
             // A claim accepted from here on carries the puller's new incarnation, which tells
             // its coordinator not to count what the puller accepted in an earlier life.
--- /dev/null
+++ b/tools/schedules.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Runs the properties of membership and registers over many random schedules.
+# Usage: tools/schedules.sh [number of schedules, 10000 by default]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+SCHEDULES="${1:-10000}" cargo test --release --locked -p arbutuslane_record -p arbutuslane_member \
+    --tests -- --nocapture
