Build the binaries of all crates in the demo

Cause: on a fresh target folder the demo started empty stand-ins, because cargo built the root package only. Change: cargo build covers the workspace.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -230,7 +230,7 @@
 }
 
 say "build"
-cargo build --locked --quiet --bins
+cargo build --locked --quiet --workspace --bins
 bin=$PWD/target/debug
 cli() { "$bin/arbutuslane" --settings "$work/arbutuslane.json" "$@"; }
 
