Report every dispatch to the outlier detector and send baselines

Change: the owner keeps a condition per server (detector, baseline, ejection stage), reports dispatch, result, broken body and cancellation to it, refuses what the stage forbids and states ejection and ramp-up in the load report. Entries summarize peers and attach the summary at most 20 times a second a node. The control thread judges every 50 ms; a claim waits, because no permit registers run in the node yet. A server that sheds load is avoided for 1 s while another one is left, in place of a load report made up for it.

Conclusion: ejection needs only the permit to be granted (condition.apply).

--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -10,6 +10,7 @@
 use arbutuslane_wire::announce::Announcement;
 use arbutuslane_wire::load::{Report, Serving};
 
+use crate::condition::Condition;
 use crate::traffic::Admission;
 
 /// How long nothing renews a lease before dispatch stops.
@@ -39,6 +40,8 @@
     pub(crate) address: SocketAddr,
     /// Admission to its slots.
     pub(crate) admission: Arc<Admission>,
+    /// Its health as this node sees it.
+    pub(crate) condition: Arc<Condition>,
     renewed_ms: AtomicU64,
     draining: AtomicBool,
     echoes: AtomicBool,
@@ -113,13 +116,18 @@
     /// Returns the load of the server as entries see it.
     pub(crate) fn report(&self) -> Report {
         let (in_flight, queued, slots) = self.admission.occupancy();
+        let (ejected, ramp_percent) = self.condition.view();
         Report {
             in_flight,
             queued,
             slots,
             latency_us: self.latency_us.load(Ordering::Relaxed),
-            serving: if self.draining() { Serving::Draining } else { Serving::Open },
-            ramp_percent: 100,
+            serving: match (self.draining(), ejected) {
+                (true, _) => Serving::Draining,
+                (false, true) => Serving::Ejected,
+                (false, false) => Serving::Open,
+            },
+            ramp_percent,
         }
     }
 
@@ -177,6 +185,7 @@
             incarnation: announcement.incarnation,
             address,
             admission: Arc::new(Admission::new(announcement.slots, self.clock)),
+            condition: Condition::new(self.clock),
             renewed_ms: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             echoes: AtomicBool::new(false),
--- /dev/null
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -0,0 +1,195 @@
+//! What the owner knows of a backend server's health, and what work it lets through.
+//!
+//! Traffic threads report every dispatch here; the control thread judges the evidence and claims
+//! an ejection permit. Nothing is ejected without one.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::{Class, Preference};
+use arbutuslane_core::time::Clock;
+use arbutuslane_health::detector::{Detector, Observation, Start, Suspicion};
+use arbutuslane_health::ejection::{Input, Permission, Stage, TrialResult};
+use arbutuslane_health::peers::{Baseline, Summary};
+
+/// The time in which a server that announced itself takes a rising share of its load.
+const COLD_RAMP: Duration = Duration::from_secs(5);
+
+/// The health of one backend server.
+#[derive(Debug)]
+pub(crate) struct Condition {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+/// A request that the server runs; dropped without a result it counts as cancelled.
+#[derive(Debug)]
+pub(crate) struct Running {
+    condition: Arc<Condition>,
+    id: u64,
+    start: Start,
+    trial: bool,
+    finished: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    detector: Detector,
+    baseline: Baseline,
+    stage: Stage,
+    next: u64,
+}
+
+impl Condition {
+    /// Returns the condition of a server that has just announced itself.
+    pub(crate) fn new(clock: Clock) -> Arc<Self> {
+        let now = clock.now();
+        let mut detector = Detector::new(Preference::FewFalseEjections);
+        detector.set_warming(true);
+        let stage = Stage::cold(now, COLD_RAMP);
+        let state = State { detector, baseline: Baseline::default(), stage, next: 0 };
+        Arc::new(Self { clock, state: Mutex::new(state) })
+    }
+
+    /// Takes in what the entry with the hash `entry` sees of the server's peers.
+    pub(crate) fn record(&self, entry: u64, summary: Summary) {
+        let now = self.clock.now();
+        self.lock().baseline.record(entry, summary, now);
+    }
+
+    /// Takes in the dispatch of a request, or returns nothing when the server may not run it.
+    pub(crate) fn begin(
+        self: &Arc<Self>,
+        class: Class,
+        offered_as_trial: bool,
+        route: u64,
+        caller: u64,
+    ) -> Option<Running> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let permission = state.stage.permit(class, offered_as_trial, now);
+        if permission == Permission::Refused {
+            return None;
+        }
+        let id = state.next;
+        state.next += 1;
+        let start = Start { class, route, caller, at: now };
+        state.detector.started(id, start);
+        let trial = permission == Permission::Trial;
+        Some(Running { condition: Arc::clone(self), id, start, trial, finished: false })
+    }
+
+    /// Judges the evidence and returns that for a claim while the server awaits a permit.
+    pub(crate) fn judge(&self, preference: Preference) -> Option<Suspicion> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let State { detector, baseline, stage, .. } = &mut *state;
+        detector.set_preference(preference);
+        baseline.expire(now);
+        let suspicion = detector.suspicion(now, baseline);
+        *stage = stage.step(Input::Judged(suspicion), now);
+        detector.set_warming(stage.ramp_percent(now) < 100);
+        stage.claim()
+    }
+
+    /// Applies what became of a permit: granted, or lost.
+    #[allow(dead_code, reason = "called once the permit registers run in the node")]
+    pub(crate) fn apply(&self, input: Input) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.stage = state.stage.step(input, now);
+        if matches!(input, Input::Granted) {
+            state.detector.reset();
+        }
+    }
+
+    /// Returns whether the server is ejected, and the share of its load that it takes in percent.
+    pub(crate) fn view(&self) -> (bool, u32) {
+        let now = self.clock.now();
+        let state = self.lock();
+        (state.stage.is_ejected(), state.stage.ramp_percent(now))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Running {
+    /// Takes in the end of the request, or of its response head.
+    pub(crate) fn finish(&mut self, success: bool) {
+        self.finished = true;
+        let now = self.condition.clock.now();
+        let mut state = self.condition.lock();
+        let State { detector, baseline, stage, .. } = &mut *state;
+        detector.finished(self.id, now, success, baseline);
+        if !self.trial {
+            return;
+        }
+        let p90 = baseline.peers(self.start.class).map(|peers| peers.p90);
+        let slow = p90.is_some_and(|p90| now.saturating_sub(self.start.at) > p90);
+        let result = match (success, slow) {
+            (false, _) => TrialResult::Failed,
+            (true, true) => TrialResult::Slow,
+            (true, false) => TrialResult::Good,
+        };
+        *stage = stage.step(Input::Tried(result), now);
+    }
+
+    /// Takes in that the body broke off after a response head that looked well.
+    pub(crate) fn broke(&self) {
+        let latency = self.condition.clock.now().saturating_sub(self.start.at);
+        let observation = Observation { start: self.start, success: false, latency };
+        let mut state = self.condition.lock();
+        let State { detector, baseline, .. } = &mut *state;
+        detector.observe(&observation, baseline);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let now = self.condition.clock.now();
+        let mut state = self.condition.lock();
+        state.detector.cancelled(self.id);
+        if self.trial {
+            state.stage = state.stage.step(Input::Tried(TrialResult::Cancelled), now);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a failing server that is ejected without a permit, or never claims one.
+    #[test]
+    fn judge_failing() {
+        let condition = Condition::new(Clock::start());
+        for caller in 0..60 {
+            let mut running = condition.begin(Class::Idempotent, false, 1, caller).unwrap();
+            running.finish(false);
+        }
+        let mut claim = condition.judge(Preference::FastDetection);
+        claim = claim.or_else(|| condition.judge(Preference::FastDetection));
+        assert!(claim.is_some());
+        assert!(!condition.view().0);
+        condition.apply(Input::Granted);
+        assert!(condition.view().0);
+        assert!(condition.begin(Class::Idempotent, false, 1, 1).is_none());
+        condition.apply(Input::Lost);
+        assert!(condition.begin(Class::Idempotent, false, 1, 1).is_some());
+    }
+
+    /// Guards against requests that callers gave up and that count against the server.
+    #[test]
+    fn begin_cancelled() {
+        let condition = Condition::new(Clock::start());
+        for caller in 0..200 {
+            drop(condition.begin(Class::Idempotent, false, 1, caller));
+        }
+        assert!(condition.judge(Preference::FastDetection).is_none());
+    }
+}
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -53,6 +53,12 @@
         &self.snapshot
     }
 
+    /// Returns the entry of `service`.
+    pub(crate) fn entry(&self, service: &str) -> Option<&Entry> {
+        let index = self.entries.binary_search_by(|entry| entry.service.as_str().cmp(service));
+        index.ok().map(|index| &self.entries[index])
+    }
+
     /// Returns the entry, path prefix and class that serve `host` and `path`.
     pub(crate) fn route(&self, host: Option<&str>, path: &str) -> Option<(&Entry, &str, Class)> {
         let host = host.map(|host| host.rsplit_once(':').map_or(host, |(name, _)| name));
--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admin;
 mod announce;
+mod condition;
 mod configuration;
 mod metrics;
 mod peers;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -23,6 +23,9 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
+/// How often the health of servers is judged; the ages of requests in flight are evidence.
+const JUDGEMENT: Duration = Duration::from_millis(50);
+
 /// What is logged by default: the server library reports every start of a thread.
 const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
 
@@ -116,9 +119,25 @@
     Ok(())
 }
 
+/// Judges the health of this node's servers from time to time.
+async fn judge_servers(shared: Arc<Shared>) {
+    loop {
+        let configuration = shared.configuration();
+        for server in shared.servers.all() {
+            let Some(entry) = configuration.entry(&server.service) else { continue };
+            // Without permit registers the claim waits and the server stays in use.
+            if let Some(suspicion) = server.condition.judge(entry.preference) {
+                tracing::debug!(event = "suspected", server = server.id, ?suspicion);
+            }
+        }
+        sleep(JUDGEMENT).await;
+    }
+}
+
 /// Fetches the configuration and exchanges server lists until the process ends.
 async fn control_work(shared: Arc<Shared>) {
     let pool = Pool::new();
+    ntex::rt::spawn(judge_servers(Arc::clone(&shared)));
     loop {
         shared.reload_token();
         shared.servers.expire(shared.clock.now());
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use subtle::ConstantTimeEq;
 
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
-use arbutuslane_core::time::Clock;
+use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_limit::bucket::Bucket;
 
 use crate::announce::Table;
 use crate::configuration::Configuration;
@@ -18,6 +19,10 @@
 use crate::settings::Settings;
 use crate::traffic::Limiter;
 
+/// The summaries of peers' health that a node attaches to forwarded requests a second; bounds the
+/// bytes that they cost.
+const SUMMARIES: u32 = 20;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -54,6 +59,7 @@
     pub(crate) known: Known,
     /// The rates that this node accepts as an entry.
     pub(crate) limiter: Limiter,
+    summaries: Mutex<Bucket>,
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
@@ -74,6 +80,7 @@
             metrics: Metrics::default(),
             known: Known::default(),
             limiter: Limiter::default(),
+            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARIES, clock.now())),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -143,6 +150,11 @@
         *self.token.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(token);
     }
 
+    /// Returns whether one more summary may be attached to a request.
+    pub(crate) fn may_summarize(&self, now: Time) -> bool {
+        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take(now).is_ok()
+    }
+
     /// Returns whether the node is in a planned stop.
     pub(crate) fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -6,6 +6,8 @@
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::Bytes;
 
+use crate::condition::Running;
+
 use super::admission::Permit;
 use super::client::{Body, Failure, Reply};
 use super::fields;
@@ -28,12 +30,12 @@
 
 impl Answer {
     /// Returns the answer that `reply` gives to a request with `method`.
-    pub(crate) fn new(reply: Reply, method: &Method, permit: Option<Permit>) -> Self {
+    pub(crate) fn new(reply: Reply, method: &Method, held: Option<(Permit, Running)>) -> Self {
         let stated = (method == Method::HEAD).then(|| fields::length(&reply.headers)).flatten();
         Self {
             status: reply.status,
             headers: fields::end_to_end(&reply.headers),
-            body: Stream::new(reply.body, permit),
+            body: Stream::new(reply.body, held),
             stated,
             took: Duration::ZERO,
         }
@@ -44,14 +46,14 @@
 #[derive(Debug)]
 pub(crate) struct Stream {
     body: Body,
-    permit: Option<Permit>,
+    held: Option<(Permit, Running)>,
     ongoing: Option<Ongoing>,
 }
 
 impl Stream {
-    /// Returns a stream that holds `permit` until its end.
-    fn new(body: Body, permit: Option<Permit>) -> Self {
-        Self { body, permit, ongoing: None }
+    /// Returns a stream that holds a slot of the server until its end.
+    fn new(body: Body, held: Option<(Permit, Running)>) -> Self {
+        Self { body, held, ongoing: None }
     }
 
     /// Counts the request as in flight at the entry until the end of the stream.
@@ -71,7 +73,11 @@
     ) -> Poll<Option<Result<Bytes, Failure>>> {
         let next = self.body.poll_next(cx);
         if matches!(next, Poll::Ready(None | Some(Err(_)))) {
-            self.permit = None;
+            let failed =
+                matches!(&next, Poll::Ready(Some(Err(failure))) if failure.blames_server());
+            if let Some((_, running)) = self.held.take().filter(|_| failed) {
+                running.broke();
+            }
             self.ongoing = None;
         }
         next
--- a/crates/arbutuslane_node/src/traffic/client/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/client/mod.rs
@@ -66,4 +66,9 @@
     pub(crate) fn sent(&self) -> bool {
         !matches!(self, Self::Connect(_) | Self::ConnectTimeout | Self::ClosedUnused | Self::Left)
     }
+
+    /// Returns whether the failure is evidence against the server.
+    pub(crate) fn blames_server(&self) -> bool {
+        !matches!(self, Self::ClosedUnused | Self::Left | Self::CallerGone | Self::BodyTooLarge)
+    }
 }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -23,7 +23,7 @@
 use super::deadline;
 use super::fields;
 use super::owner::{self, Work};
-use super::refusal::{Outcome, Refusal};
+use super::refusal::{Choice, Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::remote;
 use super::resume;
@@ -113,6 +113,7 @@
         },
         class: routed.class,
         trial: choice.trial,
+        summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         limit,
         request: routed.request.clone(),
@@ -128,11 +129,11 @@
         Ok(answer) => answer,
         Err(refusal) => {
             // A server that refuses or fails quickly must not look idle for it.
-            if !refusal.stale {
+            if refusal.choice != Choice::Stale {
                 ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
             }
-            if refusal.outcome == Outcome::NotRun && !refusal.stale {
-                services::report_full(worker, service, &server);
+            if refusal.choice == Choice::Shed {
+                services::avoid(worker, service, &server);
             }
             return Err(refusal);
         }
@@ -196,7 +197,7 @@
         Ok(_) => return false,
         Err(refusal) if !refusal.elsewhere => return false,
         // A planned drain or stop must not use up the budget and then refuse requests.
-        Err(refusal) if refusal.stale => return made < STALE_ATTEMPTS,
+        Err(refusal) if refusal.choice == Choice::Stale => return made < STALE_ATTEMPTS,
         Err(refusal) => match refusal.outcome {
             Outcome::NotRun => retry::Outcome::NotRun,
             Outcome::Unknown => retry::Outcome::Unknown,
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -7,8 +7,10 @@
 use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
 
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::hash;
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
 use arbutuslane_core::time::Time;
+use arbutuslane_health::peers::Summary;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::gate::{self, Reason};
 use arbutuslane_wire::header;
@@ -18,7 +20,7 @@
 
 use super::answer::Answer;
 use super::client::{Connection, Echo, Failure, Reply, Request, Upload};
-use super::refusal::{Outcome, Refusal};
+use super::refusal::{Choice, Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::worker::{Worker, new_exchange};
 use super::{deadline, fields};
@@ -42,6 +44,8 @@
     pub(crate) class: Class,
     /// Whether an ejected server may run the request as a trial.
     pub(crate) trial: bool,
+    /// How the server's peers perform, with the entry thread that saw it.
+    pub(crate) summary: Option<(u64, Summary)>,
     /// When the response is of no use any more.
     pub(crate) deadline: Deadline,
     /// How long to wait for the response head.
@@ -86,8 +90,19 @@
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
     let until = Deadline::after(clock.now(), limit);
     let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
+    if let Some((source, summary)) = &work.summary {
+        server.condition.record(*source, *summary);
+    }
+    let (route, caller) = evidence(worker, &work.request);
+    let running = server.condition.begin(work.class, work.trial, route, caller);
+    let Some(mut running) = running else {
+        return Err(Refusal::stale("the server is ejected and takes trial requests only"));
+    };
     let started = clock.now();
     let reply = send(worker, &server, &work).await.map_err(|failure| {
+        if failure.blames_server() {
+            running.finish(false);
+        }
         if matches!(failure, Failure::WrongExchange) {
             count(&worker.shared.metrics.wrong_exchange);
         }
@@ -102,7 +117,8 @@
     if let Some(refusal) = shed(&reply.headers, reply.status) {
         return Err(refusal);
     }
-    Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some(permit)) })
+    running.finish(!reply.status.is_server_error());
+    Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some((permit, running))) })
 }
 
 fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
@@ -126,6 +142,10 @@
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
     let target = target.ok_or_else(|| bad("no path"))?.to_string();
+    let source = fields::text(headers, header::BASELINE_SOURCE);
+    let source = source.and_then(|text| u64::from_str_radix(text, 16).ok());
+    let summary = fields::text(headers, header::BASELINE).and_then(Summary::parse);
+    let summary = source.zip(summary);
     let (server, length) = (server.to_string(), fields::length(headers));
     let (method, headers) = (incoming.method().clone(), fields::end_to_end(headers));
     // The entry has checked the limit of the service.
@@ -137,7 +157,7 @@
     let limit = deadline.remaining(now);
     let trial = incoming.headers().contains_key(header::TRIAL);
     let service = String::new();
-    Ok(Work { service, server, incarnation, class, trial, deadline, limit, request })
+    Ok(Work { service, server, incarnation, class, trial, summary, deadline, limit, request })
 }
 
 fn find(worker: &Worker, work: &Work) -> Result<Arc<Server>, Refusal> {
@@ -215,6 +235,16 @@
     }
 }
 
+/// Returns the hashes of the route and the caller, whose shares of the evidence are capped.
+fn evidence(worker: &Worker, request: &Request) -> (u64, u64) {
+    let host = fields::text(&request.headers, "host");
+    let path = request.target.split('?').next().unwrap_or_default();
+    let configuration = worker.shared.configuration();
+    let route = configuration.route(host, path).map_or("", |(_, prefix, _)| prefix);
+    let caller = fields::text(&request.headers, "x-forwarded-for").unwrap_or_default();
+    (hash::of_bytes(route.as_bytes()), hash::of_bytes(caller.as_bytes()))
+}
+
 /// Returns the refusal of a server that says itself that it did not run the request.
 ///
 /// A bare 503 is no proof: a server may fail with it after it began.
@@ -229,6 +259,7 @@
         outcome: Outcome::NotRun,
         status,
         retry_after: retry_after.or(Some(1)),
+        choice: Choice::Shed,
         ..Refusal::not_run("the server refused the request and did not run it")
     })
 }
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -21,9 +21,20 @@
     pub(crate) retry_after: Option<u32>,
     /// Whether another server may succeed where this one did not.
     pub(crate) elsewhere: bool,
-    /// Whether the entry chose the server by an outdated list; a retry then costs no budget,
-    /// because the refusal says nothing about the load.
-    pub(crate) stale: bool,
+    /// What the refusal says about the choice of the server.
+    pub(crate) choice: Choice,
+}
+
+/// What a refusal says about the choice of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Choice {
+    /// Nothing.
+    Sound,
+    /// The entry chose by an outdated list; a retry costs no budget, because the refusal says
+    /// nothing about the load.
+    Stale,
+    /// The server itself sheds load.
+    Shed,
 }
 
 /// Whether a request without a response of a backend server can have run.
@@ -45,13 +56,13 @@
             remedy: "send the request again after the stated time",
             retry_after: Some(1),
             elsewhere: true,
-            stale: false,
+            choice: Choice::Sound,
         }
     }
 
     /// Returns a refusal of a request whose server has moved, left or begun to drain.
     pub(crate) fn stale(error: impl Into<String>) -> Self {
-        Self { stale: true, ..Self::not_run(error) }
+        Self { choice: Choice::Stale, ..Self::not_run(error) }
     }
 
     /// Returns a refusal of a request that did not run and that no server would run.
@@ -63,7 +74,7 @@
             remedy,
             retry_after: None,
             elsewhere: false,
-            stale: false,
+            choice: Choice::Sound,
         }
     }
 
@@ -76,7 +87,7 @@
             remedy: "send the request again only under the same idempotency key",
             retry_after: Some(1),
             elsewhere: true,
-            stale: false,
+            choice: Choice::Sound,
         }
     }
 
@@ -116,8 +127,14 @@
         if let Some(seconds) = self.retry_after {
             builder.header("retry-after", seconds.to_string());
         }
-        if self.stale {
-            builder.header(header::REFUSAL, header::REFUSAL_STALE);
+        match self.choice {
+            Choice::Sound => {}
+            Choice::Stale => {
+                builder.header(header::REFUSAL, header::REFUSAL_STALE);
+            }
+            Choice::Shed => {
+                builder.header(header::REFUSAL, header::REFUSAL_SHED);
+            }
         }
         builder
             .json(&operator::Refusal { error: self.error.clone(), remedy: self.remedy.to_string() })
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -11,7 +11,7 @@
 use super::answer::Answer;
 use super::client::{Echo, Failure, Reply};
 use super::owner::{FORWARD, Work, count_connection};
-use super::refusal::{Outcome, Refusal};
+use super::refusal::{Choice, Outcome, Refusal};
 use super::worker::{Worker, new_exchange};
 use super::{deadline, fields, services};
 
@@ -59,7 +59,8 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, limit, mut request, trial, .. } = work;
+    let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, .. } =
+        work;
     request.target = format!("{FORWARD}{}", request.target);
     let class_name = match class {
         Class::Idempotent => "idempotent",
@@ -70,6 +71,10 @@
     fields::set(&mut request.headers, header::SERVER, &server);
     fields::set(&mut request.headers, header::INCARNATION, &incarnation.to_string());
     fields::set(&mut request.headers, header::CLASS, class_name);
+    if let Some((source, summary)) = summary {
+        fields::set(&mut request.headers, header::BASELINE, &summary.encode());
+        fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
+    }
     if trial {
         fields::set(&mut request.headers, header::TRIAL, "1");
     }
@@ -100,7 +105,11 @@
 
 async fn refusal(reply: Reply, outcome: Outcome) -> Refusal {
     let status = reply.status;
-    let stale = fields::text(&reply.headers, header::REFUSAL) == Some(header::REFUSAL_STALE);
+    let choice = match fields::text(&reply.headers, header::REFUSAL) {
+        Some(header::REFUSAL_STALE) => Choice::Stale,
+        Some(header::REFUSAL_SHED) => Choice::Shed,
+        _ => Choice::Sound,
+    };
     let retry_after = fields::text(&reply.headers, "retry-after");
     let retry_after = retry_after.and_then(|text| text.parse().ok());
     let body = reply.body.collect(REFUSAL_BYTES).await.unwrap_or_default();
@@ -109,7 +118,7 @@
         Err(_) => format!("the owner responded with status {status}"),
     };
     match outcome {
-        Outcome::NotRun => Refusal { status, retry_after, stale, ..Refusal::not_run(error) },
+        Outcome::NotRun => Refusal { status, retry_after, choice, ..Refusal::not_run(error) },
         // Without the outcome field the owner proves nothing.
         Outcome::Unknown if status.is_success() => {
             Refusal::unknown(StatusCode::BAD_GATEWAY, "the owner stated no outcome")
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -15,6 +15,7 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{Incarnation, NodeId, ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_health::peers::{Summarizer, Summary};
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
 
@@ -26,6 +27,12 @@
 /// How often candidates are renewed although no list changed.
 const RENEWAL: Duration = Duration::from_millis(250);
 
+/// How long a server is avoided that shed load.
+const AVOIDED: Duration = Duration::from_secs(1);
+
+/// How often the owner of a server is told how the server's peers perform.
+const SUMMARY_EVERY: Duration = Duration::from_secs(3);
+
 /// The services that a thread has sent requests to, in ascending order of their names.
 #[derive(Debug, Default)]
 pub(crate) struct Services {
@@ -57,6 +64,8 @@
     pub(crate) place: Place,
     /// Whether the request is offered to an ejected server as a trial.
     pub(crate) trial: bool,
+    /// How the server's peers perform, when its owner is due to be told.
+    pub(crate) summary: Option<Summary>,
 }
 
 /// Counts a request as in flight at this thread until it is dropped.
@@ -66,6 +75,8 @@
     clock: Clock,
     service: ServiceName,
     server: ServerId,
+    class: Class,
+    id: u64,
     latency: Option<Duration>,
     success: bool,
 }
@@ -74,6 +85,10 @@
 struct Service {
     picker: Picker,
     budget: RetryBudget,
+    summarizer: Summarizer,
+    next: u64,
+    /// Servers that shed load, until when they are avoided.
+    avoided: Vec<(ServerId, Time)>,
     places: Vec<(ServerId, Place)>,
     remotes: Arc<Vec<Remote>>,
     local_version: u64,
@@ -98,6 +113,9 @@
                 let fresh = Service {
                     picker: Picker::new(shared.settings.domain.clone()),
                     budget: RetryBudget::default(),
+                    summarizer: Summarizer::default(),
+                    next: 0,
+                    avoided: Vec::new(),
                     places: Vec::new(),
                     remotes: Arc::default(),
                     local_version: 0,
@@ -133,6 +151,9 @@
         }
         self.picker
             .set_candidates(places.iter().map(|(_, _, candidate)| candidate.clone()).collect());
+        let mut kept: Vec<ServerId> = places.iter().map(|(server, ..)| server.clone()).collect();
+        kept.sort_unstable();
+        self.summarizer.retain(&kept);
         self.places = places.into_iter().map(|(server, place, _)| (server, place)).collect();
         (self.remotes, self.local_version, self.renewed) = (remotes, local_version, Some(now));
     }
@@ -155,7 +176,13 @@
     fn drop(&mut self) {
         let mut services = self.services.borrow_mut();
         let Some(service) = services.known(&self.service) else { return };
-        service.picker.answered(&self.server, self.clock.now(), self.latency, self.success);
+        let now = self.clock.now();
+        service.picker.answered(&self.server, now, self.latency, self.success);
+        service.summarizer.ended(self.id);
+        if let Some(latency) = self.latency {
+            let (server, class) = (&self.server, self.class);
+            service.summarizer.observe(server, class, latency, self.success, now);
+        }
     }
 }
 
@@ -171,19 +198,31 @@
     let mut services = worker.services.borrow_mut();
     let service = services.service(shared, name);
     service.renew(shared, name, now);
-    let request = Request { class, tried };
-    let pick = service.picker.pick(&request, now, &mut worker.rng.borrow_mut())?;
+    let mut excluded = tried.to_vec();
+    let avoided = service.avoided.iter().filter(|(_, end)| now < *end);
+    excluded.extend(avoided.map(|(server, _)| server.clone()));
+    let mut rng = worker.rng.borrow_mut();
+    let picker = &mut service.picker;
+    let pick = picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
+    let pick = pick.or_else(|| picker.pick(&Request { class, tried }, now, &mut rng))?;
     let place = service.place(&pick.server)?.clone();
     service.picker.sent(&pick.server, now);
+    let id = service.next;
+    service.next += 1;
+    let summary = service.summarizer.due(&pick.server, class, SUMMARY_EVERY, now);
+    let summary = summary.filter(|_| shared.may_summarize(now));
+    service.summarizer.sent(&pick.server, class, id, now);
     let ongoing = Ongoing {
         services: Rc::clone(&worker.services),
         clock: shared.clock,
         service: name.to_string(),
         server: pick.server.clone(),
+        class,
+        id,
         latency: None,
         success: false,
     };
-    Some((Choice { server: pick.server, place, trial: pick.trial }, ongoing))
+    Some((Choice { server: pick.server, place, trial: pick.trial, summary }, ongoing))
 }
 
 /// Returns whether `service` has a server that is not in `tried`.
@@ -208,23 +247,15 @@
     service.picker.report(server, &load, worker.shared.clock.now());
 }
 
-/// Takes `server` for full, because it or its owner refused a request.
+/// Chooses `server` for a while only when no other server is left, because it sheds load.
 ///
-/// The load that an owner reports does not show work that reaches the server in other ways.
-pub(crate) fn report_full(worker: &Worker, service: &str, server: &str) {
+/// A server that refuses quickly looks idle, and would draw all requests and use up the budget.
+pub(crate) fn avoid(worker: &Worker, service: &str, server: &str) {
+    let now = worker.shared.clock.now();
     let mut services = worker.services.borrow_mut();
     let Some(service) = services.known(service) else { return };
-    let known = service.picker.candidates().find(|known| known.server == server);
-    let Some((slots, serving)) = known.map(|known| (known.slots, known.serving)) else { return };
-    let load = Load {
-        in_flight: slots,
-        queued: slots,
-        slots,
-        latency: Duration::ZERO,
-        serving,
-        ramp_percent: 100,
-    };
-    service.picker.report(server, &load, worker.shared.clock.now());
+    service.avoided.retain(|(known, end)| known != server && now < *end);
+    service.avoided.push((server.to_string(), now + AVOIDED));
 }
 
 /// Skips the servers of `owner` for a short while because it could not be reached.
--- a/crates/arbutuslane_node/src/traffic/worker.rs
+++ b/crates/arbutuslane_node/src/traffic/worker.rs
@@ -23,6 +23,8 @@
     pub(crate) pool: Rc<Pool>,
     /// The pickers and retry budgets of this thread.
     pub(crate) services: Rc<RefCell<Services>>,
+    /// Tells this thread apart from others as a source of summaries.
+    pub(crate) source: u64,
     /// The generator for the choice of servers.
     pub(crate) rng: RefCell<Rng>,
 }
@@ -34,6 +36,7 @@
             shared,
             pool: Pool::new(),
             services: Rc::default(),
+            source: rand::rng().random(),
             rng: RefCell::new(rng::seeded(rand::rng().random())),
         })
     }
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -53,3 +53,9 @@
 
 /// The entry chose the server by an outdated list.
 pub const REFUSAL_STALE: &str = "stale";
+
+/// The backend server itself sheds load.
+pub const REFUSAL_SHED: &str = "shed";
+
+/// Tells apart the sources of baselines (16 hexadecimal digits), on requests to an owner.
+pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
