Add property tests of the decision code; fix two ways for one caller to eject a server

Cause: suspicion_heavy_caller failed. The first requests of a server may all come from one caller, which then was dominant and not left out; and with a bad caller present only one sum, instead of the lowest of 16, guards against chance.

Change: the mix starts with one request in each group; when one sum has come close to its limit (now 2.5 thresholds), the others need 3 more than the threshold.

--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -110,7 +110,7 @@
 const RATE_FIRST: f64 = 50.0;
 
 /// Sums end at this multiple of the threshold, so that a recovered server is cleared soon.
-const LIMIT: f64 = 1.5;
+const LIMIT: f64 = 2.5;
 
 /// The share of failures that a healthy server may have, whatever the peers do.
 const FAILED_HEALTHY: f64 = 0.02;
@@ -348,8 +348,9 @@
 impl Evidence {
     /// Returns whether the failure test and the slowness test have reached the threshold.
     fn verdict(&self, threshold: f64) -> (bool, bool) {
-        let failing = self.failure.score(&self.mix) >= threshold;
-        (failing, self.slowness.score(&self.mix) >= threshold)
+        let limit = threshold * LIMIT;
+        let failing = self.failure.reaches(threshold, limit, &self.mix);
+        (failing, self.slowness.reaches(threshold, limit, &self.mix))
     }
 
     /// Forgets the sums; the mix of callers and routes is a property of the service.
--- a/crates/arbutuslane_health/src/test.rs
+++ b/crates/arbutuslane_health/src/test.rs
@@ -7,11 +7,19 @@
 /// would remain to decide on.
 const DOMINANT: f64 = 0.95;
 
+/// What is added to the threshold when a sum comes close to its limit before all have reached the
+/// threshold. Then one caller or route is bad, and only the sum without it guards against chance,
+/// while the lowest of 16 sums does so for a server whose callers and routes are all well.
+const CONCENTRATED: f64 = 3.0;
+
+/// How close: healthy requests in between lower a sum that a bad group keeps at its limit.
+const BELOW_LIMIT: f64 = 4.0;
+
 /// The mix is halved when it holds this many requests.
 const HORIZON: f64 = 1_000.0;
 
 /// The shares of caller and route groups in the requests of one class.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Mix {
     callers: [f64; GROUPS],
     routes: [f64; GROUPS],
@@ -31,6 +39,14 @@
     }
 }
 
+impl Default for Mix {
+    /// Returns a mix with one request in each group, so that the first requests of a server, which
+    /// may all come from one caller, do not make that caller dominant.
+    fn default() -> Self {
+        Self { callers: [1.0; GROUPS], routes: [1.0; GROUPS], total: 8.0 }
+    }
+}
+
 impl Mix {
     pub(crate) fn count(&mut self, group: Group) {
         self.callers[group.caller] += 1.0;
@@ -76,7 +92,9 @@
         self.callers.iter().chain(&self.routes).copied().fold(0.0, f64::max)
     }
 
-    pub(crate) fn score(&self, mix: &Mix) -> f64 {
+    /// Returns whether every sum has reached `threshold`, or `threshold` and `CONCENTRATED` when one
+    /// has come close to `limit` before.
+    pub(crate) fn reaches(&self, threshold: f64, limit: f64, mix: &Mix) -> bool {
         let dominant = mix.total * DOMINANT;
         let mut lowest = f64::MAX;
         let sums = self.callers.iter().zip(&mix.callers).chain(self.routes.iter().zip(&mix.routes));
@@ -85,7 +103,9 @@
                 lowest = lowest.min(*sum);
             }
         }
-        lowest
+        let is_concentrated = self.highest() >= limit - BELOW_LIMIT;
+        let needed = if is_concentrated { threshold + CONCENTRATED } else { threshold };
+        lowest >= needed
     }
 }
 
--- /dev/null
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -0,0 +1,189 @@
+//! Properties of admission to one server.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutuslane_catalogue::prelude::Class;
+use arbutuslane_limit::prelude::*;
+use quickcheck::{Gen, QuickCheck};
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum State {
+    Waiting(Class),
+    Running,
+    Over,
+}
+
+fn class(number: u16) -> Class {
+    match number % 3 {
+        0 => Class::Idempotent,
+        1 => Class::NonIdempotent,
+        _ => Class::Download,
+    }
+}
+
+fn rank(class: Class) -> u8 {
+    match class {
+        Class::NonIdempotent => 2,
+        Class::Idempotent => 1,
+        Class::Download => 0,
+    }
+}
+
+/// Applies a [`Next`]; false when it starts or refuses a request that does not wait, or starts one
+/// while a higher priority waits.
+fn follow(states: &mut BTreeMap<Ticket, State>, next: &Next) -> bool {
+    for ticket in &next.refuse {
+        if !matches!(states.insert(*ticket, State::Over), Some(State::Waiting(_))) {
+            return false;
+        }
+    }
+    for ticket in &next.start {
+        let Some(State::Waiting(class)) = states.insert(*ticket, State::Running) else {
+            return false;
+        };
+        let passed = states
+            .values()
+            .any(|other| matches!(other, State::Waiting(waiting) if rank(*waiting) > rank(class)));
+        if passed {
+            return false;
+        }
+    }
+    true
+}
+
+/// Guards against more requests at a server than it has slots, a queue above its limit, a request
+/// that starts after it was refused or cancelled, and a place in the queue that leaks.
+fn gate_bounded(slots: u8, limit: u8, steps: Vec<(u8, u16, u16)>) -> bool {
+    let (slots, limit) = (usize::from(slots % 6) + 1, usize::from(limit % 12));
+    let mut gate = Gate::new(slots, limit);
+    let mut states: BTreeMap<Ticket, State> = BTreeMap::new();
+    let mut now = Duration::ZERO;
+    for (action, which, wait) in steps {
+        now += Duration::from_millis(u64::from(wait % 50));
+        let known: Vec<Ticket> = states.keys().copied().collect();
+        let chosen = known.get(usize::from(which) % known.len().max(1)).copied().unwrap_or(999);
+        match action % 8 {
+            0..=3 => {
+                let remaining = Duration::from_millis(u64::from(wait));
+                match gate.arrive(now, class(which), Deadline::after(now, remaining)) {
+                    Admission::Run(ticket) => {
+                        states.insert(ticket, State::Running);
+                    }
+                    Admission::Queued { ticket, displaced } => {
+                        if let Some(displaced) = displaced
+                            && !follow(
+                                &mut states,
+                                &Next { start: vec![], refuse: vec![displaced] },
+                            )
+                        {
+                            return false;
+                        }
+                        states.insert(ticket, State::Waiting(class(which)));
+                    }
+                    Admission::Refused(_) => {}
+                }
+            }
+            4 | 5 => {
+                let is_running = states.get(&chosen) == Some(&State::Running);
+                if is_running {
+                    states.insert(chosen, State::Over);
+                }
+                let next = gate.finish(chosen, now);
+                if (!is_running && next != Next::default()) || !follow(&mut states, &next) {
+                    return false;
+                }
+            }
+            6 => {
+                let expected = match states.get(&chosen) {
+                    Some(State::Waiting(_)) => Cancelled::Queued,
+                    Some(State::Running) => Cancelled::Running,
+                    _ => Cancelled::Unknown,
+                };
+                if gate.cancel(chosen) != expected {
+                    return false;
+                }
+                if expected == Cancelled::Queued {
+                    states.insert(chosen, State::Over);
+                }
+            }
+            _ => {
+                let refuse = if wait % 10 == 0 { gate.refuse_queued() } else { gate.expire(now) };
+                if !follow(&mut states, &Next { start: vec![], refuse }) {
+                    return false;
+                }
+            }
+        }
+        let running = states.values().filter(|state| **state == State::Running).count();
+        let waiting = states.values().filter(|state| matches!(state, State::Waiting(_))).count();
+        if running != gate.in_flight() || waiting != gate.queued() {
+            return false;
+        }
+        if running > slots || waiting > limit || (waiting > 0 && running < slots) {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn gate_random_schedule() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 31))
+        .tests(500)
+        .quickcheck(gate_bounded as fn(u8, u8, Vec<(u8, u16, u16)>) -> bool);
+}
+
+/// Guards against a request that waits in vain: one whose wait exceeds its deadline is refused on
+/// arrival, and the same request is queued with time enough.
+#[test]
+fn arrive_predicted_wait() {
+    let mut gate = Gate::new(1, 10);
+    let second = Duration::from_secs(1);
+    let mut now = Duration::ZERO;
+    for _ in 0..20 {
+        let admission = gate.arrive(now, Class::Idempotent, Deadline::after(now, 60 * second));
+        let Admission::Run(ticket) = admission else { panic!("{admission:?}") };
+        now += second;
+        gate.finish(ticket, now);
+    }
+    gate.arrive(now, Class::Idempotent, Deadline::after(now, 60 * second));
+    let late = gate.arrive(now, Class::Idempotent, Deadline::after(now, second * 3 / 2));
+    let Admission::Refused(refusal) = late else { panic!("{late:?}") };
+    assert_eq!(refusal.reason, Reason::TooLate);
+    let timely = gate.arrive(now, Class::Idempotent, Deadline::after(now, 3 * second));
+    assert!(matches!(timely, Admission::Queued { .. }), "{timely:?}");
+}
+
+/// Guards against a server that is never used again after its mean exceeded the deadlines.
+#[test]
+fn arrive_idle_after_slow() {
+    let mut gate = Gate::new(1, 10);
+    let long = Duration::from_secs(60);
+    let Admission::Run(ticket) =
+        gate.arrive(Duration::ZERO, Class::Idempotent, Deadline::after(Duration::ZERO, long))
+    else {
+        panic!("the slot is free")
+    };
+    gate.finish(ticket, long);
+    let deadline = Deadline::after(long, Duration::from_secs(1));
+    assert!(matches!(gate.arrive(long, Class::Idempotent, deadline), Admission::Run(_)));
+}
+
+/// Guards against a booking that is refused while lookups hold the queue.
+#[test]
+fn arrive_displaces_lower() {
+    let mut gate = Gate::new(1, 1);
+    let deadline = Deadline::after(Duration::ZERO, Duration::from_secs(9));
+    gate.arrive(Duration::ZERO, Class::Download, deadline);
+    let Admission::Queued { ticket, .. } = gate.arrive(Duration::ZERO, Class::Idempotent, deadline)
+    else {
+        panic!("the queue is empty")
+    };
+    let booking = gate.arrive(Duration::ZERO, Class::NonIdempotent, deadline);
+    assert!(
+        matches!(booking, Admission::Queued { displaced: Some(displaced), .. } if displaced == ticket)
+    );
+    let lookup = gate.arrive(Duration::ZERO, Class::Idempotent, deadline);
+    assert!(matches!(lookup, Admission::Refused(refusal) if refusal.reason == Reason::Full));
+}
