--- a/crates/arbutuslane_record/src/permit.rs
+++ b/crates/arbutuslane_record/src/permit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::hash;
 use arbutuslane_core::id::{Attempt, ServerId, ServiceName, Shard};
 use arbutuslane_core::time::Time;
 
@@ -23,6 +24,12 @@
 /// The time after which a claim or renewal without a majority is sent again.
 pub const RETRY: Duration = Duration::from_millis(500);
 
+/// The step of the random time after which a claim that split the replicas is made again.
+const BACKOFF: Duration = Duration::from_millis(100);
+
+/// The number of free permits among which different attempts are spread.
+const FREE_CHOICES: u32 = 8;
+
 /// What is asked of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ask {
@@ -123,7 +130,15 @@
                     || (request.ask == Ask::Claim && grant.number == request.number)
             });
         }
-        let granted = open && request.ask != Ask::Release && self.grant(now, request, headroom);
+        // A claim that would have to give way at once is not granted in the first place.
+        let outranked = request.ask == Ask::Claim
+            && self.waiting.iter().any(|waiting| {
+                waiting.service == request.service
+                    && waiting.server != request.server
+                    && request.severity <= waiting.severity / 2
+            });
+        let granted =
+            open && request.ask != Ask::Release && !outranked && self.grant(now, request, headroom);
         self.note(now, request, granted);
         let waiting = self.waiting.iter().filter(|waiting| waiting.service == request.service);
         let waiting = waiting.map(|waiting| waiting.severity).max().unwrap_or(0);
@@ -165,7 +180,9 @@
             let mut grants = self.grants.iter();
             grants.any(|grant| grant.number == *number && grant.service == request.service)
         };
-        let free: Vec<u32> = (0..headroom).filter(|number| !taken(number)).collect();
+        let known = u32::try_from(self.grants.len()).unwrap_or(u32::MAX);
+        let limit = headroom.min(known.saturating_add(FREE_CHOICES));
+        let free: Vec<u32> = (0..limit).filter(|number| !taken(number)).collect();
         let choice = request.attempt.checked_rem(u128::try_from(free.len()).ok()?)?;
         free.get(usize::try_from(choice).ok()?).copied()
     }
@@ -194,7 +211,8 @@
     severity: u32,
     number: u32,
     round: u32,
-    asked: Option<Time>,
+    asked: Time,
+    due: Time,
     granted: Vec<usize>,
     free: Option<u32>,
     until: Option<Time>,
@@ -211,7 +229,8 @@
             severity,
             number: 0,
             round: 0,
-            asked: None,
+            asked: Time::ZERO,
+            due: Time::ZERO,
             granted: Vec::new(),
             free: None,
             until: None,
@@ -241,23 +260,27 @@
     pub fn poll(&mut self, now: Time, group: &Group, headroom: u32) -> Option<Request> {
         if self.until.is_some_and(|until| now >= until) {
             self.until = None;
-            self.asked = None;
         }
         if self.yielding {
-            self.yielding = false;
-            self.until = None;
-            self.asked = Some(now);
-            return Some(self.request(group, Ask::Release));
+            self.due = now + RETRY;
+            return Some(self.release(group));
         }
-        let wait = if self.until.is_some() { RENEWAL } else { RETRY };
-        if self.asked.is_some_and(|asked| now < asked + wait) {
+        if now < self.due {
             return None;
         }
-        if self.until.is_none() && self.asked.is_some() {
+        if self.until.is_none() && !self.granted.is_empty() {
+            // Several claims have split the replicas. Each gives up and tries again at another
+            // time, since none would get a majority otherwise.
+            let spread = hash::of_bytes(&(self.attempt + u128::from(self.round)).to_le_bytes());
+            self.due = now + BACKOFF * u32::try_from(spread % 10).unwrap_or(0);
+            return Some(self.release(group));
+        }
+        if self.until.is_none() && self.round > 0 {
             let next = (self.number + 1).checked_rem(headroom).unwrap_or(0);
             self.number = self.free.take().unwrap_or(next);
         }
-        self.asked = Some(now);
+        self.asked = now;
+        self.due = now + if self.until.is_some() { RENEWAL } else { RETRY };
         self.round += 1;
         self.granted.clear();
         let ask = if self.until.is_some() { Ask::Renew } else { Ask::Claim };
@@ -274,18 +297,22 @@
             self.granted.push(place);
         }
         self.free = self.free.or(response.free);
-        if self.granted.len() >= group.majority()
-            && let Some(asked) = self.asked
-        {
-            self.until = self.until.max(Some(asked + HELD));
+        if self.granted.len() >= group.majority() {
+            self.until = self.until.max(Some(self.asked + HELD));
+            self.due = self.due.max(self.asked + RENEWAL);
         }
         self.yielding |= self.until.is_some() && self.severity <= response.waiting / 2;
     }
 
     /// Returns the request that gives up the permit, for every member of `group`.
     pub fn release(&mut self, group: &Group) -> Request {
+        let request = self.request(group, Ask::Release);
         self.until = None;
-        self.request(group, Ask::Release)
+        self.yielding = false;
+        self.granted.clear();
+        // A grant of the round that was given up may still be on its way.
+        self.round += 1;
+        request
     }
 
     fn request(&self, group: &Group, ask: Ask) -> Request {
--- a/crates/arbutuslane_record/tests/support/mod.rs
+++ b/crates/arbutuslane_record/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod keys;
+pub(crate) mod permits;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
