--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -0,0 +1,242 @@
+//! Admission to the slots of one backend server.
+//!
+//! [`Gate`] decides; this module lets requests wait for its decisions across threads. The lock is
+//! held for one decision at a time, and never while a request waits.
+
+use std::future::poll_fn;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+
+use ntex::time::timeout_checked;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::gate::{self, Cancelled, Gate, Next, Reason, Refusal};
+
+/// The longest queue as a multiple of the slots; it is short, because another server may be free.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// Admission to the slots of one backend server.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+/// A slot in use; dropping it frees the slot.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    admission: Arc<Admission>,
+    ticket: gate::Ticket,
+}
+
+#[derive(Debug)]
+struct State {
+    gate: Gate,
+    waiting: Vec<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: gate::Ticket,
+    /// Whether the request may run, once that is decided.
+    decided: Option<bool>,
+    waker: Option<Waker>,
+}
+
+/// Removes a ticket from the queue when its request stops waiting.
+struct Place<'a> {
+    admission: &'a Admission,
+    ticket: gate::Ticket,
+}
+
+impl Admission {
+    /// Returns the admission of an idle server with `slots` slots.
+    pub(crate) fn new(slots: u32, clock: Clock) -> Self {
+        let slots = slots as usize;
+        let gate = Gate::new(slots, slots * QUEUE_PER_SLOT);
+        Self { clock, state: Mutex::new(State { gate, waiting: Vec::new() }) }
+    }
+
+    /// Changes the number of slots.
+    pub(crate) fn set_slots(&self, slots: u32) {
+        let mut state = self.lock();
+        if state.gate.slots() != slots as usize {
+            let next = state.gate.set_slots(slots as usize, self.clock.now());
+            state.decide(&next);
+        }
+    }
+
+    /// Refuses all waiting and all later requests.
+    pub(crate) fn close(&self) {
+        let mut state = self.lock();
+        state.gate.set_open(false);
+        let refuse = state.gate.refuse_queued();
+        state.decide(&Next { start: Vec::new(), refuse });
+    }
+
+    /// Returns requests in flight, requests waiting and slots.
+    pub(crate) fn occupancy(&self) -> (u32, u32, u32) {
+        let state = self.lock();
+        let number = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
+        let gate = &state.gate;
+        (number(gate.in_flight()), number(gate.queued()), number(gate.slots()))
+    }
+
+    /// Waits for a slot at most until `deadline`.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        class: Class,
+        deadline: Deadline,
+    ) -> Result<Permit, Refusal> {
+        let now = self.clock.now();
+        let place = {
+            let mut state = self.lock();
+            match state.gate.arrive(now, class, deadline) {
+                gate::Admission::Run(ticket) => return Ok(self.permit(ticket)),
+                gate::Admission::Refused(refusal) => return Err(refusal),
+                gate::Admission::Queued { ticket, displaced } => {
+                    state.waiting.push(Waiting { ticket, decided: None, waker: None });
+                    state.decide(&Next { start: Vec::new(), refuse: Vec::from_iter(displaced) });
+                    Place { admission: self, ticket }
+                }
+            }
+        };
+        let limit = deadline.remaining(now);
+        let waiting = poll_fn(|cx| self.lock().poll(place.ticket, cx));
+        match timeout_checked(limit, waiting).await {
+            Ok(true) => Ok(self.permit(place.ticket)),
+            Ok(false) | Err(()) => {
+                let wait = self.lock().gate.predicted_wait(class);
+                Err(Refusal { reason: Reason::TooLate, retry_after: wait })
+            }
+        }
+    }
+
+    fn permit(self: &Arc<Self>, ticket: gate::Ticket) -> Permit {
+        Permit { admission: Arc::clone(self), ticket }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn poll(&mut self, ticket: gate::Ticket, cx: &mut Context<'_>) -> Poll<bool> {
+        let index = self.waiting.iter().position(|waiting| waiting.ticket == ticket);
+        let Some(index) = index else { return Poll::Ready(false) };
+        if let Some(decided) = self.waiting[index].decided {
+            self.waiting.swap_remove(index);
+            return Poll::Ready(decided);
+        }
+        self.waiting[index].waker = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Frees what a request holds that stops waiting before it has seen the decision.
+    fn abandon(&mut self, ticket: gate::Ticket, now: Time) {
+        let index = self.waiting.iter().position(|waiting| waiting.ticket == ticket);
+        let Some(index) = index else { return };
+        self.waiting.swap_remove(index);
+        if self.gate.cancel(ticket) == Cancelled::Running {
+            let next = self.gate.finish(ticket, now);
+            self.decide(&next);
+        }
+    }
+
+    fn decide(&mut self, next: &Next) {
+        for waiting in &mut self.waiting {
+            if next.start.contains(&waiting.ticket) {
+                waiting.decided = Some(true);
+            } else if next.refuse.contains(&waiting.ticket) {
+                waiting.decided = Some(false);
+            } else {
+                continue;
+            }
+            if let Some(waker) = waiting.waker.take() {
+                waker.wake();
+            }
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.admission.clock.now();
+        let mut state = self.admission.lock();
+        let next = state.gate.finish(self.ticket, now);
+        state.decide(&next);
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now = self.admission.clock.now();
+        self.admission.lock().abandon(self.ticket, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::pin::pin;
+    use std::time::Duration;
+
+    use super::*;
+
+    fn poll<F: Future>(future: std::pin::Pin<&mut F>) -> Poll<F::Output> {
+        future.poll(&mut Context::from_waker(Waker::noop()))
+    }
+
+    fn admission() -> (Arc<Admission>, Deadline) {
+        let admission = Arc::new(Admission::new(1, Clock::start()));
+        (admission, Deadline::after(Time::ZERO, Duration::from_secs(60)))
+    }
+
+    /// Guards against a booking that waits behind downloads, and against a lost slot.
+    #[ntex::test]
+    async fn enter_priority() {
+        let (admission, deadline) = admission();
+        let first = admission.enter(Class::Idempotent, deadline).await.unwrap();
+        let mut download = pin!(admission.enter(Class::Download, deadline));
+        let mut booking = pin!(admission.enter(Class::NonIdempotent, deadline));
+        assert!(poll(download.as_mut()).is_pending());
+        assert!(poll(booking.as_mut()).is_pending());
+        drop(first);
+        assert!(poll(download.as_mut()).is_pending());
+        let Poll::Ready(Ok(permit)) = poll(booking.as_mut()) else { panic!("not admitted") };
+        drop(permit);
+        assert!(poll(download.as_mut()).is_ready());
+        assert_eq!(admission.occupancy(), (0, 0, 1));
+    }
+
+    /// Guards against a slot that stays taken when its request is cancelled after the grant.
+    #[ntex::test]
+    async fn enter_abandoned() {
+        let (admission, deadline) = admission();
+        let first = admission.enter(Class::Idempotent, deadline).await.unwrap();
+        {
+            let mut second = pin!(admission.enter(Class::Idempotent, deadline));
+            assert!(poll(second.as_mut()).is_pending());
+            drop(first);
+        }
+        assert_eq!(admission.occupancy(), (0, 0, 1));
+    }
+
+    /// Guards against a queue that grows without bound, and one that outlives its server.
+    #[ntex::test]
+    async fn enter_full() {
+        let (admission, deadline) = admission();
+        let _first = admission.enter(Class::Idempotent, deadline).await.unwrap();
+        let mut second = pin!(admission.enter(Class::Idempotent, deadline));
+        let mut third = pin!(admission.enter(Class::Idempotent, deadline));
+        assert!(poll(second.as_mut()).is_pending());
+        assert!(poll(third.as_mut()).is_pending());
+        let fourth = admission.enter(Class::Idempotent, deadline).await;
+        assert_eq!(fourth.map(|_| ()).map_err(|refusal| refusal.reason), Err(Reason::Full));
+        admission.close();
+        assert!(matches!(poll(second.as_mut()), Poll::Ready(Err(_))));
+        assert!(matches!(poll(third.as_mut()), Poll::Ready(Err(_))));
+    }
+}
