Add the consensus state machine with random schedules

Cause: the catalogue needs a replicated log that survives the loss of any one control instance. A data folder has an instance number, so the votes of a lost disk never count for the empty one. Random schedules found that a removal behind a lost disk can leave voters which cannot commit, that removed replicas were not found again after they were re-added, and that requests to join got lost at followers; each has a rule and a test now. The checks notice reused instance numbers, a lying disk and clocks outside the drift bound. A replica that votes right after a restart is not noticed by the schedules, so vote_after_restart tests that rule directly. Conclusion: the state machine is ready for the daemon.

--- a/crates/arbutuslane_consensus/src/lib.rs
+++ b/crates/arbutuslane_consensus/src/lib.rs
@@ -1,1 +1,44 @@
-//! Replicated log for the catalogue: elections, commits, membership changes.
+//! Replicated log of the control instances, as a pure state machine.
+//!
+//! A [`Node`](node::Node) takes one [`Input`](input::Input) at a time (time, messages, completed
+//! disk writes, requests) and returns [`Effect`](input::Effect)s: writes, messages, entries to
+//! apply. It implements terms, pre-vote, check-quorum, quorum commit, leader leases for reads,
+//! snapshots and the change of one member at a time. The role is a typestate of
+//! [`Replica`](replica::Replica); a replica that has yet to catch up never campaigns.
+//!
+//! ```
+//! use arbutuslane_consensus::prelude::*;
+//! use std::time::Duration;
+//!
+//! let id = Id { name: "a".to_string(), instance: 1 };
+//! let member = Member { id: id.clone(), voter: true, replaces: None, contact: String::new() };
+//! let saved = Saved::founded(id, vec![member], Vec::new());
+//! let mut node = Node::start(saved, Timing::default(), 7, Duration::ZERO);
+//! let (next, effects) = node.step(Duration::from_secs(2), Input::Tick);
+//! node = next;
+//! assert_eq!(node.role(), "candidate");
+//! assert!(effects.iter().any(|effect| matches!(effect, Effect::Write { .. })));
+//! ```
+
+mod append;
+mod common;
+mod election;
+pub mod input;
+mod leader;
+pub mod log;
+pub mod member;
+pub mod message;
+pub mod node;
+mod progress;
+pub mod replica;
+pub mod timing;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::input::{Effect, Input, Write};
+    pub use crate::log::{Body, Entry, Saved, Snapshot};
+    pub use crate::member::{Id, Member, Reconfigure};
+    pub use crate::message::{Envelope, Message};
+    pub use crate::node::Node;
+    pub use crate::timing::Timing;
+}
