Add runs of the command line against a control instance

Cause: client and control instance could drift apart. Change: tests/control.rs applies, resends, loses a race, rolls back and shows.

--- /dev/null
+++ b/crates/arbutuslane_cli/tests/control.rs
@@ -0,0 +1,105 @@
+//! Runs the program against a real control instance on loopback.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Command;
+
+use arbutuslane_control::daemon::Daemon;
+use arbutuslane_control::settings::Settings;
+use tempfile::TempDir;
+
+const TOKEN: &str = "token-that-must-not-be-shown";
+
+fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+fn start(folder: &Path) -> Daemon {
+    let (operators, peers) = (free_address(), free_address());
+    let text = format!(
+        "{{\"name\": \"c1\", \"data\": \"{0}/data\", \"operators\": \"{operators}\", \
+         \"peers\": \"{peers}\", \"members\": [{{\"name\": \"c1\", \"peers\": \"{peers}\", \
+         \"operators\": \"{operators}\"}}], \"operator_tokens\": \"{0}/operators.tokens\", \
+         \"peer_token\": \"{0}/fleet.token\"}}",
+        folder.display()
+    );
+    std::fs::write(folder.join("control.json"), text).unwrap();
+    std::fs::write(folder.join("operators.tokens"), format!("mari {TOKEN}\n")).unwrap();
+    std::fs::write(folder.join("fleet.token"), "fleet\n").unwrap();
+    std::fs::write(folder.join("operator.token"), TOKEN).unwrap();
+    let settings = format!(
+        "{{\"controls\": [\"{operators}\"], \"token_file\": \"operator.token\", \
+         \"author\": \"mari\"}}"
+    );
+    std::fs::write(folder.join("arbutuslane.json"), settings).unwrap();
+    Daemon::start(Settings::load(&folder.join("control.json")).unwrap()).unwrap()
+}
+
+fn run(folder: &Path, arguments: &str) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_arbutuslane"))
+        .args(arguments.split_whitespace())
+        .current_dir(folder)
+        .env_remove("ARBUTUSLANE_SETTINGS")
+        .output()
+        .unwrap();
+    let (stdout, stderr) =
+        (String::from_utf8(output.stdout).unwrap(), String::from_utf8(output.stderr).unwrap());
+    assert!(!format!("{stdout}{stderr}").contains(TOKEN), "the token is shown");
+    (output.status.code().unwrap(), stdout, stderr)
+}
+
+fn expect(folder: &Path, code: i32, arguments: &str) -> String {
+    let (seen, stdout, stderr) = run(folder, arguments);
+    assert_eq!(seen, code, "{arguments}\n{stdout}\n{stderr}");
+    stdout
+}
+
+fn catalogue(folder: &Path, name: &str, floor: u32) {
+    let text = format!(
+        "{{\"entries\": [{{\"service\": \"slots\", \"owner\": \"o\", \"class\": \"idempotent\", \
+         \"preference\": \"fast-detection\", \"floor\": {floor}, \
+         \"routes\": [{{\"path_prefix\": \"/slots\"}}]}}]}}"
+    );
+    std::fs::write(folder.join(name), text).unwrap();
+}
+
+/// Guards against a client and a control instance that understand the interface differently.
+#[test]
+fn catalogue_life_cycle() {
+    let folder: TempDir = tempfile::tempdir().unwrap();
+    let folder = folder.path();
+    let daemon = start(folder);
+    catalogue(folder, "one.json", 8);
+    catalogue(folder, "two.json", 9);
+    assert!(expect(folder, 0, "catalogue apply --base 0 one.json").contains("revision 1"));
+    // The same command again is a resend and gets the same response.
+    assert!(expect(folder, 0, "catalogue apply --base 0 one.json").contains("revision 1"));
+    let lost = expect(folder, 3, "catalogue apply --base 0 two.json");
+    assert!(lost.contains("by mari made revision 1"), "{lost}");
+    assert!(expect(folder, 0, "catalogue diff two.json").contains("floor: 8 -> 9"));
+    assert!(expect(folder, 0, "catalogue apply --base 1 two.json").contains("revision 2"));
+    let rolled_back = expect(folder, 0, "catalogue rollback --base 2 --to 1");
+    assert!(rolled_back.contains("revision 3"), "{rolled_back}");
+    let shown = expect(folder, 0, "catalogue show");
+    std::fs::write(folder.join("shown.json"), &shown).unwrap();
+    assert!(shown.contains("\"floor\": 8"), "{shown}");
+    expect(folder, 0, "catalogue check shown.json");
+    assert!(expect(folder, 0, "catalogue diff shown.json").contains("no differences"));
+    assert_eq!(expect(folder, 0, "catalogue history").lines().count(), 4);
+    expect(folder, 5, "catalogue show --revision 77");
+    assert!(expect(folder, 0, "status").contains("c1"));
+    drop(daemon);
+    expect(folder, 4, "catalogue show");
+}
+
+/// Guards against a catalogue that is shown or changed without the token of an operator.
+#[test]
+fn apply_other_token() {
+    let folder: TempDir = tempfile::tempdir().unwrap();
+    let folder = folder.path();
+    let _daemon = start(folder);
+    catalogue(folder, "one.json", 8);
+    std::fs::write(folder.join("operator.token"), "a-token-of-nobody").unwrap();
+    expect(folder, 5, "catalogue apply --base 0 one.json");
+    expect(folder, 5, "catalogue show");
+}
