Add decision cost, comparison, bounds and plots to the bench program

Cause: results must be compared between releases and checked against the design's targets.

Change: subcommands cost (table and SVG), compare (95% bootstrap intervals), check (non-zero exit code when a target is missed) and plot; a phi accrual detector can be run by name.

--- a/crates/arbutuslane_bench/src/campaign.rs
+++ b/crates/arbutuslane_bench/src/campaign.rs
@@ -78,10 +78,7 @@
         }
         for service in services(plan) {
             for load in &plan.loads {
-                for policy in Policy::compared() {
-                    if !selected(&plan.policies, policy.name()) {
-                        continue;
-                    }
+                for policy in policies(plan) {
                     let config = Config {
                         fault,
                         ..Config::new(service, policy, f64::from(*load) / 100.0, 0)
@@ -207,6 +204,15 @@
     run.recovery_s = Some(recovery);
 }
 
+/// Returns the policies of the detection runs, or those that are named.
+fn policies(plan: &Plan) -> Vec<Policy> {
+    if plan.policies.is_empty() {
+        return Policy::compared();
+    }
+    let all = Policy::compared().into_iter().chain(Policy::named());
+    all.filter(|policy| selected(&plan.policies, policy.name())).collect()
+}
+
 fn services(plan: &Plan) -> Vec<Service> {
     service::all().into_iter().filter(|one| selected(&plan.services, one.name)).collect()
 }
--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -10,6 +10,7 @@
 
 use crate::campaign::{self, Plan};
 use crate::report::Report;
+use crate::{bound, compare, cost, plot};
 
 /// Parses the arguments of the process and runs the subcommand.
 ///
@@ -25,6 +26,27 @@
             finish(&campaign::soak(&plan(options), Duration::from_secs(hours * 3_600)), options)
         }
         Some(("overload", options)) => finish(&campaign::overload(&plan(options)), options),
+        Some(("cost", options)) => {
+            let costs = cost::measure();
+            if let Some(path) = options.get_one::<PathBuf>("svg") {
+                plot::cost(&costs, path)?;
+            }
+            print_text(&cost::table(&costs))?;
+            conclude(&cost::broken(&costs))
+        }
+        Some(("compare", options)) => {
+            let differences = compare::compare(&read(options, "before")?, &read(options, "after")?);
+            print_text(&compare::table(&differences))?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Some(("check", options)) => conclude(&bound::broken(&read(options, "file")?)),
+        Some(("plot", options)) => {
+            let text = |name: &str| options.get_one::<String>(name).cloned().unwrap_or_default();
+            let path = options.get_one::<PathBuf>("svg").cloned().unwrap_or_default();
+            let report = read(options, "file")?;
+            plot::detection(&report, &text("scenario"), &text("policy"), &path)?;
+            Ok(ExitCode::SUCCESS)
+        }
         _ => Ok(ExitCode::FAILURE),
     }
 }
@@ -45,6 +67,34 @@
             ),
         )
         .subcommand(with_plan(Command::new("overload").about("Goodput, retries and recovery")))
+        .subcommand(
+            Command::new("cost")
+                .about("Time of one decision by the wall clock")
+                .arg(file("svg").long("svg")),
+        )
+        .subcommand(
+            Command::new("compare")
+                .about("Compares two result files, with 95% confidence intervals")
+                .arg(file("before").required(true))
+                .arg(file("after").required(true)),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Checks a result file against the targets of the design")
+                .arg(file("file").required(true)),
+        )
+        .subcommand(
+            Command::new("plot")
+                .about("Plots the detection time over the load")
+                .arg(file("file").required(true))
+                .arg(Arg::new("scenario").long("scenario").default_value("straggler-10x"))
+                .arg(Arg::new("policy").long("policy").default_value("fast_detection"))
+                .arg(file("svg").long("svg").required(true)),
+        )
+}
+
+fn file(name: &'static str) -> Arg {
+    Arg::new(name).value_parser(value_parser!(PathBuf))
 }
 
 fn with_plan(command: Command) -> Command {
@@ -123,6 +173,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn read(options: &ArgMatches, name: &str) -> Result<Report> {
+    let path = options.get_one::<PathBuf>(name).cloned().unwrap_or_default();
+    Ok(Report::read(&path)?)
+}
+
+/// Prints the broken bounds; the exit code is 1 when there are any.
+fn conclude(broken: &[String]) -> Result<ExitCode> {
+    for one in broken {
+        print_text(&format!("broken: {one}\n"))?;
+    }
+    print_text(&format!("{} bounds broken\n", broken.len()))?;
+    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn print_text(text: &str) -> Result<()> {
     use std::io::Write;
     std::io::stdout().write_all(text.as_bytes()).into_diagnostic()
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -21,12 +21,16 @@
 //! assert!(run(&config).detection.is_some());
 //! ```
 
+pub mod bound;
 pub mod campaign;
 pub mod command;
+pub mod compare;
+pub mod cost;
 pub mod fault;
 pub mod outcome;
 pub mod permit;
 pub mod phi;
+pub mod plot;
 pub mod policy;
 pub mod report;
 pub mod sample;
--- /dev/null
+++ b/crates/arbutuslane_bench/src/plot.rs
@@ -0,0 +1,108 @@
+//! Plots of results as SVG.
+
+use std::path::Path;
+
+use miette::Diagnostic;
+use plotters::prelude::*;
+use thiserror::Error;
+
+use crate::cost::Cost;
+use crate::report::Report;
+
+/// Why a plot was not drawn.
+#[derive(Debug, Error, Diagnostic)]
+#[error("cannot draw the plot: {0}")]
+#[diagnostic(help("check that the folder exists and is writable"))]
+pub struct Error(String);
+
+const SIZE: (u32, u32) = (900, 540);
+const COLORS: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(255, 127, 14),
+    RGBColor(90, 90, 90),
+];
+
+/// A named line.
+type Line = (String, Vec<(f64, f64)>);
+
+/// Draws the cost of decisions over the number of servers.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be written.
+pub fn cost(costs: &[Cost], path: &Path) -> Result<(), Error> {
+    let line = |name: &str, figure: fn(&Cost) -> f64| {
+        let points = costs.iter().map(|cost| (f64::from(cost.servers), figure(cost))).collect();
+        (name.to_string(), points)
+    };
+    let lines = [
+        line("choice of a server and its response", |cost| cost.pick_ns),
+        line("admission and end at the gate", |cost| cost.gate_ns),
+        line("detector", |cost| cost.detect_ns),
+    ];
+    draw("Cost of a decision", "servers", "nanoseconds", &lines, path)
+}
+
+/// Draws the 99th percentile of the detection time over the load, one line per service, for one
+/// scenario and policy.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be written.
+pub fn detection(report: &Report, scenario: &str, policy: &str, path: &Path) -> Result<(), Error> {
+    let mut lines: Vec<Line> = Vec::new();
+    for row in &report.rows {
+        if row.scenario != scenario || row.policy != policy || !row.detection(0.99).is_finite() {
+            continue;
+        }
+        let point = (f64::from(row.load_percent), row.detection(0.99));
+        match lines.iter_mut().find(|(name, _)| *name == row.service) {
+            Some((_, points)) => points.push(point),
+            None => lines.push((row.service.clone(), vec![point])),
+        }
+    }
+    let title = format!("Detection, {scenario}, {policy}, p99");
+    draw(&title, "load in percent", "seconds", &lines, path)
+}
+
+fn draw(title: &str, x: &str, y: &str, lines: &[Line], path: &Path) -> Result<(), Error> {
+    let points = || lines.iter().flat_map(|(_, points)| points);
+    let (mut left, mut right) = (f64::INFINITY, 0.0_f64);
+    let (mut low, mut high) = (f64::INFINITY, 0.0_f64);
+    for (x, y) in points() {
+        (left, right) = (left.min(*x), right.max(*x));
+        (low, high) = (low.min(*y), high.max(*y));
+    }
+    if !left.is_finite() || left >= right {
+        return Err(Error("fewer than two points".to_string()));
+    }
+    let failed = |error: &dyn std::fmt::Display| Error(error.to_string());
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|error| failed(&error))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 22))
+        .margin(16)
+        .x_label_area_size(44)
+        .y_label_area_size(70)
+        .build_cartesian_2d((left..right).log_scale(), (low * 0.8..high * 1.25).log_scale())
+        .map_err(|error| failed(&error))?;
+    chart.configure_mesh().x_desc(x).y_desc(y).draw().map_err(|error| failed(&error))?;
+    for (place, (name, points)) in lines.iter().enumerate() {
+        let color = COLORS[place % COLORS.len()];
+        chart
+            .draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(2)))
+            .map_err(|error| failed(&error))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()
+        .map_err(|error| failed(&error))?;
+    area.present().map_err(|error| failed(&error))
+}
--- a/crates/arbutuslane_bench/src/policy.rs
+++ b/crates/arbutuslane_bench/src/policy.rs
@@ -26,6 +26,11 @@
 }
 
 impl Policy {
+    /// Returns the policies that run only when they are named.
+    pub fn named() -> Vec<Self> {
+        vec![Self::PickerOnly, Self::Phi]
+    }
+
     /// Returns the two preferences and the three baselines of the detection runs.
     pub fn compared() -> Vec<Self> {
         vec![
--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -16,7 +16,7 @@
 //! let mut detector = Detector::new(Preference::FastDetection);
 //! for id in 0..12 {
 //!     let now = Duration::from_millis(id * 50);
-//!     let start = Start { class: Class::Idempotent, route: 1, caller: id, at: now };
+//!     let start = Start { class: Class::Idempotent, route: id % 3, caller: id, at: now };
 //!     detector.started(id, start);
 //!     detector.finished(id, now + Duration::from_millis(5), false, &peers);
 //! }
