Share the limit on summaries between servers, steer less by latency

Cause: summaries for slow-looking servers competed with ordinary ones, and the picker still kept evidence from the detector.

Change: ordinary summaries are due after 0.5 s and leave half of the node's burst of summaries to servers that look slow (Bucket::take_above, Summarizer::due asks); latency changes a score by a factor of 1.2 at most instead of 1.5.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -50,7 +50,7 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            latency_limit: 1.5,
+            latency_limit: 1.2,
             success_floor: 0.25,
             report_half_life: 0.02,
             remote_penalty: 2.0,
--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -11,10 +11,7 @@
 
 use super::owner::Attempted;
 use super::queue::Event;
-use super::{Attempt, Result, Sim};
-
-/// A summary of the peers is attached to at most one request to each server in this time.
-const SUMMARY_EVERY: Duration = Duration::from_secs(3);
+use super::{Attempt, Result, SUMMARY_BURST, Sim};
 
 /// A caller sends an unanswered request again after this time, doubled each time.
 const RESEND_AFTER: Duration = Duration::from_millis(100);
@@ -44,10 +41,10 @@
         let mut summary = None;
         if self.config.policy.preference().is_some() {
             state.summarizer.sent(&name, class, self.next_id + 1, now);
-            summary = state.summarizer.due(&name, class, SUMMARY_EVERY, now);
-            if summary.is_some() && state.summaries.take(now).is_err() {
-                summary = None;
-            }
+            let summaries = &mut state.summaries;
+            summary = state.summarizer.due(&name, class, now, |is_urgent| {
+                summaries.take_above(if is_urgent { 0 } else { SUMMARY_BURST / 2 }, now)
+            });
         }
         let stored = self.requests.get(request);
         stored.tried.push(name);
--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -97,6 +97,9 @@
 /// Summaries a second that one entry attaches at most, by the design.
 const SUMMARY_RATE: u32 = 20;
 
+/// Summaries that one entry attaches at once at most.
+const SUMMARY_BURST: u32 = 10;
+
 /// The time until membership declares a lost node dead (4 to 6 s by the design).
 const FAILURE_DETECTION: Duration = Duration::from_secs(5);
 
@@ -248,7 +251,7 @@
                 domain,
                 picker,
                 summarizer: Summarizer::default(),
-                summaries: Bucket::new(SUMMARY_RATE, SUMMARY_RATE / 4, Time::ZERO),
+                summaries: Bucket::new(SUMMARY_RATE, SUMMARY_BURST, Time::ZERO),
                 budget: RetryBudget::default(),
                 next: place,
             });
--- a/crates/arbutuslane_health/src/peers.rs
+++ b/crates/arbutuslane_health/src/peers.rs
@@ -117,8 +117,11 @@
 /// The half-life of the quantiles: long enough for a few hundred requests of a small service.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
-/// Summaries for servers that look slow are due this many times as often.
-const URGENT: u32 = 15;
+/// The least time between summaries for one server.
+const EVERY: Duration = Duration::from_millis(500);
+
+/// The least time between summaries for a server that looks slow.
+const EVERY_URGENT: Duration = Duration::from_millis(200);
 
 /// The half-life of the recent shares, which follow a slowdown of the whole service.
 const RECENT_HALF_LIFE: f32 = 0.15;
@@ -140,24 +143,24 @@
         }
     }
 
-    /// Returns the summary to attach to a request to the owner of `server`, when the last one is at
-    /// least `every` old. The caller keeps to the node's limit of 20 summaries a second.
+    /// Returns the summary to attach to a request to the owner of `server`, when one is due: 0.5 s
+    /// after the last one, or 0.2 s when the server looks slow to this entry.
     ///
-    /// Going by the age for each server, and not by chance, matters for a slow server: it gets few
-    /// requests, and would otherwise be compared with peers of seconds ago. For a server that looks
-    /// slow to this entry, a fifteenth of `every` suffices. `every` is 3 s: with 1 s, the ordinary
-    /// summaries for 20 servers use up the 20 a second that a node may attach.
+    /// `allow` is asked whether the node's limit of 20 summaries a second leaves one, and is told
+    /// whether the server looks slow. It keeps half of its burst for such servers: they get few
+    /// requests, and would otherwise be compared with peers of seconds ago.
     pub fn due(
         &mut self,
         server: &str,
         class: Class,
-        every: Duration,
         now: Time,
+        allow: impl FnOnce(bool) -> bool,
     ) -> Option<Summary> {
         let place = self.place(server).ok()?;
+        let is_urgent = self.looks_slow(place, class, now);
+        let every = if is_urgent { EVERY_URGENT } else { EVERY };
         let last = self.servers[place].summarized[index(class)];
-        let every = if self.looks_slow(place, class, now) { every / URGENT } else { every };
-        if last.is_some_and(|last| now.saturating_sub(last) < every) {
+        if last.is_some_and(|last| now.saturating_sub(last) < every) || !allow(is_urgent) {
             return None;
         }
         self.servers[place].summarized[index(class)] = Some(now);
--- a/crates/arbutuslane_limit/src/bucket.rs
+++ b/crates/arbutuslane_limit/src/bucket.rs
@@ -26,6 +26,16 @@
         Self { rate, capacity, level: capacity, refilled: now }
     }
 
+    /// Takes one token when at least `reserve` are left after it, and returns whether it did.
+    pub fn take_above(&mut self, reserve: u32, now: Time) -> bool {
+        self.refill(now);
+        let is_allowed = self.level >= u64::from(reserve + 1) * TOKEN;
+        if is_allowed {
+            self.level -= TOKEN;
+        }
+        is_allowed
+    }
+
     /// Takes one token.
     ///
     /// # Errors
