--- a/crates/arbutuslane_member/src/detector.rs
+++ b/crates/arbutuslane_member/src/detector.rs
@@ -8,6 +8,10 @@
 /// The number of nodes that are asked to probe a node that did not answer directly.
 pub const HELPERS: usize = 3;
 
+/// The number of nodes that are asked before a suspect is declared dead; half of them may be cut
+/// off from a healthy suspect in one direction.
+pub const DECIDING_HELPERS: usize = 8;
+
 /// The time from a suspicion to the probe that decides about it.
 ///
 /// The probe and its helpers take up to 1 s more, which gives 3 s from suspicion to death.
@@ -20,10 +24,13 @@
     Pending,
     /// A helper reached the node.
     Reached,
-    /// No helper answered: this process may be the one that is cut off.
+    /// Too few helpers answered: this process may be the one that is cut off.
     Inconclusive,
-    /// A helper answered that it did not reach the node either, and none reached it.
-    Failed,
+    /// Enough helpers answered that they did not reach the node either, and none reached it.
+    Failed {
+        /// True for a probe that decides about a suspicion.
+        deciding: bool,
+    },
 }
 
 /// A suspicion that this process raised and has to decide about.
@@ -44,8 +51,10 @@
 #[derive(Debug, Clone)]
 struct Inquiry {
     node: NodeId,
+    asked: usize,
     pending: usize,
-    denied: bool,
+    denied: usize,
+    deciding: bool,
 }
 
 /// The probes and suspicions of one process.
@@ -61,7 +70,13 @@
         if self.inquiries.iter().any(|inquiry| inquiry.node == node) {
             return false;
         }
-        self.inquiries.push(Inquiry { node: node.to_string(), pending: 0, denied: false });
+        self.inquiries.push(Inquiry {
+            node: node.to_string(),
+            asked: 0,
+            pending: 0,
+            denied: 0,
+            deciding: false,
+        });
         true
     }
 
@@ -73,29 +88,33 @@
     /// Notes that a node did not answer directly and that `helpers` others are asked about it.
     ///
     /// Without any helper in the fleet the direct probe alone decides.
-    pub fn unanswered(&mut self, node: &str, helpers: usize) -> Outcome {
+    pub fn unanswered(&mut self, now: Time, node: &str, helpers: usize) -> Outcome {
+        let due = self.is_due(now, node);
         let Some(index) = self.inquiries.iter().position(|inquiry| inquiry.node == node) else {
             return Outcome::Pending;
         };
         if helpers == 0 {
             self.inquiries.swap_remove(index);
-            return Outcome::Failed;
+            return Outcome::Failed { deciding: due };
         }
-        self.inquiries[index].pending = helpers;
+        let inquiry = &mut self.inquiries[index];
+        inquiry.pending = helpers;
+        inquiry.asked = helpers;
+        inquiry.deciding = due;
         Outcome::Pending
     }
 
     /// Reports a helper's finding, or nothing when the helper did not answer.
     ///
-    /// A suspicion needs one helper that answers and denies. A node that hears nobody, because it is
-    /// cut off itself, therefore suspects nobody.
+    /// A suspicion needs one helper that answers and denies, and death a majority of them. A node
+    /// that hears nobody, or only a part of the fleet, is cut off itself and removes nobody.
     pub fn found(&mut self, node: &str, reached: Option<bool>) -> Outcome {
         let Some(index) = self.inquiries.iter().position(|inquiry| inquiry.node == node) else {
             return Outcome::Pending;
         };
         let inquiry = &mut self.inquiries[index];
         inquiry.pending = inquiry.pending.saturating_sub(1);
-        inquiry.denied |= reached == Some(false);
+        inquiry.denied += usize::from(reached == Some(false));
         if reached == Some(true) {
             self.inquiries.swap_remove(index);
             return Outcome::Reached;
@@ -103,15 +122,23 @@
         if inquiry.pending > 0 {
             return Outcome::Pending;
         }
-        let denied = inquiry.denied;
+        let deciding = inquiry.deciding;
+        let wanted = if deciding { inquiry.asked / 2 + 1 } else { 1 };
+        let failed = inquiry.denied >= wanted;
         self.inquiries.swap_remove(index);
-        if denied { Outcome::Failed } else { Outcome::Inconclusive }
+        if failed { Outcome::Failed { deciding } } else { Outcome::Inconclusive }
     }
 
     /// Records a failed probe of a node seen at `seen` (incarnation, version, round); returns true
-    /// when the node was suspected at the same state before and its deciding probe has now failed
-    /// too, so that it is dead.
-    pub fn suspect(&mut self, now: Time, node: &str, seen: (Incarnation, u64, u64)) -> bool {
+    /// when the node was suspected at the same state before and the probe was the deciding one, so
+    /// that it is dead.
+    pub fn suspect(
+        &mut self,
+        now: Time,
+        node: &str,
+        seen: (Incarnation, u64, u64),
+        deciding: bool,
+    ) -> bool {
         let fresh = Suspicion {
             node: node.to_string(),
             incarnation: seen.0,
@@ -128,7 +155,7 @@
             self.suspicions[index] = fresh;
             return false;
         }
-        if now < known.confirm_at {
+        if !deciding {
             return false;
         }
         self.suspicions.swap_remove(index);
@@ -140,9 +167,19 @@
         self.suspicions.retain(|suspicion| suspicion.node != node);
     }
 
+    /// Returns the number of helpers to ask about a node that did not answer.
+    pub fn helpers(&self, now: Time, node: &str) -> usize {
+        if self.is_due(now, node) { DECIDING_HELPERS } else { HELPERS }
+    }
+
     /// Returns the suspects whose deciding probe is due.
     pub fn due(&self, now: Time) -> Vec<NodeId> {
         let due = self.suspicions.iter().filter(|suspicion| suspicion.confirm_at <= now);
         due.map(|suspicion| suspicion.node.clone()).collect()
     }
+
+    fn is_due(&self, now: Time, node: &str) -> bool {
+        let mut suspicions = self.suspicions.iter();
+        suspicions.any(|known| known.node == node && known.confirm_at <= now)
+    }
 }
--- a/crates/arbutuslane_member/src/gossip.rs
+++ b/crates/arbutuslane_member/src/gossip.rs
@@ -29,6 +29,14 @@
 /// The number of peers that a change is pushed to: reaches 94% of the fleet, the exchanges the rest.
 pub const FANOUT: usize = 3;
 
+/// The time between two deciding probes of a process, each of which asks several helpers; bounds the
+/// probes when many nodes fail at once.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The number of times that a refutation is pushed: a node with half of its links cut reaches
+/// another node in one of 12 pushes.
+const REFUTATIONS: u32 = 4;
+
 /// The number of changes in one push.
 pub const PUSH_LIMIT: usize = 128;
 
@@ -52,6 +60,9 @@
 /// One exchange in this many goes to a dead node, which finds the other part after a partition.
 const DEAD_SHARE: u32 = 16;
 
+/// One exchange in this many goes to a seed that is not known as a member, where there is one.
+const SEED_PERIOD: usize = 5;
+
 /// Why an outgoing request was sent.
 #[derive(Debug, Clone)]
 enum Purpose {
@@ -97,7 +108,10 @@
     rumours: VecDeque<Rumour>,
     next_call: Call,
     next_exchange: Time,
+    exchanges: usize,
     next_push: Time,
+    next_probe: Time,
+    refuting: u32,
     next_forget: Time,
     announce: bool,
     fetching: bool,
@@ -106,6 +120,8 @@
     settled: bool,
     required: Position,
     required_revision: Revision,
+    told: Option<Position>,
+    confirmed: Option<Position>,
 }
 
 impl Gossip {
@@ -127,7 +143,10 @@
             rumours,
             next_call: 0,
             next_exchange: now,
+            exchanges: 0,
             next_push: now,
+            next_probe: now,
+            refuting: 0,
             next_forget: now + DEAD_KEPT / 60,
             announce: false,
             fetching: false,
@@ -136,6 +155,8 @@
             settled: false,
             required: Position::default(),
             required_revision: 0,
+            told: None,
+            confirmed: None,
         }
     }
 
@@ -177,10 +198,20 @@
         self.publish(now, Record::clone(&self.own));
     }
 
-    /// Demands at least `revision` before any revision is put in force: the highest one that a
-    /// backend server of this node was told.
-    pub fn require(&mut self, revision: Revision) {
-        self.required_revision = self.required_revision.max(revision);
+    /// Takes the revision that a backend server of this node was told, and returns the revision to
+    /// tell it in the response to its renewal.
+    ///
+    /// A revision comes into force once a server has shown that it was told. When this process
+    /// restarts, its servers therefore know every revision that it had in force.
+    pub fn renewed(&mut self, known: Revision) -> Revision {
+        self.required_revision = self.required_revision.max(known);
+        if self.told.is_none_or(|told| known >= told.revision) {
+            self.confirmed = self.told.or(self.confirmed);
+        }
+        if self.confirmed >= self.told {
+            self.told = Some(self.history.position());
+        }
+        self.told.map_or(0, |told| told.revision)
     }
 
     /// Reports that the replicated state is now at `position`.
@@ -198,7 +229,10 @@
     /// are, has what the furthest of them has, and has what its own servers were told. Its revision
     /// therefore does not fall behind that of its earlier life.
     pub fn in_force(&self) -> Option<Position> {
-        let position = self.history.position();
+        let position = match self.told {
+            Some(_) => self.confirmed?,
+            None => self.history.position(),
+        };
         let ready = self.settled
             && position >= self.required
             && position.revision >= self.required_revision;
@@ -214,8 +248,16 @@
             self.next_exchange = now + spread;
             self.exchange(rng, &mut effects);
         }
-        for node in self.detector.due(now) {
-            self.probe(&node, &mut effects);
+        if now >= self.next_probe
+            && let Some(node) = self.detector.due(now).first()
+        {
+            self.next_probe = now + PROBE_INTERVAL;
+            self.probe(node, &mut effects);
+        }
+        if now >= self.next_push && self.refuting > 0 {
+            self.refuting -= 1;
+            let node = self.own.node.clone();
+            self.spread(&node, false);
         }
         if now >= self.next_push && (self.announce || !self.rumours.is_empty()) {
             self.next_push = now + PUSH_INTERVAL;
--- a/crates/arbutuslane_member/src/gossip/incoming.rs
+++ b/crates/arbutuslane_member/src/gossip/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use arbutuslane_core::hash;
 use arbutuslane_core::id::NodeId;
 use arbutuslane_core::rng::Rng;
 use arbutuslane_core::time::Time;
@@ -9,7 +10,7 @@
 use crate::configuration::Position;
 use crate::detector::Outcome;
 use crate::effect::{Call, Effect, Ticket};
-use crate::gossip::{CALL_TIMEOUT, Gossip, Purpose};
+use crate::gossip::{CALL_TIMEOUT, Gossip, Purpose, REFUTATIONS};
 use crate::message::{Answer, Digest, Held, Message, Verdict};
 use crate::record::{Standing, View};
 use crate::table::BUCKETS;
@@ -18,6 +19,9 @@
 /// that was far behind, and the rest of the fleet has its content.
 const PUSHED_ON: usize = 16;
 
+/// The number of nodes that tell a suspect about the suspicion.
+const NOTIFIERS: u64 = 8;
+
 impl Gossip {
     /// Answers a request of a peer; `ticket` names it in the effects.
     pub fn handle(&mut self, now: Time, ticket: Ticket, message: Message) -> Vec<Effect> {
@@ -122,6 +126,9 @@
         address: String,
         effects: &mut Vec<Effect>,
     ) {
+        if theirs.node == self.own.node {
+            return;
+        }
         if !self.settled && !self.asked.contains(&theirs.node) {
             self.asked.push(theirs.node.clone());
             self.required = self.required.max(theirs.position);
@@ -209,7 +216,25 @@
                 self.changed(&verdict.node, effects);
             }
             self.spread(&verdict.node, false);
+            if verdict.view.standing == Standing::Suspect {
+                self.notify(verdict, effects);
+            }
+        }
+    }
+
+    /// Tells a suspect, so that it can refute also when most paths to it are cut.
+    ///
+    /// A hash picks about [`NOTIFIERS`] nodes of the fleet for each suspicion.
+    fn notify(&mut self, verdict: &Verdict, effects: &mut Vec<Effect>) {
+        let Some(known) = self.table.get(&verdict.node) else { return };
+        let address = known.record.peers.clone();
+        let key = format!("{} {} {}", verdict.node, verdict.version, verdict.view.round);
+        let members = u64::try_from(self.table.nodes().len()).unwrap_or(u64::MAX);
+        if hash::weight(&self.own.node, &key) % members >= NOTIFIERS {
+            return;
         }
+        let message = Message::Push { records: Vec::new(), verdicts: vec![verdict.clone()] };
+        self.call(address, message, Purpose::Send, CALL_TIMEOUT, effects);
     }
 
     /// Contradicts a view of this process that is not its own.
@@ -219,6 +244,7 @@
             return;
         }
         self.view.round = self.view.round.max(view.round) + 1;
+        self.refuting = REFUTATIONS;
         if order > self.own.order() {
             let mut record = (*self.own).clone();
             if order.0 > record.incarnation {
@@ -245,16 +271,14 @@
         if outcome == Outcome::Reached {
             self.detector.clear(node);
         }
-        if outcome != Outcome::Failed {
-            return;
-        }
+        let Outcome::Failed { deciding } = outcome else { return };
         let Some(known) = self.table.get(node).filter(|known| known.is_member()) else {
             self.detector.clear(node);
             return;
         };
         let (incarnation, version) = known.record.order();
         let round = known.view.round;
-        let dead = self.detector.suspect(now, node, (incarnation, version, round));
+        let dead = self.detector.suspect(now, node, (incarnation, version, round), deciding);
         let standing = if dead { Standing::Dead } else { Standing::Suspect };
         let view = View { round, standing };
         let verdict = Verdict { node: node.to_string(), incarnation, version, view };
--- a/crates/arbutuslane_member/src/gossip/outgoing.rs
+++ b/crates/arbutuslane_member/src/gossip/outgoing.rs
@@ -5,33 +5,44 @@
 use arbutuslane_core::time::Time;
 use rand::RngExt;
 
-use crate::detector::HELPERS;
 use crate::effect::Effect;
 use crate::gossip::{
-    CALL_TIMEOUT, DEAD_SHARE, FANOUT, Gossip, HELPER_TIMEOUT, PUSH_LIMIT, Purpose,
+    CALL_TIMEOUT, DEAD_SHARE, FANOUT, Gossip, HELPER_TIMEOUT, PUSH_LIMIT, Purpose, SEED_PERIOD,
 };
 use crate::message::Message;
 use crate::record::Standing;
 use crate::table::Known;
 
 impl Gossip {
-    /// Starts an exchange with a random member, now and then with a dead one or a seed.
+    /// Starts an exchange with a random member, now and then with a dead one or an unknown seed.
+    ///
+    /// Without the latter, parts of the fleet that started or were parted alone would never meet.
     pub(super) fn exchange(&mut self, rng: &mut Rng, effects: &mut Vec<Effect>) {
-        let dead = rng.random_range(0..DEAD_SHARE) == 0;
-        let target = if dead { self.dead_peer(rng) } else { None };
-        let target = target.or_else(|| self.pick(rng, 1, &[]).pop());
-        if let Some((node, address)) = target {
-            let member = self.table.get(&node).is_some_and(Known::is_member);
-            let probe = member && self.detector.begin(&node);
-            let purpose = Purpose::Exchange { node: Some(node), probe };
-            let message = Message::Digest(self.digest());
-            self.call(address, message, purpose, CALL_TIMEOUT, effects);
-            return;
+        self.exchanges += 1;
+        if !self.settled && !self.exchanges.is_multiple_of(2) {
+            return self.exchange_seed(self.exchanges / 2, effects);
         }
-        if self.seeds.is_empty() {
-            return;
+        if self.exchanges.is_multiple_of(SEED_PERIOD)
+            && let Some(index) = self.unknown_seed(rng)
+        {
+            return self.exchange_seed(index, effects);
         }
-        let address = self.seeds[rng.random_range(0..self.seeds.len())].clone();
+        let outside = rng.random_range(0..DEAD_SHARE) == 0;
+        let target = if outside { self.dead_peer(rng) } else { None };
+        let target = target.or_else(|| self.pick(rng, 1, &[]).pop());
+        let Some((node, address)) = target else {
+            return self.exchange_seed(self.exchanges, effects);
+        };
+        let member = self.table.get(&node).is_some_and(Known::is_member);
+        let probe = member && self.detector.begin(&node);
+        let purpose = Purpose::Exchange { node: Some(node), probe };
+        let message = Message::Digest(self.digest());
+        self.call(address, message, purpose, CALL_TIMEOUT, effects);
+    }
+
+    fn exchange_seed(&mut self, number: usize, effects: &mut Vec<Effect>) {
+        let Some(index) = number.checked_rem(self.seeds.len()) else { return };
+        let address = self.seeds[index].clone();
         let message = Message::Digest(self.digest());
         let purpose = Purpose::Exchange { node: None, probe: false };
         self.call(address, message, purpose, CALL_TIMEOUT, effects);
@@ -65,8 +76,11 @@
             return;
         };
         let address = known.record.peers.clone();
-        let helpers = self.pick(rng, HELPERS, &[node]);
-        let outcome = self.detector.unanswered(node, helpers.len());
+        let mut helpers = self.pick(rng, self.detector.helpers(now, node) * 2, &[node]);
+        // Suspects answer less likely than others, as after the loss of a whole domain.
+        helpers.sort_by_key(|(helper, _)| self.is_suspect(helper));
+        helpers.truncate(self.detector.helpers(now, node));
+        let outcome = self.detector.unanswered(now, node, helpers.len());
         self.conclude(now, node, outcome, effects);
         for (_, helper) in helpers {
             let message = Message::Probe { node: node.to_string(), address: address.clone() };
@@ -141,6 +155,22 @@
         picked
     }
 
+    /// Returns a random seed at whose address no member is known.
+    fn unknown_seed(&self, rng: &mut Rng) -> Option<usize> {
+        let mut unknown = Vec::new();
+        for (index, seed) in self.seeds.iter().enumerate() {
+            if !self.table.members().any(|known| known.record.peers == *seed) {
+                unknown.push(index);
+            }
+        }
+        let choice = rng.random_range(0..unknown.len().max(1));
+        unknown.get(choice).copied()
+    }
+
+    fn is_suspect(&self, node: &str) -> bool {
+        self.table.get(node).is_some_and(|known| known.view.standing != Standing::Alive)
+    }
+
     fn dead_peer(&self, rng: &mut Rng) -> Option<(NodeId, String)> {
         let nodes = self.table.nodes();
         let start = rng.random_range(0..nodes.len());
