Run membership and quorum registers in the node

Cause: nodes exchanged whole server lists with their seeds, and an idempotency key protected nothing beyond one dispatch.

The entry has one more stage: it claims the key of a non-idempotent request, keeps the response of up to 64 KiB and replays it with arbutuslane-replayed. Without any register group in the configuration, keyed requests run as before.

Ejection permits and strikes are not called from the node yet.

--- a/crates/arbutuslane_member/src/gossip.rs
+++ b/crates/arbutuslane_member/src/gossip.rs
@@ -57,6 +57,10 @@
 /// revision that they were told: one renewal interval of 1 s and half of the next.
 pub const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
 
+/// The longest time for which a revision waits for a server to show that it was told; a server that
+/// is silent for longer has lost its lease.
+pub const CONFIRM_WAIT: Duration = Duration::from_secs(3);
+
 /// One exchange in this many goes to a dead node, which finds the other part after a partition.
 const DEAD_SHARE: u32 = 16;
 
@@ -122,6 +126,7 @@
     required_revision: Revision,
     told: Option<Position>,
     confirmed: Option<Position>,
+    unconfirmed: Option<Time>,
 }
 
 impl Gossip {
@@ -157,6 +162,7 @@
             required_revision: 0,
             told: None,
             confirmed: None,
+            unconfirmed: None,
         }
     }
 
@@ -202,8 +208,12 @@
     /// tell it in the response to its renewal.
     ///
     /// A revision comes into force once a server has shown that it was told. When this process
-    /// restarts, its servers therefore know every revision that it had in force.
+    /// restarts, its servers therefore know every revision that it had in force. A server that
+    /// always states 0 does not take part, and [`CONFIRM_WAIT`] bounds the wait for the others.
     pub fn renewed(&mut self, known: Revision) -> Revision {
+        if known == 0 {
+            return self.history.position().revision;
+        }
         self.required_revision = self.required_revision.max(known);
         if self.told.is_none_or(|told| known >= told.revision) {
             self.confirmed = self.told.or(self.confirmed);
@@ -268,9 +278,24 @@
             self.table.forget(now.saturating_sub(DEAD_KEPT));
         }
         self.settle(now);
+        self.confirm(now);
         effects
     }
 
+    /// Stops waiting for servers that do not show that they were told.
+    fn confirm(&mut self, now: Time) {
+        let newest = Some(self.history.position());
+        if self.told.is_none() || self.confirmed >= newest {
+            self.unconfirmed = None;
+            return;
+        }
+        let since = *self.unconfirmed.get_or_insert(now);
+        if now >= since + CONFIRM_WAIT {
+            self.told = newest;
+            self.confirmed = newest;
+        }
+    }
+
     /// Publishes a changed record or view of this process.
     fn publish(&mut self, now: Time, record: Record) {
         self.own = Arc::new(record);
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -27,6 +27,10 @@
     in_flight: i64,
     servers: Vec<ServerStatus>,
     remote_servers: usize,
+    members: usize,
+    replicas: usize,
+    voting_replicas: usize,
+    registers: usize,
 }
 
 #[derive(Debug, Serialize)]
@@ -107,7 +111,7 @@
     let lease = Lease {
         lease_ms: u64::try_from(LEASE.as_millis()).unwrap_or(u64::MAX),
         renew_ms: u64::try_from(RENEWAL.as_millis()).unwrap_or(u64::MAX),
-        revision: shared.configuration().revision(),
+        revision: shared.cluster.renewed(announcement.revision),
     };
     Response::build(StatusCode::OK).json(&lease)
 }
@@ -141,6 +145,7 @@
             latency_us: report.latency_us,
         });
     }
+    let (replicas, voting_replicas, registers) = shared.cluster.registers.count();
     Status {
         node: &shared.settings.node,
         domain: &shared.settings.domain,
@@ -151,5 +156,9 @@
         in_flight: shared.metrics.in_flight.load(std::sync::atomic::Ordering::Relaxed),
         servers,
         remote_servers: shared.remotes().len(),
+        members: shared.cluster.member().gossip.table().members().count(),
+        replicas,
+        voting_replicas,
+        registers,
     }
 }
--- /dev/null
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -0,0 +1,14 @@
+//! The node as a member of the fleet: gossip, configuration, replicas of quorum registers.
+//!
+//! The control thread runs [`control::work`]. Requests of other processes are answered on the
+//! thread that received them, under short locks, so that a claim does not wait for the control
+//! thread. [`keyed`] is the stage of the request path that claims idempotency keys.
+
+pub(crate) mod control;
+pub(crate) mod delta;
+pub(crate) mod keyed;
+pub(crate) mod peers;
+pub(crate) mod registers;
+pub(crate) mod state;
+
+pub(crate) use state::Cluster;
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -101,9 +101,9 @@
     Ok(snapshot.into())
 }
 
-/// Asks the peer at `address` for a newer configuration and puts it in force.
+/// Asks the control instance at `address` for a newer configuration.
 pub(crate) async fn fetch(shared: &Arc<Shared>, pool: &Rc<Pool>, address: SocketAddr) {
-    let known_revision = shared.configuration().revision();
+    let known_revision = shared.cluster.member().gossip.position().revision;
     let message = peer::Message::FetchSnapshot { known_revision };
     let answer = match peers::ask(shared, pool, address, &message, PEER_WAIT).await {
         Ok(answer) => answer,
@@ -115,10 +115,7 @@
     let peer::Answer::Snapshot(bytes) = answer else { return };
     match codec::decode::<Snapshot>(&bytes) {
         Ok(snapshot) => {
-            let revision = snapshot.revision;
-            if shared.adopt(snapshot.into()) {
-                tracing::info!(event = "configuration-in-force", revision, peer = %address);
-            }
+            shared.cluster.learn(shared.clock.now(), snapshot);
         }
         Err(error) => tracing::warn!(event = "bad-snapshot", peer = %address, %error),
     }
--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`Settings`](settings::Settings) are read from a JSON file and [`run::run`] serves three
 //! listeners until the process is told to stop. Traffic threads run the request path
-//! ([`traffic`](self)); one more thread runs control work: it fetches the configuration and
-//! exchanges server lists with other nodes. The traffic threads see both as immutable snapshots.
+//! ([`traffic`](self)); one more thread runs control work ([`cluster`](self)): gossip with other
+//! nodes, the configuration, and recovery of register replicas. The traffic threads see servers and
+//! configuration as immutable snapshots.
 //!
 //! ```
 //! use arbutuslane_node::prelude::*;
@@ -19,11 +20,11 @@
 
 mod admin;
 mod announce;
+mod cluster;
 mod configuration;
 mod metrics;
 mod peers;
 pub mod run;
-mod seeds;
 pub mod settings;
 mod shared;
 mod traffic;
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -11,7 +11,7 @@
 
 use arbutuslane_wire::{codec, header, peer};
 
-use crate::seeds;
+use crate::cluster;
 use crate::shared::Shared;
 use crate::traffic::{self, Echo, Failure, Pool, Upload};
 
@@ -74,27 +74,31 @@
 }
 
 /// Answers a message of another process.
-pub(crate) fn answer(shared: &Arc<Shared>, path: &str, body: &[u8]) -> Response {
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    path: &str,
+    body: &[u8],
+) -> Response {
     match path {
         "/v1/peer" => {
             let Ok(message) = codec::decode::<peer::Message>(body) else {
                 return Response::new(StatusCode::BAD_REQUEST);
             };
-            match codec::encode(&respond(shared, &message)) {
+            match codec::encode(&respond(shared, pool, message).await) {
                 Ok(bytes) => Response::build(StatusCode::OK).body(bytes),
                 Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
             }
         }
-        seeds::PATH => seeds::answer(shared, body),
         _ => Response::new(StatusCode::NOT_FOUND),
     }
 }
 
-fn respond(shared: &Shared, message: &peer::Message) -> peer::Answer {
+async fn respond(shared: &Arc<Shared>, pool: &Rc<Pool>, message: peer::Message) -> peer::Answer {
     match message {
         peer::Message::FetchSnapshot { known_revision } => {
             let configuration = shared.configuration();
-            if configuration.revision() <= *known_revision {
+            if configuration.revision() <= known_revision {
                 return peer::Answer::Unchanged;
             }
             match codec::encode(configuration.snapshot()) {
@@ -102,7 +106,17 @@
                 Err(_) => peer::Answer::Unsupported,
             }
         }
-        // Membership and registers answer these once their threads run in the node.
+        peer::Message::Gossip(message) => {
+            match cluster::peers::gossip(shared, pool, message).await {
+                Some(answer) => peer::Answer::Gossip(answer.into()),
+                None => peer::Answer::Unsupported,
+            }
+        }
+        peer::Message::Register(message) => {
+            let request = message.into();
+            let response = shared.cluster.registers.handle(shared.clock.now(), &request);
+            peer::Answer::Register(response.into())
+        }
         _ => peer::Answer::Unsupported,
     }
 }
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -11,11 +11,11 @@
 
 use arbutuslane_event::log;
 
+use crate::cluster;
 use crate::configuration;
-use crate::seeds;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
-use crate::traffic::{Pool, listener};
+use crate::traffic::listener;
 
 /// How long a stopping node still accepts connections.
 ///
@@ -88,12 +88,13 @@
         let read = configuration::read(path);
         let configuration =
             read.map_err(|reason| Error::Catalogue { path: path.clone(), reason })?;
+        shared.cluster.learn(shared.clock.now(), configuration.snapshot().clone());
         shared.adopt(configuration);
     }
     let control = Arc::clone(&shared);
-    std::thread::Builder::new()
-        .name("control".to_string())
-        .spawn(move || System::new("control", DefaultRuntime).block_on(control_work(control)))?;
+    std::thread::Builder::new().name("control".to_string()).spawn(move || {
+        System::new("control", DefaultRuntime).block_on(cluster::control::work(control));
+    })?;
     System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
 }
 
@@ -115,21 +116,3 @@
     tracing::info!(event = "stopped", node = shared.settings.node);
     Ok(())
 }
-
-/// Fetches the configuration and exchanges server lists until the process ends.
-async fn control_work(shared: Arc<Shared>) {
-    let pool = Pool::new();
-    loop {
-        shared.reload_token();
-        shared.servers.expire(shared.clock.now());
-        let settings = &shared.settings;
-        for address in settings.control.iter().chain(&settings.seeds) {
-            if *address != settings.advertised() {
-                configuration::fetch(&shared, &pool, *address).await;
-            }
-        }
-        seeds::exchange(&shared, &pool).await;
-        pool.expire();
-        sleep(seeds::PERIOD).await;
-    }
-}
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -12,9 +12,9 @@
 use arbutuslane_core::time::Clock;
 
 use crate::announce::Table;
+use crate::cluster::Cluster;
 use crate::configuration::Configuration;
 use crate::metrics::Metrics;
-use crate::seeds::Known;
 use crate::settings::Settings;
 use crate::traffic::Limiter;
 
@@ -50,8 +50,8 @@
     pub(crate) servers: Table,
     /// The counters of the node.
     pub(crate) metrics: Metrics,
-    /// What the seeds said about other nodes.
-    pub(crate) known: Known,
+    /// Membership and register replicas.
+    pub(crate) cluster: Cluster,
     /// The rates that this node accepts as an entry.
     pub(crate) limiter: Limiter,
     configuration: RwLock<Arc<Configuration>>,
@@ -66,13 +66,15 @@
     pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start();
+        let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
+        let cluster = Cluster::new(&settings, incarnation, clock.now());
         Arc::new(Self {
             settings,
             clock,
-            incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            incarnation,
             servers: Table::new(clock),
             metrics: Metrics::default(),
-            known: Known::default(),
+            cluster,
             limiter: Limiter::default(),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -16,6 +16,7 @@
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::retry;
 
+use crate::cluster::keyed::{self, Begun, Finished};
 use crate::metrics::count;
 
 use super::answer::Answer;
@@ -59,7 +60,12 @@
     let result = run(&worker, &mut incoming).await;
     let metrics = &worker.shared.metrics;
     let (routed, answer, tried) = match result {
-        Ok(success) => success,
+        Ok(Done::Relayed(relayed)) => *relayed,
+        Ok(Done::Whole(response)) => {
+            in_flight.finish();
+            count(&metrics.answered);
+            return response;
+        }
         Err(refusal) => {
             in_flight.finish();
             match refusal.outcome {
@@ -160,21 +166,42 @@
     }
 }
 
-async fn run(
-    worker: &Worker,
-    incoming: &mut http::Request,
-) -> Result<(Routed, Answer, Vec<ServerId>), Refusal> {
+/// What to send to the caller.
+enum Done {
+    /// The response of a server, the request that it answers and the servers that were tried.
+    Relayed(Box<(Routed, Answer, Vec<ServerId>)>),
+    /// A response that is complete already.
+    Whole(Response),
+}
+
+async fn run(worker: &Worker, incoming: &mut http::Request) -> Result<Done, Refusal> {
     let routed = route(worker, incoming).await?;
+    let held = match keyed::begin(worker, &routed).await? {
+        Begun::Replay(response) => return Ok(Done::Whole(response)),
+        Begun::Held(held) => Some(held),
+        Begun::Free => None,
+    };
+    let (result, tried) = run_routed(worker, &routed).await;
+    let Some(held) = held else {
+        return result.map(|answer| Done::Relayed(Box::new((routed, answer, tried))));
+    };
+    match held.finish(worker, result).await? {
+        Finished::Whole(response) => Ok(Done::Whole(response)),
+        Finished::Relayed(answer) => Ok(Done::Relayed(Box::new((routed, *answer, tried)))),
+    }
+}
+
+async fn run_routed(worker: &Worker, routed: &Routed) -> (Result<Answer, Refusal>, Vec<ServerId>) {
     let earn = |budget: &mut RetryBudget| budget.earn(Origin::First);
     worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let mut tried = Vec::new();
     loop {
         let last = tried.len() + 1 >= ATTEMPTS;
-        let result = attempt(worker, &routed, &mut tried, last).await;
+        let result = attempt(worker, routed, &mut tried, last).await;
         if !services::has_other(worker, &routed.service, &tried)
-            || !may_retry(worker, &routed, &result, tried.len())
+            || !may_retry(worker, routed, &result, tried.len())
         {
-            return result.map(|answer| (routed, answer, tried));
+            return (result, tried);
         }
         count(&worker.shared.metrics.retries);
     }
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -165,7 +165,9 @@
                 return owner::handle(worker, request).await;
             }
             match read(request.take_payload(), peers::MESSAGE_BYTES).await {
-                Ok(body) => peers::answer(&worker.shared, request.path(), &body),
+                Ok(body) => {
+                    peers::answer(&worker.shared, &worker.pool, request.path(), &body).await
+                }
                 Err(response) => response,
             }
         }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -21,6 +21,9 @@
 mod worker;
 
 pub(crate) use admission::Admission;
+pub(crate) use answer::Answer;
 pub(crate) use client::{Echo, Failure, Pool, Request, Upload};
+pub(crate) use entry::Routed;
 pub(crate) use limiter::Limiter;
-pub(crate) use worker::new_exchange;
+pub(crate) use refusal::{Outcome, Refusal};
+pub(crate) use worker::{Worker, new_exchange};
--- a/crates/arbutuslane_node/tests/faults/support/mod.rs
+++ b/crates/arbutuslane_node/tests/faults/support/mod.rs
@@ -4,6 +4,6 @@
 pub(crate) mod node;
 pub(crate) mod server;
 
-pub(crate) use caller::{call, open, request};
+pub(crate) use caller::{Response, call, open, request};
 pub(crate) use node::Node;
 pub(crate) use server::{Received, Server};
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -60,6 +60,23 @@
         node
     }
 
+    /// Returns the catalogue that a node starts with.
+    pub(crate) fn catalogue() -> &'static str {
+        CATALOGUE
+    }
+
+    /// Kills the node and starts it again with the same settings.
+    pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"))
+            .arg(self.folder.join("settings.json"))
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        wait_until(|| self.get("/health").is_some_and(|response| response.status == 200));
+    }
+
     /// Asks the admin listener, or returns nothing when it does not accept.
     pub(crate) fn get(&self, path: &str) -> Option<Response> {
         use std::io::Write;
