--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -11,11 +11,11 @@
 
 use arbutuslane_event::log;
 
+use crate::cluster;
 use crate::configuration;
-use crate::seeds;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
-use crate::traffic::{Pool, listener};
+use crate::traffic::listener;
 
 /// How long a stopping node still accepts connections.
 ///
@@ -91,12 +91,16 @@
         let read = configuration::read(path);
         let configuration =
             read.map_err(|reason| Error::Catalogue { path: path.clone(), reason })?;
+        shared.cluster.learn(shared.clock.now(), configuration.snapshot().clone());
         shared.adopt(configuration);
     }
     let control = Arc::clone(&shared);
-    std::thread::Builder::new()
-        .name("control".to_string())
-        .spawn(move || System::new("control", DefaultRuntime).block_on(control_work(control)))?;
+    std::thread::Builder::new().name("control".to_string()).spawn(move || {
+        System::new("control", DefaultRuntime).block_on(async move {
+            let _task = ntex::rt::spawn(judge_servers(Arc::clone(&control)));
+            cluster::control::work(control).await;
+        });
+    })?;
     System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
 }
 
@@ -125,7 +129,7 @@
         let configuration = shared.configuration();
         for server in shared.servers.all() {
             let Some(entry) = configuration.entry(&server.service) else { continue };
-            // Without permit registers the claim waits and the server stays in use.
+            // Without a permit the claim waits and the server stays in use.
             if let Some(suspicion) = server.condition.judge(entry.preference) {
                 tracing::debug!(event = "suspected", server = server.id, ?suspicion);
             }
@@ -133,22 +137,3 @@
         sleep(JUDGEMENT).await;
     }
 }
-
-/// Fetches the configuration and exchanges server lists until the process ends.
-async fn control_work(shared: Arc<Shared>) {
-    let pool = Pool::new();
-    ntex::rt::spawn(judge_servers(Arc::clone(&shared)));
-    loop {
-        shared.reload_token();
-        shared.servers.expire(shared.clock.now());
-        let settings = &shared.settings;
-        for address in settings.control.iter().chain(&settings.seeds) {
-            if *address != settings.advertised() {
-                configuration::fetch(&shared, &pool, *address).await;
-            }
-        }
-        seeds::exchange(&shared, &pool).await;
-        pool.expire();
-        sleep(seeds::PERIOD).await;
-    }
-}
