--- /dev/null
+++ b/crates/arbutuslane_control/src/border.rs
@@ -0,0 +1,239 @@
+//! Serialized forms of the replicated log, for the data folder and between control instances.
+
+use arbutuslane_consensus::prelude as consensus;
+use serde::{Deserialize, Serialize};
+
+/// A name and an instance number.
+pub(crate) type Id = (String, u64);
+
+/// What one control instance sends to another in one request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Frame {
+    /// Sent to every instance twice a second.
+    Hello(Hello),
+    /// A message of the replicated log.
+    Log(Envelope),
+}
+
+/// Tells that an instance is alive and whom it hears.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Hello {
+    pub(crate) from: Id,
+    /// Whether the sender's data folder is new.
+    pub(crate) empty: bool,
+    /// The instances that the sender has heard from lately.
+    pub(crate) hears: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Envelope {
+    from: Id,
+    to: Id,
+    message: Message,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Message {
+    PreVote { term: u64, last_index: u64, last_term: u64 },
+    PreVoted { term: u64, own_term: u64, granted: bool },
+    Vote { term: u64, last_index: u64, last_term: u64 },
+    Voted { term: u64, granted: bool },
+    Append(Append),
+    Appended { term: u64, round: u64, matched: u64, conflict: Option<u64> },
+    Snapshot { term: u64, round: u64, snapshot: Snapshot },
+    Joining,
+    ReadIndex { read: u64 },
+    ReadAt { read: u64, index: Option<u64> },
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Append {
+    term: u64,
+    round: u64,
+    prev: (u64, u64),
+    entries: Vec<(u64, u64, Body)>,
+    commit: u64,
+}
+
+/// The content of a log entry.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Body {
+    Blank,
+    Command(Vec<u8>),
+    Members(Vec<Member>),
+}
+
+/// A member of the group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Member {
+    id: Id,
+    voter: bool,
+    replaces: Option<String>,
+    contact: String,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Snapshot {
+    index: u64,
+    term: u64,
+    content: Content,
+}
+
+/// What a snapshot file holds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Content {
+    pub(crate) members: Vec<Member>,
+    pub(crate) state: Vec<u8>,
+}
+
+/// The metadata of the log.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Meta {
+    pub(crate) id: Id,
+    pub(crate) term: u64,
+    pub(crate) vote: Option<Id>,
+}
+
+pub(crate) fn id(id: &consensus::Id) -> Id {
+    (id.name.clone(), id.instance)
+}
+
+pub(crate) fn from_id((name, instance): Id) -> consensus::Id {
+    consensus::Id { name, instance }
+}
+
+impl From<consensus::Member> for Member {
+    fn from(member: consensus::Member) -> Self {
+        Self {
+            id: id(&member.id),
+            voter: member.voter,
+            replaces: member.replaces,
+            contact: member.contact,
+        }
+    }
+}
+
+impl From<Member> for consensus::Member {
+    fn from(member: Member) -> Self {
+        Self {
+            id: from_id(member.id),
+            voter: member.voter,
+            replaces: member.replaces,
+            contact: member.contact,
+        }
+    }
+}
+
+impl From<consensus::Body> for Body {
+    fn from(body: consensus::Body) -> Self {
+        match body {
+            consensus::Body::Blank => Self::Blank,
+            consensus::Body::Command(command) => Self::Command(command),
+            consensus::Body::Members(members) => {
+                Self::Members(members.into_iter().map(Into::into).collect())
+            }
+        }
+    }
+}
+
+impl From<Body> for consensus::Body {
+    fn from(body: Body) -> Self {
+        match body {
+            Body::Blank => Self::Blank,
+            Body::Command(command) => Self::Command(command),
+            Body::Members(members) => Self::Members(members.into_iter().map(Into::into).collect()),
+        }
+    }
+}
+
+impl From<consensus::Snapshot> for Snapshot {
+    fn from(snapshot: consensus::Snapshot) -> Self {
+        let members = snapshot.members.into_iter().map(Into::into).collect();
+        let content = Content { members, state: snapshot.payload };
+        Self { index: snapshot.index, term: snapshot.term, content }
+    }
+}
+
+impl From<Snapshot> for consensus::Snapshot {
+    fn from(snapshot: Snapshot) -> Self {
+        Self {
+            index: snapshot.index,
+            term: snapshot.term,
+            members: snapshot.content.members.into_iter().map(Into::into).collect(),
+            payload: snapshot.content.state,
+        }
+    }
+}
+
+impl From<consensus::Envelope> for Envelope {
+    fn from(envelope: consensus::Envelope) -> Self {
+        use consensus::Message as From;
+        let message = match envelope.message {
+            From::PreVote { term, last_index, last_term } => {
+                Message::PreVote { term, last_index, last_term }
+            }
+            From::PreVoted { term, own_term, granted } => {
+                Message::PreVoted { term, own_term, granted }
+            }
+            From::Vote { term, last_index, last_term } => {
+                Message::Vote { term, last_index, last_term }
+            }
+            From::Voted { term, granted } => Message::Voted { term, granted },
+            From::Append { term, round, prev_index, prev_term, entries, commit } => {
+                let entries = entries.into_iter();
+                let entries = entries.map(|entry| (entry.index, entry.term, entry.body.into()));
+                let prev = (prev_index, prev_term);
+                Message::Append(Append { term, round, prev, entries: entries.collect(), commit })
+            }
+            From::Appended { term, round, matched, conflict } => {
+                Message::Appended { term, round, matched, conflict }
+            }
+            From::Snapshot { term, round, snapshot } => {
+                Message::Snapshot { term, round, snapshot: snapshot.into() }
+            }
+            From::Joining => Message::Joining,
+            From::ReadIndex { read } => Message::ReadIndex { read },
+            From::ReadAt { read, index } => Message::ReadAt { read, index },
+        };
+        Self { from: id(&envelope.from), to: id(&envelope.to), message }
+    }
+}
+
+impl From<Envelope> for consensus::Envelope {
+    fn from(envelope: Envelope) -> Self {
+        use consensus::Message as To;
+        let message = match envelope.message {
+            Message::PreVote { term, last_index, last_term } => {
+                To::PreVote { term, last_index, last_term }
+            }
+            Message::PreVoted { term, own_term, granted } => {
+                To::PreVoted { term, own_term, granted }
+            }
+            Message::Vote { term, last_index, last_term } => {
+                To::Vote { term, last_index, last_term }
+            }
+            Message::Voted { term, granted } => To::Voted { term, granted },
+            Message::Append(Append { term, round, prev, entries, commit }) => {
+                let entries = entries.into_iter();
+                let entries = entries.map(|(index, term, body)| consensus::Entry {
+                    index,
+                    term,
+                    body: body.into(),
+                });
+                let (prev_index, prev_term) = prev;
+                let entries = entries.collect();
+                To::Append { term, round, prev_index, prev_term, entries, commit }
+            }
+            Message::Appended { term, round, matched, conflict } => {
+                To::Appended { term, round, matched, conflict }
+            }
+            Message::Snapshot { term, round, snapshot } => {
+                To::Snapshot { term, round, snapshot: snapshot.into() }
+            }
+            Message::Joining => To::Joining,
+            Message::ReadIndex { read } => To::ReadIndex { read },
+            Message::ReadAt { read, index } => To::ReadAt { read, index },
+        };
+        Self { from: from_id(envelope.from), to: from_id(envelope.to), message }
+    }
+}
--- a/crates/arbutuslane_control/src/daemon.rs
+++ b/crates/arbutuslane_control/src/daemon.rs
@@ -3,15 +3,16 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::Sender;
 use std::thread::{self, JoinHandle};
 
 use clap::{Arg, ArgAction, Command};
 use ntex::web::{self, App, HttpServer};
+use tokio::sync::oneshot;
 
 use crate::settings::Settings;
 use crate::token::Tokens;
-use crate::{engine, operators, peers, settings};
+use crate::{engine, operators, peers, settings, store};
 
 /// A daemon that cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -45,8 +46,13 @@
 /// Parses the command line and runs the daemon until a stop signal.
 pub fn main() -> miette::Result<()> {
     let matches = command().get_matches();
+    arbutuslane_event::log::init("info");
     let path = matches.get_one::<String>("settings").cloned().unwrap_or_default();
     let settings = Settings::load(Path::new(&path)).map_err(Error::from)?;
+    if matches.get_flag("rebuild") {
+        let moved = store::set_aside(&settings.data).map_err(Error::from)?;
+        tracing::warn!(files = moved, "set the data folder's files aside");
+    }
     run(&settings, true)?;
     Ok(())
 }
@@ -77,8 +83,9 @@
 /// See [`Error`]; the data folder and the listeners are opened before anything is served.
 pub fn run(settings: &Settings, signals: bool) -> Result<(), Error> {
     let listeners = Listeners::open(settings)?;
-    let engine = engine::start(settings)?;
-    serve(settings, listeners, engine, signals, None)
+    let token = Arc::new(Tokens::new(&settings.peer_token));
+    let (engine, _) = engine::start(settings, &token)?;
+    serve(settings, listeners, engine, token, signals, None)
 }
 
 struct Listeners {
@@ -96,16 +103,14 @@
     }
 }
 
-type Stop = Box<dyn FnOnce() + Send>;
-
 fn serve(
     settings: &Settings,
     listeners: Listeners,
     engine: engine::Handle,
+    token: Arc<Tokens>,
     signals: bool,
-    stops: Option<Sender<Stop>>,
+    stop: Option<oneshot::Receiver<()>>,
 ) -> Result<(), Error> {
-    let token = Arc::new(Tokens::new(&settings.peer_token));
     let for_operators = Arc::new(operators::Shared {
         engine: engine.clone(),
         tokens: Tokens::new(&settings.operator_tokens),
@@ -133,12 +138,16 @@
             }
             let operators = operators.run();
             let peers = peers.run();
-            if let Some(stops) = stops {
-                let system = ntex::rt::System::current();
-                let _ = stops.send(Box::new(move || system.stop()));
-            }
-            let (first, second) = futures_util::future::join(operators, peers).await;
-            first.and(second)
+            let (handles, stopped) = ((operators.clone(), peers.clone()), stop);
+            let both = futures_util::future::join(operators, peers);
+            let Some(stopped) = stopped else {
+                let (first, second) = both.await;
+                return first.and(second);
+            };
+            let _ = stopped.await;
+            let (operators, peers) = handles;
+            futures_util::future::join(operators.stop(false), peers.stop(false)).await;
+            Ok(())
         })
         .map_err(Error::Serve)
 }
@@ -146,17 +155,22 @@
 /// A daemon on threads of this process.
 pub struct Daemon {
     thread: Option<JoinHandle<Result<(), Error>>>,
-    stop: Option<Stop>,
+    stop: Option<oneshot::Sender<()>>,
+    requests: Sender<engine::Request>,
+    replica: Option<JoinHandle<()>>,
 }
 
 impl Daemon {
     /// Starts a daemon and returns when its listeners are open.
     pub fn start(settings: Settings) -> Result<Self, Error> {
         let listeners = Listeners::open(&settings)?;
-        let engine = engine::start(&settings)?;
-        let (stops, stop) = channel();
-        let thread = thread::spawn(move || serve(&settings, listeners, engine, false, Some(stops)));
-        Ok(Self { thread: Some(thread), stop: stop.recv().ok() })
+        let token = Arc::new(Tokens::new(&settings.peer_token));
+        let (engine, replica) = engine::start(&settings, &token)?;
+        let requests = engine.requests.clone();
+        let (stop, stopped) = oneshot::channel();
+        let thread =
+            thread::spawn(move || serve(&settings, listeners, engine, token, false, Some(stopped)));
+        Ok(Self { thread: Some(thread), stop: Some(stop), requests, replica: Some(replica) })
     }
 
     /// Stops the daemon without any preparation, as a killed process does, and waits for the end.
@@ -165,8 +179,12 @@
     }
 
     fn end(&mut self) {
+        let _ = self.requests.send(engine::Request::Stop);
         if let Some(stop) = self.stop.take() {
-            stop();
+            let _ = stop.send(());
+        }
+        if let Some(replica) = self.replica.take() {
+            let _ = replica.join();
         }
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -1,47 +1,71 @@
-//! The thread that owns the replica and the data folder.
+//! What other threads see of the engine, and its start.
 
-use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, RwLock};
-use std::thread;
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::thread::{self, JoinHandle};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use arbutuslane_catalogue::change::{Change, Outcome};
 use arbutuslane_catalogue::state::State;
-use arbutuslane_catalogue::stored::{self, Command};
+use arbutuslane_consensus::input::Refusal;
+use arbutuslane_consensus::prelude::Reconfigure;
+use arbutuslane_core::hash;
+use arbutuslane_event::buffer::Buffer;
 use arbutuslane_storage::prelude::*;
-use arbutuslane_wire::codec;
-use arbutuslane_wire::operator::{Event, Status};
+use arbutuslane_wire::operator::Status;
 use tokio::sync::oneshot;
 
+use crate::border::Frame;
+use crate::courier;
+use crate::replica::Replica;
 use crate::settings::Settings;
+use crate::store;
+use crate::token::Tokens;
 
-/// What became of a change.
+/// The number of events that an instance keeps.
+const EVENTS_KEPT: usize = 4_096;
+
+/// What became of a request.
 #[derive(Debug)]
 pub enum Answer {
     /// The change was decided.
     Outcome(Outcome),
+    /// The change of the membership is committed.
+    Done,
+    /// The applied state holds every change acknowledged before the request.
+    Readable,
     /// This instance does not lead; the address of the leader's operator API, where known.
     NotLeader(Option<String>),
+    /// The change of the membership is not possible now.
+    Refused(Refusal),
 }
 
+/// Where an answer goes.
+pub(crate) type Reply = oneshot::Sender<Answer>;
+
 /// Work for the engine.
 #[derive(Debug)]
-pub enum Request {
-    /// Proposes a change.
-    Change(Change, oneshot::Sender<Answer>),
-    /// Asks for the right to read the current state as the latest one.
-    Read(oneshot::Sender<Answer>),
+pub(crate) enum Request {
+    Change(Change, Reply),
+    Read(Reply),
+    Reconfigure(Reconfigure, Reply),
+    Frames(Vec<Frame>),
+    Stop,
 }
 
 /// What other threads see of the engine.
 #[derive(Debug, Clone)]
 pub struct Handle {
-    requests: Sender<Request>,
+    pub(crate) requests: Sender<Request>,
     /// The applied state.
     pub state: Arc<RwLock<State>>,
     /// The status that the operator API shows.
     pub status: Arc<RwLock<Status>>,
-    /// The last events, oldest first.
-    pub events: Arc<RwLock<Vec<Event>>>,
+    /// The event timeline.
+    pub events: Arc<Buffer>,
+    /// The revisions that nodes reported, with the time of the report.
+    pub nodes: Arc<RwLock<BTreeMap<String, (u64, Instant)>>>,
 }
 
 impl Handle {
@@ -55,71 +79,59 @@
         self.ask(Request::Read).await
     }
 
-    async fn ask(&self, request: impl FnOnce(oneshot::Sender<Answer>) -> Request) -> Answer {
+    /// Changes the membership of the control group.
+    pub async fn reconfigure(&self, change: Reconfigure) -> Answer {
+        self.ask(|reply| Request::Reconfigure(change, reply)).await
+    }
+
+    /// Returns the address of the leader's operator API, where known.
+    pub fn leader_address(&self) -> Option<String> {
+        self.status.read().unwrap_or_else(PoisonError::into_inner).leader_address.clone()
+    }
+
+    async fn ask(&self, request: impl FnOnce(Reply) -> Request) -> Answer {
         let (reply, answer) = oneshot::channel();
         if self.requests.send(request(reply)).is_err() {
             return Answer::NotLeader(None);
         }
-        answer.await.unwrap_or(Answer::NotLeader(None))
+        // A proposal whose leader is cut off gets no answer; the operator's client resends it.
+        let limit = ntex::time::Millis(5_000);
+        match ntex::time::timeout(limit, answer).await {
+            Ok(Ok(answer)) => answer,
+            _ => Answer::NotLeader(self.leader_address()),
+        }
     }
 }
 
 /// Opens the data folder and starts the engine's thread.
-pub fn start(settings: &Settings) -> Result<Handle, Error> {
-    let disk = disk::Real::open(&settings.data).map_err(|source| Error::Io {
-        operation: "open",
-        file: settings.data.display().to_string(),
-        source,
-    })?;
-    let (log, recovered) = Log::open(disk, log::SEGMENT_BYTES)?;
-    let mut state = State::default();
-    let mut index = 0;
-    for entry in recovered.entries {
-        index = entry.index;
-        if let Ok(Command::Change(proposal)) = codec::decode(&entry.payload) {
-            state.apply(proposal.into());
-        }
-    }
+///
+/// # Errors
+///
+/// See [`Error`]; a damaged folder is refused, never repaired by itself.
+pub fn start(settings: &Settings, token: &Arc<Tokens>) -> Result<(Handle, JoinHandle<()>), Error> {
+    let disk = store::open_disk(&settings.data)?;
+    let (store, saved) = store::open(disk, &settings.name, fresh_instance(&settings.name))?;
     let (requests, inbox) = channel();
     let handle = Handle {
         requests,
-        state: Arc::new(RwLock::new(state)),
+        state: Arc::default(),
         status: Arc::new(RwLock::new(Status {
             name: settings.name.clone(),
-            role: "leader".to_string(),
-            leader: Some(settings.name.clone()),
+            role: "catching-up".to_string(),
             ..Status::default()
         })),
-        events: Arc::default(),
+        events: Arc::new(Buffer::new(settings.name.clone(), EVENTS_KEPT)),
+        nodes: Arc::default(),
     };
-    let state = Arc::clone(&handle.state);
-    thread::spawn(move || serve(&inbox, log, index, &state));
-    Ok(handle)
+    let outbox = courier::start(Arc::clone(token));
+    let mut replica = Replica::new(settings.clone(), store, saved, handle.clone(), outbox)?;
+    let thread = thread::spawn(move || replica.run(&inbox));
+    Ok((handle, thread))
 }
 
-fn serve(
-    inbox: &Receiver<Request>,
-    mut log: Log<disk::Real>,
-    mut index: u64,
-    state: &RwLock<State>,
-) {
-    while let Ok(request) = inbox.recv() {
-        match request {
-            Request::Read(reply) => {
-                let _ = reply.send(Answer::Outcome(Outcome::Accepted { revision: 0 }));
-            }
-            Request::Change(change, reply) => {
-                let Ok(mut state) = state.write() else { return };
-                let proposal = state.reduce(change);
-                let command = Command::Change(stored::Proposal::from(proposal.clone()));
-                let Ok(payload) = codec::encode(&command) else { continue };
-                index += 1;
-                let entries = vec![Entry { index, term: 1, payload }];
-                if log.append(&Batch { meta: None, entries }).is_err() {
-                    return;
-                }
-                let _ = reply.send(Answer::Outcome(state.apply(proposal)));
-            }
-        }
-    }
+/// Draws the instance number of a new data folder from the wall clock, the process and the name.
+fn fresh_instance(name: &str) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let text = format!("{name} {} {}", now.as_nanos(), std::process::id());
+    hash::of_bytes(text.as_bytes()).max(1)
 }
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -5,12 +5,17 @@
 //! signal. [`Daemon`](daemon::Daemon) is the same for tests that run several instances in one
 //! process.
 
+mod border;
+mod courier;
 pub mod daemon;
 pub mod engine;
 mod operators;
 mod peers;
+mod replica;
 pub mod settings;
+mod store;
 pub mod token;
+mod watch;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_control/src/operators.rs
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -2,9 +2,15 @@
 
 use std::sync::{Arc, PoisonError};
 
-use arbutuslane_catalogue::border::{self, Catalogue};
-use arbutuslane_catalogue::change::Outcome;
-use arbutuslane_wire::operator::{Accepted, Conflict, Events, History, NotLeader, Record, Refusal};
+use arbutuslane_catalogue::border::{self, Catalogue, Findings};
+use arbutuslane_catalogue::change::{self, Outcome};
+use arbutuslane_catalogue::check;
+use arbutuslane_consensus::input::Refusal as Reason;
+use arbutuslane_consensus::prelude::Reconfigure;
+use arbutuslane_event::border::Page;
+use arbutuslane_wire::operator::{
+    Accepted, Conflict, History, Membership, NotLeader, Record, Refusal,
+};
 use ntex::http::StatusCode;
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
@@ -12,6 +18,7 @@
 
 use crate::engine::{Answer, Handle};
 use crate::token::Tokens;
+use crate::watch;
 
 /// The largest accepted body: the catalogue of the target size (600 services) takes under 1 MB.
 const BODY_BYTES: usize = 8 << 20;
@@ -31,7 +38,8 @@
         .service(web::resource("/v1/history").route(web::get().to(history)))
         .service(web::resource("/v1/status").route(web::get().to(status)))
         .service(web::resource("/v1/events").route(web::get().to(events)))
-        .service(web::resource("/v1/changes").route(web::post().to(change)));
+        .service(web::resource("/v1/changes").route(web::post().to(change)))
+        .service(web::resource("/v1/instances").route(web::post().to(reconfigure)));
 }
 
 /// Answers any path that has no route.
@@ -117,9 +125,7 @@
     if let Err(refused) = authorize(&request, &shared) {
         return refused;
     }
-    let events = shared.engine.events.read().unwrap_or_else(PoisonError::into_inner);
-    let start = events.partition_point(|event| event.sequence <= query.since);
-    json(StatusCode::OK, &Events { events: events[start..].to_vec() })
+    json(StatusCode::OK, &Page::from(shared.engine.events.since(query.since)))
 }
 
 async fn change(
@@ -143,7 +149,13 @@
         let error = "change_id has no or more than 128 bytes".to_string();
         return refuse(StatusCode::UNPROCESSABLE_ENTITY, error, "use a random id, such as 32 hex");
     }
-    match shared.engine.change(change.into()).await {
+    let change = change::Change::from(change);
+    let findings = check::entries(&change.entries);
+    if !findings.is_empty() {
+        let findings = findings.into_iter().map(Into::into).collect();
+        return json(StatusCode::UNPROCESSABLE_ENTITY, &Findings { findings });
+    }
+    match shared.engine.change(change).await {
         Answer::Outcome(Outcome::Accepted { revision }) => {
             json(StatusCode::OK, &Accepted { revision })
         }
@@ -151,6 +163,52 @@
             json(StatusCode::CONFLICT, &Conflict { revision, winner, author })
         }
         Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
+        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+    }
+}
+
+async fn reconfigure(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    if let Err(refused) = authorize(&request, &shared) {
+        return refused;
+    }
+    let change = match body::<Membership>(&mut payload).await {
+        Ok(Membership::Add { instance }) => {
+            let contact = watch::contact(&instance);
+            Reconfigure::Add { name: instance.name, contact, replaces: None }
+        }
+        Ok(Membership::Replace { name, instance }) => {
+            let contact = watch::contact(&instance);
+            Reconfigure::Add { name: instance.name, contact, replaces: Some(name) }
+        }
+        Ok(Membership::Remove { name }) => Reconfigure::Remove { name },
+        Err(refused) => return refused,
+    };
+    match shared.engine.reconfigure(change).await {
+        Answer::Done => HttpResponse::NoContent().finish(),
+        Answer::Refused(reason) => {
+            let (error, remedy) = explain(reason);
+            refuse(StatusCode::CONFLICT, error.to_string(), remedy)
+        }
+        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
+        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+    }
+}
+
+fn explain(reason: Reason) -> (&'static str, &'static str) {
+    match reason {
+        Reason::NotLeader => ("this instance does not lead", "ask the leader"),
+        Reason::Busy => ("another change of the instances is in progress", "try again in a second"),
+        Reason::Known => ("the instance is a member already", "use another name"),
+        Reason::Unknown => ("no such instance", "use a name that /v1/status lists"),
+        Reason::LastVoter => ("no voting instance would be left", "add another one first"),
+        Reason::Unreachable => (
+            "the voting instances that would be left are not all reachable",
+            "bring the unreachable instance back or remove that one first",
+        ),
     }
 }
 
@@ -158,10 +216,11 @@
 async fn admit_read(request: &HttpRequest, shared: &State) -> Result<(), HttpResponse> {
     authorize(request, shared)?;
     match shared.engine.read().await {
-        Answer::Outcome(_) => Ok(()),
+        Answer::Readable => Ok(()),
         Answer::NotLeader(leader) => {
             Err(json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }))
         }
+        _ => Err(json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None })),
     }
 }
 
--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -1,6 +1,7 @@
 //! The listener for nodes and the other control instances.
 
 use std::sync::{Arc, PoisonError};
+use std::time::Instant;
 
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_wire::peer::{Answer, Message};
@@ -9,7 +10,8 @@
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::engine::Handle;
+use crate::border::Frame;
+use crate::engine::{Handle, Request};
 use crate::token::Tokens;
 
 /// The largest accepted body: a snapshot of the replicated state takes a few megabytes.
@@ -25,7 +27,27 @@
 
 /// Adds the routes for peers.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
-    config.service(web::resource("/v1/peer").route(web::post().to(peer)));
+    config
+        .service(web::resource("/v1/peer").route(web::post().to(peer)))
+        .service(web::resource("/v1/raft").route(web::post().to(raft)));
+}
+
+async fn raft(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let bytes = match read(&request, &shared, &mut payload).await {
+        Ok(bytes) => bytes,
+        Err(status) => return HttpResponse::build(status).finish(),
+    };
+    let Ok(frames) = codec::decode::<Vec<Frame>>(&bytes) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match shared.engine.requests.send(Request::Frames(frames)) {
+        Ok(()) => HttpResponse::Ok().finish(),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
 }
 
 async fn peer(
@@ -48,6 +70,11 @@
 
 fn answer(shared: &Shared, message: &Message) -> Answer {
     match message {
+        Message::InForce { node, revision, .. } => {
+            let mut nodes = shared.engine.nodes.write().unwrap_or_else(PoisonError::into_inner);
+            nodes.insert(node.clone(), (*revision, Instant::now()));
+            Answer::Done
+        }
         Message::FetchSnapshot { known_revision } => {
             let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
             if state.revision <= *known_revision {
--- /dev/null
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -0,0 +1,366 @@
+//! The thread that owns the consensus state machine and the data folder.
+
+use std::collections::BTreeMap;
+use std::sync::PoisonError;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+use arbutuslane_catalogue::change::{Change, Outcome};
+use arbutuslane_catalogue::state::State;
+use arbutuslane_catalogue::stored::{self, Command};
+use arbutuslane_consensus::input::Refusal;
+use arbutuslane_consensus::prelude::*;
+use arbutuslane_core::hash;
+use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_event::kind::Kind;
+use arbutuslane_storage::disk::Real;
+use arbutuslane_storage::error::Error;
+use arbutuslane_wire::codec;
+
+use crate::border::Frame;
+use crate::courier::Outbox;
+use crate::engine::{Answer, Handle, Reply, Request};
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::watch::Watch;
+
+/// The time between two ticks of the state machine, a sixth of a heartbeat.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Requests that are handled before their writes are synced together.
+const BATCH: usize = 512;
+
+/// The number of applied entries after which a snapshot replaces them.
+const COMPACT_AFTER: u64 = 4_096;
+
+/// The engine's thread.
+pub(crate) struct Replica {
+    settings: Settings,
+    clock: Clock,
+    store: Store<Real>,
+    node: Option<Node>,
+    handle: Handle,
+    outbox: Outbox,
+    watch: Watch,
+    next_token: u64,
+    /// Requests by token, until the state machine has taken or refused them.
+    waiting: BTreeMap<u64, Reply>,
+    /// Proposals by index with their term, until they are applied.
+    proposed: BTreeMap<u64, (u64, Reply)>,
+    writes: Vec<Write>,
+    last_write: u64,
+    snapshot_index: u64,
+    next_tick: Time,
+    is_empty: bool,
+}
+
+impl Replica {
+    pub(crate) fn new(
+        settings: Settings,
+        store: Store<Real>,
+        saved: Saved,
+        handle: Handle,
+        outbox: Outbox,
+    ) -> Result<Self, Error> {
+        let clock = Clock::start();
+        let is_empty = saved.term == 0 && saved.snapshot.is_none() && saved.entries.is_empty();
+        let snapshot = saved.snapshot.clone();
+        let id = saved.id.clone();
+        let seed = hash::of_bytes(id.name.as_bytes()) ^ id.instance;
+        let known = settings.members.iter().map(|member| member.name.clone()).collect();
+        let node = Node::start(saved, Timing::default(), seed, clock.now()).with_known(known);
+        let watch = Watch::new(&settings, handle.clone());
+        let mut replica = Self {
+            settings,
+            clock,
+            store,
+            node: Some(node),
+            handle,
+            outbox,
+            watch,
+            next_token: 0,
+            waiting: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            writes: Vec::new(),
+            last_write: 0,
+            snapshot_index: 0,
+            next_tick: Time::ZERO,
+            is_empty,
+        };
+        if let Some(snapshot) = snapshot {
+            replica.install(&snapshot);
+        }
+        Ok(replica)
+    }
+
+    /// Serves requests until the handle is gone or the disk fails.
+    pub(crate) fn run(&mut self, inbox: &Receiver<Request>) {
+        loop {
+            let wait = self.next_tick.saturating_sub(self.clock.now());
+            let mut next = inbox.recv_timeout(wait);
+            for _ in 0..BATCH {
+                match next {
+                    Ok(Request::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                    Ok(request) => self.handle(request),
+                    Err(RecvTimeoutError::Timeout) => break,
+                }
+                next = inbox.try_recv().map_err(|_| RecvTimeoutError::Timeout);
+            }
+            if let Ok(request) = next {
+                self.handle(request);
+            }
+            if self.clock.now() >= self.next_tick {
+                self.next_tick = self.clock.now() + TICK;
+                self.step(Input::Tick);
+                self.observe();
+            }
+            if let Err(error) = self.flush() {
+                return self.fail(&error);
+            }
+        }
+    }
+
+    fn handle(&mut self, request: Request) {
+        match request {
+            Request::Change(change, reply) => self.change(change, reply),
+            Request::Read(reply) => {
+                let token = self.await_token(reply);
+                self.step(Input::Read { token });
+            }
+            Request::Reconfigure(change, reply) => {
+                let token = self.await_token(reply);
+                self.step(Input::Reconfigure { token, change });
+            }
+            Request::Frames(frames) => {
+                for frame in frames {
+                    match frame {
+                        Frame::Hello(hello) => self.watch.hello(self.clock.now(), hello),
+                        Frame::Log(envelope) => self.step(Input::Message(envelope.into())),
+                    }
+                }
+            }
+            Request::Stop => {}
+        }
+    }
+
+    fn change(&mut self, change: Change, reply: Reply) {
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(outcome) = state.answer(&change.id) {
+            let _ = reply.send(Answer::Outcome(outcome.clone()));
+            return;
+        }
+        // Before it has applied the entries of earlier terms, a leader may not know the change's
+        // base yet and could not reduce the change to its edits.
+        if !self.node.as_ref().is_some_and(Node::is_established) {
+            drop(state);
+            let _ = reply.send(Answer::NotLeader(self.handle.leader_address()));
+            return;
+        }
+        let proposal = state.reduce(change);
+        drop(state);
+        let command = Command::Change(stored::Proposal::from(proposal));
+        let Ok(command) = codec::encode(&command) else { return };
+        let token = self.await_token(reply);
+        self.step(Input::Propose { token, command });
+    }
+
+    fn await_token(&mut self, reply: Reply) -> u64 {
+        self.next_token += 1;
+        self.waiting.insert(self.next_token, reply);
+        self.next_token
+    }
+
+    /// Passes an input to the state machine and carries out what needs no sync.
+    fn step(&mut self, input: Input) {
+        let Some(node) = self.node.take() else { return };
+        let (node, effects) = node.step(self.clock.now(), input);
+        self.node = Some(node);
+        for effect in effects {
+            match effect {
+                Effect::Write { sequence, write } => {
+                    self.last_write = sequence;
+                    self.writes.push(write);
+                }
+                Effect::Send(envelope) => {
+                    if let Some(address) = self.watch.address(&envelope.to.name) {
+                        let _ = self.outbox.send((address, Frame::Log(envelope.into())));
+                    }
+                }
+                Effect::Apply(entry) => self.apply(entry),
+                Effect::Install(snapshot) => self.install(&snapshot),
+                Effect::Proposed { token, index, term } => {
+                    if let Some(reply) = self.waiting.remove(&token) {
+                        self.proposed.insert(index, (term, reply));
+                    }
+                }
+                Effect::Readable { token } => {
+                    if let Some(reply) = self.waiting.remove(&token) {
+                        let _ = reply.send(Answer::Readable);
+                    }
+                }
+                Effect::Refused { token, reason } => {
+                    let answer = match reason {
+                        Refusal::NotLeader => Answer::NotLeader(self.handle.leader_address()),
+                        other => Answer::Refused(other),
+                    };
+                    if let Some(reply) = self.waiting.remove(&token) {
+                        let _ = reply.send(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Makes all pending writes durable and tells the state machine.
+    fn flush(&mut self) -> Result<(), Error> {
+        while !self.writes.is_empty() {
+            self.is_empty = false;
+            self.store.write(std::mem::take(&mut self.writes))?;
+            self.step(Input::Written(self.last_write));
+        }
+        let applied = self.node.as_ref().map_or(0, Node::applied);
+        if applied >= self.snapshot_index + COMPACT_AFTER {
+            self.compact(applied);
+            return self.flush();
+        }
+        Ok(())
+    }
+
+    fn compact(&mut self, index: u64) {
+        self.snapshot_index = index;
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        let payload = codec::encode(&stored::State::from(&*state));
+        drop(state);
+        if let Ok(payload) = payload {
+            self.step(Input::Compact { index, payload });
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        let proposed = self.proposed.remove(&entry.index);
+        let answer = match entry.body {
+            Body::Blank => Answer::NotLeader(None),
+            Body::Members(members) => {
+                self.watch.set_members(&members);
+                Answer::Done
+            }
+            Body::Command(command) => match codec::decode::<Command>(&command) {
+                Ok(Command::Change(proposal)) => self.apply_change(proposal),
+                Ok(Command::Groups(groups)) => {
+                    self.apply_groups(groups);
+                    Answer::Done
+                }
+                Err(error) => {
+                    tracing::error!(index = entry.index, %error, "unreadable log entry");
+                    Answer::NotLeader(None)
+                }
+            },
+        };
+        if let Some((term, reply)) = proposed {
+            // An entry of another term is not the one that was proposed here.
+            let answer = if term == entry.term { answer } else { Answer::NotLeader(None) };
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn apply_change(&mut self, proposal: stored::Proposal) -> Answer {
+        let (change_id, author) = (proposal.id.clone(), proposal.author.clone());
+        let mut state = self.handle.state.write().unwrap_or_else(PoisonError::into_inner);
+        let known = state.answer(&change_id).is_some();
+        let outcome = state.apply(proposal.into());
+        drop(state);
+        match &outcome {
+            _ if known => {}
+            Outcome::Accepted { revision } => {
+                let revision = *revision;
+                self.handle.events.record(Kind::ChangeAccepted { revision, change_id, author });
+            }
+            Outcome::Conflict { revision, .. } => {
+                let revision = *revision;
+                self.handle.events.record(Kind::ChangeRefused { revision, change_id, author });
+            }
+        }
+        Answer::Outcome(outcome)
+    }
+
+    fn apply_groups(&mut self, groups: Vec<arbutuslane_catalogue::border::Group>) {
+        let mut state = self.handle.state.write().unwrap_or_else(PoisonError::into_inner);
+        for group in groups {
+            let (shard, epoch) = (group.shard, group.epoch);
+            state.apply_group(group.into());
+            self.handle.events.record(Kind::GroupChanged { shard, epoch });
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) {
+        self.snapshot_index = snapshot.index;
+        self.watch.set_members(&snapshot.members);
+        let installed = match snapshot.payload.is_empty() {
+            true => State::default(),
+            false => match codec::decode::<stored::State>(&snapshot.payload) {
+                Ok(state) => state.into(),
+                Err(error) => {
+                    tracing::error!(index = snapshot.index, %error, "unreadable snapshot");
+                    return;
+                }
+            },
+        };
+        *self.handle.state.write().unwrap_or_else(PoisonError::into_inner) = installed;
+        // What was proposed before may be in the snapshot; resends get the answer from there.
+        for (_, reply) in std::mem::take(&mut self.proposed).into_values() {
+            let _ = reply.send(Answer::NotLeader(None));
+        }
+    }
+
+    /// Publishes the status, greets the other instances and forms the first group.
+    fn observe(&mut self) {
+        let now = self.clock.now();
+        let Some(node) = &self.node else { return };
+        for (address, hello) in self.watch.greetings(now, node, self.is_empty) {
+            let _ = self.outbox.send((address, Frame::Hello(hello)));
+        }
+        self.watch.publish(now, node);
+        let leads = node.role() == "leader";
+        if !leads && !self.proposed.is_empty() {
+            // The next leader decides these; a resend of the change id learns the outcome.
+            let leader = self.handle.leader_address();
+            for (_, reply) in std::mem::take(&mut self.proposed).into_values() {
+                let _ = reply.send(Answer::NotLeader(leader.clone()));
+            }
+        }
+        if self.is_empty
+            && let Some(members) = self.watch.first_members(now, node.id())
+        {
+            self.found(members);
+        }
+    }
+
+    /// Forms the first group; its other members receive the log from this one.
+    fn found(&mut self, members: Vec<Member>) {
+        let Some(node) = self.node.take() else { return };
+        let id = node.id().clone();
+        let seed = hash::of_bytes(id.name.as_bytes()) ^ id.instance;
+        let saved = Saved::founded(id, members, Vec::new());
+        self.writes.push(Write::Vote { term: saved.term, vote: None });
+        if let Some(snapshot) = saved.snapshot.clone() {
+            self.writes.push(Write::Snapshot { snapshot, reset: false });
+        }
+        if let Some(snapshot) = &saved.snapshot {
+            self.install(snapshot);
+        }
+        tracing::info!(instance = self.settings.name, "forming a new control group");
+        let writes = std::mem::take(&mut self.writes);
+        if let Err(error) = self.store.write(writes) {
+            return self.fail(&error);
+        }
+        self.is_empty = false;
+        self.node = Some(Node::start(saved, Timing::default(), seed, self.clock.now()));
+    }
+
+    /// Stops the replica for good: after a failed sync nothing is known about the file.
+    fn fail(&mut self, error: &Error) {
+        self.node = None;
+        tracing::error!(instance = self.settings.name, %error, "the replica stopped");
+        self.watch.failed(&error.to_string());
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_control/tests/cluster/mod.rs
@@ -0,0 +1,186 @@
+//! Control instances on loopback, and a client for their operator API.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use arbutuslane_control::prelude::*;
+use arbutuslane_wire::operator::{Address, Status};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// A bound on every wait; a healthy group needs a fraction of it.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+pub(crate) const TOKEN: &str = "token-of-mari";
+
+/// Several instances with their settings and data folders.
+pub(crate) struct Cluster {
+    pub(crate) folder: TempDir,
+    pub(crate) members: Vec<Address>,
+    pub(crate) daemons: Vec<Option<Daemon>>,
+}
+
+impl Cluster {
+    /// Starts `count` instances with empty data folders.
+    pub(crate) fn start(count: usize) -> Self {
+        let mut cluster = Self::prepare(count);
+        for position in 0..count {
+            cluster.revive(position);
+        }
+        cluster
+    }
+
+    /// Prepares the settings of `count` instances without starting any.
+    pub(crate) fn prepare(count: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("operators"), format!("mari {TOKEN}\n")).unwrap();
+        std::fs::write(folder.path().join("peers"), "secret-of-the-fleet\n").unwrap();
+        let members = (0..count).map(|position| address(&format!("control-{position}"))).collect();
+        Self { folder, members, daemons: (0..count).map(|_| None).collect() }
+    }
+
+    pub(crate) fn settings(&self, position: usize) -> Settings {
+        let path = self.folder.path();
+        let member = &self.members[position];
+        let text = json!({
+            "name": member.name,
+            "data": path.join(&member.name),
+            "operators": member.operators,
+            "peers": member.peers,
+            "members": self.members,
+            "operator_tokens": path.join("operators"),
+            "peer_token": path.join("peers"),
+        });
+        let file = path.join(format!("{}.json", member.name));
+        std::fs::write(&file, text.to_string()).unwrap();
+        Settings::load(&file).unwrap()
+    }
+
+    pub(crate) fn data(&self, position: usize) -> std::path::PathBuf {
+        Path::new(self.folder.path()).join(&self.members[position].name)
+    }
+
+    pub(crate) fn revive(&mut self, position: usize) {
+        self.daemons[position] = Some(Daemon::start(self.settings(position)).unwrap());
+    }
+
+    pub(crate) fn kill(&mut self, position: usize) {
+        if let Some(daemon) = self.daemons[position].take() {
+            daemon.kill();
+        }
+    }
+
+    pub(crate) fn status(&self, position: usize) -> Option<Status> {
+        let (code, body) = self.ask(position, "GET", "/v1/status", "")?;
+        (code == 200).then(|| serde_json::from_value(body).unwrap())
+    }
+
+    /// Waits until an instance leads and returns its position.
+    pub(crate) fn leader(&self) -> usize {
+        self.wait("a leader", || {
+            let running = (0..self.daemons.len()).filter(|at| self.daemons[*at].is_some());
+            let mut running = running.filter(|at| {
+                self.ask(*at, "GET", "/v1/catalogue", "").is_some_and(|(code, _)| code == 200)
+            });
+            running.find(|at| self.status(*at).is_some_and(|status| status.role == "leader"))
+        })
+    }
+
+    /// Sends a change to whichever instance leads, again and again under the same id.
+    pub(crate) fn apply(&self, id: &str, base: u64, floor: u32) -> (u16, Value) {
+        let body = change(id, base, floor);
+        self.wait("an answer to a change", || {
+            let running = (0..self.daemons.len()).filter(|at| self.daemons[*at].is_some());
+            let mut answers = running.filter_map(|at| self.ask(at, "POST", "/v1/changes", &body));
+            answers.find(|(code, _)| *code != 503)
+        })
+    }
+
+    pub(crate) fn revision(&self, position: usize) -> Option<u64> {
+        let (code, body) = self.ask(position, "GET", "/v1/catalogue", "")?;
+        if code == 200 { body["revision"].as_u64() } else { None }
+    }
+
+    pub(crate) fn ask(
+        &self,
+        position: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, Value)> {
+        request(&self.members[position].operators, method, path, TOKEN, body)
+    }
+
+    /// Polls until `probe` finds something; fails with what was awaited.
+    pub(crate) fn wait<T>(&self, what: &str, probe: impl FnMut() -> Option<T>) -> T {
+        wait(what, probe)
+    }
+}
+
+pub(crate) fn wait<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = probe() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Returns free loopback addresses for an instance.
+pub(crate) fn address(name: &str) -> Address {
+    let free = || TcpListener::bind("127.0.0.1:0").unwrap();
+    let (peers, operators) = (free(), free());
+    Address {
+        name: name.to_string(),
+        peers: peers.local_addr().unwrap().to_string(),
+        operators: operators.local_addr().unwrap().to_string(),
+    }
+}
+
+/// Returns the body of a change to one service whose floor tells changes apart.
+pub(crate) fn change(id: &str, base: u64, floor: u32) -> String {
+    json!({
+        "change_id": id,
+        "author": "mari",
+        "base_revision": base,
+        "entries": [{
+            "service": "slots",
+            "owner": "tuning",
+            "class": "idempotent",
+            "preference": "few-false-ejections",
+            "floor": floor,
+            "routes": [{"path_prefix": "/slots"}],
+        }],
+    })
+    .to_string()
+}
+
+/// Sends one request; returns nothing when the connection fails.
+pub(crate) fn request(
+    address: &str,
+    method: &str,
+    path: &str,
+    token: &str,
+    body: &str,
+) -> Option<(u16, Value)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {token}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body.as_bytes()).ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok()?;
+    let answer = String::from_utf8_lossy(&answer);
+    let code = answer.split_whitespace().nth(1)?.parse().ok()?;
+    let (_, body) = answer.split_once("\r\n\r\n")?;
+    Some((code, serde_json::from_str(body).unwrap_or(Value::Null)))
+}
--- /dev/null
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -0,0 +1,217 @@
+//! Faults of whole control instances, on loopback.
+
+mod cluster;
+
+use std::fs;
+
+use cluster::{Cluster, TOKEN, address, change, request, wait};
+use serde_json::json;
+
+/// Guards against acknowledged changes that are lost with the leader, and against resends that get
+/// another answer from another instance or after a restart.
+#[test]
+fn leader_killed() {
+    let mut cluster = Cluster::start(3);
+    let first = cluster.leader();
+    assert_eq!(cluster.apply("change-1", 0, 1).0, 200);
+    assert_eq!(cluster.apply("lost", 0, 9).0, 409);
+    cluster.kill(first);
+    let second = cluster.leader();
+    assert_ne!(first, second);
+    assert_eq!(cluster.revision(second), Some(1));
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+    cluster.revive(first);
+    cluster
+        .wait("the old leader to catch up", || (cluster.revision(first) == Some(2)).then_some(()));
+    for position in 0..3 {
+        let again = |id: &str| cluster.ask(position, "POST", "/v1/changes", &change(id, 0, 1));
+        let accepted =
+            cluster.wait("a resend", || again("change-1").filter(|(code, _)| *code != 503));
+        assert_eq!((accepted.0, accepted.1["revision"].as_u64()), (200, Some(1)));
+        let refused = cluster.wait("a resend", || again("lost").filter(|(code, _)| *code != 503));
+        assert_eq!((refused.0, refused.1["winner"].as_str()), (409, Some("change-1")));
+    }
+}
+
+/// Guards against an empty replica that brings its votes of before, or never catches up.
+#[test]
+fn disk_lost() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    for revision in 0..5 {
+        assert_eq!(cluster.apply(&format!("change-{revision}"), revision, 1).0, 200);
+    }
+    let victim = (leader + 1) % 3;
+    cluster.kill(victim);
+    fs::remove_dir_all(cluster.data(victim)).unwrap();
+    cluster.revive(victim);
+    let name = cluster.members[victim].name.clone();
+    cluster.wait("the vote of the empty replica", || {
+        let status = cluster.status(leader)?;
+        let instance = status.instances.iter().find(|instance| instance.name == name)?;
+        (instance.voter && instance.matched >= Some(status.applied)).then_some(())
+    });
+    // The rebuilt replica and one other now carry the group without the old leader.
+    cluster.kill(leader);
+    let next = cluster.leader();
+    assert_eq!(cluster.revision(next), Some(5));
+    assert_eq!(cluster.apply("after", 5, 2).1["revision"], 6);
+}
+
+/// Guards against a burst of racing operators in which a change is lost or two win one revision.
+#[test]
+fn operators_race() {
+    let cluster = Cluster::start(3);
+    cluster.leader();
+    let wins = std::thread::scope(|scope| {
+        let mut operators = Vec::new();
+        for operator in 0..5 {
+            let cluster = &cluster;
+            operators.push(scope.spawn(move || {
+                let mut won = Vec::new();
+                let mut base = 0;
+                let mut attempt = 0;
+                while won.len() < 20 {
+                    attempt += 1;
+                    let id = format!("operator-{operator}-{attempt}");
+                    let (code, body) = cluster.apply(&id, base, 1 + operator);
+                    base = body["revision"].as_u64().unwrap();
+                    match code {
+                        200 => won.push(base),
+                        _ => assert_ne!(body["winner"], json!(id)),
+                    }
+                }
+                won
+            }));
+        }
+        let mut wins = Vec::new();
+        for operator in operators {
+            wins.extend(operator.join().unwrap());
+        }
+        wins
+    });
+    let mut revisions = wins.clone();
+    revisions.sort_unstable();
+    assert_eq!(revisions, (1..=100).collect::<Vec<u64>>());
+    assert_eq!(cluster.revision(cluster.leader()), Some(100));
+}
+
+/// Guards against changes that are lost between a burst and a restart of all instances.
+#[test]
+fn burst_restart() {
+    let mut cluster = Cluster::start(3);
+    cluster.leader();
+    for revision in 0..500 {
+        assert_eq!(cluster.apply(&format!("burst-{revision}"), revision, 1).0, 200);
+    }
+    for position in 0..3 {
+        cluster.kill(position);
+    }
+    for position in 0..3 {
+        cluster.revive(position);
+    }
+    let leader = cluster.leader();
+    assert_eq!(cluster.revision(leader), Some(500));
+    assert_eq!(cluster.apply("burst-250", 0, 1).1["revision"], 251);
+    // A rollback is a change whose entries are those of an earlier revision.
+    let (_, old) = cluster.ask(leader, "GET", "/v1/catalogue?revision=0", "").unwrap();
+    assert_eq!(old["entries"], json!([]));
+    let back = json!({"change_id": "back", "author": "mari", "base_revision": 500, "entries": []});
+    let (code, body) = cluster.ask(leader, "POST", "/v1/changes", &back.to_string()).unwrap();
+    assert_eq!((code, body["revision"].as_u64()), (200, Some(501)));
+}
+
+/// Guards against a lost instance that nobody notices, and an isolated one that still answers.
+#[test]
+fn instance_lost() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    cluster.apply("change-1", 0, 1);
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    cluster.kill(others[0]);
+    let name = cluster.members[others[0]].name.clone();
+    cluster.wait("the loss in the events", || {
+        let (_, page) = cluster.ask(leader, "GET", "/v1/events", "")?;
+        let events = page["events"].as_array()?;
+        let lost = |event: &&serde_json::Value| {
+            event["kind"] == "node-suspected" && event["fields"]["node"] == json!(name)
+        };
+        events.iter().find(lost).map(|_| ())
+    });
+    let status = cluster.status(leader).unwrap();
+    assert!(status.instances.iter().any(|other| other.name == name && !other.reachable));
+    cluster.kill(others[1]);
+    cluster.wait("the isolated leader to step down", || {
+        let status = cluster.status(leader)?;
+        (status.isolated && status.role != "leader").then_some(())
+    });
+    let (code, _) = cluster.ask(leader, "GET", "/v1/catalogue", "").unwrap();
+    assert_eq!(code, 503);
+}
+
+/// Guards against a change of the instances that loses a change of the catalogue.
+#[test]
+fn instance_replaced() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    cluster.apply("change-1", 0, 1);
+    let old = (leader + 1) % 3;
+    cluster.members.push(address("control-3"));
+    cluster.daemons.push(None);
+    cluster.revive(3);
+    let body = json!({
+        "action": "replace",
+        "name": cluster.members[old].name,
+        "instance": cluster.members[3],
+    });
+    let (code, _) = cluster.ask(leader, "POST", "/v1/instances", &body.to_string()).unwrap();
+    assert_eq!(code, 204);
+    cluster.wait("the replacement", || {
+        let status = cluster.status(leader)?;
+        let names: Vec<&str> = status.instances.iter().map(|other| other.name.as_str()).collect();
+        let voter = status.instances.iter().any(|other| other.name == "control-3" && other.voter);
+        (voter && !names.contains(&cluster.members[old].name.as_str())).then_some(())
+    });
+    cluster.kill(old);
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+}
+
+/// Guards against anything that is shown or changed without a token, against tokens that need a
+/// restart, and against refusals that do not say what to do.
+#[test]
+fn requests_refused() {
+    let cluster = Cluster::start(1);
+    cluster.leader();
+    let address = &cluster.members[0].operators;
+    for path in ["/v1/catalogue", "/v1/history", "/v1/status", "/v1/events", "/other"] {
+        let (code, body) = request(address, "GET", path, "wrong", "").unwrap();
+        assert_eq!(code, 401);
+        assert!(body["remedy"].is_string());
+    }
+    let (code, _) = request(address, "POST", "/v1/changes", "", &change("a", 0, 1)).unwrap();
+    assert_eq!(code, 401);
+    let file = cluster.folder.path().join("operators");
+    fs::write(&file, format!("mari {TOKEN}\njaan second-token\n")).unwrap();
+    wait("the new token", || {
+        let (code, _) = request(address, "GET", "/v1/status", "second-token", "")?;
+        (code == 200).then_some(())
+    });
+    let (code, _) =
+        request(address, "POST", "/v1/changes", "second-token", &change("a", 0, 1)).unwrap();
+    assert_eq!(code, 403);
+    fs::write(&file, format!("mari {TOKEN}\n")).unwrap();
+    wait("the withdrawal of the token", || {
+        let (code, _) = request(address, "GET", "/v1/status", "second-token", "")?;
+        (code == 401).then_some(())
+    });
+    let bad = change("a", 0, 1).replace("\"floor\"", "\"flor\"");
+    let (code, body) = cluster.ask(0, "POST", "/v1/changes", &bad).unwrap();
+    assert_eq!(code, 422);
+    assert!(body["error"].as_str().unwrap().contains("entries[0].flor"));
+    let large = change(&"a".repeat(9 << 20), 0, 1);
+    let answer = cluster.ask(0, "POST", "/v1/changes", &large);
+    assert!(answer.is_none_or(|(code, _)| code == 413));
+    let (code, body) = cluster.ask(0, "POST", "/v1/changes", &change("a", 0, 0)).unwrap();
+    assert_eq!((code, body["findings"][0]["key"].as_str()), (422, Some("entries[0].floor")));
+    assert_eq!(cluster.revision(0), Some(0));
+}
