Wait for the vote of the rebuilt replica in its own status

Cause: disk_lost read the vote of the lost disk from the leader's status and killed the leader before the empty replica had a vote, so one vote of three was left and no leader is the correct outcome. Change: the test waits until the replica itself is a voter with all revisions. Conclusion: a replica back with an empty disk carries the group with one other.

--- a/crates/arbutuslane_control/tests/instances.rs
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -45,11 +45,11 @@
     cluster.kill(victim);
     fs::remove_dir_all(cluster.data(victim)).unwrap();
     cluster.revive(victim);
-    let name = cluster.members[victim].name.clone();
+    // The leader shows the vote of the lost disk until the empty replica asks for the log, so the
+    // replica's own role tells when it has a vote of its own.
     cluster.wait("the vote of the empty replica", || {
-        let status = cluster.status(leader)?;
-        let instance = status.instances.iter().find(|instance| instance.name == name)?;
-        (instance.voter && instance.matched >= Some(status.applied)).then_some(())
+        let status = cluster.status(victim)?;
+        (status.role == "follower" && status.revision == 5).then_some(())
     });
     // The rebuilt replica and one other now carry the group without the old leader.
     cluster.kill(leader);
