Assign register groups and take part in the nodes' gossip

Cause: keyed bookings need register groups, and nodes learn revisions by gossip. Change: control instances gossip as members without servers, offer the applied state, and the leader forms groups of up to 5 members spread over failure domains once the membership has been steady for 3 s. It replaces one lost member per epoch, the next only after all live members vote. Conclusion: groups are assigned from gossip records that name a callers listener.

--- /dev/null
+++ b/crates/arbutuslane_control/src/assign.rs
@@ -0,0 +1,130 @@
+//! Assigns the groups of the quorum registers to nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutuslane_catalogue::group::{Candidate, Group};
+use arbutuslane_core::time::Time;
+
+use crate::engine::Report;
+
+/// The time for which no node may come or go before the first groups are formed, so that they are
+/// chosen from all nodes of a fleet that starts.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// The number of groups in one log entry.
+const BATCH: usize = 256;
+
+/// Decides on changes of register groups; only the leader's decisions are proposed.
+#[derive(Debug, Default)]
+pub(crate) struct Assigner {
+    nodes: Vec<String>,
+    changed_at: Time,
+}
+
+impl Assigner {
+    /// Returns the groups that should replace those in force.
+    pub(crate) fn decide(
+        &mut self,
+        now: Time,
+        (shards, minimum): (u32, usize),
+        groups: &[Group],
+        alive: &[Candidate],
+        reports: &BTreeMap<String, Report>,
+    ) -> Vec<Group> {
+        let nodes: Vec<String> = alive.iter().map(|candidate| candidate.node.clone()).collect();
+        if nodes != self.nodes {
+            self.nodes = nodes;
+            self.changed_at = now;
+        }
+        if groups.is_empty() {
+            if alive.len() < minimum.max(1) || now < self.changed_at + SETTLED {
+                return Vec::new();
+            }
+            return (0..shards).filter_map(|shard| Group::found(shard, alive)).collect();
+        }
+        let mut changed = Vec::new();
+        for group in groups {
+            if changed.len() == BATCH {
+                break;
+            }
+            // A member that joins votes only after it has pulled the registers. Until then the next
+            // replacement could take away the last copy of one.
+            if group.epoch > 1 && !has_settled(group, alive, reports) {
+                continue;
+            }
+            changed.extend(group.repaired(alive));
+        }
+        changed
+    }
+}
+
+/// Returns whether all members that are alive vote in the group's current epoch.
+fn has_settled(group: &Group, alive: &[Candidate], reports: &BTreeMap<String, Report>) -> bool {
+    let votes = |node: &str| {
+        let report = reports.get(node);
+        report.is_some_and(|report| report.votes.contains(&(group.shard, group.epoch)))
+    };
+    let is_alive = |node: &str| alive.iter().any(|candidate| candidate.node == node);
+    group.members.iter().all(|member| !is_alive(&member.node) || votes(&member.node))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Instant;
+
+    use super::*;
+
+    fn alive(numbers: &[u64]) -> Vec<Candidate> {
+        let candidate = |number: &u64| Candidate {
+            node: format!("node-{number}"),
+            incarnation: 1,
+            domain: format!("domain-{}", number % 3),
+        };
+        numbers.iter().map(candidate).collect()
+    }
+
+    fn votes(nodes: &[Candidate], group: &Group) -> BTreeMap<String, Report> {
+        let report =
+            || Report { revision: 0, votes: vec![(group.shard, group.epoch)], at: Instant::now() };
+        nodes.iter().map(|candidate| (candidate.node.clone(), report())).collect()
+    }
+
+    /// Guards against first groups that are formed from the first nodes of a fleet that starts.
+    #[test]
+    fn decide_first() {
+        let mut assigner = Assigner::default();
+        let mut decide = |seconds, nodes: &[u64]| {
+            let now = Duration::from_secs(seconds);
+            assigner.decide(now, (4, 3), &[], &alive(nodes), &BTreeMap::new())
+        };
+        assert!(decide(0, &[1, 2]).is_empty());
+        assert!(decide(9, &[1, 2]).is_empty());
+        assert!(decide(10, &[1, 2, 3]).is_empty());
+        assert!(decide(12, &[1, 2, 3, 4, 5]).is_empty());
+        let groups = decide(15, &[1, 2, 3, 4, 5]);
+        assert_eq!(groups.len(), 4);
+        assert!(groups.iter().all(|group| group.members.len() == 5));
+    }
+
+    /// Guards against a second replacement before the first new member has pulled the registers.
+    #[test]
+    fn decide_one_at_a_time() {
+        let mut assigner = Assigner::default();
+        let all = alive(&[1, 2, 3, 4, 5, 6, 7]);
+        let group = Group::found(0, &all).unwrap();
+        let lost = |node: &str, from: &[Candidate]| -> Vec<Candidate> {
+            from.iter().filter(|candidate| candidate.node != node).cloned().collect()
+        };
+        let mut decide = |group: &Group, alive: &[Candidate], reports| {
+            let groups = std::slice::from_ref(group);
+            assigner.decide(Duration::from_secs(9), (1, 3), groups, alive, &reports)
+        };
+        let first = lost(&group.members[0].node, &all);
+        let next = decide(&group, &first, BTreeMap::new()).remove(0);
+        assert_eq!(next.epoch, 2);
+        let second = lost(&next.members[1].node, &first);
+        assert!(decide(&next, &second, votes(&second, &group)).is_empty());
+        assert_eq!(decide(&next, &second, votes(&second, &next)).len(), 1);
+    }
+}
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -1,12 +1,14 @@
 //! What other threads see of the engine, and its start.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use arbutuslane_catalogue::change::{Change, Outcome};
+use arbutuslane_catalogue::group::Candidate;
 use arbutuslane_catalogue::state::State;
 use arbutuslane_consensus::input::Refusal;
 use arbutuslane_consensus::prelude::Reconfigure;
@@ -18,6 +20,7 @@
 
 use crate::border::Frame;
 use crate::courier;
+use crate::gossip::{self, Exchange};
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store;
@@ -41,6 +44,17 @@
     Refused(Refusal),
 }
 
+/// What a node reported last.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The revision in force there.
+    pub revision: u64,
+    /// The shards whose groups the node votes in, with their epochs.
+    pub votes: Vec<(u32, u64)>,
+    /// When the report arrived.
+    pub at: Instant,
+}
+
 /// Where an answer goes.
 pub(crate) type Reply = oneshot::Sender<Answer>;
 
@@ -65,7 +79,11 @@
     /// The event timeline.
     pub events: Arc<Buffer>,
     /// The revisions that nodes reported, with the time of the report.
-    pub nodes: Arc<RwLock<BTreeMap<String, (u64, Instant)>>>,
+    pub nodes: Arc<RwLock<BTreeMap<String, Report>>>,
+    /// The nodes that gossip holds for alive.
+    pub alive: Arc<RwLock<Vec<Candidate>>>,
+    pub(crate) gossip: Exchange,
+    pub(crate) stopped: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -84,6 +102,11 @@
         self.ask(|reply| Request::Reconfigure(change, reply)).await
     }
 
+    /// Returns whether the daemon is being stopped.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
     /// Returns the address of the leader's operator API, where known.
     pub fn leader_address(&self) -> Option<String> {
         self.status.read().unwrap_or_else(PoisonError::into_inner).leader_address.clone()
@@ -112,6 +135,7 @@
     let disk = store::open_disk(&settings.data)?;
     let (store, saved) = store::open(disk, &settings.name, fresh_instance(&settings.name))?;
     let (requests, inbox) = channel();
+    let (exchange, gossip_inbox) = gossip::prepare();
     let handle = Handle {
         requests,
         state: Arc::default(),
@@ -122,8 +146,12 @@
         })),
         events: Arc::new(Buffer::new(settings.name.clone(), EVENTS_KEPT)),
         nodes: Arc::default(),
+        alive: Arc::default(),
+        gossip: exchange,
+        stopped: Arc::default(),
     };
     let outbox = courier::start(Arc::clone(token));
+    gossip::start(settings, handle.clone(), Arc::clone(token), gossip_inbox);
     let mut replica = Replica::new(settings.clone(), store, saved, handle.clone(), outbox)?;
     let thread = thread::spawn(move || replica.run(&inbox));
     Ok((handle, thread))
--- /dev/null
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -0,0 +1,227 @@
+//! Takes part in the gossip of the nodes, as a member without servers.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use arbutuslane_catalogue::border::Snapshot;
+use arbutuslane_catalogue::group::Candidate;
+use arbutuslane_core::hash;
+use arbutuslane_core::rng::{self, Rng};
+use arbutuslane_core::time::Clock;
+use arbutuslane_event::clock::wall_ms;
+use arbutuslane_event::kind::Kind;
+use arbutuslane_member::configuration::Position;
+use arbutuslane_member::effect::{Call, Effect, Ticket};
+use arbutuslane_member::gossip::Gossip;
+use arbutuslane_member::message::Answer as GossipAnswer;
+use arbutuslane_member::record::{Record, Standing};
+use arbutuslane_wire::peer::{self, gossip as wire};
+use arbutuslane_wire::{codec, header};
+use ntex::client::Client;
+use ntex::time::Millis;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+
+use crate::engine::Handle;
+use crate::settings::Settings;
+use crate::token::Tokens;
+
+/// The time between two ticks of the gossip.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The time after which a request of a peer is given up: it may wait for a probe of a third node.
+const PATIENCE: Millis = Millis(2_000);
+
+enum Event {
+    Asked(wire::Message, oneshot::Sender<wire::Answer>),
+    Answered(Call, Option<wire::Answer>),
+    Tick,
+}
+
+/// The way to the gossip's task.
+#[derive(Debug, Clone)]
+pub(crate) struct Exchange {
+    events: UnboundedSender<Event>,
+}
+
+impl std::fmt::Debug for Event {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Event")
+    }
+}
+
+impl Exchange {
+    /// Answers a request of a peer.
+    pub(crate) async fn ask(&self, message: wire::Message) -> Option<wire::Answer> {
+        let (reply, answer) = oneshot::channel();
+        self.events.send(Event::Asked(message, reply)).ok()?;
+        ntex::time::timeout(PATIENCE, answer).await.ok()?.ok()
+    }
+}
+
+/// Creates the way to a task that is started later.
+pub(crate) fn prepare() -> (Exchange, Inbox) {
+    let (events, inbox) = unbounded_channel();
+    (Exchange { events: events.clone() }, Inbox { events, inbox })
+}
+
+/// The task's end of an [`Exchange`].
+pub(crate) struct Inbox {
+    events: UnboundedSender<Event>,
+    inbox: UnboundedReceiver<Event>,
+}
+
+/// Starts the gossip's thread.
+pub(crate) fn start(settings: &Settings, handle: Handle, token: Arc<Tokens>, inbox: Inbox) {
+    let own = &settings.name;
+    let record = Record::new(own, wall_ms(), &settings.peers, &settings.domain);
+    let others = settings.members.iter().filter(|member| member.name != *own);
+    let seeds = others.map(|member| member.peers.clone()).collect();
+    let Inbox { events, inbox } = inbox;
+    thread::spawn(move || {
+        let clock = Clock::start();
+        let mut task = Task {
+            gossip: Gossip::new(clock.now(), record, seeds),
+            rng: rng::seeded(hash::of_bytes(handle.events.stamp().wall_ms.to_string().as_bytes())),
+            clock,
+            handle,
+            token,
+            events,
+            tickets: BTreeMap::new(),
+            next_ticket: 0,
+        };
+        let system = ntex::rt::System::new("gossip", ntex::rt::DefaultRuntime);
+        system.block_on(async move { task.run(inbox).await });
+    });
+}
+
+struct Task {
+    gossip: Gossip,
+    rng: Rng,
+    clock: Clock,
+    handle: Handle,
+    token: Arc<Tokens>,
+    events: UnboundedSender<Event>,
+    tickets: BTreeMap<Ticket, oneshot::Sender<wire::Answer>>,
+    next_ticket: Ticket,
+}
+
+impl Task {
+    async fn run(&mut self, mut inbox: UnboundedReceiver<Event>) {
+        let client = Client::new().await;
+        let ticks = self.events.clone();
+        let handle = self.handle.clone();
+        ntex::rt::spawn(async move {
+            while !handle.is_stopped() && ticks.send(Event::Tick).is_ok() {
+                ntex::time::sleep(TICK).await;
+            }
+            ticks.send(Event::Tick)
+        });
+        while let Some(event) = inbox.recv().await {
+            if self.handle.is_stopped() {
+                return;
+            }
+            let now = self.clock.now();
+            let effects = match event {
+                Event::Tick => {
+                    self.publish();
+                    self.gossip.tick(now, &mut self.rng)
+                }
+                Event::Asked(message, reply) => {
+                    self.next_ticket += 1;
+                    self.tickets.retain(|_, reply| !reply.is_closed());
+                    self.tickets.insert(self.next_ticket, reply);
+                    self.gossip.handle(now, self.next_ticket, message.into())
+                }
+                Event::Answered(call, answer) => {
+                    self.gossip.answered(now, &mut self.rng, call, answer.map(Into::into))
+                }
+            };
+            for effect in effects {
+                self.carry_out(&client, effect);
+            }
+            self.note_alive();
+        }
+    }
+
+    fn carry_out(&mut self, client: &Client, effect: Effect) {
+        match effect {
+            Effect::Call { call, address, message, timeout } => {
+                let message = peer::Message::Gossip(message.into());
+                let Ok(body) = codec::encode(&message) else { return };
+                let secret = self.token.own().unwrap_or_default();
+                let url = format!("http://{address}/v1/peer");
+                let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+                let request = client.post(url).header(header::TOKEN, secret);
+                let request = request.timeout(Millis(millis));
+                let events = self.events.clone();
+                ntex::rt::spawn(async move {
+                    let answer = match request.send_body(body).await {
+                        Ok(response) => response.body().limit(64 << 20).await.ok(),
+                        Err(_) => None,
+                    };
+                    let answer = answer.and_then(|bytes| codec::decode(&bytes).ok());
+                    let answer = match answer {
+                        Some(peer::Answer::Gossip(answer)) => Some(answer),
+                        _ => None,
+                    };
+                    let _ = events.send(Event::Answered(call, answer));
+                });
+            }
+            Effect::Reply { ticket, answer } => {
+                if let Some(reply) = self.tickets.remove(&ticket) {
+                    let answer: GossipAnswer = answer;
+                    let _ = reply.send(answer.into());
+                }
+            }
+            // The replicated log is the only source of the state here.
+            Effect::Apply(_) => {}
+            Effect::Changed { node, incarnation, standing } => {
+                let known = self.gossip.table().get(&node);
+                // Control instances greet each other directly and record their losses themselves.
+                if known.is_none_or(|known| known.record.callers.is_empty()) {
+                    return;
+                }
+                let kind = match standing {
+                    Standing::Alive => Kind::NodeJoined { node, incarnation },
+                    Standing::Suspect => Kind::NodeSuspected { node },
+                    Standing::Dead | Standing::Left => Kind::NodeDead { node },
+                };
+                self.handle.events.record(kind);
+            }
+        }
+    }
+
+    /// Offers the applied state to the nodes when it is newer than what they were offered.
+    fn publish(&mut self) {
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        let position = Position { revision: state.revision, groups: state.group_version };
+        if position <= self.gossip.position() {
+            return;
+        }
+        let snapshot = Snapshot::from(&*state);
+        drop(state);
+        if let Ok(bytes) = codec::encode(&snapshot) {
+            self.gossip.install(position, Vec::new(), bytes.into());
+        }
+    }
+
+    fn note_alive(&self) {
+        let mut alive = Vec::new();
+        for known in self.gossip.table().members() {
+            let record = &known.record;
+            // Control instances take no callers.
+            if record.callers.is_empty() {
+                continue;
+            }
+            alive.push(Candidate {
+                node: record.node.clone(),
+                incarnation: record.incarnation,
+                domain: record.domain.clone(),
+            });
+        }
+        *self.handle.alive.write().unwrap_or_else(PoisonError::into_inner) = alive;
+    }
+}
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -5,10 +5,12 @@
 //! signal. [`Daemon`](daemon::Daemon) is the same for tests that run several instances in one
 //! process.
 
+mod assign;
 mod border;
 mod courier;
 pub mod daemon;
 pub mod engine;
+mod gossip;
 mod operators;
 mod peers;
 mod replica;
--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -11,7 +11,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 
 use crate::border::Frame;
-use crate::engine::{Handle, Request};
+use crate::engine::{Handle, Report, Request};
 use crate::token::Tokens;
 
 /// The largest accepted body: a snapshot of the replicated state takes a few megabytes.
@@ -62,7 +62,14 @@
     let Ok(message) = codec::decode::<Message>(&bytes) else {
         return HttpResponse::BadRequest().finish();
     };
-    match codec::encode(&answer(&shared, &message)) {
+    let answer = match message {
+        Message::Gossip(message) => match shared.engine.gossip.ask(message).await {
+            Some(answer) => Answer::Gossip(answer),
+            None => return HttpResponse::GatewayTimeout().finish(),
+        },
+        other => answer(&shared, &other),
+    };
+    match codec::encode(&answer) {
         Ok(bytes) => HttpResponse::Ok().body(bytes),
         Err(_) => HttpResponse::InternalServerError().finish(),
     }
@@ -70,9 +77,10 @@
 
 fn answer(shared: &Shared, message: &Message) -> Answer {
     match message {
-        Message::InForce { node, revision, .. } => {
+        Message::InForce { node, revision, votes } => {
             let mut nodes = shared.engine.nodes.write().unwrap_or_else(PoisonError::into_inner);
-            nodes.insert(node.clone(), (*revision, Instant::now()));
+            let report = Report { revision: *revision, votes: votes.clone(), at: Instant::now() };
+            nodes.insert(node.clone(), report);
             Answer::Done
         }
         Message::FetchSnapshot { known_revision } => {
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
 
+use crate::assign::Assigner;
 use crate::border::Frame;
 use crate::courier::Outbox;
 use crate::engine::{Answer, Handle, Reply, Request};
@@ -30,6 +32,9 @@
 /// Requests that are handled before their writes are synced together.
 const BATCH: usize = 512;
 
+/// The time between two decisions on register groups.
+const ASSIGNMENT: Duration = Duration::from_secs(1);
+
 /// The number of applied entries after which a snapshot replaces them.
 const COMPACT_AFTER: u64 = 4_096;
 
@@ -51,6 +56,8 @@
     last_write: u64,
     snapshot_index: u64,
     next_tick: Time,
+    next_assignment: Time,
+    assigner: Assigner,
     is_empty: bool,
 }
 
@@ -85,6 +92,8 @@
             last_write: 0,
             snapshot_index: 0,
             next_tick: Time::ZERO,
+            next_assignment: Time::ZERO,
+            assigner: Assigner::default(),
             is_empty,
         };
         if let Some(snapshot) = snapshot {
@@ -100,7 +109,10 @@
             let mut next = inbox.recv_timeout(wait);
             for _ in 0..BATCH {
                 match next {
-                    Ok(Request::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                    Ok(Request::Stop) | Err(RecvTimeoutError::Disconnected) => {
+                        self.handle.stopped.store(true, Ordering::Relaxed);
+                        return;
+                    }
                     Ok(request) => self.handle(request),
                     Err(RecvTimeoutError::Timeout) => break,
                 }
@@ -333,6 +345,28 @@
         {
             self.found(members);
         }
+        if now >= self.next_assignment {
+            self.next_assignment = now + ASSIGNMENT;
+            self.assign(now);
+        }
+    }
+
+    /// Proposes the changes of register groups that the membership calls for.
+    fn assign(&mut self, now: Time) {
+        let alive = self.handle.alive.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let reports = self.handle.nodes.read().unwrap_or_else(PoisonError::into_inner);
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        let sizes = (self.settings.shards, self.settings.register_nodes);
+        let groups = self.assigner.decide(now, sizes, &state.groups, &alive, &reports);
+        drop((state, reports));
+        // A new leader may not have applied the groups of the last one yet.
+        if groups.is_empty() || !self.node.as_ref().is_some_and(Node::is_established) {
+            return;
+        }
+        let groups = groups.into_iter().map(Into::into).collect();
+        if let Ok(command) = codec::encode(&Command::Groups(groups)) {
+            self.step(Input::Propose { token: 0, command });
+        }
     }
 
     /// Forms the first group; its other members receive the log from this one.
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -26,11 +26,22 @@
     pub operator_tokens: PathBuf,
     /// The file of the secret that the processes of the fleet share.
     pub peer_token: PathBuf,
+    /// The failure domain of this instance.
+    #[serde(default)]
+    pub domain: String,
+    /// The number of nodes from which on register groups are formed. A group keeps its size, so
+    /// this should be the size of the smallest fleet that is meant to run, up to 5.
+    #[serde(default = "default_register_nodes")]
+    pub register_nodes: usize,
     /// The number of shards of the quorum registers.
     #[serde(default = "default_shards")]
     pub shards: u32,
 }
 
+fn default_register_nodes() -> usize {
+    3
+}
+
 fn default_shards() -> u32 {
     64
 }
--- a/crates/arbutuslane_control/src/watch.rs
+++ b/crates/arbutuslane_control/src/watch.rs
@@ -166,11 +166,11 @@
 
     fn reports(&self) -> Vec<NodeRevision> {
         let mut nodes = self.handle.nodes.write().unwrap_or_else(PoisonError::into_inner);
-        nodes.retain(|_, (_, at)| at.elapsed() < REPORT_KEPT);
+        nodes.retain(|_, report| report.at.elapsed() < REPORT_KEPT);
         let mut reports = Vec::new();
-        for (node, (revision, at)) in nodes.iter() {
-            let age_ms = millis(at.elapsed());
-            reports.push(NodeRevision { node: node.clone(), revision: *revision, age_ms });
+        for (node, report) in nodes.iter() {
+            let (revision, age_ms) = (report.revision, millis(report.at.elapsed()));
+            reports.push(NodeRevision { node: node.clone(), revision, age_ms });
         }
         reports
     }
