--- a/crates/arbutuslane_consensus/tests/world/mod.rs
+++ b/crates/arbutuslane_consensus/tests/world/mod.rs
@@ -24,6 +24,8 @@
     pub(crate) fault_every: Duration,
     pub(crate) loss: f64,
     pub(crate) clock_drift: f64,
+    /// Instances are added, removed and replaced meanwhile.
+    pub(crate) reconfigures: bool,
     /// An empty replica keeps the instance number of the lost disk, so its votes count.
     pub(crate) reuse_instance: bool,
     /// The disk reports writes as durable before they are.
@@ -39,6 +41,7 @@
             fault_every: Duration::from_millis(400),
             loss: 0.02,
             clock_drift: 0.01,
+            reconfigures: true,
             reuse_instance: false,
             lying_disk: false,
             quick_restart: false,
@@ -311,7 +314,10 @@
         let members = members.unwrap_or_default();
         // A removal right after the loss of a disk, before the leader can notice it, takes a second
         // voter away.
-        if !self.rng.random_bool(0.3) || self.now < self.disk_lost + Duration::from_secs(1) {
+        if !self.plan.reconfigures
+            || !self.rng.random_bool(0.3)
+            || self.now < self.disk_lost + Duration::from_secs(1)
+        {
             return;
         }
         let any = members[self.rng.random_range(0..members.len())].id.name.clone();
