Kill real control processes in a test, keep a stop request at the end of a batch

Cause: a stop request that arrived as the 513th of a batch was dropped, which left the thread running (found by reading); only ends of threads were tested, not of processes.

--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -108,7 +108,7 @@
         loop {
             let wait = self.next_tick.saturating_sub(self.clock.now());
             let mut next = inbox.recv_timeout(wait);
-            for _ in 0..BATCH {
+            for handled in 1..=BATCH {
                 match next {
                     Ok(Request::Stop) | Err(RecvTimeoutError::Disconnected) => {
                         self.handle.stopped.store(true, Ordering::Relaxed);
@@ -117,11 +117,11 @@
                     Ok(request) => self.handle(request),
                     Err(RecvTimeoutError::Timeout) => break,
                 }
+                if handled == BATCH {
+                    break;
+                }
                 next = inbox.try_recv().map_err(|_| RecvTimeoutError::Timeout);
             }
-            if let Ok(request) = next {
-                self.handle(request);
-            }
             if self.clock.now() >= self.next_tick {
                 self.next_tick = self.clock.now() + TICK;
                 self.step(Input::Tick);
--- a/crates/arbutuslane_control/tests/instances.rs
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -3,6 +3,7 @@
 mod cluster;
 
 use std::fs;
+use std::process::{Child, Command, Stdio};
 
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_control::daemon;
@@ -120,6 +121,54 @@
     assert_eq!(fetch(4), None);
 }
 
+/// Guards against a kill of real processes that loses what only a thread's end would keep.
+#[test]
+fn process_killed() {
+    let cluster = Cluster::prepare(3);
+    let spawn = |position: usize| {
+        let name = cluster.members[position].name.clone();
+        cluster.settings(position);
+        let settings = cluster.folder.path().join(format!("{name}.json"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_arbutuslane-control"));
+        let command = command.arg("--settings").arg(settings).stdout(Stdio::null());
+        Process(command.stderr(Stdio::null()).spawn().unwrap())
+    };
+    let mut processes: Vec<Option<Process>> = (0..3).map(|at| Some(spawn(at))).collect();
+    let mut revision = 0;
+    for round in 0..3 {
+        let leader = cluster.wait("a leader", || {
+            (0..3).find(|at| cluster.status(*at).is_some_and(|status| status.role == "leader"))
+        });
+        for number in 0..20 {
+            let id = format!("round-{round}-{number}");
+            let (code, body) = cluster.wait("an answer", || {
+                let body = change(&id, revision, 1);
+                let mut answers =
+                    (0..3).filter_map(|at| cluster.ask(at, "POST", "/v1/changes", &body));
+                answers.find(|(code, _)| *code != 503)
+            });
+            assert_eq!(code, 200, "{body}");
+            revision = body["revision"].as_u64().unwrap();
+        }
+        processes[leader] = None;
+        processes[leader] = Some(spawn(leader));
+    }
+    cluster.wait("all instances at the last revision", || {
+        (0..3).all(|at| cluster.revision(at) == Some(revision)).then_some(())
+    });
+    assert_eq!(revision, 60);
+}
+
+/// A process that is killed at the end of its scope.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// Guards against a burst of racing operators in which a change is lost or two win one revision.
 #[test]
 fn operators_race() {
