Fail the disk of a running leader in a test, take test ports below the outgoing range

Cause: the rule that a failed sync stops a replica for good was tested in the log only. One of three runs of the instance tests failed, because another connection had taken the port of an instance before it listened. Change: a daemon can run on any disk; disk_sync_failed fails a sync of the leader. Test ports come from 20000 to 31999. Conclusion: the failed leader stops and shows the reason, the others decide the change, and the replica comes back with what it had synced.

--- a/crates/arbutuslane_control/src/daemon.rs
+++ b/crates/arbutuslane_control/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::Sender;
 use std::thread::{self, JoinHandle};
 
+use arbutuslane_storage::disk::Disk;
 use clap::{Arg, ArgAction, Command};
 use ntex::web::{self, App, HttpServer};
 use tokio::sync::oneshot;
@@ -169,9 +170,15 @@
 impl Daemon {
     /// Starts a daemon and returns when its listeners are open.
     pub fn start(settings: Settings) -> Result<Self, Error> {
+        let disk = store::open_disk(&settings.data)?;
+        Self::start_on(disk, settings)
+    }
+
+    /// Starts a daemon on another disk than the settings' data folder, to make that disk fail.
+    pub fn start_on<D: Disk + Send + 'static>(disk: D, settings: Settings) -> Result<Self, Error> {
         let listeners = Listeners::open(&settings)?;
         let token = Arc::new(Tokens::new(&settings.peer_token));
-        let (engine, replica) = engine::start(&settings, &token)?;
+        let (engine, replica) = engine::start_on(disk, &settings, &token)?;
         let requests = engine.requests.clone();
         let (stop, stopped) = oneshot::channel();
         let thread =
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -135,7 +135,15 @@
 ///
 /// See [`Error`]; a damaged folder is refused, never repaired by itself.
 pub fn start(settings: &Settings, token: &Arc<Tokens>) -> Result<(Handle, JoinHandle<()>), Error> {
-    let disk = store::open_disk(&settings.data)?;
+    start_on(store::open_disk(&settings.data)?, settings, token)
+}
+
+/// Starts the engine's thread on any disk.
+pub(crate) fn start_on<D: Disk + Send + 'static>(
+    disk: D,
+    settings: &Settings,
+    token: &Arc<Tokens>,
+) -> Result<(Handle, JoinHandle<()>), Error> {
     let (store, saved) = store::open(disk, &settings.name, fresh_instance(&settings.name))?;
     let (requests, inbox) = channel();
     let (exchange, gossip_inbox) = gossip::prepare();
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -15,7 +15,7 @@
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::kind::Kind;
 use arbutuslane_member::configuration::{DELTAS_KEPT, Delta, Position};
-use arbutuslane_storage::disk::Real;
+use arbutuslane_storage::disk::Disk;
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
 
@@ -40,10 +40,10 @@
 const COMPACT_AFTER: u64 = 4_096;
 
 /// The engine's thread.
-pub(crate) struct Replica {
+pub(crate) struct Replica<D> {
     settings: Settings,
     clock: Clock,
-    store: Store<Real>,
+    store: Store<D>,
     node: Option<Node>,
     handle: Handle,
     outbox: Outbox,
@@ -62,10 +62,10 @@
     is_empty: bool,
 }
 
-impl Replica {
+impl<D: Disk> Replica<D> {
     pub(crate) fn new(
         settings: Settings,
-        store: Store<Real>,
+        store: Store<D>,
         saved: Saved,
         handle: Handle,
         outbox: Outbox,
--- a/crates/arbutuslane_control/tests/cluster/mod.rs
+++ b/crates/arbutuslane_control/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -143,12 +144,20 @@
 
 /// Returns free loopback addresses for an instance.
 pub(crate) fn address(name: &str) -> Address {
-    let free = || TcpListener::bind("127.0.0.1:0").unwrap();
-    let (peers, operators) = (free(), free());
-    Address {
-        name: name.to_string(),
-        peers: peers.local_addr().unwrap().to_string(),
-        operators: operators.local_addr().unwrap().to_string(),
+    Address { name: name.to_string(), peers: free_address(), operators: free_address() }
+}
+
+/// Returns an address below the ports that the system gives to outgoing connections: such a
+/// connection of another test could take the port before the instance listens, or while it is down.
+fn free_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (std::process::id() * 97 + next) % 12_000;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
     }
 }
 
--- a/crates/arbutuslane_control/tests/instances.rs
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -7,6 +7,7 @@
 
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_control::daemon;
+use arbutuslane_storage::disk;
 use arbutuslane_wire::codec;
 use arbutuslane_wire::peer::{self, gossip};
 use cluster::{Cluster, TOKEN, address, change, request, wait};
@@ -92,6 +93,36 @@
     });
 }
 
+/// Guards against a leader that goes on, or answers, after a sync of its disk failed.
+#[test]
+fn disk_sync_failed() {
+    let mut cluster = Cluster::prepare(3);
+    let mut disks = Vec::new();
+    for position in 0..3 {
+        let disk = disk::Fake::new(position as u64);
+        let daemon = daemon::Daemon::start_on(disk.clone(), cluster.settings(position)).unwrap();
+        cluster.daemons[position] = Some(daemon);
+        disks.push(disk);
+    }
+    let leader = cluster.leader();
+    assert_eq!(cluster.apply("change-1", 0, 1).0, 200);
+    disks[leader].fail_sync_after(0);
+    // The change is decided by the next leader: the failed one never acknowledges it.
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+    let status = cluster
+        .wait("the stop", || cluster.status(leader).filter(|status| status.role == "stopped"));
+    assert!(status.failure.unwrap().contains("sync"));
+    assert_eq!(cluster.ask(leader, "GET", "/v1/catalogue", "").unwrap().0, 503);
+    assert_ne!(cluster.leader(), leader);
+    // After a restart it has what was synced and takes over the rest.
+    cluster.kill(leader);
+    disks[leader].crash();
+    let settings = cluster.settings(leader);
+    let daemon = daemon::Daemon::start_on(disks[leader].clone(), settings).unwrap();
+    cluster.daemons[leader] = Some(daemon);
+    cluster.wait("the last revision", || (cluster.revision(leader) == Some(2)).then_some(()));
+}
+
 /// Guards against nodes that get the whole state with each change, or a step that leads elsewhere.
 #[test]
 fn deltas_fetched() {
