--- a/crates/arbutuslane_member/src/gossip.rs
+++ b/crates/arbutuslane_member/src/gossip.rs
@@ -29,6 +29,14 @@
 /// The number of peers that a change is pushed to: reaches 94% of the fleet, the exchanges the rest.
 pub const FANOUT: usize = 3;
 
+/// The time between two deciding probes of a process, each of which asks several helpers; bounds the
+/// probes when many nodes fail at once.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The number of times that a refutation is pushed: a node with half of its links cut reaches
+/// another node in one of 12 pushes.
+const REFUTATIONS: u32 = 4;
+
 /// The number of changes in one push.
 pub const PUSH_LIMIT: usize = 128;
 
@@ -49,9 +57,16 @@
 /// revision that they were told: one renewal interval of 1 s and half of the next.
 pub const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
 
+/// The longest time for which a revision waits for a server to show that it was told; a server that
+/// is silent for longer has lost its lease.
+pub const CONFIRM_WAIT: Duration = Duration::from_secs(3);
+
 /// One exchange in this many goes to a dead node, which finds the other part after a partition.
 const DEAD_SHARE: u32 = 16;
 
+/// One exchange in this many goes to a seed that is not known as a member, where there is one.
+const SEED_PERIOD: usize = 5;
+
 /// Why an outgoing request was sent.
 #[derive(Debug, Clone)]
 enum Purpose {
@@ -97,7 +112,10 @@
     rumours: VecDeque<Rumour>,
     next_call: Call,
     next_exchange: Time,
+    exchanges: usize,
     next_push: Time,
+    next_probe: Time,
+    refuting: u32,
     next_forget: Time,
     announce: bool,
     fetching: bool,
@@ -106,6 +124,9 @@
     settled: bool,
     required: Position,
     required_revision: Revision,
+    told: Option<Position>,
+    confirmed: Option<Position>,
+    unconfirmed: Option<Time>,
 }
 
 impl Gossip {
@@ -127,7 +148,10 @@
             rumours,
             next_call: 0,
             next_exchange: now,
+            exchanges: 0,
             next_push: now,
+            next_probe: now,
+            refuting: 0,
             next_forget: now + DEAD_KEPT / 60,
             announce: false,
             fetching: false,
@@ -136,6 +160,9 @@
             settled: false,
             required: Position::default(),
             required_revision: 0,
+            told: None,
+            confirmed: None,
+            unconfirmed: None,
         }
     }
 
@@ -177,10 +204,24 @@
         self.publish(now, Record::clone(&self.own));
     }
 
-    /// Demands at least `revision` before any revision is put in force: the highest one that a
-    /// backend server of this node was told.
-    pub fn require(&mut self, revision: Revision) {
-        self.required_revision = self.required_revision.max(revision);
+    /// Takes the revision that a backend server of this node was told, and returns the revision to
+    /// tell it in the response to its renewal.
+    ///
+    /// A revision comes into force once a server has shown that it was told. When this process
+    /// restarts, its servers therefore know every revision that it had in force. A server that
+    /// always states 0 does not take part, and [`CONFIRM_WAIT`] bounds the wait for the others.
+    pub fn renewed(&mut self, known: Revision) -> Revision {
+        if known == 0 {
+            return self.history.position().revision;
+        }
+        self.required_revision = self.required_revision.max(known);
+        if self.told.is_none_or(|told| known >= told.revision) {
+            self.confirmed = self.told.or(self.confirmed);
+        }
+        if self.confirmed >= self.told {
+            self.told = Some(self.history.position());
+        }
+        self.told.map_or(0, |told| told.revision)
     }
 
     /// Reports that the replicated state is now at `position`.
@@ -198,7 +239,10 @@
     /// are, has what the furthest of them has, and has what its own servers were told. Its revision
     /// therefore does not fall behind that of its earlier life.
     pub fn in_force(&self) -> Option<Position> {
-        let position = self.history.position();
+        let position = match self.told {
+            Some(_) => self.confirmed?,
+            None => self.history.position(),
+        };
         let ready = self.settled
             && position >= self.required
             && position.revision >= self.required_revision;
@@ -214,8 +258,16 @@
             self.next_exchange = now + spread;
             self.exchange(rng, &mut effects);
         }
-        for node in self.detector.due(now) {
-            self.probe(&node, &mut effects);
+        if now >= self.next_probe
+            && let Some(node) = self.detector.due(now).first()
+        {
+            self.next_probe = now + PROBE_INTERVAL;
+            self.probe(node, &mut effects);
+        }
+        if now >= self.next_push && self.refuting > 0 {
+            self.refuting -= 1;
+            let node = self.own.node.clone();
+            self.spread(&node, false);
         }
         if now >= self.next_push && (self.announce || !self.rumours.is_empty()) {
             self.next_push = now + PUSH_INTERVAL;
@@ -226,9 +278,24 @@
             self.table.forget(now.saturating_sub(DEAD_KEPT));
         }
         self.settle(now);
+        self.confirm(now);
         effects
     }
 
+    /// Stops waiting for servers that do not show that they were told.
+    fn confirm(&mut self, now: Time) {
+        let newest = Some(self.history.position());
+        if self.told.is_none() || self.confirmed >= newest {
+            self.unconfirmed = None;
+            return;
+        }
+        let since = *self.unconfirmed.get_or_insert(now);
+        if now >= since + CONFIRM_WAIT {
+            self.told = newest;
+            self.confirmed = newest;
+        }
+    }
+
     /// Publishes a changed record or view of this process.
     fn publish(&mut self, now: Time, record: Record) {
         self.own = Arc::new(record);
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -13,9 +13,9 @@
 use arbutuslane_limit::bucket::Bucket;
 
 use crate::announce::Table;
+use crate::cluster::Cluster;
 use crate::configuration::Configuration;
 use crate::metrics::Metrics;
-use crate::seeds::Known;
 use crate::settings::Settings;
 use crate::traffic::Limiter;
 
@@ -55,8 +55,8 @@
     pub(crate) servers: Table,
     /// The counters of the node.
     pub(crate) metrics: Metrics,
-    /// What the seeds said about other nodes.
-    pub(crate) known: Known,
+    /// Membership and register replicas.
+    pub(crate) cluster: Cluster,
     /// The rates that this node accepts as an entry.
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
@@ -72,13 +72,15 @@
     pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start();
+        let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
+        let cluster = Cluster::new(&settings, incarnation, clock.now());
         Arc::new(Self {
             settings,
             clock,
-            incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            incarnation,
             servers: Table::new(clock),
             metrics: Metrics::default(),
-            known: Known::default(),
+            cluster,
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARIES, clock.now())),
             configuration: RwLock::default(),
@@ -150,9 +152,12 @@
         *self.token.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(token);
     }
 
-    /// Returns whether one more summary may be attached to a request.
-    pub(crate) fn may_summarize(&self, now: Time) -> bool {
-        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take(now).is_ok()
+    /// Returns whether one more summary may be attached to a request; half of the burst is kept
+    /// for servers that look slow.
+    pub(crate) fn may_summarize(&self, is_urgent: bool, now: Time) -> bool {
+        let reserve = if is_urgent { 0 } else { SUMMARIES / 2 };
+        let mut summaries = self.summaries.lock().unwrap_or_else(PoisonError::into_inner);
+        summaries.take_above(reserve, now)
     }
 
     /// Returns whether the node is in a planned stop.
