--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -1,6 +1,7 @@
 //! The listener for nodes and the other control instances.
 
 use std::sync::{Arc, PoisonError};
+use std::time::Instant;
 
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_wire::peer::{Answer, Message};
@@ -9,7 +10,8 @@
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::engine::Handle;
+use crate::border::Frame;
+use crate::engine::{Handle, Report, Request};
 use crate::token::Tokens;
 
 /// The largest accepted body: a snapshot of the replicated state takes a few megabytes.
@@ -25,7 +27,27 @@
 
 /// Adds the routes for peers.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
-    config.service(web::resource("/v1/peer").route(web::post().to(peer)));
+    config
+        .service(web::resource("/v1/peer").route(web::post().to(peer)))
+        .service(web::resource("/v1/raft").route(web::post().to(raft)));
+}
+
+async fn raft(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let bytes = match read(&request, &shared, &mut payload).await {
+        Ok(bytes) => bytes,
+        Err(status) => return HttpResponse::build(status).finish(),
+    };
+    let Ok(frames) = codec::decode::<Vec<Frame>>(&bytes) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match shared.engine.requests.send(Request::Frames(frames)) {
+        Ok(()) => HttpResponse::Ok().finish(),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
 }
 
 async fn peer(
@@ -40,7 +62,14 @@
     let Ok(message) = codec::decode::<Message>(&bytes) else {
         return HttpResponse::BadRequest().finish();
     };
-    match codec::encode(&answer(&shared, &message)) {
+    let answer = match message {
+        Message::Gossip(message) => match shared.engine.gossip.ask(message).await {
+            Some(answer) => Answer::Gossip(answer),
+            None => return HttpResponse::GatewayTimeout().finish(),
+        },
+        other => answer(&shared, &other),
+    };
+    match codec::encode(&answer) {
         Ok(bytes) => HttpResponse::Ok().body(bytes),
         Err(_) => HttpResponse::InternalServerError().finish(),
     }
@@ -48,6 +77,12 @@
 
 fn answer(shared: &Shared, message: &Message) -> Answer {
     match message {
+        Message::InForce { node, revision, votes } => {
+            let mut nodes = shared.engine.nodes.write().unwrap_or_else(PoisonError::into_inner);
+            let report = Report { revision: *revision, votes: votes.clone(), at: Instant::now() };
+            nodes.insert(node.clone(), report);
+            Answer::Done
+        }
         Message::FetchSnapshot { known_revision } => {
             let state = shared.engine.state.read().unwrap_or_else(PoisonError::into_inner);
             if state.revision <= *known_revision {
