--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -94,7 +94,7 @@
 /// The sum at which a server is suspected with `fast_detection` at one request a second. The
 /// logarithm of the rate is added, so that a healthy server of a busy service is suspected as
 /// rarely in time as one of a quiet service.
-const THRESHOLD_FAST: f64 = 4.0;
+const THRESHOLD_FAST: f64 = 3.4;
 
 /// The same for `few_false_ejections`.
 const THRESHOLD_FEW: f64 = 10.0;
@@ -133,8 +133,8 @@
 /// doubling. A log-normal with a deviation of 1 has 0.24, a Pareto tail of exponent 1.7 has 0.3.
 const AGED_HEALTHY: f64 = 0.548;
 
-/// The same share of an unhealthy server, 0.5 for each doubling.
-const AGED_UNHEALTHY: f64 = 0.707;
+/// The same share of an unhealthy server, 0.64 for each doubling.
+const AGED_UNHEALTHY: f64 = 0.8;
 
 /// The share of slow requests among the peers up to which slowness is full evidence.
 const SLOW_USUAL: f64 = 0.15;
