--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -3,11 +3,12 @@
 mod entry;
 mod owner;
 mod queue;
+mod state;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use arbutuslane_balance::candidate::{Candidate, Load, Serving};
+use arbutuslane_balance::candidate::{Candidate, Serving};
 use arbutuslane_balance::picker::{Picker, Weights};
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::rng::{self, Rng};
@@ -15,11 +16,11 @@
 use arbutuslane_health::baseline::Rule;
 use arbutuslane_health::detector::Detector;
 use arbutuslane_health::ejection::Stage;
-use arbutuslane_health::peers::{Baseline, Summarizer, Summary};
+use arbutuslane_health::peers::{Baseline, Summarizer};
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::{Origin, RetryBudget};
 use arbutuslane_limit::deadline::Deadline;
-use arbutuslane_limit::gate::{Gate, Ticket};
+use arbutuslane_limit::gate::Gate;
 use rand::RngExt;
 
 use crate::fault::{Fault, HEAVY_CALLER, HEAVY_SHARE, SLOW_ROUTE, SLOW_ROUTE_SHARE, WARM_UP};
@@ -29,6 +30,7 @@
 use crate::sample::exponential;
 use crate::service::{DOMAINS, Service};
 use queue::{Event, Queue, Slab};
+use state::{Attempt, Entry, Gradient, Request, Result, Server};
 
 /// The settings of one run.
 #[derive(Debug, Clone)]
@@ -140,74 +142,6 @@
     outcome: Outcome,
 }
 
-struct Server {
-    name: String,
-    domain: usize,
-    gate: Gate,
-    detector: Detector,
-    baseline: Baseline,
-    stage: Stage,
-    claiming: bool,
-    held: Vec<(Ticket, usize)>,
-    speed: f64,
-    pause: (Time, Duration),
-    latency: Duration,
-    reports: VecDeque<(Time, Load)>,
-    gradient: Gradient,
-}
-
-/// A gradient concurrency limit: the long-term latency divided by the recent one.
-#[derive(Debug, Clone, Copy, Default)]
-struct Gradient {
-    long: f64,
-    short: f64,
-}
-
-struct Entry {
-    domain: usize,
-    picker: Picker,
-    summarizer: Summarizer,
-    summaries: Bucket,
-    budget: RetryBudget,
-    next: usize,
-}
-
-#[derive(Debug, Clone)]
-struct Request {
-    entry: usize,
-    class: Class,
-    route: u64,
-    caller: u64,
-    arrived: Time,
-    deadline: Deadline,
-    tried: Vec<String>,
-    made: u32,
-    outstanding: u32,
-    timers: u32,
-    done: bool,
-    sent_before: u32,
-}
-
-#[derive(Debug, Clone)]
-struct Attempt {
-    id: u64,
-    request: usize,
-    server: usize,
-    trial: bool,
-    summary: Option<Summary>,
-    started: Time,
-    result: Result,
-    load: Option<Load>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Result {
-    Pending,
-    Answered { latency: Duration, success: bool },
-    NotRun,
-    Unreachable,
-}
-
 impl<'a> Sim<'a> {
     fn new(config: &'a Config) -> Self {
         let mut rng = rng::seeded(config.seed);
--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -5,8 +5,10 @@
 use arbutuslane_catalogue::entry::{Class, Preference};
 use arbutuslane_core::time::Time;
 
-use crate::peers::{Baseline, Peers, index};
-use crate::test::{Cusum, Group, Mix};
+use crate::evidence::{AGES, Evidence, LIMIT, confidence, passed, ratio, stopped};
+use crate::peers::{Baseline, Peers};
+use crate::summary::index;
+use crate::test::Group;
 
 /// A request that the owner dispatches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,16 +75,6 @@
     latency: f64,
 }
 
-/// The two tests over the requests of one class, or of all classes together.
-#[derive(Debug, Clone, Default)]
-struct Evidence {
-    mix: Mix,
-    failure: Cusum,
-    slowness: Cusum,
-    /// When the slowness sum last rose from (almost) nothing.
-    slow_since: Option<Time>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     id: u64,
@@ -109,42 +101,12 @@
 /// The rate that is assumed before any is measured.
 const RATE_FIRST: f64 = 50.0;
 
-/// Sums end at this multiple of the threshold, so that a recovered server is cleared soon.
-const LIMIT: f64 = 2.5;
-
 /// The share of failures that a healthy server may have, whatever the peers do.
 const FAILED_HEALTHY: f64 = 0.02;
 
 /// The share of failures of an unhealthy server.
 const FAILED_UNHEALTHY: f64 = 0.6;
 
-/// The shares of requests (up to the median, up to the 90th percentile, above) of a healthy server.
-/// They allow for a server about 10% slower than its peers; one 50% slower is as likely under both
-/// hypotheses.
-const HEALTHY: [f64; 3] = [0.48, 0.40, 0.12];
-
-/// The same shares of an unhealthy server.
-const UNHEALTHY: [f64; 3] = [0.12, 0.33, 0.55];
-
-/// Multiples of the 90th percentile at which the age of a request is evidence.
-const AGES: [f64; 7] = [1.0, 1.414, 2.0, 2.828, 4.0, 5.657, 8.0];
-
-/// The share of requests at one age that a healthy server lets reach the next, 0.3 for each
-/// doubling. A log-normal with a deviation of 1 has 0.24, a Pareto tail of exponent 1.7 has 0.3.
-const AGED_HEALTHY: f64 = 0.548;
-
-/// The same share of an unhealthy server, 0.64 for each doubling.
-const AGED_UNHEALTHY: f64 = 0.8;
-
-/// The share of slow requests among the peers up to which slowness is full evidence.
-const SLOW_USUAL: f64 = 0.15;
-
-/// The share from which slowness is no evidence at all.
-const SLOW_SERVICE: f64 = 0.35;
-
-/// The sum from which on slowness is taken to have begun.
-const SLOW_BEGINS: f64 = 2.0;
-
 /// A server is suspected of slowness only when entries have reported on its peers this long after
 /// the slowness began. Without it, a slowdown of the whole service ejects servers down to the floor
 /// before the report of it arrives.
@@ -327,12 +289,7 @@
         let limit = self.threshold * LIMIT;
         let group = Group::of(flight.start.caller, flight.start.route);
         for evidence in [&mut self.classes[index(flight.start.class)].evidence, &mut self.all] {
-            evidence.slowness.add(ratio, group, limit);
-            if evidence.slowness.highest() < SLOW_BEGINS {
-                evidence.slow_since = None;
-            } else if evidence.slow_since.is_none() {
-                evidence.slow_since = Some(now);
-            }
+            evidence.add_slowness(ratio, group, limit, now);
         }
     }
 
@@ -345,22 +302,6 @@
     }
 }
 
-impl Evidence {
-    /// Returns whether the failure test and the slowness test have reached the threshold.
-    fn verdict(&self, threshold: f64) -> (bool, bool) {
-        let limit = threshold * LIMIT;
-        let failing = self.failure.reaches(threshold, limit, &self.mix);
-        (failing, self.slowness.reaches(threshold, limit, &self.mix))
-    }
-
-    /// Forgets the sums; the mix of callers and routes is a property of the service.
-    fn reset(&mut self) {
-        self.failure = Cusum::default();
-        self.slowness = Cusum::default();
-        self.slow_since = None;
-    }
-}
-
 fn base(preference: Preference) -> f64 {
     match preference {
         Preference::FastDetection => THRESHOLD_FAST,
@@ -368,41 +309,6 @@
     }
 }
 
-/// Returns how far slowness is evidence, from 1 when as many peers as usual are slow to 0 when the
-/// whole service has slowed down and its quantiles have not followed yet.
-fn confidence(peers: &Peers) -> f64 {
-    (1.0 - (peers.slow - SLOW_USUAL) / (SLOW_SERVICE - SLOW_USUAL)).clamp(0.0, 1.0)
-}
-
-/// Returns the ratio of a request that grew older than the age of `level`.
-fn passed(level: usize) -> f64 {
-    match level {
-        0 => ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0]),
-        1 => {
-            let all = ratio(UNHEALTHY[2], HEALTHY[2]);
-            all - ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0])
-        }
-        _ => ratio(AGED_UNHEALTHY, AGED_HEALTHY),
-    }
-}
-
-/// Returns the ratio of a request that ended before it reached the age of `level`.
-fn stopped(level: usize) -> f64 {
-    match level {
-        0 => ratio(UNHEALTHY[0], HEALTHY[0]),
-        1 => {
-            let all = ratio(UNHEALTHY[1], HEALTHY[1]);
-            all - ratio(1.0 - UNHEALTHY[0], 1.0 - HEALTHY[0])
-        }
-        level if level <= AGES.len() => ratio(1.0 - AGED_UNHEALTHY, 1.0 - AGED_HEALTHY),
-        _ => 0.0,
-    }
-}
-
-fn ratio(unhealthy: f64, healthy: f64) -> f64 {
-    (unhealthy / healthy).ln()
-}
-
 fn scaled(factor: f64, value: f64) -> u32 {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "0 to 400")]
     let scaled = (factor * value).round() as u32;
--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -28,7 +28,10 @@
 pub mod detector;
 pub mod ejection;
 pub mod peers;
+pub mod summarizer;
+pub mod summary;
 
+mod evidence;
 mod histogram;
 mod test;
 
--- /dev/null
+++ b/crates/arbutuslane_health/src/summary.rs
@@ -0,0 +1,78 @@
+//! The summary of a server's peers that an entry sends to the server's owner.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Class;
+
+/// How the peers of one server performed one class, as one entry saw it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Summary {
+    /// The class.
+    pub class: Class,
+    /// The (decayed) number of requests behind the quantiles.
+    pub weight: f32,
+    /// The median latency of successful requests at their owners.
+    pub median: Duration,
+    /// The 90th percentile of that latency.
+    pub p90: Duration,
+    /// The (decayed) number of requests in about the last second.
+    pub recent: f32,
+    /// The share of those that failed.
+    pub failed: f32,
+    /// The share of those that were slower than the 90th percentile.
+    pub slow: f32,
+}
+
+impl Summary {
+    /// Returns the value of the baseline header.
+    pub fn encode(&self) -> String {
+        format!(
+            "{},{:.1},{},{},{:.1},{:.4},{:.4}",
+            index(self.class),
+            self.weight,
+            self.median.as_micros(),
+            self.p90.as_micros(),
+            self.recent,
+            self.failed,
+            self.slow
+        )
+    }
+
+    /// Returns the summary that `value` encodes, or nothing when it is malformed or implausible.
+    pub fn parse(value: &str) -> Option<Self> {
+        let mut fields = value.split(',');
+        let class = match fields.next()? {
+            "0" => Class::Idempotent,
+            "1" => Class::NonIdempotent,
+            "2" => Class::Download,
+            _ => return None,
+        };
+        let mut number = || -> Option<f32> {
+            let number: f32 = fields.next()?.parse().ok()?;
+            (number.is_finite() && number >= 0.0).then_some(number)
+        };
+        let weight = number()?;
+        let median = Duration::from_micros(fields.next()?.parse().ok()?);
+        let p90 = Duration::from_micros(fields.next()?.parse().ok()?);
+        let mut number = || -> Option<f32> {
+            let number: f32 = fields.next()?.parse().ok()?;
+            (number.is_finite() && number >= 0.0).then_some(number)
+        };
+        let recent = number()?;
+        let failed = number().filter(|share| *share <= 1.0)?;
+        let slow = number().filter(|share| *share <= 1.0)?;
+        let summary = Self { class, weight, median, p90, recent, failed, slow };
+        (fields.next().is_none() && median <= p90).then_some(summary)
+    }
+}
+
+/// The number of classes.
+pub(crate) const CLASSES: usize = 3;
+
+pub(crate) fn index(class: Class) -> usize {
+    match class {
+        Class::Idempotent => 0,
+        Class::NonIdempotent => 1,
+        Class::Download => 2,
+    }
+}
