--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -128,6 +128,13 @@
                 .value_parser(value_parser!(usize))
                 .default_value("6"),
         )
+        .arg(
+            Arg::new("retry-percent")
+                .long("retry-percent")
+                .value_parser(value_parser!(u32))
+                .default_value("10")
+                .help("Retry budget in percent of first requests"),
+        )
         .arg(number("latency-limit", "Largest factor of latency in a score"))
         .arg(number("success-floor", "Success rate below which a score rises no further"))
         .arg(number("report-half-life", "Seconds in which a load report loses half its weight"))
@@ -159,6 +166,7 @@
         seeds: options.get_one("seeds").copied().unwrap_or(default.seeds),
         threads: options.get_one("threads").copied().unwrap_or(default.threads),
         entries: options.get_one("entries").copied().unwrap_or(default.entries),
+        retry_percent: options.get_one("retry-percent").copied().unwrap_or(default.retry_percent),
         weights,
         hedging: options.get_flag("hedging"),
         gradient: options.get_flag("gradient"),
--- a/crates/arbutuslane_bench/src/report.rs
+++ b/crates/arbutuslane_bench/src/report.rs
@@ -47,7 +47,8 @@
     pub p99_ms: f64,
     /// Requests answered in time as a share of the capacity that is left; overload runs only.
     pub goodput: Option<f64>,
-    /// Seconds from the end of an overload until 99% of requests are answered in time.
+    /// Seconds from the end of an overload to the start of the first 5 s after which 95% of requests
+    /// are answered in time for good.
     pub recovery_s: Option<f64>,
 }
 
