Pool the share of slow peers over the classes of a service

Change: the share of slow requests among the peers is that of the class or of all classes, whichever is higher.

--- a/crates/arbutuslane_health/src/peers.rs
+++ b/crates/arbutuslane_health/src/peers.rs
@@ -35,6 +35,9 @@
 struct ClassBaseline {
     received: Vec<Received>,
     merged: Option<Peers>,
+    /// The recent requests and the slow ones among them.
+    recent: f64,
+    slow: f64,
     merged_at: Option<Time>,
 }
 
@@ -84,8 +87,18 @@
     }
 
     /// Returns what is normal for `class`, or nothing while too few requests are behind it.
+    ///
+    /// The share of slow requests is that of the class or that of all classes together, whichever
+    /// is higher: a class with few requests a second would otherwise hide a slowdown of the whole
+    /// service.
     pub fn peers(&self, class: Class) -> Option<Peers> {
-        self.classes[index(class)].merged
+        let merged = self.classes[index(class)].merged?;
+        let (mut total, mut slow) = (PRIOR, PRIOR * NORMAL_SLOW);
+        for class in &self.classes {
+            total += class.recent;
+            slow += class.slow;
+        }
+        Some(Peers { slow: merged.slow.max(slow / total), ..merged })
     }
 
     /// Returns whether summaries of `class` have arrived since `since`: two, or one when only one
@@ -110,7 +123,7 @@
         self.received.retain(|received| now.saturating_sub(received.at) < KEPT);
         let weight: f32 = self.received.iter().map(|received| received.summary.weight).sum();
         if weight < WEIGHT_FLOOR {
-            self.merged = None;
+            *self = Self { received: std::mem::take(&mut self.received), ..Self::default() };
             return;
         }
         let (mut total, mut failed, mut slow) = (PRIOR, 0.0, PRIOR * NORMAL_SLOW);
@@ -122,6 +135,8 @@
             failed += weight * f64::from(summary.failed);
             slow += weight * f64::from(summary.slow);
         }
+        self.recent = total - PRIOR;
+        self.slow = slow - PRIOR * NORMAL_SLOW;
         self.merged = Some(Peers {
             median: self.weighted_median(weight, |summary| summary.median),
             p90: self.weighted_median(weight, |summary| summary.p90),
--- a/crates/arbutuslane_health/tests/detector.rs
+++ b/crates/arbutuslane_health/tests/detector.rs
@@ -216,6 +216,18 @@
     check(54, outlier_entry_ignored as fn(u32, u16) -> bool);
 }
 
+/// Guards against a class with few requests that hides a slowdown of the whole service.
+#[test]
+fn baseline_slow_service() {
+    let mut baseline = Baseline::default();
+    let now = Duration::from_secs(1);
+    baseline.record(1, Summary { recent: 2.0, slow: 0.0, ..summary(0.0) }, now);
+    assert!(baseline.peers(Class::Idempotent).is_some_and(|peers| peers.slow < 0.15));
+    let busy = Summary { class: Class::NonIdempotent, ..summary(0.7) };
+    baseline.record(1, busy, now);
+    assert!(baseline.peers(Class::Idempotent).is_some_and(|peers| peers.slow > 0.5));
+}
+
 /// Guards against a header that is read as something else than was sent, or crashes its reader.
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes owned values")]
 fn summary_parse_total(text: String) -> bool {
