--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::campaign::{self, Plan};
 use crate::report::Report;
-use crate::{bound, compare, cost, plot};
+use crate::{bound, compare, cost, matrix, plot};
 
 /// Parses the arguments of the process and runs the subcommand.
 ///
@@ -18,7 +18,15 @@
 ///
 /// Returns an error when a file cannot be read or written.
 pub fn execute() -> Result<ExitCode> {
-    let matches = definition().get_matches();
+    dispatch(&definition().get_matches())
+}
+
+/// Runs the subcommand of parsed arguments; the exit code is not zero when a bound is broken.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be read or written.
+pub fn dispatch(matches: &ArgMatches) -> Result<ExitCode> {
     match matches.subcommand() {
         Some(("detect", options)) => finish(&campaign::detection(&plan(options)), options),
         Some(("soak", options)) => {
@@ -40,6 +48,10 @@
             Ok(ExitCode::SUCCESS)
         }
         Some(("check", options)) => conclude(&bound::broken(&read(options, "file")?)),
+        Some(("matrix", options)) => {
+            print_text(&matrix::tables(&read(options, "file")?))?;
+            Ok(ExitCode::SUCCESS)
+        }
         Some(("plot", options)) => {
             let text = |name: &str| options.get_one::<String>(name).cloned().unwrap_or_default();
             let path = options.get_one::<PathBuf>("svg").cloned().unwrap_or_default();
@@ -83,6 +95,11 @@
                 .about("Checks a result file against the targets of the design")
                 .arg(file("file").required(true)),
         )
+        .subcommand(
+            Command::new("matrix")
+                .about("Prints a table per scenario, policies side by side")
+                .arg(file("file").required(true)),
+        )
         .subcommand(
             Command::new("plot")
                 .about("Plots the detection time over the load")
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod compare;
 pub mod cost;
 pub mod fault;
+pub mod matrix;
 pub mod outcome;
 pub mod permit;
 pub mod phi;
