Test overload and a rolling restart; follow the new summary interface

Change: overload_callers_retry sends from 60 callers at a time to 10 slots, with resends, and removes half of the servers at the peak; stop_rolling restarts three nodes in turn under keep-alive callers. Summaries keep half of their burst of 10 for servers that look slow.

--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -23,6 +23,9 @@
 /// bytes that they cost.
 const SUMMARIES: u32 = 20;
 
+/// The summaries that may be attached at once; the runs in virtual time use the same burst.
+const SUMMARY_BURST: u32 = 10;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -81,7 +84,7 @@
             metrics: Metrics::default(),
             known: Known::default(),
             limiter: Limiter::default(),
-            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARIES, clock.now())),
+            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -157,9 +160,11 @@
         self.threads.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Returns whether one more summary may be attached to a request.
-    pub(crate) fn may_summarize(&self, now: Time) -> bool {
-        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take(now).is_ok()
+    /// Returns whether one more summary may be attached to a request; half of the burst is kept
+    /// for urgent ones.
+    pub(crate) fn may_summarize(&self, urgent: bool, now: Time) -> bool {
+        let kept = if urgent { 0 } else { SUMMARY_BURST / 2 };
+        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take_above(kept, now)
     }
 
     /// Returns whether the node is in a planned stop.
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -30,9 +30,6 @@
 /// How long a server is avoided that shed load.
 const AVOIDED: Duration = Duration::from_secs(1);
 
-/// How often the owner of a server is told how the server's peers perform.
-const SUMMARY_EVERY: Duration = Duration::from_secs(3);
-
 /// The services that a thread has sent requests to, in ascending order of their names.
 #[derive(Debug, Default)]
 pub(crate) struct Services {
@@ -209,8 +206,8 @@
     service.picker.sent(&pick.server, now);
     let id = service.next;
     service.next += 1;
-    let summary = service.summarizer.due(&pick.server, class, SUMMARY_EVERY, now);
-    let summary = summary.filter(|_| shared.may_summarize(now));
+    let allow = |urgent: bool| shared.may_summarize(urgent, now);
+    let summary = service.summarizer.due(&pick.server, class, now, allow);
     service.summarizer.sent(&pick.server, class, id, now);
     let ongoing = Ongoing {
         services: Rc::clone(&worker.services),
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -6,6 +6,7 @@
 mod library;
 mod limits;
 mod outcome;
+mod overload;
 mod process;
 mod response;
 mod silence;
--- a/crates/arbutuslane_node/tests/faults/stop.rs
+++ b/crates/arbutuslane_node/tests/faults/stop.rs
@@ -1,6 +1,7 @@
 //! A planned stop interrupts and refuses nothing.
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{sleep, spawn};
@@ -90,3 +91,77 @@
     assert!(answered > 100, "{answered}");
     assert_eq!(second.status()["servers"].as_array().unwrap().len(), servers.len());
 }
+
+/// Sends requests on one connection until `stopped`, as a caller that knows all nodes; returns how
+/// many were answered. Any other end of a request is a failure.
+fn call_steadily(nodes: &[SocketAddr], first: usize, stopped: &AtomicBool) -> u32 {
+    let mut node = first;
+    let mut stream = open(nodes[node]);
+    let mut answered = 0;
+    while !stopped.load(Ordering::Relaxed) {
+        let (method, path) = if first % 2 == 0 { ("GET", "/slots") } else { ("POST", "/bookings") };
+        stream.write_all(&request(method, path, &[], b"x")).unwrap();
+        let response = caller::read(&mut stream, false).expect("interrupted");
+        let seen = (response.status, response.outcome());
+        assert_eq!(seen, (200, "answered"), "{}", response.text());
+        answered += 1;
+        if response.field("connection") == Some("close") {
+            stream = loop {
+                node = (node + 1) % nodes.len();
+                // A refused connection carries no request; the caller takes the next node.
+                if std::net::TcpStream::connect(nodes[node]).is_ok() {
+                    break open(nodes[node]);
+                }
+            };
+        }
+        sleep(Duration::from_millis(10));
+    }
+    answered
+}
+
+/// Guards against a rolling restart of all nodes that interrupts or refuses a request.
+#[test]
+fn stop_rolling() {
+    let first = Node::start(&[]);
+    let second = Node::start(&[first.peers]);
+    let third = Node::start(&[first.peers, second.peers]);
+    let mut nodes = [first, second, third];
+    let admins: Vec<SocketAddr> = nodes.iter().map(|node| node.admin).collect();
+    let callers: Vec<SocketAddr> = nodes.iter().map(|node| node.callers).collect();
+    let names = ["r1", "r2", "r3", "r4", "r5", "r6"];
+    let servers: Vec<Server> = names
+        .into_iter()
+        .enumerate()
+        .map(|(number, name)| {
+            let server = Server::listen(name, |received, stream| {
+                sleep(Duration::from_millis(3));
+                write(stream, &received.ok("done"))
+            });
+            let mut order = admins.clone();
+            order.rotate_left(number % 3);
+            server.announce(&order, if number < 3 { "slots" } else { "bookings" });
+            server
+        })
+        .collect();
+    let known = |node: &Node| {
+        let own = node.status()["servers"].as_array().unwrap().len();
+        own + usize::try_from(node.metric("arbutuslane_remote_servers")).unwrap()
+    };
+    wait_until(|| nodes.iter().all(|node| known(node) >= servers.len()));
+    let stopped = Arc::new(AtomicBool::new(false));
+    let threads: Vec<_> = (0..6)
+        .map(|number| {
+            let (stopped, callers) = (Arc::clone(&stopped), callers.clone());
+            spawn(move || call_steadily(&callers, number % 3, &stopped))
+        })
+        .collect();
+    for number in 0..nodes.len() {
+        nodes[number].terminate();
+        nodes[number].restart();
+        wait_until(|| known(&nodes[number]) >= servers.len());
+    }
+    stopped.store(true, Ordering::Relaxed);
+    let answered: u32 = threads.into_iter().map(|thread| thread.join().unwrap()).sum();
+    println!("{answered} requests answered");
+    assert!(answered > 500, "{answered}");
+}
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -1,7 +1,7 @@
 //! A node as its own process.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
@@ -56,16 +56,22 @@
         });
         let path = folder.join("settings.json");
         std::fs::write(&path, settings.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"))
-            .arg(&path)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let node = Self { callers, peers, admin, child, folder };
-        wait_until(|| node.get("/health").is_some_and(|response| response.status == 200));
+        let node = Self { callers, peers, admin, child: spawn(&path), folder };
+        node.wait_healthy();
         node
     }
 
+    /// Starts the node again at the same addresses after it has ended.
+    pub(crate) fn restart(&mut self) {
+        assert!(self.child.wait().unwrap().success());
+        self.child = spawn(&self.folder.join("settings.json"));
+        self.wait_healthy();
+    }
+
+    fn wait_healthy(&self) {
+        wait_until(|| self.get("/health").is_some_and(|response| response.status == 200));
+    }
+
     /// Asks the admin listener, or returns nothing when it does not accept.
     pub(crate) fn get(&self, path: &str) -> Option<Response> {
         use std::io::Write;
@@ -113,6 +119,11 @@
     }
 }
 
+fn spawn(settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"));
+    command.arg(settings).stderr(Stdio::null()).spawn().unwrap()
+}
+
 /// Returns the address of a listener of node `number`.
 ///
 /// Each node has a loopback address of its own and ports below the ephemeral range, so that tests
