--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -11,11 +11,12 @@
 
 use arbutuslane_event::log;
 
+use crate::cluster;
 use crate::configuration;
-use crate::seeds;
+use crate::judge;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
-use crate::traffic::{Pool, listener};
+use crate::traffic::listener;
 
 /// How long a stopping node still accepts connections.
 ///
@@ -23,9 +24,6 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
-/// How often the health of servers is judged; the ages of requests in flight are evidence.
-const JUDGEMENT: Duration = Duration::from_millis(50);
-
 /// What is logged by default: the server library reports every start of a thread.
 const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
 
@@ -91,12 +89,13 @@
         let read = configuration::read(path);
         let configuration =
             read.map_err(|reason| Error::Catalogue { path: path.clone(), reason })?;
+        shared.cluster.learn(shared.clock.now(), configuration.snapshot().clone());
         shared.adopt(configuration);
     }
     let control = Arc::clone(&shared);
-    std::thread::Builder::new()
-        .name("control".to_string())
-        .spawn(move || System::new("control", DefaultRuntime).block_on(control_work(control)))?;
+    std::thread::Builder::new().name("control".to_string()).spawn(move || {
+        System::new("control", DefaultRuntime).block_on(control_work(control));
+    })?;
     System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
 }
 
@@ -119,36 +118,8 @@
     Ok(())
 }
 
-/// Judges the health of this node's servers from time to time.
-async fn judge_servers(shared: Arc<Shared>) {
-    loop {
-        let configuration = shared.configuration();
-        for server in shared.servers.all() {
-            let Some(entry) = configuration.entry(&server.service) else { continue };
-            // Without permit registers the claim waits and the server stays in use.
-            if let Some(suspicion) = server.condition.judge(entry.preference) {
-                tracing::debug!(event = "suspected", server = server.id, ?suspicion);
-            }
-        }
-        sleep(JUDGEMENT).await;
-    }
-}
-
-/// Fetches the configuration and exchanges server lists until the process ends.
+/// Runs the work of the control thread until the process ends.
 async fn control_work(shared: Arc<Shared>) {
-    let pool = Pool::new();
-    ntex::rt::spawn(judge_servers(Arc::clone(&shared)));
-    loop {
-        shared.reload_token();
-        shared.servers.expire(shared.clock.now());
-        let settings = &shared.settings;
-        for address in settings.control.iter().chain(&settings.seeds) {
-            if *address != settings.advertised() {
-                configuration::fetch(&shared, &pool, *address).await;
-            }
-        }
-        seeds::exchange(&shared, &pool).await;
-        pool.expire();
-        sleep(seeds::PERIOD).await;
-    }
+    ntex::rt::spawn(judge::work(Arc::clone(&shared)));
+    cluster::control::work(shared).await;
 }
--- a/crates/arbutuslane_node/tests/faults/stop.rs
+++ b/crates/arbutuslane_node/tests/faults/stop.rs
@@ -158,7 +158,7 @@
         .collect();
     for node in &mut nodes {
         node.terminate();
-        node.restart();
+        node.restart_stopped();
         wait_until(|| known(node) >= servers.len());
     }
     stopped.store(true, Ordering::Relaxed);
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -61,8 +61,21 @@
         node
     }
 
-    /// Starts the node again at the same addresses after it has ended.
+    /// Returns the catalogue that a node starts with.
+    pub(crate) fn catalogue() -> &'static str {
+        CATALOGUE
+    }
+
+    /// Kills the node and starts it again with the same settings.
     pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = spawn(&self.folder.join("settings.json"));
+        self.wait_healthy();
+    }
+
+    /// Starts the node again at the same addresses after it has ended.
+    pub(crate) fn restart_stopped(&mut self) {
         assert!(self.child.wait().unwrap().success());
         self.child = spawn(&self.folder.join("settings.json"));
         self.wait_healthy();
