Serve events and latencies, and name the path of a bad settings key

Cause: /v1/events of the node was missing, a lost lease left no trace, latencies of requests were not measured, and a bad entry of a list in the settings was reported by line only. A response that a keyed booking keeps did not tell the caller of a stopping node to go elsewhere.

Change: the node records start, stop, announcement, drain, leave and lost lease in its event buffer; /metrics has the latency to the response head by service and class; settings errors name the path (seeds[1]). Every response of a stopping node closes its connection.

--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use ntex::http::{Method, Response, StatusCode};
+use ntex::http::{Method, Response, StatusCode, Uri};
 use serde::Serialize;
 
+use arbutuslane_event::prelude::{Draft, Kind, border};
 use arbutuslane_wire::announce::{Announcement, Lease};
 use arbutuslane_wire::operator::Refusal;
 
@@ -48,7 +49,8 @@
 }
 
 /// Answers a request on the `admin` listener.
-pub(crate) fn answer(shared: &Arc<Shared>, method: &Method, path: &str, body: &[u8]) -> Response {
+pub(crate) fn answer(shared: &Arc<Shared>, method: &Method, uri: &Uri, body: &[u8]) -> Response {
+    let path = uri.path();
     if let Some(rest) = path.strip_prefix("/v1/servers") {
         return servers(shared, method, rest, body);
     }
@@ -60,6 +62,7 @@
         "/metrics" => Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
             .body(metrics::render(shared)),
+        "/v1/events" => events(shared, uri.query().unwrap_or_default()),
         "/v1/status" => Response::build(StatusCode::OK).json(&status(shared)),
         _ => refuse(StatusCode::NOT_FOUND, "no such path", "see the HTTP interfaces of a node"),
     }
@@ -79,18 +82,44 @@
         }
         return announce(shared, body);
     }
-    let known = match (method, rest.strip_suffix("/drain")) {
-        (&Method::POST, Some(server)) => shared.servers.drain(server),
-        (&Method::DELETE, None) => shared.servers.leave(rest, shared.clock.now()),
+    let name = rest.strip_suffix("/drain").unwrap_or(rest);
+    let server = shared.servers.get(name);
+    let (known, kind) = match (method, name == rest) {
+        (&Method::POST, false) => {
+            let in_flight = server.as_ref().map_or(0, |server| server.report().in_flight);
+            (shared.servers.drain(name), Kind::Drain { in_flight })
+        }
+        (&Method::DELETE, true) => {
+            let incarnation = server.as_ref().map_or(0, |server| server.incarnation);
+            let left = shared.servers.leave(name, shared.clock.now());
+            (left, Kind::ServerLeft { incarnation })
+        }
         _ => return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use DELETE"),
     };
     if !known {
         let remedy = "send it to the node that holds the lease";
         return refuse(StatusCode::NOT_FOUND, "server is not announced here", remedy);
     }
+    if let Some(server) = server {
+        record(shared, &server.service, name, kind);
+    }
     Response::new(StatusCode::NO_CONTENT)
 }
 
+fn record(shared: &Shared, service: &str, server: &str, kind: Kind) {
+    shared.events.record(Draft::new(kind).service(service).server(server));
+}
+
+fn events(shared: &Shared, query: &str) -> Response {
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    let since = fields.find(|(name, _)| *name == "since").map_or("0", |(_, value)| value);
+    let Ok(since) = since.parse() else {
+        let remedy = "give the number that the last page states as `next`";
+        return refuse(StatusCode::BAD_REQUEST, "since is not a number", remedy);
+    };
+    Response::build(StatusCode::OK).json(&border::Page::from(shared.events.since(since)))
+}
+
 fn announce(shared: &Arc<Shared>, body: &[u8]) -> Response {
     if shared.stopping() {
         let remedy = "announce to another node";
@@ -104,9 +133,17 @@
         }
     };
     shared.await_revision(announcement.revision);
-    if let Err(refused) = shared.servers.announce(&announcement, shared.clock.now()) {
-        let remedy = "correct the announcement or raise the incarnation";
-        return refuse(StatusCode::CONFLICT, &refused.to_string(), remedy);
+    match shared.servers.announce(&announcement, shared.clock.now()) {
+        Ok(false) => {}
+        Ok(true) => {
+            let Announcement { incarnation, slots, .. } = announcement;
+            let kind = Kind::ServerAnnounced { incarnation, slots };
+            record(shared, &announcement.service, &announcement.server, kind);
+        }
+        Err(refused) => {
+            let remedy = "correct the announcement or raise the incarnation";
+            return refuse(StatusCode::CONFLICT, &refused.to_string(), remedy);
+        }
     }
     let lease = Lease {
         lease_ms: u64::try_from(LEASE.as_millis()).unwrap_or(u64::MAX),
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -44,6 +44,8 @@
     pub(crate) condition: Arc<Condition>,
     renewed_ms: AtomicU64,
     draining: AtomicBool,
+    /// Whether the end of the lease was reported.
+    lost: AtomicBool,
     echoes: AtomicBool,
     latency_us: AtomicU32,
 }
@@ -153,8 +155,8 @@
         self.version.load(Ordering::Acquire)
     }
 
-    /// Accepts an announcement or a renewal at `now`.
-    pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<(), Refused> {
+    /// Accepts an announcement or a renewal at `now`; returns whether the incarnation is new here.
+    pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<bool, Refused> {
         let address = announcement.address.parse().map_err(|_| Refused::Address)?;
         if announcement.slots == 0 || announcement.slots > SLOTS {
             return Err(Refused::Slots);
@@ -173,7 +175,7 @@
             if known.incarnation == announcement.incarnation && same {
                 known.admission.set_slots(announcement.slots);
                 known.renew(now);
-                return Ok(());
+                return Ok(false);
             }
             if known.incarnation >= announcement.incarnation {
                 return Err(Refused::Incarnation { known: known.incarnation });
@@ -188,6 +190,7 @@
             condition: Condition::new(self.clock),
             renewed_ms: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            lost: AtomicBool::new(false),
             echoes: AtomicBool::new(false),
             latency_us: AtomicU32::new(0),
         });
@@ -198,7 +201,7 @@
         }
         drop(servers);
         self.changed();
-        Ok(())
+        Ok(true)
     }
 
     /// Stops new work for a server; returns whether it is known.
@@ -225,9 +228,18 @@
         true
     }
 
-    /// Removes servers whose lease has been over for a while and forgets old departures.
-    pub(crate) fn expire(&self, now: Time) {
+    /// Removes servers whose lease has been over for a while and forgets old departures; returns
+    /// the servers whose lease has ended since the last call, with the time since their renewal.
+    pub(crate) fn expire(&self, now: Time) -> Vec<(Arc<Server>, Duration)> {
         let mut servers = self.servers.write().unwrap_or_else(PoisonError::into_inner);
+        let mut lost = Vec::new();
+        for server in servers.iter() {
+            let ended = !server.leased(now);
+            if server.lost.swap(ended, Ordering::Relaxed) != ended && ended {
+                let renewed = Duration::from_millis(server.renewed_ms.load(Ordering::Acquire));
+                lost.push((Arc::clone(server), now.saturating_sub(renewed)));
+            }
+        }
         servers.retain(|server| {
             let renewed = Duration::from_millis(server.renewed_ms.load(Ordering::Acquire));
             now < renewed + LEASE * 4
@@ -235,6 +247,7 @@
         let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
         departed.retain(|(_, _, left)| now < *left + DEPARTED_KEPT);
         self.changed();
+        lost
     }
 
     /// Returns a server by name.
@@ -303,7 +316,7 @@
         assert!(table.leave("s1", now));
         assert!(!server.open(now));
         assert_eq!(table.announce(&announcement(1), now), Err(Refused::Incarnation { known: 1 }));
-        assert_eq!(table.announce(&announcement(2), now), Ok(()));
+        assert_eq!(table.announce(&announcement(2), now), Ok(true));
     }
 
     /// Guards against an outdated announcement that replaces a newer one.
--- a/crates/arbutuslane_node/src/metrics.rs
+++ b/crates/arbutuslane_node/src/metrics.rs
@@ -2,6 +2,11 @@
 
 use std::fmt::Write;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_event::metric::{Histograms, Text};
 
 use crate::shared::Shared;
 
@@ -34,6 +39,35 @@
     pub(crate) cancelled: AtomicU64,
     /// Requests of callers and peers in flight.
     pub(crate) in_flight: AtomicI64,
+    latencies: Latencies,
+}
+
+/// The latencies of answered requests, until the response head, by service and class.
+#[derive(Debug)]
+struct Latencies(Mutex<Histograms>);
+
+/// The most pairs of service and class that are measured apart.
+const LATENCIES: usize = 2_048;
+
+impl Default for Latencies {
+    fn default() -> Self {
+        let help = "Time to the response head of answered requests.";
+        let name = "arbutuslane_request_seconds";
+        Self(Mutex::new(Histograms::new(name, help, &["service", "class"], LATENCIES)))
+    }
+}
+
+impl Metrics {
+    /// Takes in the latency of an answered request.
+    pub(crate) fn answered_within(&self, service: &str, class: Class, latency: Duration) {
+        let class = match class {
+            Class::Idempotent => "idempotent",
+            Class::NonIdempotent => "non-idempotent",
+            Class::Download => "download",
+        };
+        let mut histograms = self.latencies.0.lock().unwrap_or_else(PoisonError::into_inner);
+        histograms.record(&[service, class], latency);
+    }
 }
 
 /// Adds one to a counter.
@@ -83,7 +117,10 @@
         let _ = writeln!(text, "arbutuslane_{name} {value}");
     }
     render_servers(shared, &mut text);
-    text
+    let mut histograms = Text::default();
+    let latencies = metrics.latencies.0.lock().unwrap_or_else(PoisonError::into_inner);
+    histograms.histograms(&latencies);
+    text + &histograms.finish()
 }
 
 fn render_servers(shared: &Shared, text: &mut String) {
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clap::{Arg, Command, value_parser};
@@ -9,7 +10,7 @@
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::sleep;
 
-use arbutuslane_event::log;
+use arbutuslane_event::prelude::{Draft, Kind, log};
 
 use crate::cluster;
 use crate::configuration;
@@ -102,7 +103,9 @@
 async fn serve(shared: Arc<Shared>) -> Result<(), Error> {
     let server = listener::start(&shared)?;
     System::current().enable_signals();
-    tracing::info!(event = "started", node = shared.settings.node);
+    let version = env!("CARGO_PKG_VERSION").to_string();
+    let incarnation = shared.incarnation;
+    shared.events.record(Draft::new(Kind::Start { version, incarnation }));
     loop {
         match signal().await {
             Ok(signals) if signals.iter().all(|signal| matches!(signal, Signal::Hup)) => {}
@@ -111,10 +114,12 @@
         }
     }
     shared.stop();
-    tracing::info!(event = "stopping", node = shared.settings.node);
+    let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
+    shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
     sleep(LINGER.min(Duration::from_millis(shared.settings.stop_ms))).await;
     server.stop(true).await;
-    tracing::info!(event = "stopped", node = shared.settings.node);
+    // What is still in flight after the workers have ended was cut by the time limit of the stop.
+    shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
     Ok(())
 }
 
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -57,9 +57,14 @@
         source: std::io::Error,
     },
     /// The text does not describe settings.
-    #[error("bad settings: {0}")]
-    #[diagnostic(help("correct the named key; docs/design.md lists the keys of a node"))]
-    Parse(#[from] serde_json::Error),
+    #[error("bad settings at {path}: {reason}")]
+    #[diagnostic(help("correct the named key; the settings page lists the keys of a node"))]
+    Parse {
+        /// The path of the key.
+        path: String,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// A value is outside its range.
     #[error("bad settings: {key}: {reason}")]
     #[diagnostic(help("correct the value of the named key"))]
@@ -81,7 +86,13 @@
 
     /// Reads settings from JSON text; an unknown key is an error.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let settings: Self = serde_json::from_str(text)?;
+        let mut source = serde_json::Deserializer::from_str(text);
+        let settings: Self = serde_path_to_error::deserialize(&mut source).map_err(|error| {
+            Error::Parse { path: error.path().to_string(), reason: error.inner().to_string() }
+        })?;
+        source
+            .end()
+            .map_err(|error| Error::Parse { path: ".".to_string(), reason: error.to_string() })?;
         if settings.node.is_empty() {
             return Err(Error::Value { key: "node", reason: "must not be empty" });
         }
@@ -120,6 +131,14 @@
         assert!(error.contains("sedes"), "{error}");
     }
 
+    /// Guards against a message that does not say which of several addresses is bad.
+    #[test]
+    fn parse_bad_path() {
+        let text = COMPLETE.replace("\"node\"", "\"seeds\": [\"127.0.0.1:1\", \"x\"], \"node\"");
+        let error = Settings::parse(&text).unwrap_err().to_string();
+        assert!(error.contains("seeds[1]"), "{error}");
+    }
+
     /// Guards against a node without threads, which accepts callers and never answers.
     #[test]
     fn parse_no_threads() {
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_event::buffer::Buffer;
 use arbutuslane_limit::bucket::Bucket;
 
 use crate::announce::Table;
@@ -26,6 +27,9 @@
 /// The summaries that may be attached at once; the runs in virtual time use the same burst.
 const SUMMARY_BURST: u32 = 10;
 
+/// The events that a node keeps for `/v1/events`.
+const EVENTS: usize = 4_096;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -56,6 +60,8 @@
     pub(crate) incarnation: Incarnation,
     /// The backend servers that announced themselves here.
     pub(crate) servers: Table,
+    /// What happened at this node.
+    pub(crate) events: Buffer,
     /// The counters of the node.
     pub(crate) metrics: Metrics,
     /// Membership and register replicas.
@@ -76,6 +82,7 @@
     pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start();
+        let events = Buffer::new(settings.node.clone(), EVENTS);
         let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
         Arc::new(Self {
@@ -84,6 +91,7 @@
             incarnation,
             servers: Table::new(clock),
             metrics: Metrics::default(),
+            events,
             cluster,
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -57,6 +57,7 @@
 pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
     let io = incoming.io().cloned();
+    let began = worker.shared.clock.now();
     let result = run(&worker, &mut incoming).await;
     let metrics = &worker.shared.metrics;
     let (routed, answer, tried) = match result {
@@ -64,7 +65,7 @@
         Ok(Done::Whole(response)) => {
             in_flight.finish();
             count(&metrics.answered);
-            return response;
+            return closing(&worker, response);
         }
         Err(refusal) => {
             in_flight.finish();
@@ -72,14 +73,12 @@
                 Outcome::NotRun => count(&metrics.not_run),
                 Outcome::Unknown => count(&metrics.unknown),
             }
-            let mut response = refusal.response();
-            if worker.shared.stopping() {
-                response.head_mut().set_connection_type(http::ConnectionType::Close);
-            }
-            return response;
+            return closing(&worker, refusal.response());
         }
     };
     count(&metrics.answered);
+    let latency = worker.shared.clock.now().saturating_sub(began);
+    metrics.answered_within(&routed.service, routed.class, latency);
     if routed.class == Class::Download && answer.stated.is_none() {
         let shared = Arc::clone(&worker.shared);
         let (status, headers) = (answer.status, answer.headers.clone());
@@ -90,6 +89,14 @@
     Relay::respond(&worker.shared, answer, io, in_flight, Some(limit))
 }
 
+/// Tells the caller of a stopping node to use another connection, which leads to another node.
+fn closing(worker: &Worker, mut response: Response) -> Response {
+    if worker.shared.stopping() {
+        response.head_mut().set_connection_type(http::ConnectionType::Close);
+    }
+    response
+}
+
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
 pub(crate) async fn attempt(
     worker: &Worker,
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -187,7 +187,7 @@
             }
         }
         Purpose::Admin => match read(request.take_payload(), admin::BODY_BYTES).await {
-            Ok(body) => admin::answer(&worker.shared, request.method(), request.path(), &body),
+            Ok(body) => admin::answer(&worker.shared, request.method(), request.uri(), &body),
             Err(response) => response,
         },
     }
--- a/crates/arbutuslane_node/tests/faults/leave.rs
+++ b/crates/arbutuslane_node/tests/faults/leave.rs
@@ -91,3 +91,24 @@
     wait_until(|| second.status()["servers"].as_array().is_some_and(|servers| !servers.is_empty()));
     assert_eq!(second.call("GET", "/slots", &[], b"").status, 200);
 }
+
+/// Guards against a lost server that no operator can find out about in the morning.
+#[test]
+fn leave_events() {
+    let node = Node::start(&[]);
+    let server = Server::start(&node, "slots", "s1", echo);
+    assert_eq!(node.call("GET", "/slots", &[], b"").status, 200);
+    server.stop_renewing();
+    let kinds = || {
+        let page: serde_json::Value =
+            serde_json::from_slice(&node.get("/v1/events?since=0").unwrap().body).unwrap();
+        let events = page["events"].as_array().unwrap().clone();
+        let kind = |event: serde_json::Value| event["kind"].as_str().unwrap().to_string();
+        events.into_iter().map(kind).collect::<Vec<String>>()
+    };
+    wait_until(|| kinds().len() == 3);
+    assert_eq!(kinds(), ["start", "server-announced", "lease-lost"]);
+    let metrics = node.get("/metrics").unwrap().text();
+    let line = "arbutuslane_request_seconds_count{service=\"slots\",class=\"idempotent\"} 1";
+    assert!(metrics.contains(line), "{metrics}");
+}
