Measure spreading and registers; confirm revisions and deaths more strictly

Cause: 10,000 further schedules showed three rare faults: a server that had not been told anything yet let a revision come into force unseen, so that it was lost with a restart; a deciding probe of the same suspect held up the others; and a node that reaches only half of the fleet could remove a node that the other half hears.

--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod sample;
 pub mod service;
 pub mod sim;
+pub mod spread;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_member/src/detector.rs
+++ b/crates/arbutuslane_member/src/detector.rs
@@ -106,8 +106,8 @@
 
     /// Reports a helper's finding, or nothing when the helper did not answer.
     ///
-    /// A suspicion needs one helper that answers and denies, and death a majority of them. A node
-    /// that hears nobody, or only a part of the fleet, is cut off itself and removes nobody.
+    /// A suspicion needs one helper that answers and denies, and death three quarters of those asked.
+    /// A node that hears nobody, or only half of the fleet, is cut off itself and removes nobody.
     pub fn found(&mut self, node: &str, reached: Option<bool>) -> Outcome {
         let Some(index) = self.inquiries.iter().position(|inquiry| inquiry.node == node) else {
             return Outcome::Pending;
@@ -123,7 +123,7 @@
             return Outcome::Pending;
         }
         let deciding = inquiry.deciding;
-        let wanted = if deciding { inquiry.asked / 2 + 1 } else { 1 };
+        let wanted = if deciding { (inquiry.asked * 3).div_ceil(4) } else { 1 };
         let failed = inquiry.denied >= wanted;
         self.inquiries.swap_remove(index);
         if failed { Outcome::Failed { deciding } } else { Outcome::Inconclusive }
@@ -172,9 +172,11 @@
         if self.is_due(now, node) { DECIDING_HELPERS } else { HELPERS }
     }
 
-    /// Returns the suspects whose deciding probe is due.
+    /// Returns the suspects whose deciding probe is due and not running.
     pub fn due(&self, now: Time) -> Vec<NodeId> {
-        let due = self.suspicions.iter().filter(|suspicion| suspicion.confirm_at <= now);
+        let running = |node: &str| self.inquiries.iter().any(|inquiry| inquiry.node == node);
+        let due = self.suspicions.iter();
+        let due = due.filter(|known| known.confirm_at <= now && !running(&known.node));
         due.map(|suspicion| suspicion.node.clone()).collect()
     }
 
--- a/crates/arbutuslane_member/src/gossip.rs
+++ b/crates/arbutuslane_member/src/gossip.rs
@@ -31,7 +31,7 @@
 
 /// The time between two deciding probes of a process, each of which asks several helpers; bounds the
 /// probes when many nodes fail at once.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(750);
 
 /// The number of times that a refutation is pushed: a node with half of its links cut reaches
 /// another node in one of 12 pushes.
@@ -127,6 +127,7 @@
     told: Option<Position>,
     confirmed: Option<Position>,
     unconfirmed: Option<Time>,
+    renewed_at: Option<Time>,
 }
 
 impl Gossip {
@@ -163,9 +164,16 @@
             told: None,
             confirmed: None,
             unconfirmed: None,
+            renewed_at: None,
         }
     }
 
+    /// Starts from the table of another process instead of from an empty one.
+    pub fn resume(&mut self, now: Time, mut table: Table) {
+        table.merge(now, &Held { record: Arc::clone(&self.own), view: self.view });
+        self.table = table;
+    }
+
     /// Returns this process's own record.
     pub fn record(&self) -> &Record {
         &self.own
@@ -208,15 +216,15 @@
     /// tell it in the response to its renewal.
     ///
     /// A revision comes into force once a server has shown that it was told. When this process
-    /// restarts, its servers therefore know every revision that it had in force. A server that
-    /// always states 0 does not take part, and [`CONFIRM_WAIT`] bounds the wait for the others.
-    pub fn renewed(&mut self, known: Revision) -> Revision {
-        if known == 0 {
-            return self.history.position().revision;
-        }
+    /// restarts, its servers therefore know every revision that it had in force. [`CONFIRM_WAIT`]
+    /// bounds the wait for servers that do not pass on what they are told.
+    pub fn renewed(&mut self, now: Time, known: Revision) -> Revision {
+        self.renewed_at = Some(now);
         self.required_revision = self.required_revision.max(known);
-        if self.told.is_none_or(|told| known >= told.revision) {
-            self.confirmed = self.told.or(self.confirmed);
+        if let Some(told) = self.told
+            && known >= told.revision
+        {
+            self.confirmed = self.told;
         }
         if self.confirmed >= self.told {
             self.told = Some(self.history.position());
@@ -239,10 +247,7 @@
     /// are, has what the furthest of them has, and has what its own servers were told. Its revision
     /// therefore does not fall behind that of its earlier life.
     pub fn in_force(&self) -> Option<Position> {
-        let position = match self.told {
-            Some(_) => self.confirmed?,
-            None => self.history.position(),
-        };
+        let position = self.confirmed?;
         let ready = self.settled
             && position >= self.required
             && position.revision >= self.required_revision;
@@ -282,15 +287,16 @@
         effects
     }
 
-    /// Stops waiting for servers that do not show that they were told.
+    /// Confirms a position without servers, or when they do not show that they were told.
     fn confirm(&mut self, now: Time) {
         let newest = Some(self.history.position());
-        if self.told.is_none() || self.confirmed >= newest {
+        if self.confirmed >= newest {
             self.unconfirmed = None;
             return;
         }
         let since = *self.unconfirmed.get_or_insert(now);
-        if now >= since + CONFIRM_WAIT {
+        let alone = self.renewed_at.is_none_or(|renewed| now >= renewed + CONFIRM_WAIT);
+        if alone || now >= since + CONFIRM_WAIT {
             self.told = newest;
             self.confirmed = newest;
         }
--- a/crates/arbutuslane_member/src/gossip/incoming.rs
+++ b/crates/arbutuslane_member/src/gossip/incoming.rs
@@ -41,7 +41,10 @@
                 self.judge(now, &verdicts, &mut effects);
                 Answer::Done
             }
-            Message::Probe { node, address } => {
+            Message::Probe { node, seen, .. } if self.refuted(&node, seen) => {
+                Answer::Probed { reached: true }
+            }
+            Message::Probe { node, address, .. } => {
                 let message = Message::Digest(self.digest());
                 let purpose = Purpose::OnBehalf { node, ticket };
                 self.call(address, message, purpose, CALL_TIMEOUT, &mut effects);
@@ -237,6 +240,14 @@
         self.call(address, message, Purpose::Send, CALL_TIMEOUT, effects);
     }
 
+    /// Returns true when a node has shown that it lives after the state `seen`.
+    fn refuted(&self, node: &str, seen: (u64, u64, u64)) -> bool {
+        self.table.get(node).is_some_and(|known| {
+            let state = (known.record.incarnation, known.record.version, known.view.round);
+            known.view.standing == Standing::Alive && state > seen
+        })
+    }
+
     /// Contradicts a view of this process that is not its own.
     fn refute(&mut self, now: Time, order: (u64, u64), view: View) {
         let mine = (self.own.order(), self.view);
--- a/crates/arbutuslane_member/src/gossip/outgoing.rs
+++ b/crates/arbutuslane_member/src/gossip/outgoing.rs
@@ -76,6 +76,7 @@
             return;
         };
         let address = known.record.peers.clone();
+        let seen = (known.record.incarnation, known.record.version, known.view.round);
         let mut helpers = self.pick(rng, self.detector.helpers(now, node) * 2, &[node]);
         // Suspects answer less likely than others, as after the loss of a whole domain.
         helpers.sort_by_key(|(helper, _)| self.is_suspect(helper));
@@ -83,7 +84,7 @@
         let outcome = self.detector.unanswered(now, node, helpers.len());
         self.conclude(now, node, outcome, effects);
         for (_, helper) in helpers {
-            let message = Message::Probe { node: node.to_string(), address: address.clone() };
+            let message = Message::Probe { node: node.to_string(), address: address.clone(), seen };
             let purpose = Purpose::Helper { node: node.to_string() };
             self.call(helper, message, purpose, HELPER_TIMEOUT, effects);
         }
--- a/crates/arbutuslane_member/src/message.rs
+++ b/crates/arbutuslane_member/src/message.rs
@@ -67,6 +67,9 @@
         node: NodeId,
         /// The address of its `peers` listener.
         address: String,
+        /// The incarnation, version and round that the sender knows; a receiver that knows more has
+        /// proof that the node lived on.
+        seen: (Incarnation, u64, u64),
     },
     /// Asks for what follows a position.
     Fetch {
--- a/crates/arbutuslane_member/tests/support/fleet.rs
+++ b/crates/arbutuslane_member/tests/support/fleet.rs
@@ -193,7 +193,7 @@
                 if !node.up {
                     return;
                 }
-                node.server = node.server.max(node.gossip.renewed(node.server));
+                node.server = node.server.max(node.gossip.renewed(now, node.server));
             }
             Event::Crash(node) => {
                 self.nodes[node].up = false;
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -111,7 +111,7 @@
     let lease = Lease {
         lease_ms: u64::try_from(LEASE.as_millis()).unwrap_or(u64::MAX),
         renew_ms: u64::try_from(RENEWAL.as_millis()).unwrap_or(u64::MAX),
-        revision: shared.cluster.renewed(announcement.revision),
+        revision: shared.cluster.renewed(shared.clock.now(), announcement.revision),
     };
     Response::build(StatusCode::OK).json(&lease)
 }
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -76,8 +76,8 @@
     }
 
     /// Takes the revision that a backend server was told; returns the one to tell it.
-    pub(crate) fn renewed(&self, known: Revision) -> Revision {
-        self.member().gossip.renewed(known)
+    pub(crate) fn renewed(&self, now: Time, known: Revision) -> Revision {
+        self.member().gossip.renewed(now, known)
     }
 
     /// Takes over a configuration when it is newer than every known one.
--- a/crates/arbutuslane_wire/src/peer/gossip.rs
+++ b/crates/arbutuslane_wire/src/peer/gossip.rs
@@ -140,6 +140,8 @@
         node: String,
         /// The address of its `peers` listener.
         address: String,
+        /// The incarnation, version and round that the sender knows.
+        seen: (u64, u64, u64),
     },
     /// Asks for what follows a position.
     Fetch {
--- a/crates/arbutuslane_wire/src/peer/gossip/convert.rs
+++ b/crates/arbutuslane_wire/src/peer/gossip/convert.rs
@@ -195,7 +195,7 @@
             message::Message::Push { records, verdicts: views } => {
                 Self::Push { records: held(&records), verdicts: verdicts(views) }
             }
-            message::Message::Probe { node, address } => Self::Probe { node, address },
+            message::Message::Probe { node, address, seen } => Self::Probe { node, address, seen },
             message::Message::Fetch { known } => Self::Fetch { known: position(known) },
             message::Message::Offer(payload) => Self::Offer(payload.into()),
         }
@@ -212,7 +212,7 @@
             Message::Push { records, verdicts } => {
                 Self::Push { records: inner_held(records), verdicts: inner_verdicts(verdicts) }
             }
-            Message::Probe { node, address } => Self::Probe { node, address },
+            Message::Probe { node, address, seen } => Self::Probe { node, address, seen },
             Message::Fetch { known } => Self::Fetch { known: inner_position(known) },
             Message::Offer(payload) => Self::Offer(payload.into()),
         }
