--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -21,6 +21,7 @@
 mod admin;
 mod announce;
 mod cluster;
+mod condition;
 mod configuration;
 mod metrics;
 mod peers;
