--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -23,6 +23,9 @@
 /// bytes that they cost.
 const SUMMARIES: u32 = 20;
 
+/// The summaries that may be attached at once; the runs in virtual time use the same burst.
+const SUMMARY_BURST: u32 = 10;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -65,6 +68,7 @@
     token: RwLock<Arc<String>>,
     stopping: AtomicBool,
     awaited: AtomicU64,
+    threads: AtomicU64,
 }
 
 impl Shared {
@@ -82,12 +86,13 @@
             metrics: Metrics::default(),
             cluster,
             limiter: Limiter::default(),
-            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARIES, clock.now())),
+            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
             stopping: AtomicBool::new(false),
             awaited: AtomicU64::new(0),
+            threads: AtomicU64::new(0),
         })
     }
 
@@ -152,9 +157,16 @@
         *self.token.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(token);
     }
 
-    /// Returns whether one more summary may be attached to a request.
-    pub(crate) fn may_summarize(&self, now: Time) -> bool {
-        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take(now).is_ok()
+    /// Returns the number of a traffic thread that starts, counted from 0.
+    pub(crate) fn next_thread(&self) -> u64 {
+        self.threads.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns whether one more summary may be attached to a request; half of the burst is kept
+    /// for urgent ones.
+    pub(crate) fn may_summarize(&self, urgent: bool, now: Time) -> bool {
+        let kept = if urgent { 0 } else { SUMMARY_BURST / 2 };
+        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take_above(kept, now)
     }
 
     /// Returns whether the node is in a planned stop.
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -126,7 +126,11 @@
     };
     let began = worker.shared.clock.now();
     let result = match choice.place {
-        Place::Local(_) => owner::dispatch(worker, work).await,
+        Place::Local(local) => {
+            let result = owner::dispatch(worker, work).await;
+            services::report(worker, service, &server, &local.report());
+            result
+        }
         Place::Remote { owner, address, .. } => {
             forward_within(worker, work, (&owner, address), limit).await
         }
@@ -138,7 +142,7 @@
             if refusal.choice != Choice::Stale {
                 ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
             }
-            if refusal.choice == Choice::Shed {
+            if refusal.choice != Choice::Sound {
                 services::avoid(worker, service, &server);
             }
             return Err(refusal);
@@ -204,7 +208,9 @@
         {
             return (result, tried);
         }
-        count(&worker.shared.metrics.retries);
+        let stale = matches!(&result, Err(refusal) if refusal.choice == Choice::Stale);
+        let metrics = &worker.shared.metrics;
+        count(if stale { &metrics.stale_retries } else { &metrics.retries });
     }
 }
 
