--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -13,7 +13,7 @@
 
 use crate::shared::{Remote, Shared};
 use crate::traffic::Pool;
-use crate::{configuration, peers};
+use crate::{configuration, judge, peers};
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -31,6 +31,7 @@
 /// Runs gossip, puts configurations in force and recovers replicas until the process ends.
 pub(crate) async fn work(shared: Arc<Shared>) {
     let pool = Pool::new();
+    let _judging = ntex::rt::spawn(judge::work(Arc::clone(&shared)));
     let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
     let mut fetches = 0;
     let mut published = 0;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -14,7 +14,6 @@
 
 use crate::cluster;
 use crate::configuration;
-use crate::judge;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
 use crate::traffic::listener;
@@ -95,7 +94,7 @@
     }
     let control = Arc::clone(&shared);
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
-        System::new("control", DefaultRuntime).block_on(control_work(control));
+        System::new("control", DefaultRuntime).block_on(cluster::control::work(control));
     })?;
     System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
 }
@@ -122,9 +121,3 @@
     shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
     Ok(())
 }
-
-/// Runs the work of the control thread until the process ends.
-async fn control_work(shared: Arc<Shared>) {
-    ntex::rt::spawn(judge::work(Arc::clone(&shared)));
-    cluster::control::work(shared).await;
-}
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -67,7 +67,7 @@
     }
 
     /// Kills the node and starts it again with the same settings.
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn kill_and_restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         self.child = spawn(&self.folder.join("settings.json"));
