--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -23,6 +23,7 @@
 mod cluster;
 mod condition;
 mod configuration;
+mod judge;
 mod metrics;
 mod peers;
 pub mod run;
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_event::buffer::Buffer;
 use arbutuslane_limit::bucket::Bucket;
 
 use crate::announce::Table;
@@ -23,6 +24,12 @@
 /// bytes that they cost.
 const SUMMARIES: u32 = 20;
 
+/// The summaries that may be attached at once; the runs in virtual time use the same burst.
+const SUMMARY_BURST: u32 = 10;
+
+/// The events that a node keeps for `/v1/events`.
+const EVENTS: usize = 4_096;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -53,6 +60,8 @@
     pub(crate) incarnation: Incarnation,
     /// The backend servers that announced themselves here.
     pub(crate) servers: Table,
+    /// What happened at this node.
+    pub(crate) events: Buffer,
     /// The counters of the node.
     pub(crate) metrics: Metrics,
     /// Membership and register replicas.
@@ -65,6 +74,7 @@
     token: RwLock<Arc<String>>,
     stopping: AtomicBool,
     awaited: AtomicU64,
+    threads: AtomicU64,
 }
 
 impl Shared {
@@ -72,6 +82,7 @@
     pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start();
+        let events = Buffer::new(settings.node.clone(), EVENTS);
         let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
         Arc::new(Self {
@@ -80,14 +91,16 @@
             incarnation,
             servers: Table::new(clock),
             metrics: Metrics::default(),
+            events,
             cluster,
             limiter: Limiter::default(),
-            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARIES, clock.now())),
+            summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
             stopping: AtomicBool::new(false),
             awaited: AtomicU64::new(0),
+            threads: AtomicU64::new(0),
         })
     }
 
@@ -152,12 +165,16 @@
         *self.token.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(token);
     }
 
+    /// Returns the number of a traffic thread that starts, counted from 0.
+    pub(crate) fn next_thread(&self) -> u64 {
+        self.threads.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Returns whether one more summary may be attached to a request; half of the burst is kept
-    /// for servers that look slow.
-    pub(crate) fn may_summarize(&self, is_urgent: bool, now: Time) -> bool {
-        let reserve = if is_urgent { 0 } else { SUMMARIES / 2 };
-        let mut summaries = self.summaries.lock().unwrap_or_else(PoisonError::into_inner);
-        summaries.take_above(reserve, now)
+    /// for urgent ones.
+    pub(crate) fn may_summarize(&self, urgent: bool, now: Time) -> bool {
+        let kept = if urgent { 0 } else { SUMMARY_BURST / 2 };
+        self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take_above(kept, now)
     }
 
     /// Returns whether the node is in a planned stop.
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -1,7 +1,7 @@
 //! A node as its own process.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
@@ -36,6 +36,11 @@
 impl Node {
     /// Starts a node that asks `seeds` and waits until it has a configuration.
     pub(crate) fn start(seeds: &[SocketAddr]) -> Self {
+        Self::start_with(seeds, 2, 1)
+    }
+
+    /// Starts a node with `threads` traffic threads and random choices that follow from `seed`.
+    pub(crate) fn start_with(seeds: &[SocketAddr], threads: usize, seed: u64) -> Self {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let [callers, peers, admin] = [8000, 8001, 8002].map(|port| address(number, port));
         let name = format!("node-{}-{number}", std::process::id());
@@ -47,16 +52,12 @@
             "node": name, "domain": "d", "callers": callers, "peers": peers, "admin": admin,
             "token_file": folder.join("token"), "seeds": seeds,
             "catalogue_file": folder.join("catalogue.json"), "stop_ms": 20_000,
+            "traffic_threads": threads, "seed": seed,
         });
         let path = folder.join("settings.json");
         std::fs::write(&path, settings.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"))
-            .arg(&path)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let node = Self { callers, peers, admin, child, folder };
-        wait_until(|| node.get("/health").is_some_and(|response| response.status == 200));
+        let node = Self { callers, peers, admin, child: spawn(&path), folder };
+        node.wait_healthy();
         node
     }
 
@@ -66,14 +67,21 @@
     }
 
     /// Kills the node and starts it again with the same settings.
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn kill_and_restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.child = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"))
-            .arg(self.folder.join("settings.json"))
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        self.child = spawn(&self.folder.join("settings.json"));
+        self.wait_healthy();
+    }
+
+    /// Starts the node again at the same addresses after it has ended.
+    pub(crate) fn restart_stopped(&mut self) {
+        assert!(self.child.wait().unwrap().success());
+        self.child = spawn(&self.folder.join("settings.json"));
+        self.wait_healthy();
+    }
+
+    fn wait_healthy(&self) {
         wait_until(|| self.get("/health").is_some_and(|response| response.status == 200));
     }
 
@@ -124,6 +132,11 @@
     }
 }
 
+fn spawn(settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"));
+    command.arg(settings).stderr(Stdio::null()).spawn().unwrap()
+}
+
 /// Returns the address of a listener of node `number`.
 ///
 /// Each node has a loopback address of its own and ports below the ephemeral range, so that tests
