Read the status of nodes, count servers over all owners, tell shared facts once

Cause: a node lists the servers that it owns in a form of its own, so status showed no node; each of three control instances told the same change; records of the log crate put source paths of the build machine into the log.

--- a/crates/arbutuslane_cli/src/answers.rs
+++ b/crates/arbutuslane_cli/src/answers.rs
@@ -12,8 +12,34 @@
 pub(crate) enum Status {
     /// The form of control instances; all its fields are required, so it is tried first.
     Control(operator::Status),
-    /// The form of nodes.
-    Node(status::Status),
+    /// The form of nodes, which list the servers that they own.
+    Owner(Owner),
+    /// The common form, whose fields all have defaults.
+    Common(status::Status),
+}
+
+/// The status of a node.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Owner {
+    node: String,
+    domain: String,
+    incarnation: u64,
+    revision: u64,
+    stopping: bool,
+    servers: Vec<Owned>,
+}
+
+/// One backend server of a node.
+#[derive(Debug, Deserialize)]
+struct Owned {
+    server: String,
+    service: String,
+    leased: bool,
+    draining: bool,
+    #[serde(default)]
+    ejected: bool,
+    slots: u32,
+    in_flight: u32,
 }
 
 /// A response to GET `/v1/events`.
@@ -29,7 +55,8 @@
 impl From<Status> for status::Status {
     fn from(status: Status) -> Self {
         let control = match status {
-            Status::Node(status) => return status,
+            Status::Common(status) => return status,
+            Status::Owner(owner) => return owner.into(),
             Status::Control(control) => control,
         };
         let mut members = Vec::new();
@@ -67,6 +94,41 @@
     }
 }
 
+impl From<Owner> for status::Status {
+    fn from(owner: Owner) -> Self {
+        let mut services: BTreeMap<String, status::Service> = BTreeMap::new();
+        for owned in owner.servers.into_iter().filter(|owned| owned.leased) {
+            let service = services.entry(owned.service.clone()).or_default();
+            service.service = owned.service;
+            let state = match (owned.draining, owned.ejected) {
+                (true, _) => "draining",
+                (false, true) => "ejected",
+                (false, false) => "serving",
+            };
+            service.draining += u32::from(owned.draining);
+            service.live += u32::from(!owned.draining);
+            service.ejected += u32::from(state == "ejected");
+            service.servers.push(status::Server {
+                server: owned.server,
+                owner: owner.node.clone(),
+                state: state.to_string(),
+                slots: owned.slots,
+                in_flight: owned.in_flight,
+            });
+        }
+        Self {
+            instance: owner.node,
+            role: "node".to_string(),
+            domain: owner.domain,
+            incarnation: owner.incarnation,
+            revision: owner.revision,
+            stopping: owner.stopping,
+            services: services.into_values().collect(),
+            ..Self::default()
+        }
+    }
+}
+
 impl Events {
     /// Returns the page of `instance` after the event with number `since`.
     pub(crate) fn page(self, instance: &str, since: u64) -> border::Page {
@@ -132,6 +194,27 @@
         assert_eq!((status.members[0].revision, status.log.unwrap().state.as_str()), (3, "leader"));
     }
 
+    /// Guards against a server without a lease that counts as capacity.
+    #[test]
+    fn status_owner() {
+        let server = |name: &str, leased: bool, draining: bool| {
+            format!(
+                "{{\"server\": \"{name}\", \"service\": \"slots\", \"leased\": {leased}, \
+                 \"draining\": {draining}, \"slots\": 5, \"in_flight\": 0}}"
+            )
+        };
+        let text = format!(
+            "{{\"node\": \"n1\", \"domain\": \"d\", \"incarnation\": 1, \"revision\": 3, \
+             \"stopping\": false, \"members\": 6, \"servers\": [{}, {}, {}]}}",
+            server("a", true, false),
+            server("b", false, false),
+            server("c", true, true)
+        );
+        let status: status::Status = serde_json::from_str::<Status>(&text).unwrap().into();
+        assert_eq!((status.instance.as_str(), status.role.as_str()), ("n1", "node"));
+        assert_eq!((status.services[0].live, status.services[0].draining), (1, 1));
+    }
+
     /// Guards against events that are asked for again and again, or lost.
     #[test]
     fn page_plain() {
--- a/crates/arbutuslane_cli/src/catalogue/mod.rs
+++ b/crates/arbutuslane_cli/src/catalogue/mod.rs
@@ -16,7 +16,7 @@
 use crate::settings::Settings;
 
 pub(crate) use apply::{Proposal, apply, rollback};
-pub(crate) use read::{history, show};
+pub(crate) use read::{current, history, show};
 
 #[derive(Serialize)]
 struct Check<'findings> {
--- a/crates/arbutuslane_cli/src/catalogue/read.rs
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -54,7 +54,7 @@
 }
 
 /// Returns the catalogue in force, or that of an earlier revision.
-pub(super) async fn current(
+pub(crate) async fn current(
     http: &Http,
     settings: &Settings,
     revision: Option<u64>,
--- a/crates/arbutuslane_cli/src/report/mod.rs
+++ b/crates/arbutuslane_cli/src/report/mod.rs
@@ -2,10 +2,11 @@
 
 mod sentences;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use arbutuslane_event::kind::Kind;
 use arbutuslane_event::{border, clock, log};
+use arbutuslane_wire::status::Service;
 use serde::Serialize;
 
 use crate::client::Http;
@@ -44,7 +45,9 @@
     let http = Http::new(token, settings.timeout_ms).await?;
     let gathered = gather::all(&http, &settings, &mut Cursor::default()).await?;
     let now_ms = clock::wall_ms();
-    let report = build(&gathered, since_ms, now_ms);
+    let mut report = build(&gathered, since_ms, now_ms);
+    let services = status::merge(&gathered.statuses);
+    short_of_capacity(&mut report, &status::with_catalogue(&http, &settings, services).await);
     if json {
         output::json(&report);
     } else {
@@ -60,6 +63,7 @@
     let mut report = Report::default();
     let mut fleet: BTreeMap<&'static str, u64> = BTreeMap::new();
     let mut unknown_kinds = 0;
+    let mut told: BTreeSet<String> = BTreeSet::new();
     for event in &gathered.events {
         let Some(kind) = event.typed() else {
             unknown_kinds += 1;
@@ -73,6 +77,12 @@
         if let Some(service) = &event.service {
             services.entry(service.clone()).or_default().count(&kind);
         }
+        // Each control instance records what the whole group decided; it is told once.
+        if let Some(fact) = shared_fact(&kind)
+            && !told.insert(fact)
+        {
+            continue;
+        }
         *fleet.entry(kind.name()).or_default() += 1;
         single(&mut report, event, &kind);
     }
@@ -84,7 +94,6 @@
     happened.append(&mut report.happened);
     report.happened = happened;
     remaining(&mut report, &open, now_ms);
-    short_of_capacity(&mut report, gathered);
     report.missing = timeline::notices(gathered);
     if unknown_kinds > 0 {
         report.missing.push(format!("{unknown_kinds} events are of kinds that this release lacks"));
@@ -130,6 +139,17 @@
     }
 }
 
+/// Returns what identifies a fact that several instances record.
+fn shared_fact(kind: &Kind) -> Option<String> {
+    match kind {
+        Kind::ChangeAccepted { revision, .. } => Some(format!("revision {revision}")),
+        Kind::ChangeRefused { change_id, .. } => Some(format!("refused {change_id}")),
+        Kind::LeaderChange { term, .. } => Some(format!("term {term}")),
+        Kind::NodeDead { node } => Some(format!("dead {node}")),
+        _ => None,
+    }
+}
+
 /// Adds what one event alone reports.
 fn single(report: &mut Report, event: &border::Event, kind: &Kind) {
     let time = log::utc(event.stamp.wall_ms);
@@ -190,8 +210,8 @@
 }
 
 /// Adds services that have fewer usable servers than their floor now.
-fn short_of_capacity(report: &mut Report, gathered: &Gathered) {
-    for service in status::merge(&gathered.statuses) {
+fn short_of_capacity(report: &mut Report, services: &[Service]) {
+    for service in services {
         let usable = service.live.saturating_sub(service.ejected);
         if usable >= service.floor {
             continue;
@@ -250,6 +270,21 @@
         Gathered { events, ..Gathered::default() }
     }
 
+    /// Guards against one change that is told once for each control instance.
+    #[test]
+    fn build_shared_fact() {
+        let kind = Kind::ChangeAccepted {
+            revision: 4,
+            change_id: "x".to_string(),
+            author: "mari".to_string(),
+        };
+        let report = build(&gathered(vec![event(1, "", &kind), event(2, "", &kind)]), 0, 10);
+        assert_eq!(
+            report.happened,
+            ["mari made catalogue revision 4 at 1970-01-01T00:00:00.001Z."]
+        );
+    }
+
     /// Guards against a server that still needs repair but is missing from the list of actions,
     /// also when it was ejected before the span.
     #[test]
@@ -277,20 +312,14 @@
 
     /// Guards against a quiet report while a service lacks servers that nobody ejected.
     #[test]
-    fn build_below_floor() {
-        let service = |live| arbutuslane_wire::status::Service {
-            service: "agenda".to_string(),
-            floor: 8,
-            live,
-            ..Default::default()
-        };
-        let status = |live| arbutuslane_wire::status::Status {
-            services: vec![service(live)],
-            ..Default::default()
-        };
-        let with = |live| Gathered { statuses: vec![status(live)], ..Gathered::default() };
-        assert!(build(&with(7), 0, 1).action[0].contains("7 usable servers now"));
-        assert_eq!(build(&with(8), 0, 1).action, Vec::<String>::new());
+    fn short_of_capacity_floor() {
+        let service =
+            |live| Service { service: "agenda".to_string(), floor: 8, live, ..Service::default() };
+        let mut report = Report::default();
+        short_of_capacity(&mut report, &[service(8)]);
+        assert_eq!(report.action, Vec::<String>::new());
+        short_of_capacity(&mut report, &[service(7)]);
+        assert!(report.action[0].contains("7 usable servers now"));
     }
 
     /// Guards against a quiet report although events are missing.
--- a/crates/arbutuslane_cli/src/report/sentences.rs
+++ b/crates/arbutuslane_cli/src/report/sentences.rs
@@ -86,8 +86,8 @@
     let shown = [
         ("start", "instance started", "instances started"),
         ("stopped", "instance stopped as planned", "instances stopped as planned"),
-        ("node-dead", "report of a dead node", "reports of dead nodes"),
-        ("leader-change", "report of a new leader", "reports of a new leader"),
+        ("node-dead", "node declared dead", "nodes declared dead"),
+        ("leader-change", "election of a control leader", "elections of a control leader"),
         ("change-refused", "change lost against another one", "changes lost against another one"),
     ];
     let mut sentences = Vec::new();
--- a/crates/arbutuslane_cli/src/status.rs
+++ b/crates/arbutuslane_cli/src/status.rs
@@ -5,6 +5,7 @@
 use arbutuslane_wire::status::{Service, Status};
 use serde::Serialize;
 
+use crate::catalogue;
 use crate::client::Http;
 use crate::error::Error;
 use crate::exit::Code;
@@ -28,7 +29,7 @@
     gathered
         .statuses
         .sort_by(|left, right| (&left.role, &left.instance).cmp(&(&right.role, &right.instance)));
-    let services = merge(&gathered.statuses);
+    let services = with_catalogue(&http, &settings, merge(&gathered.statuses)).await;
     if json {
         output::json(&Shown {
             instances: &gathered.statuses,
@@ -45,18 +46,60 @@
     Ok(if gathered.unreached.is_empty() { Code::Done } else { Code::Partial })
 }
 
-/// Returns each service as the instance that knows most live servers of it sees it.
+/// Returns each service as all instances together see it.
 ///
-/// An instance that just started, or that is cut off, knows fewer servers than there are.
+/// An instance that just started or is cut off knows fewer servers than there are, and a node may
+/// list only the servers that it owns. Servers that are named are therefore counted once over all
+/// instances, and a higher count of one instance wins.
 pub(crate) fn merge(statuses: &[Status]) -> Vec<Service> {
-    let mut merged: BTreeMap<&str, &Service> = BTreeMap::new();
-    for service in statuses.iter().flat_map(|status| &status.services) {
-        let known = merged.entry(&service.service).or_insert(service);
-        if (service.live, service.servers.len()) > (known.live, known.servers.len()) {
-            *known = service;
+    let mut merged: BTreeMap<&str, Service> = BTreeMap::new();
+    for seen in statuses.iter().flat_map(|status| &status.services) {
+        let known = merged.entry(&seen.service).or_default();
+        known.service.clone_from(&seen.service);
+        known.floor = known.floor.max(seen.floor);
+        known.live = known.live.max(seen.live);
+        known.ejected = known.ejected.max(seen.ejected);
+        known.cold = known.cold.max(seen.cold);
+        known.draining = known.draining.max(seen.draining);
+        known.servers.extend(seen.servers.iter().cloned());
+    }
+    let mut services: Vec<Service> = merged.into_values().collect();
+    for service in &mut services {
+        service.servers.sort_by(|left, right| left.server.cmp(&right.server));
+        service.servers.dedup_by(|left, right| left.server == right.server);
+        let count = |state: &str| {
+            let counted = service.servers.iter().filter(|server| server.state == state).count();
+            u32::try_from(counted).unwrap_or(u32::MAX)
+        };
+        let (serving, ejected, cold) = (count("serving"), count("ejected"), count("cold"));
+        let draining = count("draining");
+        service.live = service.live.max(serving + ejected);
+        service.ejected = service.ejected.max(ejected);
+        service.cold = service.cold.max(cold);
+        service.draining = service.draining.max(draining);
+    }
+    services
+}
+
+/// Adds the floors and the services without servers, which nodes do not tell, from the catalogue.
+pub(crate) async fn with_catalogue(
+    http: &Http,
+    settings: &Settings,
+    mut services: Vec<Service>,
+) -> Vec<Service> {
+    let Ok(current) = catalogue::current(http, settings, None).await else { return services };
+    for entry in current.entries {
+        match services.iter_mut().find(|service| service.service == entry.service) {
+            Some(service) => service.floor = entry.floor,
+            None => services.push(Service {
+                service: entry.service,
+                floor: entry.floor,
+                ..Service::default()
+            }),
         }
     }
-    merged.into_values().cloned().collect()
+    services.sort_by(|left, right| left.service.cmp(&right.service));
+    services
 }
 
 fn render(statuses: &[Status], services: &[Service]) -> String {
@@ -112,8 +155,34 @@
 
 #[cfg(test)]
 mod tests {
+    use arbutuslane_wire::status::Server;
+
     use super::*;
 
+    /// Guards against servers of different owners of which only one node's are counted, or a server
+    /// that moved to another owner and counts twice.
+    #[test]
+    fn merge_owners() {
+        let server = |name: &str, state: &str| Server {
+            server: name.to_string(),
+            state: state.to_string(),
+            ..Server::default()
+        };
+        let view = |servers: Vec<Server>| Status {
+            services: vec![Service {
+                service: "slots".to_string(),
+                live: 1,
+                servers,
+                ..Service::default()
+            }],
+            ..Status::default()
+        };
+        let one = view(vec![server("a", "serving"), server("b", "ejected")]);
+        let two = view(vec![server("a", "serving"), server("c", "draining")]);
+        let service = merge(&[one, two]).remove(0);
+        assert_eq!((service.live, service.ejected, service.draining), (2, 1, 1));
+    }
+
     /// Guards against a freshly started instance that hides the servers which others know.
     #[test]
     fn merge_partial_view() {
--- a/crates/arbutuslane_event/src/log.rs
+++ b/crates/arbutuslane_event/src/log.rs
@@ -82,6 +82,10 @@
 
 impl Pairs {
     fn push(&mut self, key: &str, value: &str) {
+        // Records of the `log` crate carry source paths of the build machine in these fields.
+        if key.starts_with("log.") {
+            return;
+        }
         if self.verbatim && key == "message" {
             self.text.push(' ');
             self.text.push_str(value);
