Eject servers only under permits of the register groups

Cause: the node judged the health of its servers but had no permits, so that nothing was ever ejected.

Change: cluster/permits.rs claims, renews and gives up a permit for each suspected server, with the number of live servers above the floor as every replica sees it, and moves the ejection stage.

--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -12,7 +12,9 @@
 
 use crate::shared::{Remote, Shared};
 use crate::traffic::Pool;
-use crate::{configuration, peers, run};
+use crate::{configuration, peers};
+
+use super::permits;
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -30,7 +32,7 @@
 /// Runs gossip, puts configurations in force and recovers replicas until the process ends.
 pub(crate) async fn work(shared: Arc<Shared>) {
     let pool = Pool::new();
-    let _judging = ntex::rt::spawn(run::judge_servers(Arc::clone(&shared)));
+    let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
     let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
     let mut fetches = 0;
     let mut published = 0;
@@ -120,7 +122,11 @@
             incarnation: server.incarnation,
             service: server.service.clone(),
             slots: server.admission.occupancy().2,
-            state: State::Serving,
+            state: match server.condition.view() {
+                (true, _) => State::Ejected,
+                (false, ramp) if ramp < 100 => State::Cold,
+                _ => State::Serving,
+            },
         });
     }
     servers
--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -155,7 +155,7 @@
     for member in &group.members {
         let node = member.node.clone();
         if node == shared.settings.node {
-            let reply = shared.cluster.registers.handle(shared.clock.now(), request);
+            let reply = shared.cluster.register(shared, request);
             let _ = sender.send((node, reply));
             continue;
         }
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! The control thread runs [`control::work`]. Requests of other processes are answered on the
 //! thread that received them, under short locks, so that a claim does not wait for the control
-//! thread. [`keyed`] is the stage of the request path that claims idempotency keys.
+//! thread. [`keyed`] is the stage of the request path that claims idempotency keys,
+//! and [`permits`] decides with the fleet about ejections.
 
 pub(crate) mod control;
 pub(crate) mod delta;
 pub(crate) mod keyed;
 pub(crate) mod peers;
+pub(crate) mod permits;
 pub(crate) mod registers;
 pub(crate) mod state;
 
--- a/crates/arbutuslane_node/src/cluster/registers.rs
+++ b/crates/arbutuslane_node/src/cluster/registers.rs
@@ -58,8 +58,8 @@
         *self.groups.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(groups);
     }
 
-    /// Answers a request for a replica of this node.
-    pub(crate) fn handle(&self, now: Time, request: &Request) -> Response {
+    /// Answers a request for a replica of this node; `headroom` is for permits.
+    pub(crate) fn handle(&self, now: Time, request: &Request, headroom: u32) -> Response {
         let shard = match request {
             Request::Claim(claim) | Request::Complete { claim, .. } => claim.shard,
             Request::Withdraw { shard, .. } | Request::Pull { shard, .. } => *shard,
@@ -74,7 +74,11 @@
                 _ => Response::Done,
             };
         };
-        seat.lock().unwrap_or_else(PoisonError::into_inner).handle(now, request)
+        let mut seat = seat.lock().unwrap_or_else(PoisonError::into_inner);
+        match request {
+            Request::Permit(request) => seat.permit(now, request, headroom),
+            _ => seat.handle(now, request),
+        }
     }
 
     /// Returns the requests that recovering replicas have to send.
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -9,10 +9,12 @@
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Time;
 use arbutuslane_member::prelude::{Delta, Gossip, Payload, Position, Record};
+use arbutuslane_record::message::{Request, Response};
 use arbutuslane_wire::codec;
 use rand::RngExt;
 
 use crate::settings::Settings;
+use crate::shared::Shared;
 
 use super::delta;
 use super::registers::Registers;
@@ -75,6 +77,24 @@
         known.record.peers.parse().ok()
     }
 
+    /// Answers a request for a replica of this node.
+    pub(crate) fn register(&self, shared: &Shared, request: &Request) -> Response {
+        let headroom = match request {
+            Request::Permit(permit) => {
+                let configuration = shared.configuration();
+                let entry = configuration.entry(&permit.service);
+                entry.map_or(0, |entry| self.headroom(&permit.service, entry.floor))
+            }
+            _ => 0,
+        };
+        self.registers.handle(shared.clock.now(), request, headroom)
+    }
+
+    /// Returns the number of live servers of a service above its floor.
+    pub(crate) fn headroom(&self, service: &str, floor: u32) -> u32 {
+        self.member().gossip.table().live_servers(service).saturating_sub(floor)
+    }
+
     /// Takes the revision that a backend server was told; returns the one to tell it.
     pub(crate) fn renewed(&self, now: Time, known: Revision) -> Revision {
         self.member().gossip.renewed(now, known)
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -93,7 +93,6 @@
     }
 
     /// Applies what became of a permit: granted, or lost.
-    #[allow(dead_code, reason = "called once the permit registers run in the node")]
     pub(crate) fn apply(&self, input: Input) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -114,7 +114,7 @@
         }
         peer::Message::Register(message) => {
             let request = message.into();
-            let response = shared.cluster.registers.handle(shared.clock.now(), &request);
+            let response = shared.cluster.register(shared, &request);
             peer::Answer::Register(response.into())
         }
         _ => peer::Answer::Unsupported,
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -23,9 +23,6 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
-/// How often the health of servers is judged; the ages of requests in flight are evidence.
-const JUDGEMENT: Duration = Duration::from_millis(50);
-
 /// What is logged by default: the server library reports every start of a thread.
 const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
 
@@ -119,18 +116,3 @@
     tracing::info!(event = "stopped", node = shared.settings.node);
     Ok(())
 }
-
-/// Judges the health of this node's servers from time to time.
-pub(crate) async fn judge_servers(shared: Arc<Shared>) {
-    loop {
-        let configuration = shared.configuration();
-        for server in shared.servers.all() {
-            let Some(entry) = configuration.entry(&server.service) else { continue };
-            // Without permit registers the claim waits and the server stays in use.
-            if let Some(suspicion) = server.condition.judge(entry.preference) {
-                tracing::debug!(event = "suspected", server = server.id, ?suspicion);
-            }
-        }
-        sleep(JUDGEMENT).await;
-    }
-}
--- a/crates/arbutuslane_node/tests/faults/keys.rs
+++ b/crates/arbutuslane_node/tests/faults/keys.rs
@@ -14,7 +14,7 @@
 const SHARDS: u32 = 4;
 
 /// Starts `size` nodes and gives them register groups of all of them, as control does.
-fn fleet(size: usize) -> Vec<Node> {
+pub(crate) fn fleet(size: usize) -> Vec<Node> {
     let mut nodes = vec![Node::start(&[])];
     let seed = nodes[0].peers;
     for _ in 1..size {
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, reason = "the items of a test binary are not documented API")]
 
 mod download;
+mod ejection;
 mod keys;
 mod leave;
 mod library;
