--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
-use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_member::prelude::{Server, State};
 use arbutuslane_record::message::{Request, Response};
 use arbutuslane_wire::peer;
@@ -13,7 +12,9 @@
 
 use crate::shared::{Remote, Shared};
 use crate::traffic::Pool;
-use crate::{configuration, judge, peers};
+use crate::{configuration, peers};
+
+use super::permits;
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -31,7 +32,7 @@
 /// Runs gossip, puts configurations in force and recovers replicas until the process ends.
 pub(crate) async fn work(shared: Arc<Shared>) {
     let pool = Pool::new();
-    let _judging = ntex::rt::spawn(judge::work(Arc::clone(&shared)));
+    let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
     let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
     let mut fetches = 0;
     let mut published = 0;
@@ -91,11 +92,7 @@
 fn upkeep(shared: &Arc<Shared>, pool: &Rc<Pool>) {
     let now = shared.clock.now();
     shared.reload_token();
-    for (server, silent) in shared.servers.expire(now) {
-        let silent_ms = u64::try_from(silent.as_millis()).unwrap_or(u64::MAX);
-        let draft = Draft::new(Kind::LeaseLost { silent_ms });
-        shared.events.record(draft.service(&server.service).server(&server.id));
-    }
+    shared.servers.expire(now);
     shared.cluster.registers.sweep(now);
     pool.expire();
     for (node, request) in shared.cluster.registers.pulls() {
@@ -128,7 +125,7 @@
             state: match server.condition.view() {
                 (true, _) => State::Ejected,
                 (false, ramp) if ramp < 100 => State::Cold,
-                (false, _) => State::Serving,
+                _ => State::Serving,
             },
         });
     }
