--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -23,7 +23,6 @@
 mod cluster;
 mod condition;
 mod configuration;
-mod judge;
 mod metrics;
 mod peers;
 pub mod run;
