Record ejections and returns as events; check ejection in the demo

Cause: nodes wrote ejections to the log only, so timeline and report were silent about them. Change: the node's permit loop looks at each server and records ejection, return and ejection-refused once each; the demo asks for the ejection of exactly the two failing servers and for no service below its floor. Its rate is 150 requests a second and its faults begin after a third of the time, because a class of requests with one caller and one route needs 133 requests at a server before that caller counts as dominant (limit of evidence by caller). Conclusion: the fleet shows what it did; returns are recorded but not part of the demo.

--- a/crates/arbutuslane_event/src/kind.rs
+++ b/crates/arbutuslane_event/src/kind.rs
@@ -111,7 +111,7 @@
     Ejection = "ejection", Handled {
         /// What the detector found.
         reason: Reason,
-        /// How unhealthy the server is, in percent.
+        /// How unhealthy the server is: 400 times the share of failures, or 10 times the slowdown.
         severity: u32,
         /// The number of the permit that the ejection holds.
         permit: u32,
@@ -120,7 +120,7 @@
     EjectionRefused = "ejection-refused", Action {
         /// What the detector found.
         reason: Reason,
-        /// How unhealthy the server is, in percent.
+        /// How unhealthy the server is: 400 times the share of failures, or 10 times the slowdown.
         severity: u32,
     }
     /// An ejected backend server is in use again.
--- a/crates/arbutuslane_node/src/cluster/permits.rs
+++ b/crates/arbutuslane_node/src/cluster/permits.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use arbutuslane_core::id::ServerId;
+use arbutuslane_event::event::Draft;
+use arbutuslane_health::detector::Suspicion;
 use arbutuslane_health::ejection::Input;
 use arbutuslane_record::message::{Request, Response};
 use arbutuslane_record::prelude::{Group, Permit, key};
@@ -13,6 +15,7 @@
 use ntex::time::sleep;
 use rand::RngExt;
 
+use super::watch::{Look, Watch};
 use crate::announce::Server;
 use crate::peers;
 use crate::shared::Shared;
@@ -33,6 +36,7 @@
 /// Judges servers and claims, renews and gives up permits until the process ends.
 pub(crate) async fn work(shared: Arc<Shared>, pool: Rc<Pool>) {
     let permits = Permits::default();
+    let mut watch = Watch::default();
     loop {
         let configuration = shared.configuration();
         let servers = shared.servers.all();
@@ -40,13 +44,38 @@
             let Some(entry) = configuration.entry(&server.service) else { continue };
             let claim = server.condition.judge(entry.preference);
             let severity = claim.map(|suspicion| suspicion.severity);
+            // A return after trials shows before the permit is given up, an ejection after it is
+            // granted.
+            watch_server(&shared, &permits, server, &mut watch, claim);
             keep(&shared, &pool, &permits, server, severity, entry.floor);
+            watch_server(&shared, &permits, server, &mut watch, claim);
         }
+        watch.retain(|id| servers.iter().any(|server| server.id == id));
         permits.borrow_mut().retain(|(id, _)| servers.iter().any(|server| server.id == *id));
         sleep(JUDGEMENT).await;
     }
 }
 
+/// Records an event when the server was ejected, returned or kept in use at the floor.
+fn watch_server(
+    shared: &Shared,
+    permits: &Permits,
+    server: &Server,
+    watch: &mut Watch,
+    claim: Option<Suspicion>,
+) {
+    let now = shared.clock.now();
+    let list = permits.borrow();
+    let permit = list.binary_search_by(|(id, _)| id.cmp(&server.id)).ok();
+    let permit = permit.map(|index| &list[index].1).filter(|permit| permit.is_held(now + EARLY));
+    let look =
+        Look { claim, ejected: server.condition.view().0, permit: permit.map(Permit::number) };
+    if let Some(kind) = watch.look(&server.id, look, now) {
+        let draft = Draft::new(kind).service(&server.service).server(&server.id);
+        shared.events.record(draft);
+    }
+}
+
 /// Returns the register group of a service's permits.
 fn group(shared: &Shared, service: &str) -> Option<Group> {
     let groups = shared.cluster.registers.groups();
@@ -98,7 +127,6 @@
     if held != ejected {
         let input = if held { Input::Granted } else { Input::Lost };
         server.condition.apply(input);
-        tracing::info!(event = "ejection", server = server.id, ejected = held);
     }
     if let Some(request) = request {
         send(shared, pool, permits, server, &group, &Request::Permit(request));
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,8 +4,8 @@
 #   tools/demo.sh [--fraction F] [--seconds S] [--rate R] [--keep]
 #
 #   --fraction F  backend servers as a share of the size in docs/design.md (default 0.3)
-#   --seconds S   how long callers send requests (default 20)
-#   --rate R      requests a second of each of the two callers (default 40)
+#   --seconds S   how long callers send requests (default 24)
+#   --rate R      requests a second of each of the two callers (default 150)
 #   --keep        keeps the folder with settings, logs and results
 #
 # The folder is temporary, and the ports come from a block that this run alone has reserved, so
@@ -13,7 +13,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-fraction=0.3 seconds=20 rate=40 keep=no
+fraction=0.3 seconds=24 rate=150 keep=no
 while (($#)); do
     case $1 in
         --fraction) fraction=$2; shift 2 ;;
@@ -271,7 +271,7 @@
 start_caller caller-tn jasmin.example /vitrine /agenda 202 3 4
 
 say "break: vitrine-1 and slots-1 fail all work while their health passes"
-sleep "$(awk -v s="$seconds" 'BEGIN { print s / 5 }')"
+sleep "$(awk -v s="$seconds" 'BEGIN { print s / 3 }')"
 for name in vitrine-1 slots-1; do
     get -X POST -d '{"fail": 1.0}' "http://$(server_address $name)/standin/faults" > /dev/null
     check "health of $name passes" get -o /dev/null "http://$(server_address $name)/health"
@@ -298,9 +298,9 @@
 cat "$work/caller-ee.out" "$work/caller-tn.out"
 
 say "what operators see"
-cli status || true
+cli status | tee "$work/status.out" || true
 cli timeline --since 10m > "$work/timeline.out" 2> "$work/timeline.err" || true
-tail -n 25 "$work/timeline.out"
+grep -v group-changed "$work/timeline.out" | tail -n 30
 head -n 5 "$work/timeline.err"
 cli timeline --since 10m --html "$work/timeline.html" || true
 cli report --since 10m || true
@@ -320,6 +320,10 @@
 check "no key ran twice" test "$(head -n 1 "$work/runs.out" | cut -d' ' -f1)" = 1
 check "the booking that was sent twice ran once" grep -qx '1 "key-twice"' "$work/runs.out"
 
+ejected() { cli timeline --since 10m --kind ejection 2> /dev/null | grep -o 'server=[^ ]*' | sort -u; }
+check "the failing servers were ejected, and no other" test "$(ejected | paste -sd,)" = server=slots-1,server=vitrine-1
+check "no service is below its floor" bash -c '! grep -q "below its floor" "$1"' - "$work/status.out"
+
 say "planned stop of all nodes and servers"
 for name in "${server_names[@]}"; do kill -TERM "${pid_of[$name]}"; done
 for name in "${server_names[@]}"; do stop_process "$name" TERM; done
