--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
+use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_member::prelude::{Server, State};
 use arbutuslane_record::message::{Request, Response};
 use arbutuslane_wire::peer;
@@ -92,7 +93,11 @@
 fn upkeep(shared: &Arc<Shared>, pool: &Rc<Pool>) {
     let now = shared.clock.now();
     shared.reload_token();
-    shared.servers.expire(now);
+    for (server, silent) in shared.servers.expire(now) {
+        let silent_ms = u64::try_from(silent.as_millis()).unwrap_or(u64::MAX);
+        let draft = Draft::new(Kind::LeaseLost { silent_ms });
+        shared.events.record(draft.service(&server.service).server(&server.id));
+    }
     shared.cluster.registers.sweep(now);
     pool.expire();
     for (node, request) in shared.cluster.registers.pulls() {
