Pass the votes of register members on to the leader

Cause: a node reports to one control instance, but the leader decides on the next replacement and saw only the reports that reached itself. Change: an instance passes the votes in a report on to the leader. Nodes do not send the report yet, so a second replacement in the same group waits. Conclusion: assignment works up to one replacement a group until nodes report their votes.

--- a/crates/arbutuslane_control/src/assign.rs
+++ b/crates/arbutuslane_control/src/assign.rs
@@ -6,7 +6,8 @@
 use arbutuslane_catalogue::group::{Candidate, Group};
 use arbutuslane_core::time::Time;
 
-use crate::engine::Report;
+/// The shards whose groups each node votes in, with their epochs, as the nodes reported last.
+pub(crate) type Votes = BTreeMap<String, Vec<(u32, u64)>>;
 
 /// The time for which no node may come or go before the first groups are formed, so that they are
 /// chosen from all nodes of a fleet that starts.
@@ -30,7 +31,7 @@
         (shards, minimum): (u32, usize),
         groups: &[Group],
         alive: &[Candidate],
-        reports: &BTreeMap<String, Report>,
+        votes: &Votes,
     ) -> Vec<Group> {
         let nodes: Vec<String> = alive.iter().map(|candidate| candidate.node.clone()).collect();
         if nodes != self.nodes {
@@ -50,7 +51,7 @@
             }
             // A member that joins votes only after it has pulled the registers. Until then the next
             // replacement could take away the last copy of one.
-            if group.epoch > 1 && !has_settled(group, alive, reports) {
+            if group.epoch > 1 && !has_settled(group, alive, votes) {
                 continue;
             }
             changed.extend(group.repaired(alive));
@@ -60,19 +61,15 @@
 }
 
 /// Returns whether all members that are alive vote in the group's current epoch.
-fn has_settled(group: &Group, alive: &[Candidate], reports: &BTreeMap<String, Report>) -> bool {
-    let votes = |node: &str| {
-        let report = reports.get(node);
-        report.is_some_and(|report| report.votes.contains(&(group.shard, group.epoch)))
-    };
+fn has_settled(group: &Group, alive: &[Candidate], votes: &Votes) -> bool {
+    let in_force = (group.shard, group.epoch);
+    let votes = |node: &str| votes.get(node).is_some_and(|votes| votes.contains(&in_force));
     let is_alive = |node: &str| alive.iter().any(|candidate| candidate.node == node);
     group.members.iter().all(|member| !is_alive(&member.node) || votes(&member.node))
 }
 
 #[cfg(test)]
 mod tests {
-    use std::time::Instant;
-
     use super::*;
 
     fn alive(numbers: &[u64]) -> Vec<Candidate> {
@@ -84,10 +81,9 @@
         numbers.iter().map(candidate).collect()
     }
 
-    fn votes(nodes: &[Candidate], group: &Group) -> BTreeMap<String, Report> {
-        let report =
-            || Report { revision: 0, votes: vec![(group.shard, group.epoch)], at: Instant::now() };
-        nodes.iter().map(|candidate| (candidate.node.clone(), report())).collect()
+    fn votes(nodes: &[Candidate], group: &Group) -> Votes {
+        let votes = vec![(group.shard, group.epoch)];
+        nodes.iter().map(|candidate| (candidate.node.clone(), votes.clone())).collect()
     }
 
     /// Guards against first groups that are formed from the first nodes of a fleet that starts.
@@ -96,7 +92,7 @@
         let mut assigner = Assigner::default();
         let mut decide = |seconds, nodes: &[u64]| {
             let now = Duration::from_secs(seconds);
-            assigner.decide(now, (4, 3), &[], &alive(nodes), &BTreeMap::new())
+            assigner.decide(now, (4, 3), &[], &alive(nodes), &Votes::new())
         };
         assert!(decide(0, &[1, 2]).is_empty());
         assert!(decide(9, &[1, 2]).is_empty());
@@ -116,12 +112,12 @@
         let lost = |node: &str, from: &[Candidate]| -> Vec<Candidate> {
             from.iter().filter(|candidate| candidate.node != node).cloned().collect()
         };
-        let mut decide = |group: &Group, alive: &[Candidate], reports| {
+        let mut decide = |group: &Group, alive: &[Candidate], votes| {
             let groups = std::slice::from_ref(group);
-            assigner.decide(Duration::from_secs(9), (1, 3), groups, alive, &reports)
+            assigner.decide(Duration::from_secs(9), (1, 3), groups, alive, &votes)
         };
         let first = lost(&group.members[0].node, &all);
-        let next = decide(&group, &first, BTreeMap::new()).remove(0);
+        let next = decide(&group, &first, Votes::new()).remove(0);
         assert_eq!(next.epoch, 2);
         let second = lost(&next.members[1].node, &first);
         assert!(decide(&next, &second, votes(&second, &group)).is_empty());
--- a/crates/arbutuslane_control/src/border.rs
+++ b/crates/arbutuslane_control/src/border.rs
@@ -13,6 +13,8 @@
     Hello(Hello),
     /// A message of the replicated log.
     Log(Envelope),
+    /// To the leader: the shards whose groups a node votes in, with their epochs.
+    Votes(String, Vec<(u32, u64)>),
 }
 
 /// Tells that an instance is alive and whom it hears.
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -50,8 +50,6 @@
 pub struct Report {
     /// The revision in force there.
     pub revision: u64,
-    /// The shards whose groups the node votes in, with their epochs.
-    pub votes: Vec<(u32, u64)>,
     /// When the report arrived.
     pub at: Instant,
 }
@@ -66,6 +64,8 @@
     Read(Reply),
     Reconfigure(Reconfigure, Reply),
     Frames(Vec<Frame>),
+    /// The shards whose groups a node votes in, with their epochs.
+    Votes(String, Vec<(u32, u64)>),
     Stop,
 }
 
--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -79,8 +79,8 @@
     match message {
         Message::InForce { node, revision, votes } => {
             let mut nodes = shared.engine.nodes.write().unwrap_or_else(PoisonError::into_inner);
-            let report = Report { revision: *revision, votes: votes.clone(), at: Instant::now() };
-            nodes.insert(node.clone(), report);
+            nodes.insert(node.clone(), Report { revision: *revision, at: Instant::now() });
+            let _ = shared.engine.requests.send(Request::Votes(node.clone(), votes.clone()));
             Answer::Done
         }
         Message::FetchSnapshot { known_revision } => {
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -19,7 +19,7 @@
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
 
-use crate::assign::Assigner;
+use crate::assign::{Assigner, Votes};
 use crate::border::Frame;
 use crate::courier::Outbox;
 use crate::engine::{Answer, Handle, Reply, Request};
@@ -59,6 +59,7 @@
     next_tick: Time,
     next_assignment: Time,
     assigner: Assigner,
+    votes: Votes,
     is_empty: bool,
 }
 
@@ -95,6 +96,7 @@
             next_tick: Time::ZERO,
             next_assignment: Time::ZERO,
             assigner: Assigner::default(),
+            votes: Votes::new(),
             is_empty,
         };
         if let Some(snapshot) = snapshot {
@@ -148,14 +150,28 @@
                 for frame in frames {
                     match frame {
                         Frame::Hello(hello) => self.watch.hello(self.clock.now(), hello),
+                        Frame::Votes(node, votes) => {
+                            self.votes.insert(node, votes);
+                        }
                         Frame::Log(envelope) => self.step(Input::Message(envelope.into())),
                     }
                 }
             }
+            Request::Votes(node, votes) => self.note_votes(node, votes),
             Request::Stop => {}
         }
     }
 
+    /// Keeps what a node reported, or passes it on to the leader, which assigns the groups.
+    fn note_votes(&mut self, node: String, votes: Vec<(u32, u64)>) {
+        let leader = self.node.as_ref().and_then(Node::leader);
+        let leader = leader.filter(|leader| leader.name != self.settings.name);
+        if let Some(address) = leader.and_then(|leader| self.watch.address(&leader.name)) {
+            let _ = self.outbox.send((address, Frame::Votes(node.clone(), votes.clone())));
+        }
+        self.votes.insert(node, votes);
+    }
+
     fn change(&mut self, change: Change, reply: Reply) {
         let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(outcome) = state.answer(&change.id) {
@@ -381,11 +397,10 @@
     /// Proposes the changes of register groups that the membership calls for.
     fn assign(&mut self, now: Time) {
         let alive = self.handle.alive.read().unwrap_or_else(PoisonError::into_inner).clone();
-        let reports = self.handle.nodes.read().unwrap_or_else(PoisonError::into_inner);
         let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
         let sizes = (self.settings.shards, self.settings.register_nodes);
-        let groups = self.assigner.decide(now, sizes, &state.groups, &alive, &reports);
-        drop((state, reports));
+        let groups = self.assigner.decide(now, sizes, &state.groups, &alive, &self.votes);
+        drop(state);
         // A new leader may not have applied the groups of the last one yet.
         if groups.is_empty() || !self.node.as_ref().is_some_and(Node::is_established) {
             return;
