--- a/crates/arbutuslane_consensus/src/lib.rs
+++ b/crates/arbutuslane_consensus/src/lib.rs
@@ -23,6 +23,7 @@
 mod append;
 mod common;
 mod election;
+mod incoming;
 pub mod input;
 mod leader;
 pub mod log;
--- a/crates/arbutuslane_consensus/src/node.rs
+++ b/crates/arbutuslane_consensus/src/node.rs
@@ -3,12 +3,11 @@
 use arbutuslane_core::id::NodeId;
 use arbutuslane_core::time::Time;
 
-use crate::append::Append;
 use crate::common::Common;
 use crate::input::{Effect, Input, Refusal};
 use crate::log::{Body, Saved};
 use crate::member::{Id, Member, is_voter};
-use crate::message::{Envelope, Message};
+use crate::message::Message;
 use crate::replica::{Candidate, CatchingUp, Follower, Leader, PreCandidate, Replica};
 use crate::timing::Timing;
 
@@ -136,11 +135,11 @@
         }
     }
 
-    fn common(&self) -> &Common {
+    pub(crate) fn common(&self) -> &Common {
         each!(self, replica => &replica.common)
     }
 
-    fn common_mut(&mut self) -> &mut Common {
+    pub(crate) fn common_mut(&mut self) -> &mut Common {
         each!(self, replica => &mut replica.common)
     }
 
@@ -166,7 +165,7 @@
     }
 
     /// Gives up leadership or a campaign.
-    fn step_down(mut self) -> Self {
+    pub(crate) fn step_down(mut self) -> Self {
         if let Self::Leader(leader) = &mut self {
             leader.abandon();
         }
@@ -177,7 +176,7 @@
     }
 
     /// Moves to a higher term as a follower.
-    fn raise_term(mut self, term: u64) -> Self {
+    pub(crate) fn raise_term(mut self, term: u64) -> Self {
         if term <= self.common().term {
             return self;
         }
@@ -190,133 +189,6 @@
         node
     }
 
-    fn receive(self, envelope: Envelope) -> Self {
-        let Envelope { from, to, message } = envelope;
-        let own = &self.common().id;
-        let to_any = to.instance == 0 && message == Message::Joining;
-        if to.name != own.name || (to.instance != own.instance && !to_any) {
-            return self;
-        }
-        match message {
-            Message::PreVote { term, last_index, last_term } => {
-                self.pre_vote(&from, term, (last_index, last_term))
-            }
-            Message::PreVoted { term, own_term, granted } => {
-                match self.raise_term(if granted { 0 } else { own_term }) {
-                    Self::PreCandidate(replica) => replica.pre_voted(from, term, granted),
-                    node => node,
-                }
-            }
-            Message::Vote { term, last_index, last_term } => {
-                self.vote(&from, term, (last_index, last_term))
-            }
-            Message::Voted { term, granted } => match self.raise_term(term) {
-                Self::Candidate(replica) if replica.common.term == term => {
-                    replica.voted(from, granted)
-                }
-                node => node,
-            },
-            Message::Append { term, round, prev_index, prev_term, entries, commit } => {
-                let append = Append { round, prev_index, prev_term, entries, commit };
-                self.lead(&from, term, |common| common.append(&from, append))
-            }
-            Message::Snapshot { term, round, snapshot } => {
-                self.lead(&from, term, |common| common.install(&from, round, snapshot))
-            }
-            Message::Appended { term, round, matched, conflict } => {
-                let mut node = self.raise_term(term);
-                if let Self::Leader(leader) = &mut node
-                    && leader.common.term == term
-                {
-                    leader.appended(&from, round, matched, conflict);
-                }
-                node
-            }
-            Message::Joining => {
-                let mut node = self;
-                match &mut node {
-                    Self::Leader(leader) => leader.joining(&from),
-                    other => other.common_mut().forward_joining(&from),
-                }
-                node
-            }
-            Message::ReadIndex { read } => {
-                let mut node = self;
-                match &mut node {
-                    Self::Leader(leader) => leader.read(read, Some(from)),
-                    other => other.common_mut().send(&from, Message::ReadAt { read, index: None }),
-                }
-                node
-            }
-            Message::ReadAt { read, index } => self.read_at(read, index),
-        }
-    }
-
-    fn pre_vote(mut self, from: &Id, term: u64, last: (u64, u64)) -> Self {
-        // A replica that was removed without being told still campaigns after it is added again.
-        let is_expected = self
-            .members()
-            .iter()
-            .any(|member| !member.voter && member.id.name == from.name && member.id != *from);
-        let bound = match &mut self {
-            Self::Leader(leader) => {
-                if is_expected {
-                    leader.joining(from);
-                }
-                true
-            }
-            other => {
-                if is_expected {
-                    other.common_mut().forward_joining(from);
-                }
-                other.common().is_bound()
-            }
-        };
-        self.common_mut().answer_pre_vote(from, term, last, bound);
-        self
-    }
-
-    fn vote(self, from: &Id, term: u64, last: (u64, u64)) -> Self {
-        if term < self.common().term {
-            let mut node = self;
-            let message = Message::Voted { term: node.common().term, granted: false };
-            node.common_mut().send_after_writes(from, message);
-            return node;
-        }
-        // A vote in this time could elect a second leader while the first one still serves reads
-        // under its lease. Not even the term is raised.
-        let repeated = term == self.common().term && self.common().vote.as_ref() == Some(from);
-        if self.common().is_bound() && !repeated {
-            return self;
-        }
-        let mut node = self.raise_term(term);
-        if matches!(node, Self::Leader(_)) {
-            return node;
-        }
-        node.common_mut().answer_vote(from, last);
-        node
-    }
-
-    /// Handles a message of the leader `from` of `term`.
-    fn lead(self, from: &Id, term: u64, work: impl FnOnce(&mut Common)) -> Self {
-        if term < self.common().term {
-            let mut node = self;
-            let term = node.common().term;
-            let message = Message::Appended { term, round: 0, matched: 0, conflict: None };
-            node.common_mut().send_after_writes(from, message);
-            return node;
-        }
-        let mut node = self.raise_term(term);
-        if matches!(node, Self::PreCandidate(_) | Self::Candidate(_)) {
-            node = node.step_down();
-        }
-        if matches!(node, Self::Leader(_)) {
-            return node;
-        }
-        work(node.common_mut());
-        node
-    }
-
     fn written(mut self, sequence: u64) -> Self {
         let before = self.common().durable;
         self.common_mut().complete(sequence);
@@ -361,20 +233,6 @@
         self
     }
 
-    fn read_at(mut self, read: u64, index: Option<u64>) -> Self {
-        let common = self.common_mut();
-        let Some(position) = common.asked.iter().position(|token| *token == read) else {
-            return self;
-        };
-        common.asked.swap_remove(position);
-        match index {
-            Some(index) => common.reads.push((read, index)),
-            None => common.refuse(read, Refusal::NotLeader),
-        }
-        common.release_reads();
-        self
-    }
-
     /// Changes the role after the log made this replica a voter or took its vote away.
     fn check_role(self) -> Self {
         match self {
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -5,6 +5,7 @@
 //! signal. [`Daemon`](daemon::Daemon) is the same for tests that run several instances in one
 //! process.
 
+mod apply;
 mod assign;
 mod border;
 mod courier;
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -6,15 +6,12 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-use arbutuslane_catalogue::change::{Change, Outcome};
-use arbutuslane_catalogue::state::State;
-use arbutuslane_catalogue::stored::{self, Command, Step};
+use arbutuslane_catalogue::change::Change;
+use arbutuslane_catalogue::stored::{self, Command};
 use arbutuslane_consensus::input::Refusal;
 use arbutuslane_consensus::prelude::*;
 use arbutuslane_core::hash;
 use arbutuslane_core::time::{Clock, Time};
-use arbutuslane_event::kind::Kind;
-use arbutuslane_member::configuration::{DELTAS_KEPT, Delta, Position};
 use arbutuslane_storage::disk::Disk;
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
@@ -45,17 +42,17 @@
     clock: Clock,
     store: Store<D>,
     node: Option<Node>,
-    handle: Handle,
+    pub(crate) handle: Handle,
     outbox: Outbox,
-    watch: Watch,
+    pub(crate) watch: Watch,
     next_token: u64,
     /// Requests by token, until the state machine has taken or refused them.
     waiting: BTreeMap<u64, Reply>,
     /// Proposals by index with their term, until they are applied.
-    proposed: BTreeMap<u64, (u64, Reply)>,
+    pub(crate) proposed: BTreeMap<u64, (u64, Reply)>,
     writes: Vec<Write>,
     last_write: u64,
-    snapshot_index: u64,
+    pub(crate) snapshot_index: u64,
     next_tick: Time,
     next_assignment: Time,
     assigner: Assigner,
@@ -265,108 +262,6 @@
         }
     }
 
-    fn apply(&mut self, entry: Entry) {
-        let proposed = self.proposed.remove(&entry.index);
-        let answer = match entry.body {
-            Body::Blank => Answer::NotLeader(None),
-            Body::Members(members) => {
-                self.watch.set_members(&members);
-                Answer::Done
-            }
-            Body::Command(command) => match codec::decode::<Command>(&command) {
-                Ok(Command::Change(proposal)) => self.apply_change(proposal),
-                Ok(Command::Groups(groups)) => {
-                    self.apply_groups(groups);
-                    Answer::Done
-                }
-                Err(error) => {
-                    tracing::error!(index = entry.index, %error, "unreadable log entry");
-                    Answer::NotLeader(None)
-                }
-            },
-        };
-        if let Some((term, reply)) = proposed {
-            // An entry of another term is not the one that was proposed here.
-            let answer = if term == entry.term { answer } else { Answer::NotLeader(None) };
-            let _ = reply.send(answer);
-        }
-    }
-
-    fn apply_change(&mut self, proposal: stored::Proposal) -> Answer {
-        let (change_id, author) = (proposal.id.clone(), proposal.author.clone());
-        let mut state = self.handle.state.write().unwrap_or_else(PoisonError::into_inner);
-        let known = state.answer(&change_id).is_some();
-        let base = position(&state);
-        let outcome = state.apply(proposal.into());
-        if position(&state) != base
-            && let Some(record) = state.history.back()
-        {
-            self.keep_step(base, &Step::of_change(&state, record));
-        }
-        drop(state);
-        match &outcome {
-            _ if known => {}
-            Outcome::Accepted { revision } => {
-                let revision = *revision;
-                self.handle.events.record(Kind::ChangeAccepted { revision, change_id, author });
-            }
-            Outcome::Conflict { revision, .. } => {
-                let revision = *revision;
-                self.handle.events.record(Kind::ChangeRefused { revision, change_id, author });
-            }
-        }
-        Answer::Outcome(outcome)
-    }
-
-    fn apply_groups(&mut self, groups: Vec<arbutuslane_catalogue::border::Group>) {
-        let mut state = self.handle.state.write().unwrap_or_else(PoisonError::into_inner);
-        let base = position(&state);
-        let mut shards = Vec::new();
-        for group in groups {
-            let (shard, epoch) = (group.shard, group.epoch);
-            let before = state.group_version;
-            state.apply_group(group.into());
-            if state.group_version > before {
-                shards.push(shard);
-                self.handle.events.record(Kind::GroupChanged { shard, epoch });
-            }
-        }
-        if !shards.is_empty() {
-            self.keep_step(base, &Step::of_groups(&state, &shards));
-        }
-    }
-
-    /// Keeps a step for the nodes that hold the state before it.
-    fn keep_step(&self, base: Position, step: &Step) {
-        let Ok(bytes) = codec::encode(step) else { return };
-        let reached = Position { revision: step.revision, groups: step.group_version };
-        let mut steps = self.handle.steps.lock().unwrap_or_else(PoisonError::into_inner);
-        steps.push_back(Delta { base, position: reached, bytes: bytes.into() });
-        while steps.len() > DELTAS_KEPT {
-            steps.pop_front();
-        }
-    }
-
-    fn install(&mut self, snapshot: &Snapshot) {
-        self.snapshot_index = snapshot.index;
-        self.watch.set_members(&snapshot.members);
-        let installed = match snapshot.payload.is_empty() {
-            true => State::default(),
-            false => match codec::decode::<stored::State>(&snapshot.payload) {
-                Ok(state) => state.into(),
-                Err(error) => {
-                    tracing::error!(index = snapshot.index, %error, "unreadable snapshot");
-                    return;
-                }
-            },
-        };
-        *self.handle.state.write().unwrap_or_else(PoisonError::into_inner) = installed;
-        // What was proposed before may be in the snapshot; resends get the answer from there.
-        for (_, reply) in std::mem::take(&mut self.proposed).into_values() {
-            let _ = reply.send(Answer::NotLeader(None));
-        }
-    }
-
     /// Publishes the status, greets the other instances and forms the first group.
     fn observe(&mut self) {
         let now = self.clock.now();
@@ -440,7 +335,3 @@
         self.watch.failed(&error.to_string());
     }
 }
-
-fn position(state: &State) -> Position {
-    Position { revision: state.revision, groups: state.group_version }
-}
