--- a/crates/arbutuslane_consensus/src/leader.rs
+++ b/crates/arbutuslane_consensus/src/leader.rs
@@ -56,7 +56,9 @@
         let (now, term, round) = (self.common.now, self.common.term, self.role.round);
         let Some(progress) = self.role.peers.get_mut(peer) else { return };
         let base = self.common.log.base();
-        if progress.sent < base && now >= progress.snapshot_after {
+        // Snapshots for a replica that does not answer would pile up on their way to it.
+        let answers = now < progress.heard + self.common.timing.election_max;
+        if progress.sent < base && answers && now >= progress.snapshot_after {
             progress.snapshot_after = now + self.common.timing.snapshot_retry;
             if let Some(snapshot) = self.common.log.snapshot.clone() {
                 self.common.send(peer, Message::Snapshot { term, round, snapshot });
--- a/crates/arbutuslane_consensus/tests/votes.rs
+++ b/crates/arbutuslane_consensus/tests/votes.rs
@@ -150,6 +150,33 @@
     assert_eq!(refused(&effects), None);
 }
 
+fn snapshots(sent: &[Message]) -> usize {
+    sent.iter().filter(|message| matches!(message, Message::Snapshot { .. })).count()
+}
+
+/// Guards against a snapshot every 2 s for a replica that fell silent, which fills the queue of
+/// messages to it.
+#[test]
+fn snapshot_silent_replica() {
+    let (node, _) = settle(leader(), at(2_010), Input::Compact { index: 2, payload: vec![7] });
+    let behind = |round| Message::Appended { term: 2, round, matched: 0, conflict: Some(0) };
+    let (mut node, sent) = receive(node, at(2_011), "c", behind(1));
+    assert_eq!(snapshots(&sent), 1);
+    let mut count = 0;
+    for step in 1..200 {
+        let now = at(2_011 + step * 50);
+        let round = step / 3;
+        let alive = Message::Appended { term: 2, round, matched: 2, conflict: None };
+        let (after, _) = receive(node, now, "b", alive);
+        let (after, sent) = settle(after, now, Input::Tick);
+        count += snapshots(&sent);
+        node = after;
+    }
+    assert_eq!((node.role(), count), ("leader", 0));
+    let (_, sent) = receive(node, at(13_000), "c", behind(1));
+    assert_eq!(snapshots(&sent), 1);
+}
+
 /// Guards against an empty replica that keeps the vote of the disk it lost.
 #[test]
 fn joining_takes_vote() {
