--- a/crates/arbutuslane_node/src/cluster/registers.rs
+++ b/crates/arbutuslane_node/src/cluster/registers.rs
@@ -7,6 +7,14 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_record::message::{Holding, Refusal, Request, Response};
 use arbutuslane_record::prelude::{Group, Member, Seat};
+use arbutuslane_record::store::Limits;
+
+/// The registers that a node keeps in all its replicas: 66 MB at 132 bytes each, half of the 128 MB
+/// that a node may spend on control.
+const REGISTERS: usize = 500_000;
+
+/// The bytes of kept responses in all replicas of a node, a quarter of that memory.
+const ANSWER_BYTES: usize = 32 << 20;
 
 /// The slots of a replica that are looked at for expired registers in one sweep.
 const SWEEP: usize = 256;
@@ -38,6 +46,8 @@
     pub(crate) fn adopt(&self, now: Time, groups: &[border::Group]) {
         let groups: Vec<Group> = groups.iter().map(group).collect();
         let mut seats = self.seats.write().unwrap_or_else(PoisonError::into_inner);
+        let own = groups.iter().filter(|group| group.place(&self.node).is_some()).count().max(1);
+        let limits = Limits { registers: REGISTERS / own, answer_bytes: ANSWER_BYTES / own };
         for group in &groups {
             let index = seats.binary_search_by_key(&group.shard, |(shard, _)| *shard);
             match index {
@@ -49,7 +59,8 @@
                     }
                 }
                 Err(index) if group.place(&self.node).is_some() => {
-                    let seat = Seat::join(now, &self.node, self.incarnation, group.clone());
+                    let seat =
+                        Seat::join_with(now, &self.node, self.incarnation, group.clone(), limits);
                     seats.insert(index, (group.shard, Arc::new(Mutex::new(seat))));
                 }
                 Err(_) => {}
