--- /dev/null
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -0,0 +1,359 @@
+//! Faults of whole control instances, on loopback.
+
+mod cluster;
+
+use std::fs;
+use std::process::{Child, Command, Stdio};
+
+use arbutuslane_catalogue::border::Snapshot;
+use arbutuslane_control::daemon;
+use arbutuslane_storage::disk;
+use arbutuslane_wire::codec;
+use arbutuslane_wire::peer::{self, gossip};
+use cluster::{Cluster, TOKEN, address, change, request, wait};
+use serde_json::json;
+
+/// Guards against acknowledged changes that are lost with the leader, and against resends that get
+/// another answer from another instance or after a restart.
+#[test]
+fn leader_killed() {
+    let mut cluster = Cluster::start(3);
+    let first = cluster.leader();
+    assert_eq!(cluster.apply("change-1", 0, 1).0, 200);
+    assert_eq!(cluster.apply("lost", 0, 9).0, 409);
+    cluster.kill(first);
+    let second = cluster.leader();
+    assert_ne!(first, second);
+    assert_eq!(cluster.revision(second), Some(1));
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+    cluster.revive(first);
+    cluster
+        .wait("the old leader to catch up", || (cluster.revision(first) == Some(2)).then_some(()));
+    for position in 0..3 {
+        let again = |id: &str| cluster.ask(position, "POST", "/v1/changes", &change(id, 0, 1));
+        let accepted =
+            cluster.wait("a resend", || again("change-1").filter(|(code, _)| *code != 503));
+        assert_eq!((accepted.0, accepted.1["revision"].as_u64()), (200, Some(1)));
+        let refused = cluster.wait("a resend", || again("lost").filter(|(code, _)| *code != 503));
+        assert_eq!((refused.0, refused.1["winner"].as_str()), (409, Some("change-1")));
+    }
+}
+
+/// Guards against an empty replica that brings its votes of before, or never catches up.
+#[test]
+fn disk_lost() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    for revision in 0..5 {
+        assert_eq!(cluster.apply(&format!("change-{revision}"), revision, 1).0, 200);
+    }
+    let victim = (leader + 1) % 3;
+    cluster.kill(victim);
+    fs::remove_dir_all(cluster.data(victim)).unwrap();
+    cluster.revive(victim);
+    // The leader shows the vote of the lost disk until the empty replica asks for the log, so the
+    // replica's own role tells when it has a vote of its own.
+    cluster.wait("the vote of the empty replica", || {
+        let status = cluster.status(victim)?;
+        (status.role == "follower" && status.revision == 5).then_some(())
+    });
+    // The rebuilt replica and one other now carry the group without the old leader.
+    cluster.kill(leader);
+    let next = cluster.leader();
+    assert_eq!(cluster.revision(next), Some(5));
+    assert_eq!(cluster.apply("after", 5, 2).1["revision"], 6);
+}
+
+/// Guards against a damaged data folder that is cut short in silence, or that cannot be rebuilt.
+#[test]
+fn disk_damaged() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    for revision in 0..5 {
+        assert_eq!(cluster.apply(&format!("change-{revision}"), revision, 1).0, 200);
+    }
+    let victim = (leader + 1) % 3;
+    cluster.wait("all changes there", || (cluster.revision(victim) == Some(5)).then_some(()));
+    cluster.kill(victim);
+    let mut names: Vec<_> =
+        fs::read_dir(cluster.data(victim)).unwrap().map(|item| item.unwrap().path()).collect();
+    names.retain(|path| path.to_string_lossy().contains("segment-"));
+    names.sort();
+    let mut bytes = fs::read(&names[0]).unwrap();
+    bytes[60] ^= 1;
+    fs::write(&names[0], bytes).unwrap();
+    let settings = cluster.settings(victim);
+    let refused = daemon::Daemon::start(settings.clone()).err().unwrap();
+    assert!(refused.to_string().contains("is corrupt"), "{refused}");
+    daemon::rebuild(&settings).unwrap();
+    cluster.revive(victim);
+    cluster.wait("the rebuilt replica", || {
+        let status = cluster.status(victim)?;
+        (status.role == "follower" && status.revision == 5).then_some(())
+    });
+}
+
+/// Guards against a leader that goes on, or answers, after a sync of its disk failed.
+#[test]
+fn disk_sync_failed() {
+    let mut cluster = Cluster::prepare(3);
+    let mut disks = Vec::new();
+    for position in 0..3 {
+        let disk = disk::Fake::new(position as u64);
+        let daemon = daemon::Daemon::start_on(disk.clone(), cluster.settings(position)).unwrap();
+        cluster.daemons[position] = Some(daemon);
+        disks.push(disk);
+    }
+    let leader = cluster.leader();
+    assert_eq!(cluster.apply("change-1", 0, 1).0, 200);
+    disks[leader].fail_sync_after(0);
+    // The change is decided by the next leader: the failed one never acknowledges it.
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+    let status = cluster
+        .wait("the stop", || cluster.status(leader).filter(|status| status.role == "stopped"));
+    assert!(status.failure.unwrap().contains("sync"));
+    assert_eq!(cluster.ask(leader, "GET", "/v1/catalogue", "").unwrap().0, 503);
+    assert_ne!(cluster.leader(), leader);
+    // After a restart it has what was synced and takes over the rest.
+    cluster.kill(leader);
+    disks[leader].crash();
+    let settings = cluster.settings(leader);
+    let daemon = daemon::Daemon::start_on(disks[leader].clone(), settings).unwrap();
+    cluster.daemons[leader] = Some(daemon);
+    cluster.wait("the last revision", || (cluster.revision(leader) == Some(2)).then_some(()));
+}
+
+/// Guards against nodes that get the whole state with each change, or a step that leads elsewhere.
+#[test]
+fn deltas_fetched() {
+    let cluster = Cluster::start(1);
+    cluster.leader();
+    for (revision, floor) in (0..4).zip(1..5) {
+        assert_eq!(cluster.apply(&format!("change-{revision}"), revision, floor).0, 200);
+    }
+    let fetch = |revision: u64| {
+        let message = peer::Message::Gossip(gossip::Message::Fetch { known: (revision, 0) });
+        match cluster.tell(0, &message) {
+            Some(peer::Answer::Gossip(gossip::Answer::Configuration(payload))) => payload,
+            _ => None,
+        }
+    };
+    let from_start = cluster.wait("the last revision", || match fetch(0)? {
+        gossip::Payload::Deltas(deltas) => (deltas.last()?.pos.0 == 4).then_some(deltas),
+        gossip::Payload::Snapshot { pos, .. } => panic!("a snapshot at {pos:?}"),
+    });
+    let mut snapshot = Snapshot::default();
+    for delta in from_start {
+        assert_eq!(delta.base.0, snapshot.revision);
+        snapshot.advance(codec::decode(&delta.bytes).unwrap());
+    }
+    assert_eq!((snapshot.revision, snapshot.entries[0].floor), (4, 4));
+    assert!(matches!(fetch(3), Some(gossip::Payload::Deltas(deltas)) if deltas.len() == 1));
+    assert_eq!(fetch(4), None);
+}
+
+/// Guards against a kill of real processes that loses what only a thread's end would keep.
+#[test]
+fn process_killed() {
+    let cluster = Cluster::prepare(3);
+    let spawn = |position: usize| {
+        let name = cluster.members[position].name.clone();
+        cluster.settings(position);
+        let settings = cluster.folder.path().join(format!("{name}.json"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_arbutuslane-control"));
+        let command = command.arg("--settings").arg(settings).stdout(Stdio::null());
+        Process(command.stderr(Stdio::null()).spawn().unwrap())
+    };
+    let mut processes: Vec<Option<Process>> = (0..3).map(|at| Some(spawn(at))).collect();
+    let mut revision = 0;
+    for round in 0..3 {
+        let leader = cluster.wait("a leader", || {
+            (0..3).find(|at| cluster.status(*at).is_some_and(|status| status.role == "leader"))
+        });
+        for number in 0..20 {
+            let id = format!("round-{round}-{number}");
+            let (code, body) = cluster.wait("an answer", || {
+                let body = change(&id, revision, 1);
+                let mut answers =
+                    (0..3).filter_map(|at| cluster.ask(at, "POST", "/v1/changes", &body));
+                answers.find(|(code, _)| *code != 503)
+            });
+            assert_eq!(code, 200, "{body}");
+            revision = body["revision"].as_u64().unwrap();
+        }
+        processes[leader] = None;
+        processes[leader] = Some(spawn(leader));
+    }
+    cluster.wait("all instances at the last revision", || {
+        (0..3).all(|at| cluster.revision(at) == Some(revision)).then_some(())
+    });
+    assert_eq!(revision, 60);
+}
+
+/// A process that is killed at the end of its scope.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against a burst of racing operators in which a change is lost or two win one revision.
+#[test]
+fn operators_race() {
+    let cluster = Cluster::start(3);
+    cluster.leader();
+    let wins = std::thread::scope(|scope| {
+        let mut operators = Vec::new();
+        for operator in 0..5 {
+            let cluster = &cluster;
+            operators.push(scope.spawn(move || {
+                let mut won = Vec::new();
+                let mut base = 0;
+                let mut attempt = 0;
+                while won.len() < 20 {
+                    attempt += 1;
+                    let id = format!("operator-{operator}-{attempt}");
+                    let (code, body) = cluster.apply(&id, base, 1 + operator);
+                    base = body["revision"].as_u64().unwrap();
+                    match code {
+                        200 => won.push(base),
+                        _ => assert_ne!(body["winner"], json!(id)),
+                    }
+                }
+                won
+            }));
+        }
+        let mut wins = Vec::new();
+        for operator in operators {
+            wins.extend(operator.join().unwrap());
+        }
+        wins
+    });
+    let mut revisions = wins.clone();
+    revisions.sort_unstable();
+    assert_eq!(revisions, (1..=100).collect::<Vec<u64>>());
+    assert_eq!(cluster.revision(cluster.leader()), Some(100));
+}
+
+/// Guards against changes that are lost between a burst and a restart of all instances.
+#[test]
+fn burst_restart() {
+    let mut cluster = Cluster::start(3);
+    cluster.leader();
+    for revision in 0..500 {
+        assert_eq!(cluster.apply(&format!("burst-{revision}"), revision, 1).0, 200);
+    }
+    for position in 0..3 {
+        cluster.kill(position);
+    }
+    for position in 0..3 {
+        cluster.revive(position);
+    }
+    let leader = cluster.leader();
+    assert_eq!(cluster.revision(leader), Some(500));
+    assert_eq!(cluster.apply("burst-250", 0, 1).1["revision"], 251);
+    // A rollback is a change whose entries are those of an earlier revision.
+    let (_, old) = cluster.ask(leader, "GET", "/v1/catalogue?revision=0", "").unwrap();
+    assert_eq!(old["entries"], json!([]));
+    let back = json!({"change_id": "back", "author": "mari", "base_revision": 500, "entries": []});
+    let (code, body) = cluster.ask(leader, "POST", "/v1/changes", &back.to_string()).unwrap();
+    assert_eq!((code, body["revision"].as_u64()), (200, Some(501)));
+}
+
+/// Guards against a lost instance that nobody notices, and an isolated one that still answers.
+#[test]
+fn instance_lost() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    cluster.apply("change-1", 0, 1);
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    cluster.kill(others[0]);
+    let name = cluster.members[others[0]].name.clone();
+    cluster.wait("the loss in the events", || {
+        let (_, page) = cluster.ask(leader, "GET", "/v1/events", "")?;
+        let events = page["events"].as_array()?;
+        let lost = |event: &&serde_json::Value| {
+            event["kind"] == "node-suspected" && event["fields"]["node"] == json!(name)
+        };
+        events.iter().find(lost).map(|_| ())
+    });
+    let status = cluster.status(leader).unwrap();
+    assert!(status.instances.iter().any(|other| other.name == name && !other.reachable));
+    cluster.kill(others[1]);
+    cluster.wait("the isolated leader to step down", || {
+        let status = cluster.status(leader)?;
+        (status.isolated && status.role != "leader").then_some(())
+    });
+    let (code, _) = cluster.ask(leader, "GET", "/v1/catalogue", "").unwrap();
+    assert_eq!(code, 503);
+}
+
+/// Guards against a change of the instances that loses a change of the catalogue.
+#[test]
+fn instance_replaced() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    cluster.apply("change-1", 0, 1);
+    let old = (leader + 1) % 3;
+    cluster.members.push(address("control-3"));
+    cluster.daemons.push(None);
+    cluster.revive(3);
+    let body = json!({
+        "action": "replace",
+        "name": cluster.members[old].name,
+        "instance": cluster.members[3],
+    });
+    let (code, _) = cluster.ask(leader, "POST", "/v1/instances", &body.to_string()).unwrap();
+    assert_eq!(code, 204);
+    cluster.wait("the replacement", || {
+        let status = cluster.status(leader)?;
+        let names: Vec<&str> = status.instances.iter().map(|other| other.name.as_str()).collect();
+        let voter = status.instances.iter().any(|other| other.name == "control-3" && other.voter);
+        (voter && !names.contains(&cluster.members[old].name.as_str())).then_some(())
+    });
+    cluster.kill(old);
+    assert_eq!(cluster.apply("change-2", 1, 2).1["revision"], 2);
+}
+
+/// Guards against anything that is shown or changed without a token, against tokens that need a
+/// restart, and against refusals that do not say what to do.
+#[test]
+fn requests_refused() {
+    let cluster = Cluster::start(1);
+    cluster.leader();
+    let address = &cluster.members[0].operators;
+    for path in ["/v1/catalogue", "/v1/history", "/v1/status", "/v1/events", "/other"] {
+        let (code, body) = request(address, "GET", path, "wrong", "").unwrap();
+        assert_eq!(code, 401);
+        assert!(body["remedy"].is_string());
+    }
+    let (code, _) = request(address, "POST", "/v1/changes", "", &change("a", 0, 1)).unwrap();
+    assert_eq!(code, 401);
+    let file = cluster.folder.path().join("operators");
+    fs::write(&file, format!("mari {TOKEN}\njaan second-token\n")).unwrap();
+    wait("the new token", || {
+        let (code, _) = request(address, "GET", "/v1/status", "second-token", "")?;
+        (code == 200).then_some(())
+    });
+    let (code, _) =
+        request(address, "POST", "/v1/changes", "second-token", &change("a", 0, 1)).unwrap();
+    assert_eq!(code, 403);
+    fs::write(&file, format!("mari {TOKEN}\n")).unwrap();
+    wait("the withdrawal of the token", || {
+        let (code, _) = request(address, "GET", "/v1/status", "second-token", "")?;
+        (code == 401).then_some(())
+    });
+    let bad = change("a", 0, 1).replace("\"floor\"", "\"flor\"");
+    let (code, body) = cluster.ask(0, "POST", "/v1/changes", &bad).unwrap();
+    assert_eq!(code, 422);
+    assert!(body["error"].as_str().unwrap().contains("entries[0].flor"));
+    let large = change(&"a".repeat(9 << 20), 0, 1);
+    let answer = cluster.ask(0, "POST", "/v1/changes", &large);
+    assert!(answer.is_none_or(|(code, _)| code == 413));
+    let (code, body) = cluster.ask(0, "POST", "/v1/changes", &change("a", 0, 0)).unwrap();
+    assert_eq!((code, body["findings"][0]["key"].as_str()), (422, Some("entries[0].floor")));
+    assert_eq!(cluster.revision(0), Some(0));
+}
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -75,7 +75,7 @@
     }
 
     /// Starts the node again at the same addresses after it has ended.
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn restart_stopped(&mut self) {
         assert!(self.child.wait().unwrap().success());
         self.child = spawn(&self.folder.join("settings.json"));
         self.wait_healthy();
