Avoid servers that have just refused work

Cause: with late load reports an entry chose full servers again and again.

Change: a refusal counts as twice the work of all slots and loses half of that in 100 ms.

--- a/crates/arbutuslane_balance/src/estimate.rs
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -15,11 +15,18 @@
     ramp_percent: u32,
     reported_others: f64,
     reported_at: Time,
+    refused_at: Option<Time>,
     latency: f64,
     latency_at: Time,
     success: f64,
 }
 
+/// What a refusal adds to the work per slot: the slots are busy and the queue is about full.
+const REFUSED: f64 = 2.0;
+
+/// The seconds in which it loses half of that; a queue of ten takes about this long to run.
+const REFUSED_HALF_LIFE: f64 = 0.1;
+
 /// The time constant of the latency mean.
 const LATENCY_SECONDS: f64 = 1.0;
 
@@ -34,6 +41,7 @@
             ramp_percent: 100,
             reported_others: 0.0,
             reported_at: now,
+            refused_at: None,
             latency: 0.0,
             latency_at: now,
             success: 1.0,
@@ -48,6 +56,11 @@
         self.reported_at = now;
     }
 
+    /// Takes in that the owner refused a request as not run.
+    pub(crate) fn refuse(&mut self, now: Time) {
+        self.refused_at = Some(now);
+    }
+
     pub(crate) fn observe(&mut self, latency: Option<Duration>, success: bool, now: Time) {
         let outcome = if success { 1.0 } else { 0.0 };
         self.success += SUCCESS_WEIGHT * (outcome - self.success);
@@ -67,7 +80,11 @@
         let kept = (-age / weights.report_half_life.max(1e-6)).exp2();
         let ramp = f64::from(self.ramp_percent) / 100.0;
         let work = f64::from(self.own_in_flight) + self.reported_others * kept;
-        work / (f64::from(slots.max(1)) * ramp)
+        let refused = self.refused_at.map_or(0.0, |at| {
+            let age = now.saturating_sub(at).as_secs_f64();
+            REFUSED * (-age / REFUSED_HALF_LIFE).exp2()
+        });
+        work / (f64::from(slots.max(1)) * ramp) + refused
     }
 
     /// Returns the cost of one more request here, where `mean` is the latency over all servers in
--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -211,7 +211,10 @@
         let Some(place) = self.find(server) else { return };
         let estimate = &mut self.peers[place].estimate;
         estimate.own_in_flight = estimate.own_in_flight.saturating_sub(1);
-        let Some(latency) = latency else { return };
+        let Some(latency) = latency else {
+            estimate.refuse(now);
+            return;
+        };
         estimate.observe(Some(latency), success, now);
         if success {
             self.latency += 0.01 * (latency.as_secs_f64() - self.latency);
--- a/crates/arbutuslane_balance/tests/picker.rs
+++ b/crates/arbutuslane_balance/tests/picker.rs
@@ -190,3 +190,18 @@
         assert!(largest <= bound, "{entries} entries, {servers} servers: {largest} above {bound}");
     }
 }
+
+/// Guards against more work for a server that has just refused some while others have room.
+#[test]
+fn pick_refused() {
+    let mut picker = picker(&[0; 6]);
+    let mut rng = rng::seeded(27);
+    let request = Request { class: Class::Idempotent, tried: &[] };
+    let now = Duration::from_secs(1);
+    picker.sent("s000", now);
+    picker.answered("s000", now, None, false);
+    for _ in 0..50 {
+        let pick = picker.pick(&request, now, &mut rng).expect("all are open");
+        assert_ne!(pick.server, "s000");
+    }
+}
