Eject nothing for slowness while the peers refuse work

Change: entries count refusals by servers in use as slow requests of the peers (Summarizer::refused), so slowness loses its weight when the service is full.

--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_balance::candidate::Serving;
 use arbutuslane_balance::picker;
 use arbutuslane_limit::budget::Origin;
 use arbutuslane_limit::deadline::Deadline;
@@ -121,6 +122,10 @@
             }
             Result::NotRun | Result::Pending => {
                 state.picker.answered(&name, now, None, false);
+                let is_open = load.is_some_and(|load| load.serving == Serving::Open);
+                if is_open && !trial {
+                    state.summarizer.refused(&name, class, now);
+                }
                 self.retry(request, Outcome::NotRun, trial);
             }
         }
--- a/crates/arbutuslane_health/src/summarizer.rs
+++ b/crates/arbutuslane_health/src/summarizer.rs
@@ -113,25 +113,7 @@
         success: bool,
         now: Time,
     ) {
-        let place = match self.place(server) {
-            Ok(place) => place,
-            Err(place) => {
-                let fresh = Server {
-                    id: server.to_string(),
-                    summarized: [None; CLASSES],
-                    classes: Default::default(),
-                };
-                self.servers.insert(place, fresh);
-                place
-            }
-        };
-        let cell = self.servers[place].classes[index(class)].get_or_insert_with(|| {
-            Box::new(Cell {
-                latencies: Histogram::new(HALF_LIFE),
-                recent: Recent::default(),
-                p90: None,
-            })
-        });
+        let cell = self.cell(server, class);
         cell.recent.decay(now);
         cell.recent.total += 1.0;
         if !success {
@@ -144,6 +126,17 @@
         cell.latencies.add(latency, now);
     }
 
+    /// Takes in that the owner of `server`, which is in use, refused a request as not run.
+    ///
+    /// It counts as slow: when the peers are full, a slow server that works is worth more than its
+    /// ejection.
+    pub fn refused(&mut self, server: &str, class: Class, now: Time) {
+        let cell = self.cell(server, class);
+        cell.recent.decay(now);
+        cell.recent.total += 1.0;
+        cell.recent.slow += 1.0;
+    }
+
     /// Returns the summary of the other servers for the owner of `server`, or nothing when none of
     /// them has answered a request of `class`.
     pub fn summary(&mut self, server: &str, class: Class, now: Time) -> Option<Summary> {
@@ -208,6 +201,28 @@
         })
     }
 
+    fn cell(&mut self, server: &str, class: Class) -> &mut Cell {
+        let place = match self.place(server) {
+            Ok(place) => place,
+            Err(place) => {
+                let fresh = Server {
+                    id: server.to_string(),
+                    summarized: [None; CLASSES],
+                    classes: Default::default(),
+                };
+                self.servers.insert(place, fresh);
+                place
+            }
+        };
+        self.servers[place].classes[index(class)].get_or_insert_with(|| {
+            Box::new(Cell {
+                latencies: Histogram::new(HALF_LIFE),
+                recent: Recent::default(),
+                p90: None,
+            })
+        })
+    }
+
     fn place(&self, server: &str) -> Result<usize, usize> {
         self.servers.binary_search_by(|known| known.id.as_str().cmp(server))
     }
--- a/crates/arbutuslane_health/tests/detector.rs
+++ b/crates/arbutuslane_health/tests/detector.rs
@@ -260,3 +260,19 @@
     let found = summarizer.summary("d", Class::Idempotent, now).expect("three peers answered");
     assert!(found.p90 < Duration::from_millis(80), "{found:?}");
 }
+
+/// Guards against an ejection for slowness while the peers have no room for the work.
+#[test]
+fn summary_refusals() {
+    let mut summarizer = Summarizer::default();
+    let mut rng = rng::seeded(57);
+    let now = Duration::from_secs(1);
+    for _ in 0..50 {
+        for server in ["a", "b", "c", "d"] {
+            summarizer.observe(server, Class::Idempotent, healthy(&mut rng), true, now);
+            summarizer.refused(server, Class::Idempotent, now);
+        }
+    }
+    let found = summarizer.summary("d", Class::Idempotent, now).expect("three peers answered");
+    assert!(found.slow >= 0.5, "{found:?}");
+}
