--- a/crates/arbutuslane_cli/src/catalogue/apply.rs
+++ b/crates/arbutuslane_cli/src/catalogue/apply.rs
@@ -49,6 +49,14 @@
 struct InForce {
     instances: usize,
     behind: Vec<String>,
+    unreached: Vec<String>,
+}
+
+impl InForce {
+    /// Returns whether every instance that answered, or that another one calls alive, is ready.
+    fn is_reached(&self) -> bool {
+        self.behind.is_empty() && self.instances > 0
+    }
 }
 
 enum Answer {
@@ -126,7 +134,7 @@
             applied.revision = revision;
             if proposal.wait {
                 let in_force = wait(http, revision, settings, started, proposal.timeout).await;
-                let complete = in_force.behind.is_empty() && in_force.instances > 0;
+                let complete = in_force.is_reached() && in_force.unreached.is_empty();
                 applied.in_force = Some(in_force);
                 if complete { Code::Done } else { Code::Partial }
             } else {
@@ -214,13 +222,22 @@
 ) -> InForce {
     loop {
         let mut statuses = Vec::new();
-        for address in &settings.controls {
-            let Ok(reply) = http.get(address, "/v1/status").await else { continue };
-            statuses.extend(reply.json_or_none::<answers::Status>().map(Into::into));
+        let mut unreached = Vec::new();
+        // Nodes tell their own revision, also while they report to no control instance.
+        for (addresses, http) in
+            [(&settings.controls, http.clone()), (&settings.nodes, http.without_token())]
+        {
+            for address in addresses {
+                let reply = http.get(address, "/v1/status").await.ok();
+                match reply.and_then(|reply| reply.json_or_none::<answers::Status>()) {
+                    Some(status) => statuses.push(status.into()),
+                    None => unreached.push(address.clone()),
+                }
+            }
         }
-        let in_force = progress(revision, &statuses);
-        let complete = in_force.behind.is_empty() && in_force.instances > 0;
-        if complete || started.elapsed() >= timeout {
+        let mut in_force = progress(revision, &statuses);
+        in_force.unreached = unreached;
+        if in_force.is_reached() || started.elapsed() >= timeout {
             return in_force;
         }
         sleep(ROUND_PAUSE).await;
@@ -244,6 +261,7 @@
     InForce {
         instances: highest.len(),
         behind: behind.map(|(instance, _)| (*instance).to_string()).collect(),
+        unreached: Vec::new(),
     }
 }
 
@@ -264,6 +282,9 @@
         if !in_force.behind.is_empty() {
             text.push_str(&format!("; not yet on {}", in_force.behind.join(", ")));
         }
+        if !in_force.unreached.is_empty() {
+            text.push_str(&format!("\nnot reached: {}", in_force.unreached.join(", ")));
+        }
     }
     text
 }
@@ -302,6 +323,9 @@
             status("c3", vec![member("n3", "dead", 1)]),
         ];
         let in_force = progress(7, &statuses);
-        assert_eq!(in_force, InForce { instances: 5, behind: vec!["n2".to_string()] });
+        assert_eq!(
+            in_force,
+            InForce { instances: 5, behind: vec!["n2".to_string()], unreached: Vec::new() }
+        );
     }
 }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -100,7 +100,7 @@
 await() { # await DESCRIPTION COMMAND...
     local description=$1
     shift
-    for _ in $(seq 600); do
+    for _ in $(seq 1200); do
         if "$@" > "$work/await.out" 2>&1; then return; fi
         sleep 0.1
     done
@@ -258,8 +258,8 @@
 applied() { cli catalogue diff "$work/catalogue" > "$work/diff.out"; }
 await "a control instance leads" applied
 grep -E '^(added|against)' "$work/diff.out"
-cli catalogue apply --base 0 --timeout 60 "$work/catalogue"
-for i in 0 1 2 3 4 5; do await "node-$i has the catalogue" node_ready "$i"; done
+cli catalogue apply --base 0 --wait --timeout 60 "$work/catalogue" | tee "$work/apply.out"
+check "the revision is in force on 3 control instances and 6 nodes" grep -q 'in force on 9 of 9' "$work/apply.out"
 for i in 0 1 2 3 4 5; do
     await "node-$i reaches haalestusmeister" serves haalestusmeister.example "$i" /slots /bookings/list /download/a/9
     await "node-$i reaches jasmin" serves jasmin.example "$i" /vitrine /agenda/free /download/a/9
@@ -294,6 +294,20 @@
 
 for name in caller-ee caller-tn; do wait "${pid_of[$name]}"; unset "pid_of[$name]"; done
 
+say "repair the failing servers and wait until trial requests return them to use"
+for name in vitrine-1 slots-1; do
+    get -X POST -d '{"fail": 0.0}' "http://$(server_address $name)/standin/faults" > /dev/null
+done
+count_events() { cli timeline --since 10m --kind "$1" 2> /dev/null | grep -c . || true; }
+returned() { test "$(count_events return)" -ge "$(count_events ejection)"; }
+seconds_of_callers=$seconds
+seconds=300
+start_caller caller-ee-later haalestusmeister.example /slots /bookings 303 0 1 2
+start_caller caller-tn-later jasmin.example /vitrine /agenda 404 3 4
+await "the servers are in use again" returned
+for name in caller-ee-later caller-tn-later; do stop_process "$name" KILL; done
+seconds=$seconds_of_callers
+
 say "what callers saw"
 cat "$work/caller-ee.out" "$work/caller-tn.out"
 
@@ -320,8 +334,10 @@
 check "no key ran twice" test "$(head -n 1 "$work/runs.out" | cut -d' ' -f1)" = 1
 check "the booking that was sent twice ran once" grep -qx '1 "key-twice"' "$work/runs.out"
 
+check "the second booking got the response of the first" cmp -s "$work/booking-0.out" "$work/booking-1.out"
 ejected() { cli timeline --since 10m --kind ejection 2> /dev/null | grep -o 'server=[^ ]*' | sort -u; }
 check "the failing servers were ejected, and no other" test "$(ejected | paste -sd,)" = server=slots-1,server=vitrine-1
+check "the repaired servers returned to use" returned
 check "no service is below its floor" bash -c '! grep -q "below its floor" "$1"' - "$work/status.out"
 
 say "planned stop of all nodes and servers"
