--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -14,7 +14,7 @@
 use crate::traffic::Pool;
 use crate::{configuration, peers};
 
-use super::permits;
+use super::{permits, report};
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -33,6 +33,7 @@
 pub(crate) async fn work(shared: Arc<Shared>) {
     let pool = Pool::new();
     let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
+    let _reporting = ntex::rt::spawn(report::work(Arc::clone(&shared), Rc::clone(&pool)));
     let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
     let mut fetches = 0;
     let mut published = 0;
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod peers;
 pub(crate) mod permits;
 pub(crate) mod registers;
+pub(crate) mod report;
 pub(crate) mod state;
 
 pub(crate) use state::Cluster;
--- a/crates/arbutuslane_node/src/cluster/registers.rs
+++ b/crates/arbutuslane_node/src/cluster/registers.rs
@@ -121,6 +121,18 @@
         (replicas, voting, registers)
     }
 
+    /// Returns the shards whose groups this node votes in, with their epochs.
+    pub(crate) fn votes(&self) -> Vec<(u32, u64)> {
+        let mut votes = Vec::new();
+        for seat in self.seats() {
+            let seat = seat.lock().unwrap_or_else(PoisonError::into_inner);
+            if seat.is_voting() {
+                votes.push((seat.group().shard, seat.group().epoch));
+            }
+        }
+        votes
+    }
+
     fn seat(&self, shard: Shard) -> Option<Arc<Mutex<Seat>>> {
         let seats = self.seats.read().unwrap_or_else(PoisonError::into_inner);
         let index = seats.binary_search_by_key(&shard, |(shard, _)| *shard).ok()?;
