--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -5,10 +5,10 @@
 use arbutuslane_catalogue::entry::{Class, Preference};
 use arbutuslane_core::time::Time;
 
+use crate::cusum::Group;
 use crate::evidence::{AGES, Evidence, LIMIT, confidence, passed, ratio, stopped};
 use crate::peers::{Baseline, Peers};
 use crate::summary::index;
-use crate::test::Group;
 
 /// A request that the owner dispatches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/arbutuslane_health/src/evidence.rs
+++ b/crates/arbutuslane_health/src/evidence.rs
@@ -2,8 +2,8 @@
 
 use arbutuslane_core::time::Time;
 
+use crate::cusum::{Cusum, Group, Mix};
 use crate::peers::Peers;
-use crate::test::{Cusum, Group, Mix};
 
 /// The two tests over the requests of one class, or of all classes together.
 #[derive(Debug, Clone, Default)]
--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -31,9 +31,9 @@
 pub mod summarizer;
 pub mod summary;
 
+mod cusum;
 mod evidence;
 mod histogram;
-mod test;
 
 /// The names that most users of this crate need.
 pub mod prelude {
