--- a/crates/arbutuslane_bench/src/spread/command.rs
+++ b/crates/arbutuslane_bench/src/spread/command.rs
@@ -208,15 +208,15 @@
 
 fn registers() {
     println!(
-        "| keys | bytes a key | replica claims/s a core | coordinator claims/s a core | claim bytes | answer bytes |"
+        "| keys | bytes a key | replica claims/s a core | coordinator claims/s a core | claim bytes | answer bytes | bytes a key in a pull |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     let mut points = Vec::new();
     for keys in [125_000, 250_000, 500_000, 1_000_000, 2_000_000] {
         let cost = register::measure(keys);
         println!(
-            "| {keys} | {:.0} | {:.0} | {:.0} | {} | {} |",
-            cost.bytes, cost.replica, cost.coordinator, cost.message.0, cost.message.1
+            "| {keys} | {:.0} | {:.0} | {:.0} | {} | {} | {:.0} |",
+            cost.bytes, cost.replica, cost.coordinator, cost.message.0, cost.message.1, cost.copy
         );
         points.push((f64::from(keys), cost.bytes * f64::from(keys)));
     }
--- a/crates/arbutuslane_bench/src/spread/register.rs
+++ b/crates/arbutuslane_bench/src/spread/register.rs
@@ -22,6 +22,8 @@
     pub coordinator: f64,
     /// Bytes of an encoded claim and of its answer.
     pub message: (usize, usize),
+    /// Bytes of a register in the encoded page of a pull.
+    pub copy: f64,
 }
 
 fn group() -> Group {
@@ -61,9 +63,20 @@
         replica,
         coordinator: coordinate(),
         message: (encoded[0].len(), answer_bytes),
+        copy: copy_bytes(&mut seat),
     }
 }
 
+fn copy_bytes(seat: &mut Seat) -> f64 {
+    let node = "b".to_string();
+    let pull = Request::Pull { shard: 1, epoch: 1, node, incarnation: 1, cursor: 0 };
+    let page = seat.handle(Duration::ZERO, &pull);
+    let Response::Page { copies, .. } = &page else { return 0.0 };
+    let count = copies.len() as f64;
+    let answer = peer::Answer::Register(page.into());
+    codec::encode(&answer).map_or(0.0, |bytes| bytes.len() as f64 / count)
+}
+
 fn coordinate() -> f64 {
     let response = Response::Claim {
         epoch: 1,
