--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::campaign::{self, Plan};
 use crate::report::Report;
-use crate::{bound, compare, cost, matrix, plot};
+use crate::{bound, compare, cost, matrix, night, plot};
 
 /// Parses the arguments of the process and runs the subcommand.
 ///
@@ -59,6 +59,7 @@
             plot::detection(&report, &text("scenario"), &text("policy"), &path)?;
             Ok(ExitCode::SUCCESS)
         }
+        Some(("night", options)) => night::command::dispatch(options),
         _ => Ok(ExitCode::FAILURE),
     }
 }
@@ -66,7 +67,7 @@
 /// Returns the definition of the arguments.
 pub fn definition() -> Command {
     Command::new("arbutuslane-bench")
-        .about("Runs the decision code in virtual time")
+        .about("Runs the decision code in virtual time and counts runs on real processes")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(with_plan(Command::new("detect").about("Detection and false ejections")))
@@ -108,6 +109,7 @@
                 .arg(Arg::new("policy").long("policy").default_value("fast_detection"))
                 .arg(file("svg").long("svg").required(true)),
         )
+        .subcommand(night::command::definition())
 }
 
 fn file(name: &'static str) -> Arg {
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -3,7 +3,7 @@
 //! A [`run`](sim::run) puts the real picker, gate, detector and ejection life cycle on an event
 //! queue over servers with slots and service-time distributions. There is no network and no
 //! process: hops are delays, and ejection permits are granted by the stated rule
-//! ([`permit::Permits`]).
+//! ([`permit::Permits`]). [`night`] counts what a scenario on real processes left behind.
 //!
 //! ```
 //! use std::time::Duration;
@@ -28,6 +28,7 @@
 pub mod cost;
 pub mod fault;
 pub mod matrix;
+pub mod night;
 pub mod outcome;
 pub mod permit;
 pub mod phi;
--- /dev/null
+++ b/crates/arbutuslane_bench/src/night/plot.rs
@@ -0,0 +1,79 @@
+//! The plot of a night: attempts a second by ending, with the ejected servers.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::plot::Error;
+use crate::report::as_f64;
+
+use super::evidence::Evidence;
+
+const SIZE: (u32, u32) = (1_000, 520);
+const COLORS: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(255, 127, 14),
+    RGBColor(148, 103, 189),
+    RGBColor(90, 90, 90),
+    RGBColor(44, 160, 44),
+];
+
+/// Draws attempts a second by ending and the number of ejected servers over time.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be written.
+pub fn draw(evidence: &Evidence, path: &Path) -> Result<(), Error> {
+    let failed = |error: &dyn std::fmt::Display| Error::new(error.to_string());
+    let start = evidence.start_ms();
+    let mut lines: BTreeMap<String, BTreeMap<u64, u64>> = BTreeMap::new();
+    for attempt in &evidence.attempts {
+        let second = (attempt.at_ms - start) / 1_000;
+        *lines.entry(attempt.ending.clone()).or_default().entry(second).or_default() += 1;
+    }
+    let ejected = lines.entry("ejected servers".to_string()).or_default();
+    for sample in &evidence.samples {
+        let all: u32 = sample.status.services.iter().map(|service| service.ejected).sum();
+        let second = sample.at_ms.saturating_sub(start) / 1_000;
+        let most = ejected.entry(second).or_default();
+        *most = (*most).max(u64::from(all));
+    }
+    let points = || lines.values().flatten();
+    let last = points().map(|(second, _)| *second).max().unwrap_or(1).max(1);
+    let most = points().map(|(_, count)| *count).max().unwrap_or(1).max(1);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|error| failed(&error))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("A night: attempts a second by ending", ("sans-serif", 22))
+        .margin(16)
+        .x_label_area_size(44)
+        .y_label_area_size(70)
+        // One more than each count, so that zero has a place on the logarithmic axis.
+        .build_cartesian_2d(0.0..as_f64(last), (1.0..as_f64(most) * 1.3 + 1.0).log_scale())
+        .map_err(|error| failed(&error))?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds of the load")
+        .y_desc("count a second + 1")
+        .draw()
+        .map_err(|error| failed(&error))?;
+    for (place, (name, counts)) in lines.iter().enumerate() {
+        let color = COLORS[place % COLORS.len()];
+        let at = |second| as_f64(counts.get(&second).copied().unwrap_or(0) + 1);
+        let line = (0..=last).map(|second| (as_f64(second), at(second)));
+        chart
+            .draw_series(LineSeries::new(line, color.stroke_width(2)))
+            .map_err(|error| failed(&error))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()
+        .map_err(|error| failed(&error))?;
+    area.present().map_err(|error| failed(&error))
+}
--- a/crates/arbutuslane_bench/src/plot.rs
+++ b/crates/arbutuslane_bench/src/plot.rs
@@ -25,6 +25,12 @@
     RGBColor(90, 90, 90),
 ];
 
+impl Error {
+    pub(crate) fn new(reason: String) -> Self {
+        Self(reason)
+    }
+}
+
 /// A named line.
 type Line = (String, Vec<(f64, f64)>);
 
--- a/crates/arbutuslane_standin/src/backend/mod.rs
+++ b/crates/arbutuslane_standin/src/backend/mod.rs
@@ -16,6 +16,7 @@
 pub use serve::run;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// The settings of a stand-in backend server.
@@ -47,6 +48,8 @@
     pub seed: u64,
     /// The faults at the start.
     pub faults: Faults,
+    /// The file that takes a record of each run.
+    pub record: Option<PathBuf>,
 }
 
 impl Default for Settings {
@@ -65,6 +68,7 @@
             health_lag: Duration::from_secs(5),
             seed: 1,
             faults: Faults::default(),
+            record: None,
         }
     }
 }
--- a/crates/arbutuslane_standin/src/backend/serve.rs
+++ b/crates/arbutuslane_standin/src/backend/serve.rs
@@ -28,7 +28,7 @@
     let address = listener.local_addr()?;
     println!("{address}");
     System::build().name("backend").build(DefaultRuntime).block_on(async move {
-        let state = Arc::new(State::new(settings));
+        let state = Arc::new(State::new(settings)?);
         let server = start(&state, listener)?;
         System::current().enable_signals();
         let announcing = ntex::rt::spawn(announce::run(Arc::clone(&state), address));
--- a/crates/arbutuslane_standin/src/backend/state.rs
+++ b/crates/arbutuslane_standin/src/backend/state.rs
@@ -10,6 +10,8 @@
 
 use arbutuslane_core::rng::{self, Rng};
 
+use crate::record::{Run, Writer};
+
 use super::{Faults, Settings};
 
 /// What the connections of a stand-in backend server share.
@@ -25,6 +27,7 @@
     pub(super) draining: AtomicBool,
     /// Whether the server has left.
     pub(super) left: AtomicBool,
+    record: Option<Writer>,
     inner: Mutex<Inner>,
 }
 
@@ -50,7 +53,8 @@
 
 impl State {
     /// Returns the state of a server that starts now.
-    pub(super) fn new(settings: Settings) -> Self {
+    pub(super) fn new(settings: Settings) -> std::io::Result<Self> {
+        let record = settings.record.as_deref().map(Writer::open).transpose()?;
         let inner = Inner {
             faults: settings.faults.clone(),
             health: VecDeque::new(),
@@ -60,14 +64,15 @@
             waiting: 0,
             rng: rng::seeded(settings.seed),
         };
-        Self {
+        Ok(Self {
             settings,
             started: Instant::now(),
             revision: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             left: AtomicBool::new(false),
+            record,
             inner: Mutex::new(inner),
-        }
+        })
     }
 
     /// Returns the faults that are on now.
@@ -93,8 +98,12 @@
         shown.is_none_or(|(_, passes)| *passes)
     }
 
-    /// Counts a run under `key`.
-    pub(super) fn count_run(&self, key: Option<&str>) {
+    /// Counts and records the run of `request`, which arrived at `at_ms`, under `key`.
+    pub(super) fn count_run(&self, at_ms: u64, request: Option<&str>, key: Option<&str>) {
+        if let Some(record) = &self.record {
+            let request = request.unwrap_or_default().to_string();
+            record.write(&Run { at_ms, request, key: key.map(str::to_string) });
+        }
         let mut inner = self.lock();
         inner.total += 1;
         if let Some(key) = key {
--- a/crates/arbutuslane_standin/src/backend/work.rs
+++ b/crates/arbutuslane_standin/src/backend/work.rs
@@ -15,7 +15,7 @@
 use arbutuslane_core::hash;
 use arbutuslane_wire::header;
 
-use crate::content;
+use crate::{content, record};
 
 use super::state::{Place, Slot, State};
 use super::{Cut, Faults, download};
@@ -50,7 +50,7 @@
 /// Runs the work of `request` and answers it.
 pub(super) async fn answer(state: &State, swap: &Rc<Swap>, mut request: Request) -> Response {
     let faults = state.faults();
-    let arrived = Instant::now();
+    let (arrived, arrived_ms) = (Instant::now(), record::wall_ms());
     if faults.silent {
         return std::future::pending().await;
     }
@@ -65,12 +65,12 @@
     let deadline = deadline.map(|ms| arrived + Duration::from_millis(ms));
     let Some(place) = state.enter() else { return not_run("no slot and no place in the queue") };
     let Some(_slot) = wait(place, deadline).await else { return not_run("deadline passed") };
+    let key = field(&request, header::IDEMPOTENCY_KEY);
+    state.count_run(arrived_ms, field(&request, content::REQUEST), key);
     if faults.crash_on_mark && request.headers().contains_key(content::CRASH) {
-        state.count_run(field(&request, header::IDEMPOTENCY_KEY));
         tracing::warn!(event = "crash-on-request");
         std::process::exit(3);
     }
-    state.count_run(field(&request, header::IDEMPOTENCY_KEY));
     let service_time = state.service_time();
     if !service_time.is_zero() {
         sleep(service_time).await;
--- a/crates/arbutuslane_standin/src/caller/exchange.rs
+++ b/crates/arbutuslane_standin/src/caller/exchange.rs
@@ -10,6 +10,7 @@
 use arbutuslane_wire::header;
 
 use crate::content;
+use crate::record::{self, Fit};
 
 use super::Settings;
 
@@ -38,7 +39,7 @@
         /// The outcome that the fleet stated.
         outcome: String,
         /// Whether it is the response to this request.
-        own: bool,
+        fit: Fit,
     },
     /// A response broke off.
     Broken,
@@ -99,19 +100,71 @@
     let outcome = text(header::OUTCOME).unwrap_or_else(|| "none".to_string());
     let answered = outcome == header::OUTCOME_ANSWERED && response.status().is_success();
     let Ok(body) = response.body().limit(1 << 30).await else { return Ending::Broken };
-    let own = !answered || belongs(settings, planned, &body);
-    Ending::Complete { status, outcome, own }
+    let fit = if answered { fit(settings, planned, &body) } else { Fit::Own };
+    Ending::Complete { status, outcome, fit }
 }
 
-/// Returns whether `body` is the complete response to `planned`.
-fn belongs(settings: &Settings, planned: &Planned, body: &[u8]) -> bool {
+/// Returns how `body` fits `planned`.
+fn fit(settings: &Settings, planned: &Planned, body: &[u8]) -> Fit {
     if planned.kind == "download" {
         let length = usize::try_from(settings.download_bytes).unwrap_or(usize::MAX);
-        return body == content::bytes(&planned.name, 0, length);
+        let whole = content::bytes(&planned.name, 0, length);
+        return match whole.strip_prefix(body) {
+            Some([]) => Fit::Own,
+            Some(_) => Fit::Truncated,
+            None => Fit::Foreign,
+        };
     }
-    let Ok(done) = serde_json::from_slice::<serde_json::Value>(body) else { return false };
+    let Ok(done) = serde_json::from_slice::<serde_json::Value>(body) else {
+        return Fit::Truncated;
+    };
     let hash = format!("{:016x}", hash::of_bytes(&planned.body));
-    done["request"] == planned.name.as_str()
+    // A resend may get the stored response of an earlier attempt.
+    let own = done["request"].as_str().map(record::base) == Some(record::base(&planned.name))
         && done["body_bytes"] == planned.body.len()
-        && done["body_hash"] == hash.as_str()
+        && done["body_hash"] == hash.as_str();
+    if own { Fit::Own } else { Fit::Foreign }
+}
+
+impl Ending {
+    /// Returns the stated outcome, or what the caller saw instead of a response.
+    pub(super) fn name(&self) -> &str {
+        match self {
+            Self::Complete { outcome, .. } => outcome,
+            Self::Broken => "broken",
+            Self::Unanswered => "unanswered",
+            Self::Unconnected => "unconnected",
+            Self::GivenUp => "given-up",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a scenario that counts a shortened or foreign response as a correct one.
+    #[test]
+    fn fit_short_foreign_own() {
+        let settings = Settings { download_bytes: 64, ..Settings::default() };
+        let planned = Planned {
+            kind: "download",
+            path: String::new(),
+            name: "1-2".to_string(),
+            body: Vec::new(),
+            key: None,
+        };
+        let whole = content::bytes("1-2", 0, 64);
+        assert_eq!(fit(&settings, &planned, &whole), Fit::Own);
+        assert_eq!(fit(&settings, &planned, &whole[..63]), Fit::Truncated);
+        assert_eq!(fit(&settings, &planned, &content::bytes("1-3", 0, 64)), Fit::Foreign);
+        let lookup = Planned { kind: "lookup", name: "1-2~1".to_string(), ..planned };
+        let hash = format!("{:016x}", hash::of_bytes(b""));
+        let text = |request: &str| {
+            format!(r#"{{"request":"{request}","body_bytes":0,"body_hash":"{hash}"}}"#)
+        };
+        assert_eq!(fit(&settings, &lookup, text("1-2").as_bytes()), Fit::Own);
+        assert_eq!(fit(&settings, &lookup, text("1-20").as_bytes()), Fit::Foreign);
+        assert_eq!(fit(&settings, &lookup, &text("1-2").as_bytes()[..9]), Fit::Truncated);
+    }
 }
--- a/crates/arbutuslane_standin/src/caller/load.rs
+++ b/crates/arbutuslane_standin/src/caller/load.rs
@@ -1,6 +1,7 @@
 //! Arrivals, bounded in number and time.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,8 @@
 
 use arbutuslane_core::rng::{self, Rng};
 
+use crate::record::{Attempt, Fit, Writer, wall_ms};
+
 use super::exchange::{self, Ending, Planned};
 use super::summary::Latencies;
 use super::{Kind, Settings, Summary};
@@ -24,22 +27,39 @@
     summary: RefCell<Summary>,
     latencies: RefCell<Latencies>,
     in_flight: RefCell<usize>,
+    record: Option<Writer>,
+}
+
+/// Why a load run cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The client cannot be built.
+    #[error("cannot build the client: {0}")]
+    Client(#[from] ClientBuilderError),
+    /// The file of records cannot be opened.
+    #[error("cannot open the file of records: {0}")]
+    Record(#[from] std::io::Error),
 }
 
+/// How long a caller waits before it sends a booking again.
+const RESEND_PAUSE: Duration = Duration::from_millis(500);
+
 /// Sends the load that `settings` describe and returns what was counted.
-pub async fn run(settings: Settings) -> Result<Summary, ClientBuilderError> {
+pub async fn run(settings: Settings) -> Result<Summary, Error> {
     let connector = Connector::default().limit(settings.in_flight.max(1));
     let client = Client::builder()
         .connector::<&str>(connector)
         .response_payload_limit(1 << 30)
         .build(SharedCfg::new("caller"))
         .await?;
+    let record = settings.record.as_deref().map(Writer::open).transpose()?;
     let run = Rc::new(Run {
         settings,
         client,
         summary: RefCell::default(),
         latencies: RefCell::new(Latencies::new()),
         in_flight: RefCell::new(0),
+        record,
     });
     let started = Instant::now();
     send_all(&run, started).await;
@@ -75,10 +95,10 @@
         }
         *run.in_flight.borrow_mut() += 1;
         run.summary.borrow_mut().sent += 1;
-        let (task, address) = (Rc::clone(run), settings.nodes[node]);
+        let task = Rc::clone(run);
         ntex::rt::spawn(async move {
             let began = Instant::now();
-            let result = exchange::send(&task.client, &task.settings, address, &planned).await;
+            let result = task.complete(&planned, node).await;
             task.count(planned.kind, &result, began.elapsed());
         });
     }
@@ -115,32 +135,74 @@
 }
 
 impl Run {
+    /// Sends `planned` until it has a response or its resends are used up.
+    async fn complete(&self, planned: &Planned, first: usize) -> Ending {
+        let nodes = &self.settings.nodes;
+        let mut planned = planned.clone();
+        let name = planned.name.clone();
+        for resend in 0.. {
+            let node = nodes[(first + resend) % nodes.len()];
+            let (at_ms, began) = (wall_ms(), Instant::now());
+            let result = exchange::send(&self.client, &self.settings, node, &planned).await;
+            self.record(&planned, node, at_ms, began.elapsed(), &result);
+            let last = resend >= usize::try_from(self.settings.resends).unwrap_or(usize::MAX);
+            let unconnected = result == Ending::Unconnected;
+            let again = unconnected || planned.key.is_some() && result.name() != "answered";
+            if last || !again {
+                return result;
+            }
+            if !unconnected {
+                sleep(RESEND_PAUSE).await;
+            }
+            if planned.kind != "download" {
+                planned.name = format!("{name}~{}", resend + 1);
+            }
+        }
+        Ending::Unanswered
+    }
+
+    fn record(
+        &self,
+        planned: &Planned,
+        node: SocketAddr,
+        at_ms: u64,
+        took: Duration,
+        result: &Ending,
+    ) {
+        let Some(record) = &self.record else { return };
+        let (status, fit) = match result {
+            Ending::Complete { status, fit, .. } => (*status, *fit),
+            _ => (0, Fit::Own),
+        };
+        record.write(&Attempt {
+            at_ms,
+            took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            kind: planned.kind.to_string(),
+            request: planned.name.clone(),
+            key: planned.key.clone(),
+            node: node.to_string(),
+            ending: result.name().to_string(),
+            status,
+            fit,
+        });
+    }
+
     fn count(&self, kind: &'static str, result: &Ending, latency: Duration) {
         *self.in_flight.borrow_mut() -= 1;
         let mut summary = self.summary.borrow_mut();
-        let outcome = match result {
-            Ending::Complete { status, outcome, own } => {
+        match result {
+            Ending::Complete { status, outcome, fit } => {
                 *summary.statuses.entry(*status).or_default() += 1;
-                summary.wrong += u64::from(!own);
+                summary.wrong += u64::from(*fit != Fit::Own);
                 if outcome != "not-run" && *status == 200 {
                     self.latencies.borrow_mut().add(kind, latency);
                 }
-                outcome.as_str()
-            }
-            Ending::Broken => {
-                summary.broken += 1;
-                "broken"
             }
-            Ending::Unanswered => {
-                summary.unanswered += 1;
-                "unanswered"
-            }
-            Ending::Unconnected => "unconnected",
-            Ending::GivenUp => {
-                summary.given_up += 1;
-                "given-up"
-            }
-        };
-        *summary.outcomes.entry(outcome.to_string()).or_default() += 1;
+            Ending::Broken => summary.broken += 1,
+            Ending::Unanswered => summary.unanswered += 1,
+            Ending::Unconnected => {}
+            Ending::GivenUp => summary.given_up += 1,
+        }
+        *summary.outcomes.entry(result.name().to_string()).or_default() += 1;
     }
 }
--- a/crates/arbutuslane_standin/src/caller/mod.rs
+++ b/crates/arbutuslane_standin/src/caller/mod.rs
@@ -4,10 +4,11 @@
 mod load;
 mod summary;
 
-pub use load::run;
+pub use load::{Error, run};
 pub use summary::{Latency, Summary};
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// The settings of a stand-in caller.
@@ -35,6 +36,11 @@
     pub deadline: Duration,
     /// The seed of arrivals, classes and keys.
     pub seed: u64,
+    /// How often a booking without a response is sent again under its key through the next node,
+    /// and how often a request that found no connection goes to the next node.
+    pub resends: u32,
+    /// The file that takes a record of each attempt.
+    pub record: Option<PathBuf>,
 }
 
 /// One kind of request.
@@ -60,6 +66,8 @@
             download_bytes: 1 << 20,
             deadline: Duration::from_secs(5),
             seed: 1,
+            resends: 0,
+            record: None,
         }
     }
 }
--- a/crates/arbutuslane_standin/src/lib.rs
+++ b/crates/arbutuslane_standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backend;
 pub mod caller;
 pub mod content;
+pub mod record;
 pub mod run;
 
 /// The names that most users of this crate need.
--- a/crates/arbutuslane_standin/src/run.rs
+++ b/crates/arbutuslane_standin/src/run.rs
@@ -1,6 +1,7 @@
 //! Reads the arguments of the process and runs a stand-in.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -51,6 +52,7 @@
         .arg(number("health-lag-ms", "5000", "How far the health endpoint lags behind"))
         .arg(number("seed", "1", "The seed of service times and faults"))
         .arg(text("faults", "{}", "The faults at the start, in JSON"))
+        .arg(record("Appends a line of JSON for each run to this file"))
 }
 
 fn caller_command() -> Command {
@@ -70,6 +72,8 @@
         .arg(number("download-bytes", "1048576", "The bytes of each download"))
         .arg(number("deadline-ms", "5000", "The deadline that requests state"))
         .arg(number("seed", "1", "The seed of arrivals, classes and keys"))
+        .arg(number("resends", "0", "How often an unanswered booking is sent again"))
+        .arg(record("Appends a line of JSON for each attempt to this file"))
 }
 
 fn backend_settings(arguments: &ArgMatches) -> miette::Result<backend::Settings> {
@@ -86,6 +90,7 @@
         health_lag: Duration::from_millis(get(arguments, "health-lag-ms")),
         seed: get(arguments, "seed"),
         faults: serde_json::from_str(&get::<String>(arguments, "faults")).into_diagnostic()?,
+        record: arguments.get_one("record").cloned(),
         ..backend::Settings::default()
     })
 }
@@ -107,6 +112,8 @@
         download_bytes: get(arguments, "download-bytes"),
         deadline: Duration::from_millis(get(arguments, "deadline-ms")),
         seed: get(arguments, "seed"),
+        resends: u32::try_from(get::<u64>(arguments, "resends")).unwrap_or(u32::MAX),
+        record: arguments.get_one("record").cloned(),
     }
 }
 
@@ -115,6 +122,10 @@
     arguments.get_one::<T>(name).expect("every argument read here has a default").clone()
 }
 
+fn record(help: &'static str) -> Arg {
+    Arg::new("record").long("record").value_parser(value_parser!(PathBuf)).help(help)
+}
+
 fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).help(help)
 }
