--- a/crates/arbutuslane_cli/src/catalogue/apply.rs
+++ b/crates/arbutuslane_cli/src/catalogue/apply.rs
@@ -7,9 +7,10 @@
 use arbutuslane_catalogue::border;
 use arbutuslane_core::hash;
 use arbutuslane_wire::{operator, status};
-use ntex::time::{Millis, sleep};
+use ntex::time::sleep;
 use serde::Serialize;
 
+use super::read::ROUND_PAUSE;
 use super::{read, show_findings, show_refused};
 use crate::answers;
 use crate::client::Http;
@@ -19,9 +20,6 @@
 use crate::output;
 use crate::settings::Settings;
 
-/// The pause between two rounds over all control instances, below the time of an election.
-const ROUND_PAUSE: Millis = Millis(250);
-
 /// How a change is proposed.
 #[derive(Debug, Clone)]
 pub(crate) struct Proposal {
--- a/crates/arbutuslane_cli/src/catalogue/read.rs
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -1,7 +1,10 @@
 //! Reads the catalogue, its history and the live servers from the control instances.
 
+use std::time::{Duration, Instant};
+
 use arbutuslane_catalogue::{border, diff};
 use arbutuslane_wire::{operator, status};
+use ntex::time::{Millis, sleep};
 
 use crate::answers;
 use crate::client::{Http, Reply};
@@ -10,6 +13,9 @@
 use crate::output;
 use crate::settings::Settings;
 
+/// The pause between two rounds over all control instances, below the time of an election.
+pub(super) const ROUND_PAUSE: Millis = Millis(250);
+
 /// Shows the catalogue in the form of a catalogue file.
 pub(crate) async fn show(
     revision: Option<u64>,
@@ -105,18 +111,29 @@
     if settings.controls.is_empty() {
         return Err(Error::Missing { what: "control instance", key: "controls" });
     }
-    let mut tried = Vec::new();
-    for address in &settings.controls {
-        match http.get(address, path).await {
-            Ok(reply) if matches!(reply.status, 401 | 403) => {
-                return Err(refused(address, &reply));
+    let started = Instant::now();
+    loop {
+        let mut tried = Vec::new();
+        let mut electing = false;
+        for address in &settings.controls {
+            match http.get(address, path).await {
+                Ok(reply) if matches!(reply.status, 401 | 403) => {
+                    return Err(refused(address, &reply));
+                }
+                Ok(reply) if reply.status < 500 => return Ok((address.clone(), reply)),
+                Ok(reply) => {
+                    electing |= reply.status == 503;
+                    tried.push(format!("{address}: status {}", reply.status));
+                }
+                Err(fault) => tried.push(format!("{address}: {fault}")),
             }
-            Ok(reply) if reply.status < 500 => return Ok((address.clone(), reply)),
-            Ok(reply) => tried.push(format!("{address}: status {}", reply.status)),
-            Err(fault) => tried.push(format!("{address}: {fault}")),
         }
+        // Without a leader, instances refuse to show what may be outdated; one is elected soon.
+        if !electing || started.elapsed() >= Duration::from_millis(settings.timeout_ms) {
+            return Err(Error::Unreachable { tried: tried.join("; ") });
+        }
+        sleep(ROUND_PAUSE).await;
     }
-    Err(Error::Unreachable { tried: tried.join("; ") })
 }
 
 /// Returns the error for a response that refuses the request.
--- a/crates/arbutuslane_cli/tests/control.rs
+++ b/crates/arbutuslane_cli/tests/control.rs
@@ -1,6 +1,7 @@
 //! Runs the program against a real control instance on loopback.
 
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::Path;
 use std::process::Command;
 
@@ -103,3 +104,32 @@
     expect(folder, 5, "catalogue apply --base 0 one.json");
     expect(folder, 5, "catalogue show");
 }
+
+/// Guards against an invalid catalogue that a client without the checks brings into force.
+#[test]
+fn change_invalid() {
+    let folder: TempDir = tempfile::tempdir().unwrap();
+    let folder = folder.path();
+    start(folder);
+    catalogue(folder, "one.json", 0);
+    let entries = std::fs::read_to_string(folder.join("one.json")).unwrap();
+    let body = entries.replacen(
+        '{',
+        "{\"change_id\": \"x\", \"author\": \"mari\", \"base_revision\": 0, ",
+        1,
+    );
+    let settings = std::fs::read_to_string(folder.join("arbutuslane.json")).unwrap();
+    let address = settings.split('"').nth(3).unwrap();
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = format!(
+        "POST /v1/changes HTTP/1.1\r\nhost: c1\r\nauthorization: Bearer {TOKEN}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 422"), "{response}");
+    assert!(response.contains("entries[0].floor"), "{response}");
+    assert!(expect(folder, 0, "catalogue history").lines().count() == 1);
+}
