Report refusals to the picker by a call of their own

Cause: Picker::answered without a latency counted as a refusal, but entries also call it when a caller gives up, which says nothing about the server.

Change: Picker::refused; answered without a latency is neutral again.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -206,15 +206,12 @@
 
     /// Counts a request as answered, failed or given up.
     ///
-    /// `latency` is that at the owner, and nothing when the request did not run.
+    /// `latency` is that at the owner, and nothing when the request did not run or was given up.
     pub fn answered(&mut self, server: &str, now: Time, latency: Option<Duration>, success: bool) {
         let Some(place) = self.find(server) else { return };
         let estimate = &mut self.peers[place].estimate;
         estimate.own_in_flight = estimate.own_in_flight.saturating_sub(1);
-        let Some(latency) = latency else {
-            estimate.refuse(now);
-            return;
-        };
+        let Some(latency) = latency else { return };
         estimate.observe(Some(latency), success, now);
         if success {
             self.latency += 0.01 * (latency.as_secs_f64() - self.latency);
@@ -225,6 +222,14 @@
         }
     }
 
+    /// Takes in that the owner of `server` refused a request because the server is full, besides
+    /// [`Picker::answered`]; others are chosen first for some 100 ms.
+    pub fn refused(&mut self, server: &str, now: Time) {
+        if let Some(place) = self.find(server) {
+            self.peers[place].estimate.refuse(now);
+        }
+    }
+
     /// Takes in the load that an owner reported on a response.
     pub fn report(&mut self, server: &str, load: &Load, now: Time) {
         let Some(place) = self.find(server) else { return };
--- a/crates/arbutuslane_balance/tests/picker.rs
+++ b/crates/arbutuslane_balance/tests/picker.rs
@@ -191,7 +191,8 @@
     }
 }
 
-/// Guards against more work for a server that has just refused some while others have room.
+/// Guards against more work for a server that has just refused some while others have room, and
+/// against a request that its caller gave up counting as a refusal.
 #[test]
 fn pick_refused() {
     let mut picker = picker(&[0; 6]);
@@ -200,6 +201,9 @@
     let now = Duration::from_secs(1);
     picker.sent("s000", now);
     picker.answered("s000", now, None, false);
+    let given_up = (0..200).filter_map(|_| picker.pick(&request, now, &mut rng));
+    assert!(given_up.into_iter().any(|pick| pick.server == "s000"), "giving up is no refusal");
+    picker.refused("s000", now);
     for _ in 0..50 {
         let pick = picker.pick(&request, now, &mut rng).expect("all are open");
         assert_ne!(pick.server, "s000");
--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -124,6 +124,7 @@
                 state.picker.answered(&name, now, None, false);
                 let is_open = load.is_some_and(|load| load.serving == Serving::Open);
                 if is_open && !trial {
+                    state.picker.refused(&name, now);
                     state.summarizer.refused(&name, class, now);
                 }
                 self.retry(request, Outcome::NotRun, trial);
