Stop a request that crashes servers after two crashes

Cause: a lookup that crashes each server that runs it was sent on by resends and by the fleet's own retries.

Change: the owner records a strike when a connection breaks in mid-exchange and the server's process is gone, tells the owners of the service's other servers within 200 ms, and marks the refusal as final, which entries do not retry. A struck request runs under a register claim, two strikes quarantine it.

Conclusion: bounded to two crashes between processes. A break after the response head is not counted as a crash.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -8,7 +8,7 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::hash;
 use arbutuslane_record::message::{Answer as Kept, Kind, Request, Response as Reply};
-use arbutuslane_record::prelude::{Coordinator, Decision, Group, key};
+use arbutuslane_record::prelude::{Coordinator, Decision, Group, Key, key};
 use arbutuslane_record::store::ANSWER_LIMIT;
 use arbutuslane_wire::{header, peer};
 use ntex::channel::mpsc;
@@ -19,10 +19,10 @@
 
 use crate::peers;
 use crate::shared::Shared;
-use crate::traffic::{Answer, Outcome, Pool, Refusal, Routed, Upload, Worker};
+use crate::traffic::{self, Answer, Outcome, Pool, Refusal, Routed, Upload, Worker};
 
 /// The longest wait for a majority: many times the round trip between failure domains.
-const CLAIM_WAIT: Duration = Duration::from_millis(500);
+pub(crate) const CLAIM_WAIT: Duration = Duration::from_millis(500);
 
 /// The bytes of a request's body that its fingerprint covers.
 const FINGERPRINT_BYTES: usize = 16 << 10;
@@ -56,34 +56,19 @@
     let Some(text) = field.filter(|_| routed.class == Class::NonIdempotent) else {
         return Ok(Begun::Free);
     };
-    let groups = worker.shared.cluster.registers.groups();
     // Control has not assigned any group yet, so that there is no register to claim.
-    let Ok(shards @ 1..) = u32::try_from(groups.len()) else { return Ok(Begun::Free) };
+    if worker.shared.cluster.registers.groups().is_empty() {
+        return Ok(Begun::Free);
+    }
     let key = key::of(&routed.service, &String::from_utf8_lossy(text.as_bytes()));
-    let shard = key::shard(key, shards);
-    let Some(group) = groups.iter().find(|group| group.shard == shard) else {
-        return Err(no_quorum());
-    };
-    let attempt = rand::rng().random();
-    let fingerprint = fingerprint(routed);
-    let (mut coordinator, claim) =
-        Coordinator::claim(group.clone(), key, attempt, fingerprint, Kind::Booking);
-    let replies = send(&worker.shared, &worker.pool, group, &Request::Claim(claim));
-    let deciding = async {
-        while let Some((node, reply)) = replies.recv().await {
-            if let Some(decision) = coordinator.replied(&node, &reply) {
-                return Some(decision);
-            }
-        }
-        None
-    };
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
-    let decided = timeout_checked(CLAIM_WAIT.min(remaining / 2), deciding).await;
-    let decision = decided.ok().flatten().or_else(|| coordinator.expired());
+    let wait = CLAIM_WAIT.min(remaining / 2);
+    let fingerprint = fingerprint(&routed.request);
+    let claimed = claim(worker, key, fingerprint, Kind::Booking, wait).await;
+    let Some((coordinator, decision)) = claimed else { return Err(no_quorum()) };
     if decision == Some(Decision::Dispatch) {
         return Ok(Begun::Held(Held { coordinator }));
     }
-    drop(send(&worker.shared, &worker.pool, group, &coordinator.withdraw()));
     match decision {
         Some(Decision::Replay(kept)) => Ok(Begun::Replay(replay(&kept))),
         Some(Decision::Unknown) => {
@@ -100,6 +85,39 @@
     }
 }
 
+/// Claims a register; withdraws the attempt unless it may dispatch. Returns nothing when the key's
+/// shard has no group.
+pub(crate) async fn claim(
+    worker: &Worker,
+    key: Key,
+    fingerprint: u64,
+    kind: Kind,
+    wait: Duration,
+) -> Option<(Coordinator, Option<Decision>)> {
+    let groups = worker.shared.cluster.registers.groups();
+    let shards = u32::try_from(groups.len()).ok().filter(|shards| *shards > 0)?;
+    let shard = key::shard(key, shards);
+    let group = groups.iter().find(|group| group.shard == shard)?;
+    let attempt = rand::rng().random();
+    let (mut coordinator, claim) =
+        Coordinator::claim(group.clone(), key, attempt, fingerprint, kind);
+    let replies = send(&worker.shared, &worker.pool, group, &Request::Claim(claim));
+    let deciding = async {
+        while let Some((node, reply)) = replies.recv().await {
+            if let Some(decision) = coordinator.replied(&node, &reply) {
+                return Some(decision);
+            }
+        }
+        None
+    };
+    let decided = timeout_checked(wait, deciding).await;
+    let decision = decided.ok().flatten().or_else(|| coordinator.expired());
+    if decision != Some(Decision::Dispatch) {
+        drop(send(&worker.shared, &worker.pool, group, &coordinator.withdraw()));
+    }
+    Some((coordinator, decision))
+}
+
 impl Held {
     /// Ends the claim as the result of the request demands.
     pub(crate) async fn finish(
@@ -145,7 +163,7 @@
 /// Sends a request to every member of `group`; its replies arrive at the receiver.
 ///
 /// All requests go on when the receiver is dropped, so that every member learns of a claim.
-fn send(
+pub(crate) fn send(
     shared: &Arc<Shared>,
     pool: &Rc<Pool>,
     group: &Group,
@@ -177,8 +195,8 @@
     Refusal { elsewhere: false, ..Refusal::not_run(error) }
 }
 
-fn fingerprint(routed: &Routed) -> u64 {
-    let request = &routed.request;
+/// Returns a hash of the method, path and query, and the first 16 KiB of a body that is held.
+pub(crate) fn fingerprint(request: &traffic::Request) -> u64 {
     let mut bytes = format!("{} {}\n", request.method, request.target).into_bytes();
     if let Upload::Whole(body) = &request.upload {
         bytes.extend_from_slice(&body[..body.len().min(FINGERPRINT_BYTES)]);
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -12,5 +12,6 @@
 pub(crate) mod permits;
 pub(crate) mod registers;
 pub(crate) mod state;
+pub(crate) mod strikes;
 
 pub(crate) use state::Cluster;
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -18,6 +18,7 @@
 
 use super::delta;
 use super::registers::Registers;
+use super::strikes::Known;
 
 /// What the threads of a node share about the fleet.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     member: Mutex<Member>,
     /// The replicas of quorum registers that this node keeps.
     pub(crate) registers: Registers,
+    /// The requests that crashed servers.
+    pub(crate) strikes: Known,
     tickets: AtomicU64,
 }
 
@@ -57,7 +60,7 @@
         let rng = rng::seeded(rand::rng().random());
         let registers = Registers::new(&settings.node, incarnation);
         let member = Mutex::new(Member { gossip, rng, known: vec![Arc::default()] });
-        Self { member, registers, tickets: AtomicU64::new(0) }
+        Self { member, registers, strikes: Known::default(), tickets: AtomicU64::new(0) }
     }
 
     /// Locks membership.
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -117,6 +117,15 @@
             let response = shared.cluster.register(shared, &request);
             peer::Answer::Register(response.into())
         }
-        _ => peer::Answer::Unsupported,
+        peer::Message::Strike { server, incarnation, fingerprints, .. } => {
+            let now = shared.clock.now();
+            cluster::strikes::told(shared, now, &server, incarnation, &fingerprints);
+            peer::Answer::Done
+        }
+        peer::Message::ClearStrikes { fingerprint, .. } => {
+            shared.cluster.strikes.lock().clear(fingerprint);
+            peer::Answer::Done
+        }
+        peer::Message::InForce { .. } => peer::Answer::Unsupported,
     }
 }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -129,6 +129,7 @@
         summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         limit,
+        fingerprint: keyed::fingerprint(&routed.request),
         request: routed.request.clone(),
     };
     let began = worker.shared.clock.now();
@@ -149,7 +150,7 @@
             if refusal.choice != Choice::Stale {
                 ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
             }
-            if refusal.choice != Choice::Sound {
+            if matches!(refusal.choice, Choice::Stale | Choice::Shed) {
                 services::avoid(worker, service, &server);
             }
             return Err(refusal);
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -25,5 +25,5 @@
 pub(crate) use client::{Echo, Failure, Pool, Request, Upload};
 pub(crate) use entry::Routed;
 pub(crate) use limiter::Limiter;
-pub(crate) use refusal::{Outcome, Refusal};
+pub(crate) use refusal::{Choice, Outcome, Refusal};
 pub(crate) use worker::{Worker, new_exchange};
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -16,6 +16,7 @@
 use arbutuslane_wire::header;
 
 use crate::announce::Server;
+use crate::cluster::strikes;
 use crate::metrics::count;
 
 use super::answer::Answer;
@@ -50,6 +51,8 @@
     pub(crate) deadline: Deadline,
     /// How long to wait for the response head.
     pub(crate) limit: Duration,
+    /// Tells requests apart that crash servers.
+    pub(crate) fingerprint: u64,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
 }
@@ -88,6 +91,7 @@
     let clock = &worker.shared.clock;
     let server = find(worker, &work)?;
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
+    let mut alone = strikes::admit(worker, &server.service, work.fingerprint).await?;
     let until = Deadline::after(clock.now(), limit);
     let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
     if let Some((source, summary)) = &work.summary {
@@ -99,16 +103,30 @@
         return Err(Refusal::stale("the server is ejected and takes trial requests only"));
     };
     let started = clock.now();
-    let reply = send(worker, &server, &work).await.map_err(|failure| {
-        if failure.blames_server() {
-            running.finish(false);
-        }
-        if matches!(failure, Failure::WrongExchange) {
-            count(&worker.shared.metrics.wrong_exchange);
+    let reply = match send(worker, &server, &work).await {
+        Ok(reply) => reply,
+        Err(failure) => {
+            if failure.blames_server() {
+                running.finish(false);
+            }
+            if matches!(failure, Failure::WrongExchange) {
+                count(&worker.shared.metrics.wrong_exchange);
+            }
+            tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
+            let refusal = Refusal::from_failure(&failure);
+            let broke = matches!(failure, Failure::Closed(_));
+            if !broke || !strikes::crashed(worker, &server, work.fingerprint).await {
+                return Err(refusal);
+            }
+            if let Some(alone) = &mut alone {
+                alone.keep();
+            }
+            return Err(Refusal { choice: Choice::Final, elsewhere: false, ..refusal });
         }
-        tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
-        Refusal::from_failure(&failure)
-    })?;
+    };
+    if alone.take().is_some() {
+        strikes::passed(worker, &server.service, work.fingerprint);
+    }
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
     if reply.echoed {
@@ -156,8 +174,22 @@
     let request = Request { method, target, headers, upload };
     let limit = deadline.remaining(now);
     let trial = incoming.headers().contains_key(header::TRIAL);
+    let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
+    let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
+    let fingerprint = fingerprint.unwrap_or_default();
     let service = String::new();
-    Ok(Work { service, server, incarnation, class, trial, summary, deadline, limit, request })
+    Ok(Work {
+        service,
+        server,
+        incarnation,
+        class,
+        trial,
+        summary,
+        deadline,
+        limit,
+        fingerprint,
+        request,
+    })
 }
 
 fn find(worker: &Worker, work: &Work) -> Result<Arc<Server>, Refusal> {
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -35,6 +35,8 @@
     Stale,
     /// The server itself sheds load.
     Shed,
+    /// No other server may be tried: the request has crashed one.
+    Final,
 }
 
 /// Whether a request without a response of a backend server can have run.
@@ -135,6 +137,9 @@
             Choice::Shed => {
                 builder.header(header::REFUSAL, header::REFUSAL_SHED);
             }
+            Choice::Final => {
+                builder.header(header::REFUSAL, header::REFUSAL_FINAL);
+            }
         }
         builder
             .json(&operator::Refusal { error: self.error.clone(), remedy: self.remedy.to_string() })
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -61,6 +61,8 @@
     let clock = &worker.shared.clock;
     let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, .. } =
         work;
+    let fingerprint = format!("{:016x}", work.fingerprint);
+    fields::set(&mut request.headers, header::FINGERPRINT, &fingerprint);
     request.target = format!("{FORWARD}{}", request.target);
     let class_name = match class {
         Class::Idempotent => "idempotent",
@@ -108,8 +110,10 @@
     let choice = match fields::text(&reply.headers, header::REFUSAL) {
         Some(header::REFUSAL_STALE) => Choice::Stale,
         Some(header::REFUSAL_SHED) => Choice::Shed,
+        Some(header::REFUSAL_FINAL) => Choice::Final,
         _ => Choice::Sound,
     };
+    let elsewhere = choice != Choice::Final;
     let retry_after = fields::text(&reply.headers, "retry-after");
     let retry_after = retry_after.and_then(|text| text.parse().ok());
     let body = reply.body.collect(REFUSAL_BYTES).await.unwrap_or_default();
@@ -118,11 +122,15 @@
         Err(_) => format!("the owner responded with status {status}"),
     };
     match outcome {
-        Outcome::NotRun => Refusal { status, retry_after, choice, ..Refusal::not_run(error) },
+        Outcome::NotRun => {
+            Refusal { status, retry_after, choice, elsewhere, ..Refusal::not_run(error) }
+        }
         // Without the outcome field the owner proves nothing.
         Outcome::Unknown if status.is_success() => {
             Refusal::unknown(StatusCode::BAD_GATEWAY, "the owner stated no outcome")
         }
-        Outcome::Unknown => Refusal { retry_after, ..Refusal::unknown(status, error) },
+        Outcome::Unknown => {
+            Refusal { retry_after, choice, elsewhere, ..Refusal::unknown(status, error) }
+        }
     }
 }
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -13,4 +13,5 @@
 mod response;
 mod silence;
 mod stop;
+mod strikes;
 mod support;
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -59,3 +59,9 @@
 
 /// Tells apart the sources of baselines (16 hexadecimal digits), on requests to an owner.
 pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
+
+/// No other server may be tried, because the request has crashed one.
+pub const REFUSAL_FINAL: &str = "final";
+
+/// Tells requests apart that crash servers (16 hexadecimal digits), on requests to an owner.
+pub const FINGERPRINT: &str = "arbutuslane-fingerprint";
