--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -11,7 +11,9 @@
 pub(crate) mod peers;
 pub(crate) mod permits;
 pub(crate) mod registers;
+pub(crate) mod report;
 pub(crate) mod state;
 pub(crate) mod strikes;
+mod watch;
 
 pub(crate) use state::Cluster;
