Ask control for the configuration once a minute instead of every 2 s

Cause: control takes part in gossip now, so the requests of every node every 2 s (700 a second at target size) carry nothing.

Conclusion: control traffic of a node is that of gossip and reports.

--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -23,9 +23,9 @@
 /// The time between two rounds of upkeep and of pulls for recovering replicas.
 const UPKEEP: Duration = Duration::from_millis(500);
 
-/// The time between two requests for the configuration to a control instance. Nodes pass it on
-/// among each other, so that one node's request is enough.
-const FETCH: Duration = Duration::from_secs(2);
+/// The time between two requests for the configuration to a control instance. Gossip passes it on;
+/// this finds it where an instance does not take part in gossip.
+const FETCH: Duration = Duration::from_secs(60);
 
 /// The longest wait for a page of registers.
 const PULL_WAIT: Duration = Duration::from_secs(2);
