--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod registers;
 pub(crate) mod report;
 pub(crate) mod state;
+pub(crate) mod strikes;
 mod watch;
 
 pub(crate) use state::Cluster;
