Refuse a request that has crashed two servers

Cause: a caller that resends a request which crashes its server crashed one server after the other.

Change: when a connection breaks in mid-exchange, the owner probes with a new connection; if that is refused or the incarnation has changed, it records a strike against the request's fingerprint, tells the owners of the service's other servers (at most 200 ms) and only then reports the failure, which the entry does not retry. Two strikes refuse the request as not run for 10 min; a run without a crash clears them. A body that is streamed (above 64 KiB or in chunks) has no fingerprint. The register claim that lets a request with one strike run only once at a time in the fleet is not made yet. outcome_reset ended its listener on an empty connection, which the probe now is; it ends on a flag and still counts every connection that carries a byte.

Conclusion: the bound of two holds for resends after each failure, not yet for copies of the request that run at the same time.

--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -99,6 +99,7 @@
         shared.events.record(draft.service(&server.service).server(&server.id));
     }
     shared.cluster.registers.sweep(now);
+    shared.strikes().sweep(now);
     pool.expire();
     for (node, request) in shared.cluster.registers.pulls() {
         let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -117,6 +117,17 @@
             let response = shared.cluster.register(shared, &request);
             peer::Answer::Register(response.into())
         }
-        _ => peer::Answer::Unsupported,
+        peer::Message::Strike { server, incarnation, fingerprints, .. } => {
+            let now = shared.clock.now();
+            for fingerprint in fingerprints {
+                shared.strikes().strike(now, fingerprint, &server, incarnation);
+            }
+            peer::Answer::Done
+        }
+        peer::Message::ClearStrikes { fingerprint, .. } => {
+            shared.strikes().clear(fingerprint);
+            peer::Answer::Done
+        }
+        peer::Message::InForce { .. } => peer::Answer::Unsupported,
     }
 }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use subtle::ConstantTimeEq;
@@ -12,6 +12,7 @@
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_limit::bucket::Bucket;
+use arbutuslane_record::strike::Strikes;
 
 use crate::announce::Table;
 use crate::cluster::Cluster;
@@ -69,6 +70,7 @@
     /// The rates that this node accepts as an entry.
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
+    strikes: Mutex<Strikes>,
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
@@ -94,6 +96,7 @@
             events,
             cluster,
             limiter: Limiter::default(),
+            strikes: Mutex::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
@@ -170,6 +173,11 @@
         self.threads.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Locks the strikes against requests that crashed servers.
+    pub(crate) fn strikes(&self) -> MutexGuard<'_, Strikes> {
+        self.strikes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether one more summary may be attached to a request; half of the burst is kept
     /// for urgent ones.
     pub(crate) fn may_summarize(&self, urgent: bool, now: Time) -> bool {
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -11,6 +11,7 @@
 use ntex::util::BytesMut;
 
 use arbutuslane_catalogue::entry::{Class, Entry};
+use arbutuslane_core::hash;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_limit::budget::{Origin, RetryBudget};
 use arbutuslane_limit::deadline::Deadline;
@@ -40,6 +41,9 @@
 /// The largest request body that is held whole, so that it can be sent again.
 const HELD_BYTES: u64 = 64 << 10;
 
+/// The bytes of a body that a fingerprint covers.
+const FINGERPRINT_BYTES: usize = 16 << 10;
+
 /// A request of a caller after routing.
 #[derive(Debug, Clone)]
 pub(crate) struct Routed {
@@ -126,6 +130,7 @@
         },
         class: routed.class,
         trial: choice.trial,
+        fingerprint: fingerprint(&routed.request),
         summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         limit,
@@ -149,7 +154,7 @@
             if refusal.choice != Choice::Stale {
                 ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
             }
-            if refusal.choice != Choice::Sound {
+            if matches!(refusal.choice, Choice::Stale | Choice::Shed) {
                 services::avoid(worker, service, &server);
             }
             return Err(refusal);
@@ -160,6 +165,21 @@
     Ok(answer)
 }
 
+/// Returns what tells a request from others: method, path and query, and the start of its body.
+///
+/// A body that is passed on as it comes is not known in time, so such a request has none.
+fn fingerprint(request: &Request) -> Option<u64> {
+    let mut bytes = format!("{} {}\n", request.method, request.target).into_bytes();
+    match &request.upload {
+        Upload::Empty => {}
+        Upload::Whole(body) => {
+            bytes.extend_from_slice(&body[..body.len().min(FINGERPRINT_BYTES)]);
+        }
+        Upload::Stream(_) => return None,
+    }
+    Some(hash::of_bytes(&bytes))
+}
+
 /// Forwards `work` to the owner of its server and gives up after `limit`.
 async fn forward_within(
     worker: &Worker,
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod remote;
 mod resume;
 mod services;
+mod strikes;
 mod worker;
 
 pub(crate) use admission::Admission;
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -23,7 +23,7 @@
 use super::refusal::{Choice, Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::worker::{Worker, new_exchange};
-use super::{deadline, fields};
+use super::{deadline, fields, strikes};
 
 /// The start of the paths by which entries forward requests.
 pub(crate) const FORWARD: &str = "/v1/forward";
@@ -46,6 +46,8 @@
     pub(crate) trial: bool,
     /// How the server's peers perform, with the entry thread that saw it.
     pub(crate) summary: Option<(u64, Summary)>,
+    /// Tells the request from others when it crashes servers, where its body is known.
+    pub(crate) fingerprint: Option<u64>,
     /// When the response is of no use any more.
     pub(crate) deadline: Deadline,
     /// How long to wait for the response head.
@@ -87,6 +89,7 @@
 pub(crate) async fn dispatch(worker: &Worker, work: Work) -> Result<Answer, Refusal> {
     let clock = &worker.shared.clock;
     let server = find(worker, &work)?;
+    strikes::check(&worker.shared, work.fingerprint)?;
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
     let until = Deadline::after(clock.now(), limit);
     let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
@@ -99,16 +102,23 @@
         return Err(Refusal::stale("the server is ejected and takes trial requests only"));
     };
     let started = clock.now();
-    let reply = send(worker, &server, &work).await.map_err(|failure| {
-        if failure.blames_server() {
-            running.finish(false);
-        }
-        if matches!(failure, Failure::WrongExchange) {
-            count(&worker.shared.metrics.wrong_exchange);
+    let reply = match send(worker, &server, &work).await {
+        Ok(reply) => reply,
+        Err(failure) => {
+            if failure.blames_server() {
+                running.finish(false);
+            }
+            if matches!(failure, Failure::WrongExchange) {
+                count(&worker.shared.metrics.wrong_exchange);
+            }
+            tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
+            let broke = matches!(failure, Failure::Closed(_));
+            if broke && strikes::after_failure(worker, &server, work.fingerprint).await {
+                return Err(strikes::refusal());
+            }
+            return Err(Refusal::from_failure(&failure));
         }
-        tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
-        Refusal::from_failure(&failure)
-    })?;
+    };
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
     if reply.echoed {
@@ -118,6 +128,7 @@
         return Err(refusal);
     }
     running.finish(!reply.status.is_server_error());
+    strikes::after_success(worker, &server, work.fingerprint).await;
     Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some((permit, running))) })
 }
 
@@ -157,7 +168,20 @@
     let limit = deadline.remaining(now);
     let trial = incoming.headers().contains_key(header::TRIAL);
     let service = String::new();
-    Ok(Work { service, server, incarnation, class, trial, summary, deadline, limit, request })
+    let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
+    let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
+    Ok(Work {
+        service,
+        server,
+        incarnation,
+        class,
+        trial,
+        summary,
+        fingerprint,
+        deadline,
+        limit,
+        request,
+    })
 }
 
 fn find(worker: &Worker, work: &Work) -> Result<Arc<Server>, Refusal> {
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -35,6 +35,8 @@
     Stale,
     /// The server itself sheds load.
     Shed,
+    /// The request has crashed servers and must not be sent to another one.
+    Crashed,
 }
 
 /// Whether a request without a response of a backend server can have run.
@@ -132,6 +134,9 @@
             Choice::Stale => {
                 builder.header(header::REFUSAL, header::REFUSAL_STALE);
             }
+            Choice::Crashed => {
+                builder.header(header::REFUSAL, header::REFUSAL_CRASHED);
+            }
             Choice::Shed => {
                 builder.header(header::REFUSAL, header::REFUSAL_SHED);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -59,8 +59,18 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, .. } =
-        work;
+    let Work {
+        server,
+        incarnation,
+        class,
+        deadline,
+        limit,
+        mut request,
+        trial,
+        summary,
+        fingerprint,
+        ..
+    } = work;
     request.target = format!("{FORWARD}{}", request.target);
     let class_name = match class {
         Class::Idempotent => "idempotent",
@@ -75,6 +85,9 @@
         fields::set(&mut request.headers, header::BASELINE, &summary.encode());
         fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
     }
+    if let Some(fingerprint) = fingerprint {
+        fields::set(&mut request.headers, header::FINGERPRINT, &format!("{fingerprint:016x}"));
+    }
     if trial {
         fields::set(&mut request.headers, header::TRIAL, "1");
     }
@@ -108,6 +121,7 @@
     let choice = match fields::text(&reply.headers, header::REFUSAL) {
         Some(header::REFUSAL_STALE) => Choice::Stale,
         Some(header::REFUSAL_SHED) => Choice::Shed,
+        Some(header::REFUSAL_CRASHED) => Choice::Crashed,
         _ => Choice::Sound,
     };
     let retry_after = fields::text(&reply.headers, "retry-after");
@@ -117,12 +131,17 @@
         Ok(refusal) => refusal.error,
         Err(_) => format!("the owner responded with status {status}"),
     };
+    let elsewhere = choice != Choice::Crashed;
     match outcome {
-        Outcome::NotRun => Refusal { status, retry_after, choice, ..Refusal::not_run(error) },
+        Outcome::NotRun => {
+            Refusal { status, retry_after, choice, elsewhere, ..Refusal::not_run(error) }
+        }
         // Without the outcome field the owner proves nothing.
         Outcome::Unknown if status.is_success() => {
             Refusal::unknown(StatusCode::BAD_GATEWAY, "the owner stated no outcome")
         }
-        Outcome::Unknown => Refusal { retry_after, ..Refusal::unknown(status, error) },
+        Outcome::Unknown => {
+            Refusal { retry_after, choice, elsewhere, ..Refusal::unknown(status, error) }
+        }
     }
 }
--- a/crates/arbutuslane_node/tests/faults/support/server.rs
+++ b/crates/arbutuslane_node/tests/faults/support/server.rs
@@ -139,12 +139,27 @@
         self.state.received.lock().unwrap().clone()
     }
 
+    /// Returns whether the server has ended.
+    pub(crate) fn ended(&self) -> bool {
+        self.state.ended.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections that were accepted.
     pub(crate) fn connections(&self) -> u64 {
         self.state.connections.load(Ordering::Relaxed)
     }
 }
 
+impl State {
+    /// Ends the server as a crash does: first nothing accepts, then connections break.
+    fn end(&self, stream: &TcpStream) {
+        self.renewing.store(false, Ordering::Relaxed);
+        self.ended.store(true, Ordering::Relaxed);
+        let address = stream.local_addr().unwrap();
+        wait_until(|| TcpStream::connect(address).is_err());
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.stop_renewing();
@@ -162,6 +177,10 @@
     for turn in 0.. {
         let Some(received) = receive(&mut stream, &mut buffer, turn) else { return };
         state.received.lock().unwrap().push(received.clone());
+        if received.path.contains("crash") {
+            state.end(&stream);
+            return;
+        }
         if !answer(&received, &mut stream) {
             return;
         }
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -57,5 +57,12 @@
 /// The backend server itself sheds load.
 pub const REFUSAL_SHED: &str = "shed";
 
+/// The request has crashed servers and must not be sent to another one.
+pub const REFUSAL_CRASHED: &str = "crashed";
+
+/// Tells a request from others when it crashes servers (16 hexadecimal digits), on requests to an
+/// owner.
+pub const FINGERPRINT: &str = "arbutuslane-fingerprint";
+
 /// Tells apart the sources of baselines (16 hexadecimal digits), on requests to an owner.
 pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
