--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -11,6 +11,8 @@
 pub(crate) mod peers;
 pub(crate) mod permits;
 pub(crate) mod registers;
+pub(crate) mod report;
 pub(crate) mod state;
+mod watch;
 
 pub(crate) use state::Cluster;
