Count floor breaches over the servers that all nodes own

Cause: nodes state the servers they own and no view of the fleet; the counting read a status form with defaults, so its floor count could not fail. Change: the statuses of one second together are the fleet, floors come from the catalogue, and missing evidence is a count of its own. No field of a status has a default. After: a test breaks the count by a permit above the room and by ejections that outlive the lease.

--- a/crates/arbutuslane_bench/src/night/count.rs
+++ b/crates/arbutuslane_bench/src/night/count.rs
@@ -42,7 +42,7 @@
             0,
             missed.map(|one| format!("{} ({})", one.server, one.fault)).collect(),
         ),
-        Count::new("steps not carried out", 0, skipped(script, evidence)),
+        Count::new("steps and evidence missing", 0, missing_evidence(script, evidence)),
     ];
     Report {
         seed: script.seed,
@@ -111,9 +111,6 @@
             }
         }
     }
-    if evidence.histories.is_empty() {
-        found.push("no control instance answered".to_string());
-    }
     found
 }
 
@@ -138,9 +135,22 @@
     crashing.map(|(server, run)| format!("{server} by {}", run.request)).collect()
 }
 
-fn skipped(script: &Script, evidence: &Evidence) -> Vec<String> {
+/// Returns the steps that were not carried out and the records without which a count of 0 says
+/// nothing.
+fn missing_evidence(script: &Script, evidence: &Evidence) -> Vec<String> {
     let places = (0..script.steps.len()).filter(|place| evidence.mark(*place).is_none());
-    places.map(|place| format!("step {place}")).collect()
+    let mut found: Vec<String> = places.map(|place| format!("step {place}")).collect();
+    let owned = evidence.samples.iter().any(|sample| !sample.status.servers.is_empty());
+    let records = [
+        ("runs", !evidence.runs.is_empty()),
+        ("attempts", !evidence.attempts.is_empty()),
+        ("statuses", owned),
+        ("floors", !evidence.floors.is_empty()),
+        ("histories", !evidence.histories.is_empty()),
+        ("acknowledged changes", !evidence.changes.is_empty()),
+    ];
+    found.extend(records.iter().filter(|(_, there)| !there).map(|(name, _)| name.to_string()));
+    found
 }
 
 fn other_ejections(script: &Script, evidence: &Evidence) -> Vec<String> {
--- a/crates/arbutuslane_bench/src/night/evidence.rs
+++ b/crates/arbutuslane_bench/src/night/evidence.rs
@@ -1,11 +1,12 @@
 //! What a run left behind, read from its folder.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
+use arbutuslane_catalogue::border::File;
 use arbutuslane_event::border::Event;
 use arbutuslane_standin::record::{Attempt, Run};
 use arbutuslane_wire::operator::History;
-use arbutuslane_wire::status::Status;
 use miette::Diagnostic;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -28,6 +29,8 @@
     pub changes: Vec<Change>,
     /// The history of each control instance at the end.
     pub histories: Vec<History>,
+    /// The floor of each service.
+    pub floors: BTreeMap<String, u32>,
 }
 
 /// One step as it was carried out.
@@ -50,6 +53,29 @@
     pub status: Status,
 }
 
+/// The part of a node's status that is counted; no field has a default, so that a status of
+/// another form is an error and not an empty fleet.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Status {
+    /// The servers that the node owns.
+    pub servers: Vec<Server>,
+}
+
+/// One server in the status of its owner.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Server {
+    /// Its service.
+    pub service: String,
+    /// Its incarnation, which is the time of its announcement in milliseconds.
+    pub incarnation: u64,
+    /// Whether its lease holds.
+    pub leased: bool,
+    /// Whether it drains.
+    pub draining: bool,
+    /// Whether it is ejected.
+    pub ejected: bool,
+}
+
 /// A change of the catalogue that was acknowledged.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Change {
@@ -99,13 +125,14 @@
             changes: lines(&folder.join("changes.jsonl"))?,
             ..Self::default()
         };
-        let failed = |source: std::io::Error| Error::File { path: folder.to_path_buf(), source };
-        let mut paths = Vec::new();
-        for entry in std::fs::read_dir(folder).map_err(failed)? {
-            paths.push(entry.map_err(failed)?.path());
+        for path in paths(&folder.join("catalogue"))? {
+            for file in lines_of::<File>(&path, &read(&path)?.replace('\n', " "))? {
+                for entry in file.entries {
+                    evidence.floors.insert(entry.service, entry.floor);
+                }
+            }
         }
-        paths.sort_unstable();
-        for path in paths {
+        for path in paths(folder)? {
             let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
             let Some(name) = name.strip_suffix(".jsonl") else { continue };
             if name.starts_with("attempts-") {
@@ -132,8 +159,24 @@
 }
 
 fn lines<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>, Error> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| Error::File { path: path.to_path_buf(), source })?;
+    lines_of(path, &read(path)?)
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::File { path: path.to_path_buf(), source })
+}
+
+fn paths(folder: &Path) -> Result<Vec<PathBuf>, Error> {
+    let failed = |source: std::io::Error| Error::File { path: folder.to_path_buf(), source };
+    let mut paths = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(failed)? {
+        paths.push(entry.map_err(failed)?.path());
+    }
+    paths.sort_unstable();
+    Ok(paths)
+}
+
+fn lines_of<T: DeserializeOwned>(path: &Path, text: &str) -> Result<Vec<T>, Error> {
     let mut records = Vec::new();
     for (place, line) in text.lines().enumerate() {
         let record = serde_json::from_str(line).map_err(|source| Error::Line {
--- a/crates/arbutuslane_bench/src/night/floor.rs
+++ b/crates/arbutuslane_bench/src/night/floor.rs
@@ -1,26 +1,57 @@
 //! Breaches of the capacity floor, from the statuses and events of all nodes.
+//!
+//! A node states the servers that it owns, so the statuses of one second together show the fleet.
 
 use std::collections::BTreeMap;
 
 use super::evidence::{Evidence, Sample};
 
-/// The permit lease in milliseconds: an ejection ends within it once its permit is not renewed.
+/// The time in milliseconds by which the view of a majority can be late (design, 2.3).
+const VIEW_MS: u64 = 6_000;
+
+/// The permit lease in milliseconds, within which an ejection ends that is not renewed.
 const LEASE_MS: u64 = 3_000;
 
-/// The time in milliseconds between two samples and for a return to reach the other nodes.
-const SPREAD_MS: u64 = 2_000;
+/// The time in milliseconds between two samples, and its spread.
+const SAMPLE_MS: u64 = 2_000;
+
+/// The ramp-up in milliseconds during which a server is not warm.
+const RAMP_MS: u64 = 5_000;
+
+/// What the statuses of one second show of a service.
+#[derive(Debug, Clone, Copy, Default)]
+struct View {
+    live: u32,
+    ejected: u32,
+}
 
 /// Returns one line for each breach.
 ///
-/// A breach is an ejection by a permit that no node's view of the last two seconds allowed, or
-/// views of a majority that hold more ejections than the floor allows for longer than a lease.
+/// A breach is an ejection whose permit no state of the last [`VIEW_MS`] allowed, or more
+/// ejections than the floor allows for longer than [`VIEW_MS`] and [`LEASE_MS`] together.
 pub(super) fn breaches(evidence: &Evidence) -> Vec<String> {
-    let mut found = granted(evidence);
-    found.extend(outlived(evidence));
+    let rounds = rounds(evidence);
+    let mut found = granted(evidence, &rounds);
+    found.extend(outlived(evidence, &rounds));
     found
 }
 
-fn granted(evidence: &Evidence) -> Vec<String> {
+fn rounds(evidence: &Evidence) -> BTreeMap<u64, BTreeMap<&str, View>> {
+    let mut rounds: BTreeMap<u64, BTreeMap<&str, View>> = BTreeMap::new();
+    for Sample { at_ms, status } in &evidence.samples {
+        let services = rounds.entry(*at_ms).or_default();
+        for server in status.servers.iter().filter(|server| server.leased && !server.draining) {
+            // A server's incarnation is the time of its announcement.
+            let warm = at_ms.saturating_sub(server.incarnation) >= RAMP_MS;
+            let view = services.entry(&server.service).or_default();
+            view.live += u32::from(warm || server.ejected);
+            view.ejected += u32::from(server.ejected);
+        }
+    }
+    rounds
+}
+
+fn granted(evidence: &Evidence, rounds: &BTreeMap<u64, BTreeMap<&str, View>>) -> Vec<String> {
     let mut found = Vec::new();
     for event in evidence.events.iter().filter(|event| event.kind == "ejection") {
         let (Some(service), Some(permit)) = (&event.service, event.fields.get("permit")) else {
@@ -28,41 +59,29 @@
         };
         let permit = permit.parse::<u32>().unwrap_or(u32::MAX);
         let at_ms = event.stamp.wall_ms;
-        let near =
-            evidence.samples.iter().filter(|sample| sample.at_ms.abs_diff(at_ms) <= SPREAD_MS);
-        let views = near.flat_map(|sample| &sample.status.services);
-        let room = views
-            .filter(|view| view.service == *service)
-            .map(|view| view.live.saturating_sub(view.floor))
-            .max();
-        if room.is_some_and(|room| permit >= room) {
-            found.push(format!("{service}: permit {permit} at {at_ms} with room for {room:?}"));
+        let near = at_ms.saturating_sub(VIEW_MS + SAMPLE_MS)..at_ms + SAMPLE_MS;
+        let views = rounds.range(near).filter_map(|(_, views)| views.get(service.as_str()));
+        let live = views.map(|view| view.live).max().unwrap_or(0);
+        let room = live.saturating_sub(floor(evidence, service));
+        if permit >= room {
+            found.push(format!("{service}: permit {permit} at {at_ms} with room for {room}"));
         }
     }
     found
 }
 
-fn outlived(evidence: &Evidence) -> Vec<String> {
-    let mut rounds: BTreeMap<u64, Vec<&Sample>> = BTreeMap::new();
-    for sample in &evidence.samples {
-        rounds.entry(sample.at_ms).or_default().push(sample);
-    }
+fn outlived(evidence: &Evidence, rounds: &BTreeMap<u64, BTreeMap<&str, View>>) -> Vec<String> {
     let mut since: BTreeMap<&str, u64> = BTreeMap::new();
     let mut found = Vec::new();
-    for (at_ms, round) in &rounds {
-        let mut votes: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for view in round.iter().flat_map(|sample| &sample.status.services) {
-            let vote = votes.entry(&view.service).or_default();
-            vote.0 += usize::from(view.ejected > view.live.saturating_sub(view.floor));
-            vote.1 += 1;
-        }
-        for (service, (over, all)) in votes {
-            if over * 2 <= all {
+    for (at_ms, services) in rounds {
+        since.retain(|service, _| services.contains_key(service));
+        for (service, view) in services {
+            if view.ejected <= view.live.saturating_sub(floor(evidence, service)) {
                 since.remove(service);
                 continue;
             }
             let first = *since.entry(service).or_insert(*at_ms);
-            if at_ms - first > LEASE_MS + SPREAD_MS {
+            if at_ms - first > VIEW_MS + LEASE_MS + SAMPLE_MS {
                 found.push(format!("{service}: more ejected than allowed from {first} to {at_ms}"));
                 since.remove(service);
             }
@@ -70,3 +89,8 @@
     }
     found
 }
+
+fn floor(evidence: &Evidence, service: &str) -> u32 {
+    // A service without an entry has no servers to spare.
+    evidence.floors.get(service).copied().unwrap_or(u32::MAX)
+}
--- a/crates/arbutuslane_bench/src/night/plot.rs
+++ b/crates/arbutuslane_bench/src/night/plot.rs
@@ -33,12 +33,14 @@
         let second = (attempt.at_ms - start) / 1_000;
         *lines.entry(attempt.ending.clone()).or_default().entry(second).or_default() += 1;
     }
-    let ejected = lines.entry("ejected servers".to_string()).or_default();
+    let mut rounds: BTreeMap<u64, u64> = BTreeMap::new();
     for sample in &evidence.samples {
-        let all: u32 = sample.status.services.iter().map(|service| service.ejected).sum();
-        let second = sample.at_ms.saturating_sub(start) / 1_000;
-        let most = ejected.entry(second).or_default();
-        *most = (*most).max(u64::from(all));
+        let all = sample.status.servers.iter().filter(|server| server.ejected).count();
+        *rounds.entry(sample.at_ms).or_default() += u64::try_from(all).unwrap_or(u64::MAX);
+    }
+    let ejected = lines.entry("ejected servers".to_string()).or_default();
+    for (at_ms, all) in rounds {
+        ejected.insert(at_ms.saturating_sub(start) / 1_000, all);
     }
     let points = || lines.values().flatten();
     let last = points().map(|(second, _)| *second).max().unwrap_or(1).max(1);
--- a/crates/arbutuslane_bench/tests/night.rs
+++ b/crates/arbutuslane_bench/tests/night.rs
@@ -3,13 +3,12 @@
 use std::collections::BTreeMap;
 
 use arbutuslane_bench::night::count::counts;
-use arbutuslane_bench::night::evidence::{Change, Evidence, Mark, Sample};
+use arbutuslane_bench::night::evidence::{Change, Evidence, Mark, Sample, Server, Status};
 use arbutuslane_bench::night::result::Report;
 use arbutuslane_bench::night::script::Script;
 use arbutuslane_event::border::{Event, Stamp};
 use arbutuslane_standin::record::{Attempt, Fit, Run};
 use arbutuslane_wire::operator::{History, Record};
-use arbutuslane_wire::status::{Service, Status};
 
 const START: u64 = 1_000_000;
 
@@ -56,10 +55,14 @@
 }
 
 fn sample(at_ms: u64, live: u32, ejected: u32) -> Sample {
-    let service =
-        Service { service: "slots".to_string(), floor: 7, live, ejected, ..Service::default() };
-    let status = Status { services: vec![service], ..Status::default() };
-    Sample { at_ms: START + at_ms, status }
+    let server = |number| Server {
+        service: "slots".to_string(),
+        incarnation: 0,
+        leased: true,
+        draining: false,
+        ejected: number < ejected,
+    };
+    Sample { at_ms: START + at_ms, status: Status { servers: (0..live).map(server).collect() } }
 }
 
 fn history(change_id: &str) -> History {
@@ -89,6 +92,7 @@
         samples: vec![sample(3_000, 10, 0), sample(4_000, 10, 1)],
         changes: vec![Change { change_id: "a".to_string(), revision: 1 }],
         histories: vec![history("a"), history("a")],
+        floors: BTreeMap::from([("slots".to_string(), 7)]),
     }
 }
 
@@ -132,7 +136,7 @@
 #[test]
 fn counts_each_broken() {
     type Breach = fn(&mut Evidence);
-    let cases: [(&str, Breach); 13] = [
+    let cases: [(&str, Breach); 14] = [
         ("keys that ran twice", |evidence| {
             evidence.runs.push(run(700, "slots-4", "1-1~1", Some("key-1-1")));
         }),
@@ -151,7 +155,7 @@
         }),
         ("floor breaches", |evidence| evidence.events.push(ejection(3_600, "slots-1", 3))),
         ("floor breaches", |evidence| {
-            evidence.samples.extend((10..17).map(|second| sample(second * 1_000, 7, 1)));
+            evidence.samples.extend((10..23).map(|second| sample(second * 1_000, 7, 1)));
         }),
         ("acknowledged changes missing", |evidence| evidence.histories[1].records.clear()),
         ("dispatches to a left server after 3 s", |evidence| {
@@ -161,9 +165,10 @@
             evidence.runs.push(run(9_200, "slots-6", "crash-3", None));
         }),
         ("unhealthy servers not ejected", |evidence| evidence.events.clear()),
-        ("steps not carried out", |evidence| {
+        ("steps and evidence missing", |evidence| {
             evidence.marks.remove(0);
         }),
+        ("steps and evidence missing", |evidence| evidence.histories.clear()),
     ];
     for (name, breach) in cases {
         let mut evidence = sound();
