Count a night at the end of its load

Cause: the planned stop after the load waited 60 s for the stand-in servers and is not counted; the planned stop that counts is the rolling restart under load.

--- a/tools/night.sh
+++ b/tools/night.sh
@@ -366,7 +366,7 @@
 done
 while IFS=$'\t' read -r -u 9 step at_s verb a b c; do
     while (($(now_ms) < started + at_s * 1000)); do sleep 0.1; revive; done
-    echo "$at_s s: $verb $a $b $c"
+    echo "$at_s s: $verb $a"
     at_ms=$(now_ms)
     carry_out "$verb" "$a" "$b" "$c"
     printf '{"step":%s,"at_ms":%s,"end_ms":%s}\n' "$step" "$at_ms" "$(now_ms)" >> "$work/marks.jsonl"
@@ -385,12 +385,6 @@
         > "$work/history-$i.jsonl"
 done
 
-say "planned stop"
-for name in "${server_names[@]}"; do kill -TERM "${pid_of[$name]}"; done
-for name in "${server_names[@]}"; do stop_process "$name" TERM; done
-for i in 0 1 2 3 4 5; do stop_process "node-$i" TERM; done
-for i in 0 1 2; do stop_process "control-$i" TERM; done
-
 say "counts"
 "$bin/arbutuslane-bench" night count "$script" "$work" \
     --out "$out/results.json" --svg "$out/night.svg" --timeline "$out/timeline.txt"
