--- a/crates/arbutuslane_bench/src/spread.rs
+++ b/crates/arbutuslane_bench/src/spread.rs
@@ -8,4 +8,5 @@
 pub mod fit;
 pub mod fleet;
 pub mod memory;
+pub mod plan;
 pub mod register;
--- a/crates/arbutuslane_bench/src/spread/command.rs
+++ b/crates/arbutuslane_bench/src/spread/command.rs
@@ -9,8 +9,8 @@
 use clap::{Arg, Command, value_parser};
 
 use super::fit::Line;
-use super::fleet::{self, Figures, Plan};
-use super::{memory, register};
+use super::plan::{Figures, Plan};
+use super::{fleet, memory, register};
 
 /// Reads the arguments of the process and runs what they ask for.
 pub fn execute() -> miette::Result<()> {
