Refuse keyed bookings while no register group is assigned

Cause: before control had assigned register groups, a request with an idempotency key was dispatched without a record, so a resend could run again. Ruled out: a changing number of shards; control founds all groups in one command, so the map from keys to shards is stable afterwards. Change: such a request is refused as not-run and names the cause. Conclusion: without a record, nothing keyed runs.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -56,16 +56,12 @@
     let Some(text) = field.filter(|_| routed.class == Class::NonIdempotent) else {
         return Ok(Begun::Free);
     };
-    // Control has not assigned any group yet, so that there is no register to claim.
-    if worker.shared.cluster.registers.groups().is_empty() {
-        return Ok(Begun::Free);
-    }
     let key = key::of(&routed.service, &String::from_utf8_lossy(text.as_bytes()));
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     let wait = CLAIM_WAIT.min(remaining / 2);
     let fingerprint = fingerprint(&routed.request);
     let claimed = claim(worker, key, fingerprint, Kind::Booking, wait).await;
-    let Some((coordinator, decision)) = claimed else { return Err(no_quorum()) };
+    let Some((coordinator, decision)) = claimed else { return Err(no_group()) };
     if decision == Some(Decision::Dispatch) {
         return Ok(Begun::Held(Held { coordinator }));
     }
@@ -190,6 +186,14 @@
     receiver
 }
 
+/// Refuses a keyed request while control has assigned no register groups: without a record nothing
+/// would keep a resend from running again.
+fn no_group() -> Refusal {
+    let error = "no register group is assigned for idempotency keys; \
+                 control assigns them once enough nodes are known";
+    Refusal { elsewhere: false, ..Refusal::not_run(error) }
+}
+
 fn no_quorum() -> Refusal {
     let error = "no majority of the replicas for this idempotency key is reachable";
     Refusal { elsewhere: false, ..Refusal::not_run(error) }
--- a/crates/arbutuslane_node/tests/faults/keys.rs
+++ b/crates/arbutuslane_node/tests/faults/keys.rs
@@ -167,3 +167,15 @@
     assert_eq!((resend.status, resend.field("arbutuslane-replayed")), (201, Some("true")));
     assert_eq!(server.received().len(), 1);
 }
+
+/// Guards against a keyed booking that runs without a record while no groups are assigned yet.
+#[test]
+fn begin_no_groups() {
+    let nodes = [Node::start(&[])];
+    let server = server(&nodes, 0, Duration::ZERO);
+    let response = book(&nodes[0], "order-1");
+    assert_eq!((response.status, response.outcome()), (503, "not-run"));
+    assert!(server.received().is_empty());
+    // Without a key there is nothing to record.
+    assert_eq!(nodes[0].call("POST", "/bookings", &[], b"x").status, 201);
+}
