Record refusals, unknown outcomes and revisions in force as events

Cause: the report said nothing about refused requests and unknown outcomes. Service and cause are not known to the node's counters yet.

--- a/crates/arbutuslane_cli/src/report/mod.rs
+++ b/crates/arbutuslane_cli/src/report/mod.rs
@@ -74,9 +74,9 @@
         if event.stamp.wall_ms < since_ms {
             continue;
         }
-        if let Some(service) = &event.service {
-            services.entry(service.clone()).or_default().count(&kind);
-        }
+        // Nodes count refusals and unknown outcomes over all services.
+        let service = event.service.clone().unwrap_or_else(|| "All services".to_string());
+        services.entry(service).or_default().count(&kind);
         // Each control instance records what the whole group decided; it is told once.
         if let Some(fact) = shared_fact(&kind)
             && !told.insert(fact)
--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -15,7 +15,7 @@
 use crate::traffic::Pool;
 use crate::{configuration, peers};
 
-use super::{permits, report};
+use super::{bursts, permits, report};
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -33,6 +33,7 @@
 /// Runs gossip, puts configurations in force and recovers replicas until the process ends.
 pub(crate) async fn work(shared: Arc<Shared>) {
     let pool = Pool::new();
+    let _counting = ntex::rt::spawn(bursts::work(Arc::clone(&shared)));
     let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
     let _reporting = ntex::rt::spawn(report::work(Arc::clone(&shared), Rc::clone(&pool)));
     let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
@@ -69,8 +70,10 @@
         return;
     }
     let revision = snapshot.revision;
-    if shared.adopt(Arc::unwrap_or_clone(snapshot).into()) {
-        tracing::info!(event = "configuration-in-force", revision);
+    let before = shared.configuration().revision();
+    // Register groups change without a new revision as well.
+    if shared.adopt(Arc::unwrap_or_clone(snapshot).into()) && revision > before {
+        shared.events.record(Kind::RevisionInForce { revision });
     }
 }
 
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 //! thread. [`keyed`] is the stage of the request path that claims idempotency keys,
 //! and [`permits`] decides with the fleet about ejections.
 
+mod bursts;
 pub(crate) mod control;
 pub(crate) mod delta;
 pub(crate) mod keyed;
