Accept consensus messages only under a token of the control instances

Cause: /v1/raft accepted the fleet token, which every node holds, so one compromised node could send consensus messages and thereby change the catalogue without an operator token.

Change: the setting control_token names a token file that only control instances hold. /v1/raft accepts and the senders present only its tokens; /v1/peer still takes the fleet token. The file is compared in constant time and read again within a second, like the others. Settings in which control_token is the file of peer_token are refused.

Conclusion: a node can no longer take part in consensus. The key is required, so existing settings files of control instances need it.

--- a/crates/arbutuslane_cli/tests/control.rs
+++ b/crates/arbutuslane_cli/tests/control.rs
@@ -20,12 +20,13 @@
         "{{\"name\": \"c1\", \"data\": \"{0}/data\", \"operators\": \"{operators}\", \
          \"peers\": \"{peers}\", \"members\": [{{\"name\": \"c1\", \"peers\": \"{peers}\", \
          \"operators\": \"{operators}\"}}], \"operator_tokens\": \"{0}/operators.tokens\", \
-         \"peer_token\": \"{0}/fleet.token\"}}",
+         \"peer_token\": \"{0}/fleet.token\", \"control_token\": \"{0}/control.token\"}}",
         folder.display()
     );
     std::fs::write(folder.join("control.json"), text).unwrap();
     std::fs::write(folder.join("operators.tokens"), format!("mari {TOKEN}\n")).unwrap();
     std::fs::write(folder.join("fleet.token"), "fleet\n").unwrap();
+    std::fs::write(folder.join("control.token"), "control\n").unwrap();
     std::fs::write(folder.join("operator.token"), TOKEN).unwrap();
     let settings = format!(
         "{{\"controls\": [\"{operators}\"], \"token_file\": \"operator.token\", \
--- a/crates/arbutuslane_control/src/daemon.rs
+++ b/crates/arbutuslane_control/src/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
-use crate::token::Tokens;
+use crate::token::{Secrets, Tokens};
 use crate::{engine, operators, peers, settings, store};
 
 /// A daemon that cannot start.
@@ -90,9 +90,9 @@
 /// See [`Error`]; the data folder and the listeners are opened before anything is served.
 pub fn run(settings: &Settings, signals: bool) -> Result<(), Error> {
     let listeners = Listeners::open(settings)?;
-    let token = Arc::new(Tokens::new(&settings.peer_token));
-    let (engine, _) = engine::start(settings, &token)?;
-    serve(settings, listeners, engine, token, signals, None)
+    let secrets = Secrets::new(settings);
+    let (engine, _) = engine::start(settings, &secrets)?;
+    serve(settings, listeners, engine, secrets, signals, None)
 }
 
 struct Listeners {
@@ -114,7 +114,7 @@
     settings: &Settings,
     listeners: Listeners,
     engine: engine::Handle,
-    token: Arc<Tokens>,
+    secrets: Secrets,
     signals: bool,
     stop: Option<oneshot::Receiver<()>>,
 ) -> Result<(), Error> {
@@ -122,7 +122,8 @@
         engine: engine.clone(),
         tokens: Tokens::new(&settings.operator_tokens),
     });
-    let for_peers = Arc::new(peers::Shared { engine, token });
+    let for_peers =
+        Arc::new(peers::Shared { engine, fleet: secrets.fleet, control: secrets.control });
     let system = ntex::rt::System::new("arbutuslane-control", ntex::rt::DefaultRuntime);
     system
         .block_on(async move {
@@ -177,12 +178,13 @@
     /// Starts a daemon on another disk than the settings' data folder, to make that disk fail.
     pub fn start_on<D: Disk + Send + 'static>(disk: D, settings: Settings) -> Result<Self, Error> {
         let listeners = Listeners::open(&settings)?;
-        let token = Arc::new(Tokens::new(&settings.peer_token));
-        let (engine, replica) = engine::start_on(disk, &settings, &token)?;
+        let secrets = Secrets::new(&settings);
+        let (engine, replica) = engine::start_on(disk, &settings, &secrets)?;
         let requests = engine.requests.clone();
         let (stop, stopped) = oneshot::channel();
-        let thread =
-            thread::spawn(move || serve(&settings, listeners, engine, token, false, Some(stopped)));
+        let thread = thread::spawn(move || {
+            serve(&settings, listeners, engine, secrets, false, Some(stopped))
+        });
         Ok(Self { thread: Some(thread), stop: Some(stop), requests, replica: Some(replica) })
     }
 
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -25,7 +25,7 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store;
-use crate::token::Tokens;
+use crate::token::Secrets;
 
 /// The number of events that an instance keeps.
 const EVENTS_KEPT: usize = 4_096;
@@ -134,15 +134,15 @@
 /// # Errors
 ///
 /// See [`Error`]; a damaged folder is refused, never repaired by itself.
-pub fn start(settings: &Settings, token: &Arc<Tokens>) -> Result<(Handle, JoinHandle<()>), Error> {
-    start_on(store::open_disk(&settings.data)?, settings, token)
+pub fn start(settings: &Settings, secrets: &Secrets) -> Result<(Handle, JoinHandle<()>), Error> {
+    start_on(store::open_disk(&settings.data)?, settings, secrets)
 }
 
 /// Starts the engine's thread on any disk.
 pub(crate) fn start_on<D: Disk + Send + 'static>(
     disk: D,
     settings: &Settings,
-    token: &Arc<Tokens>,
+    secrets: &Secrets,
 ) -> Result<(Handle, JoinHandle<()>), Error> {
     let (store, saved) = store::open(disk, &settings.name, fresh_instance(&settings.name))?;
     let (requests, inbox) = channel();
@@ -162,8 +162,8 @@
         gossip: exchange,
         stopped: Arc::default(),
     };
-    let outbox = courier::start(Arc::clone(token));
-    gossip::start(settings, handle.clone(), Arc::clone(token), gossip_inbox);
+    let outbox = courier::start(Arc::clone(&secrets.control));
+    gossip::start(settings, handle.clone(), Arc::clone(&secrets.fleet), gossip_inbox);
     let mut replica = Replica::new(settings.clone(), store, saved, handle.clone(), outbox)?;
     let thread = thread::spawn(move || replica.run(&inbox));
     Ok((handle, thread))
--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -20,7 +20,10 @@
 /// What the handlers share.
 pub(crate) struct Shared {
     pub(crate) engine: Handle,
-    pub(crate) token: Arc<Tokens>,
+    /// The fleet's tokens, which nodes hold too.
+    pub(crate) fleet: Arc<Tokens>,
+    /// The tokens that only control instances hold.
+    pub(crate) control: Arc<Tokens>,
 }
 
 type State = web::types::State<Arc<Shared>>;
@@ -37,7 +40,7 @@
     shared: State,
     mut payload: web::types::Payload,
 ) -> HttpResponse {
-    let bytes = match read(&request, &shared, &mut payload).await {
+    let bytes = match read(&request, &shared.control, &mut payload).await {
         Ok(bytes) => bytes,
         Err(status) => return HttpResponse::build(status).finish(),
     };
@@ -55,7 +58,7 @@
     shared: State,
     mut payload: web::types::Payload,
 ) -> HttpResponse {
-    let bytes = match read(&request, &shared, &mut payload).await {
+    let bytes = match read(&request, &shared.fleet, &mut payload).await {
         Ok(bytes) => bytes,
         Err(status) => return HttpResponse::build(status).finish(),
     };
@@ -96,14 +99,14 @@
     }
 }
 
-/// Checks the fleet's secret and reads the body.
+/// Checks that the request has one of `accepted` and reads the body.
 async fn read(
     request: &HttpRequest,
-    shared: &State,
+    accepted: &Tokens,
     payload: &mut web::types::Payload,
 ) -> Result<BytesMut, StatusCode> {
     let presented = request.headers().get(header::TOKEN).and_then(|value| value.to_str().ok());
-    if shared.token.holder(presented.unwrap_or_default()).is_none() {
+    if accepted.holder(presented.unwrap_or_default()).is_none() {
         return Err(StatusCode::UNAUTHORIZED);
     }
     let mut bytes = BytesMut::new();
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -26,6 +26,9 @@
     pub operator_tokens: PathBuf,
     /// The file of the secret that the processes of the fleet share.
     pub peer_token: PathBuf,
+    /// The file of the secret that only the control instances share: a node, which holds
+    /// `peer_token`, could otherwise send consensus messages and so change the replicated state.
+    pub control_token: PathBuf,
     /// The failure domain of this instance.
     #[serde(default)]
     pub domain: String,
@@ -118,6 +121,11 @@
             let reason = "two members have the same name".to_string();
             return Err(refuse("members", reason, "give each instance a name of its own"));
         }
+        if self.control_token == self.peer_token {
+            let reason = "the same file as `peer_token`, which all nodes hold".to_string();
+            let remedy = "give the control instances a token file of their own";
+            return Err(refuse("control_token", reason, remedy));
+        }
         if self.shards == 0 {
             let reason = "no shards".to_string();
             return Err(refuse("shards", reason, "use 64, or 4096 in a large fleet"));
--- a/crates/arbutuslane_control/src/token.rs
+++ b/crates/arbutuslane_control/src/token.rs
@@ -2,11 +2,13 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use subtle::ConstantTimeEq;
 
+use crate::settings::Settings;
+
 /// The age at which a file is read again.
 const FRESH: Duration = Duration::from_secs(1);
 
@@ -63,6 +65,24 @@
     }
 }
 
+/// The tokens of messages between processes.
+pub struct Secrets {
+    /// The fleet's tokens, for messages with nodes.
+    pub(crate) fleet: Arc<Tokens>,
+    /// The tokens of consensus messages between control instances.
+    pub(crate) control: Arc<Tokens>,
+}
+
+impl Secrets {
+    /// Uses the files that `settings` name.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            fleet: Arc::new(Tokens::new(&settings.peer_token)),
+            control: Arc::new(Tokens::new(&settings.control_token)),
+        }
+    }
+}
+
 fn parse(text: &str) -> Vec<Token> {
     let mut tokens = Vec::new();
     for line in text.lines().map(str::trim) {
--- a/crates/arbutuslane_control/tests/cluster/mod.rs
+++ b/crates/arbutuslane_control/tests/cluster/mod.rs
@@ -40,6 +40,7 @@
         let folder = tempfile::tempdir().unwrap();
         std::fs::write(folder.path().join("operators"), format!("mari {TOKEN}\n")).unwrap();
         std::fs::write(folder.path().join("peers"), "secret-of-the-fleet\n").unwrap();
+        std::fs::write(folder.path().join("control"), "secret-of-control\n").unwrap();
         let members = (0..count).map(|position| address(&format!("control-{position}"))).collect();
         Self { folder, members, daemons: (0..count).map(|_| None).collect() }
     }
@@ -55,6 +56,7 @@
             "members": self.members,
             "operator_tokens": path.join("operators"),
             "peer_token": path.join("peers"),
+            "control_token": path.join("control"),
         });
         let file = path.join(format!("{}.json", member.name));
         std::fs::write(&file, text.to_string()).unwrap();
@@ -125,6 +127,14 @@
         codec::decode(&answer).ok()
     }
 
+    /// Posts an empty batch of consensus messages under a token; returns the status.
+    pub(crate) fn post_raft(&self, position: usize, token: &str) -> Option<u16> {
+        let header = format!("{}: {token}", header::TOKEN);
+        let body = codec::encode(&Vec::<u8>::new()).ok()?;
+        let address = &self.members[position].peers;
+        exchange(address, "POST", "/v1/raft", &header, &body).map(|(code, _)| code)
+    }
+
     /// Polls until `probe` finds something; fails with what was awaited.
     pub(crate) fn wait<T>(&self, what: &str, probe: impl FnMut() -> Option<T>) -> T {
         wait(what, probe)
--- a/crates/arbutuslane_control/tests/instances.rs
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -7,6 +7,7 @@
 
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_control::daemon;
+use arbutuslane_control::prelude::Settings;
 use arbutuslane_storage::disk;
 use arbutuslane_wire::codec;
 use arbutuslane_wire::peer::{self, gossip};
@@ -357,3 +358,32 @@
     assert_eq!((code, body["findings"][0]["key"].as_str()), (422, Some("entries[0].floor")));
     assert_eq!(cluster.revision(0), Some(0));
 }
+
+/// Guards against a node, which holds the fleet's token, that sends consensus messages, against a
+/// control token that opens the interface for nodes, and against tokens that need a restart.
+#[test]
+fn raft_token() {
+    let cluster = Cluster::start(1);
+    cluster.leader();
+    for token in ["", "wrong", "secret-of-the-fleet", TOKEN] {
+        assert_eq!(cluster.post_raft(0, token), Some(401), "token `{token}`");
+    }
+    assert_eq!(cluster.post_raft(0, "secret-of-control"), Some(200));
+    fs::write(cluster.folder.path().join("control"), "second-secret\n").unwrap();
+    wait("the new token", || (cluster.post_raft(0, "second-secret")? == 200).then_some(()));
+    assert_eq!(cluster.post_raft(0, "secret-of-control"), Some(401));
+}
+
+/// Guards against control instances that share the fleet's token file, which all nodes hold.
+#[test]
+fn settings_control_token() {
+    let cluster = Cluster::prepare(1);
+    cluster.settings(0);
+    let file = cluster.folder.path().join("control-0.json");
+    let text = fs::read_to_string(&file).unwrap();
+    let mut value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    value["control_token"] = value["peer_token"].clone();
+    fs::write(&file, value.to_string()).unwrap();
+    let error = Settings::load(&file).unwrap_err();
+    assert!(error.to_string().contains("`control_token`"), "{error}");
+}
