Let register groups of three grow to five members

Cause: a group kept the size at which it was formed, so a fleet that started with three nodes kept groups that tolerate one loss.

Change: when no node has come or gone for 3 s, all members vote in the current epoch and two more nodes are alive, control adds one member per epoch until the group has five. The safety argument stands in arbutuslane_record::group: majorities of m and m + 1 members share an old member, and a recovery finds a copy of each claim. A group of four occurs between the two steps only and tolerates one loss like a group of three.

Conclusion: growth by one member is safe without a special size setting. The schedules of permits have no group changes, neither replacement nor growth; that gap stood before.

--- a/crates/arbutuslane_catalogue/src/group.rs
+++ b/crates/arbutuslane_catalogue/src/group.rs
@@ -17,14 +17,15 @@
 
 /// The replica group of one shard at one epoch.
 ///
-/// Two successive epochs differ in one member at most, so that majorities of both intersect.
+/// Two successive epochs differ in one member at most: one that is replaced or one that is added.
+/// `arbutuslane_record::group` gives the reason why this keeps every claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Group {
     /// The shard whose registers the group keeps.
     pub shard: Shard,
-    /// Raised by one with each replaced member.
+    /// Raised by one with each replaced or added member.
     pub epoch: u64,
-    /// The members in ascending order; an odd number.
+    /// The members in ascending order; an odd number, except between two steps of a growth.
     pub members: Vec<Member>,
 }
 
@@ -81,6 +82,23 @@
         members.sort_unstable();
         Some(Self { shard: self.shard, epoch: self.epoch + 1, members })
     }
+
+    /// Returns the next epoch, in which one member is added; nothing when the group is full, when a
+    /// member is no candidate any more, or when the candidates cannot make the size odd again.
+    pub fn grown(&self, candidates: &[Candidate]) -> Option<Self> {
+        let find = |node: &str| candidates.iter().find(|candidate| candidate.node == node);
+        let kept: Vec<&Candidate> =
+            self.members.iter().filter_map(|member| find(&member.node)).collect();
+        let size = self.members.len();
+        let steps = if size.is_multiple_of(2) { 1 } else { 2 };
+        if size >= MEMBERS_MAX || kept.len() < size || candidates.len() < size + steps {
+            return None;
+        }
+        let mut members = self.members.clone();
+        members.push(member(choose(self.shard, candidates, &kept)?));
+        members.sort_unstable();
+        Some(Self { shard: self.shard, epoch: self.epoch + 1, members })
+    }
 }
 
 fn member(candidate: &Candidate) -> Member {
@@ -166,4 +184,19 @@
         assert!(last.members.iter().all(|member| !lost.contains(&member.node)));
         assert!((0..3).all(|domain| in_domain(&last, domain) <= 2));
     }
+
+    /// Guards against a group that stays at three members although the fleet has five nodes, that
+    /// grows by two members in one epoch, or that stops at an even size.
+    #[test]
+    fn grown_to_five() {
+        let group = Group::found(9, &candidates(3, 3)).unwrap();
+        assert_eq!(group.grown(&candidates(4, 3)), None);
+        assert_eq!(group.grown(&candidates(8, 3)[1..]), None);
+        let next = group.grown(&candidates(5, 3)).unwrap();
+        assert_eq!((next.epoch, next.members.len()), (2, 4));
+        assert!(group.members.iter().all(|member| next.members.contains(member)));
+        let last = next.grown(&candidates(5, 3)).unwrap();
+        assert_eq!((last.epoch, last.members.len()), (3, 5));
+        assert_eq!(last.grown(&candidates(9, 3)), None);
+    }
 }
--- a/crates/arbutuslane_control/src/assign.rs
+++ b/crates/arbutuslane_control/src/assign.rs
@@ -9,8 +9,8 @@
 /// The shards whose groups each node votes in, with their epochs, as the nodes reported last.
 pub(crate) type Votes = BTreeMap<String, Vec<(u32, u64)>>;
 
-/// The time for which no node may come or go before the first groups are formed, so that they are
-/// chosen from all nodes of a fleet that starts.
+/// The time for which no node may come or go before the first groups are formed or a group grows, so
+/// that members are chosen from all nodes of a fleet that starts, and not among flapping ones.
 const SETTLED: Duration = Duration::from_secs(3);
 
 /// The number of groups in one log entry.
@@ -44,6 +44,7 @@
             }
             return (0..shards).filter_map(|shard| Group::found(shard, alive)).collect();
         }
+        let is_settled = now >= self.changed_at + SETTLED;
         let mut changed = Vec::new();
         for group in groups {
             if changed.len() == BATCH {
@@ -51,10 +52,16 @@
             }
             // A member that joins votes only after it has pulled the registers. Until then the next
             // replacement could take away the last copy of one.
-            if group.epoch > 1 && !has_settled(group, alive, votes) {
+            let all_vote = has_settled(group, alive, votes);
+            if group.epoch > 1 && !all_vote {
                 continue;
             }
-            changed.extend(group.repaired(alive));
+            if let Some(next) = group.repaired(alive) {
+                changed.push(next);
+            } else if all_vote && is_settled {
+                // The step to an even size raises the majority, so all members must vote before.
+                changed.extend(group.grown(alive));
+            }
         }
         changed
     }
@@ -123,4 +130,26 @@
         assert!(decide(&next, &second, votes(&second, &group)).is_empty());
         assert_eq!(decide(&next, &second, votes(&second, &next)).len(), 1);
     }
+
+    /// Guards against groups that never grow with the fleet, that grow while nodes come and go, and
+    /// against a second new member before the first one votes.
+    #[test]
+    fn decide_growth() {
+        let mut assigner = Assigner::default();
+        let (three, five) = (alive(&[1, 2, 3]), alive(&[1, 2, 3, 4, 5]));
+        let group = Group::found(0, &three).unwrap();
+        let mut decide = |seconds, group: &Group, alive: &[Candidate], votes: &Votes| {
+            let groups = std::slice::from_ref(group);
+            assigner.decide(Duration::from_secs(seconds), (1, 3), groups, alive, votes)
+        };
+        let all_vote = votes(&three, &group);
+        assert!(decide(10, &group, &three, &all_vote).is_empty());
+        assert!(decide(20, &group, &five, &all_vote).is_empty());
+        assert!(decide(23, &group, &five, &Votes::new()).is_empty());
+        let next = decide(23, &group, &five, &all_vote).remove(0);
+        assert_eq!((next.epoch, next.members.len()), (2, 4));
+        assert!(decide(24, &next, &five, &all_vote).is_empty());
+        let last = decide(25, &next, &five, &votes(&five, &next)).remove(0);
+        assert_eq!((last.epoch, last.members.len()), (3, 5));
+    }
 }
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -32,8 +32,8 @@
     /// The failure domain of this instance.
     #[serde(default)]
     pub domain: String,
-    /// The number of nodes from which on register groups are formed. A group keeps its size, so
-    /// this should be the size of the smallest fleet that is meant to run, up to 5.
+    /// The number of nodes from which on register groups are formed. A group grows to 5 members
+    /// when nodes join, one member per epoch.
     #[serde(default = "default_register_nodes")]
     pub register_nodes: usize,
     /// The number of shards of the quorum registers.
--- a/crates/arbutuslane_record/tests/keys.rs
+++ b/crates/arbutuslane_record/tests/keys.rs
@@ -57,6 +57,7 @@
         total.unknown += outcome.unknown;
         total.refused += outcome.refused;
         total.recovered += outcome.recovered;
+        total.grown += outcome.grown;
         total.epochs = total.epochs.max(outcome.epochs);
     }
     assert!(total.dispatched > 100, "{total:?}");
@@ -65,6 +66,7 @@
     assert!(total.refused > 20, "{total:?}");
     assert!(total.recovered > 50, "{total:?}");
     assert!(total.epochs > 2, "{total:?}");
+    assert!(total.grown > 10, "{total:?}");
 }
 
 /// Guards against a check that cannot fail: each broken rule is found.
--- a/crates/arbutuslane_record/tests/support/keys.rs
+++ b/crates/arbutuslane_record/tests/support/keys.rs
@@ -45,6 +45,7 @@
     pub(crate) refused: u32,
     pub(crate) recovered: u32,
     pub(crate) epochs: u64,
+    pub(crate) grown: u32,
 }
 
 impl Outcome {
--- a/crates/arbutuslane_record/tests/support/keys/faults.rs
+++ b/crates/arbutuslane_record/tests/support/keys/faults.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Replaces one member, as control does: only when the member that joined last votes.
+    /// Replaces or adds one member, as control does: only when the member that joined last votes.
     pub(super) fn replace(&mut self) {
         let last = self.groups.len() - 1;
         let group = self.groups[last].clone();
@@ -137,10 +137,17 @@
             return;
         }
         let joins = spare[self.network.rng.random_range(0..spare.len())];
-        let leaves = self.network.rng.random_range(0..group.members.len());
-        let leaves = group.members[leaves].node.clone();
         let member = Member { node: name(joins), incarnation: self.nodes[joins].life };
-        self.groups.push(group.replaced(&leaves, &member));
+        if group.members.len() < 5 && self.network.rng.random_bool(0.7) {
+            self.groups.push(group.grown(&member));
+            self.outcome.grown += 1;
+            // The second step of a growth follows as soon as the member of the first one votes.
+            self.queue.push(millis(retry), Event::Replace);
+        } else {
+            let leaves = self.network.rng.random_range(0..group.members.len());
+            let leaves = group.members[leaves].node.clone();
+            self.groups.push(group.replaced(&leaves, &member));
+        }
         for node in 0..NODES {
             let longest = if self.duel { 300 } else { 2_000 };
             let delay = self.network.rng.random_range(0..longest);
