--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -26,11 +26,14 @@
     pub operator_tokens: PathBuf,
     /// The file of the secret that the processes of the fleet share.
     pub peer_token: PathBuf,
+    /// The file of the secret that only the control instances share: a node, which holds
+    /// `peer_token`, could otherwise send consensus messages and so change the replicated state.
+    pub control_token: PathBuf,
     /// The failure domain of this instance.
     #[serde(default)]
     pub domain: String,
-    /// The number of nodes from which on register groups are formed. A group keeps its size, so
-    /// this should be the size of the smallest fleet that is meant to run, up to 5.
+    /// The number of nodes from which on register groups are formed. A group grows to 5 members
+    /// when nodes join, one member per epoch.
     #[serde(default = "default_register_nodes")]
     pub register_nodes: usize,
     /// The number of shards of the quorum registers.
@@ -118,6 +121,11 @@
             let reason = "two members have the same name".to_string();
             return Err(refuse("members", reason, "give each instance a name of its own"));
         }
+        if self.control_token == self.peer_token {
+            let reason = "the same file as `peer_token`, which all nodes hold".to_string();
+            let remedy = "give the control instances a token file of their own";
+            return Err(refuse("control_token", reason, remedy));
+        }
         if self.shards == 0 {
             let reason = "no shards".to_string();
             return Err(refuse("shards", reason, "use 64, or 4096 in a large fleet"));
