Fingerprint a streamed body by its first 16 KiB

Cause: a body above 64 KiB or without a length was left out of the fingerprint, so the crash by one upload restricted every other upload of the same path, and a strike told with the body's fingerprint did not stop it. Conclusion: the claim for one strike itself is in cluster::strikes already.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -19,13 +19,13 @@
 
 use crate::peers;
 use crate::shared::Shared;
-use crate::traffic::{self, Answer, Outcome, Pool, Refusal, Routed, Upload, Worker};
+use crate::traffic::{self, Answer, Outcome, Pool, Refusal, Routed, Worker};
 
 /// The longest wait for a majority: many times the round trip between failure domains.
 pub(crate) const CLAIM_WAIT: Duration = Duration::from_millis(500);
 
 /// The bytes of a request's body that its fingerprint covers.
-const FINGERPRINT_BYTES: usize = 16 << 10;
+pub(crate) const FINGERPRINT_BYTES: usize = 16 << 10;
 
 /// Whether a request may be dispatched.
 pub(crate) enum Begun {
@@ -195,12 +195,11 @@
     Refusal { elsewhere: false, ..Refusal::not_run(error) }
 }
 
-/// Returns a hash of the method, path and query, and the first 16 KiB of a body that is held.
+/// Returns a hash of the method, path and query, and the first 16 KiB of the body.
 pub(crate) fn fingerprint(request: &traffic::Request) -> u64 {
     let mut bytes = format!("{} {}\n", request.method, request.target).into_bytes();
-    if let Upload::Whole(body) = &request.upload {
-        bytes.extend_from_slice(&body[..body.len().min(FINGERPRINT_BYTES)]);
-    }
+    let start = request.upload.start();
+    bytes.extend_from_slice(&start[..start.len().min(FINGERPRINT_BYTES)]);
     hash::of_bytes(&bytes)
 }
 
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -24,6 +24,8 @@
 /// A body that is passed on as it comes.
 #[derive(Debug)]
 pub(crate) struct Stream {
+    /// What was received before the rest is passed on.
+    start: ntex::util::Bytes,
     payload: RefCell<Payload>,
     length: Option<u64>,
     limit: u64,
@@ -53,9 +55,16 @@
 }
 
 impl Upload {
-    /// Returns a body that is passed on as it comes and breaks off above `limit` bytes.
-    pub(crate) fn stream(payload: Payload, length: Option<u64>, limit: u64) -> Self {
+    /// Returns a body whose `start` was received and whose rest is passed on as it comes; breaks off
+    /// above `limit` bytes.
+    pub(crate) fn stream(
+        start: ntex::util::Bytes,
+        payload: Payload,
+        length: Option<u64>,
+        limit: u64,
+    ) -> Self {
         Self::Stream(Rc::new(Stream {
+            start,
             payload: RefCell::new(payload),
             length,
             limit,
@@ -73,6 +82,15 @@
         }
     }
 
+    /// Returns what is known of the start of the body.
+    pub(crate) fn start(&self) -> &[u8] {
+        match self {
+            Self::Empty => &[],
+            Self::Whole(bytes) => bytes,
+            Self::Stream(stream) => &stream.start,
+        }
+    }
+
     /// Returns the failure of an exchange that broke because of its request body.
     pub(super) fn failure(&self) -> Option<Failure> {
         let Self::Stream(stream) = self else { return None };
@@ -94,9 +112,12 @@
 
 impl Stream {
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
-        self.started.set(true);
+        let started = self.started.replace(true);
         loop {
-            let next = ready!(self.payload.borrow_mut().poll_recv(cx));
+            let next = match started || self.start.is_empty() {
+                true => ready!(self.payload.borrow_mut().poll_recv(cx)),
+                false => Some(Ok(self.start.clone())),
+            };
             let sent = self.sent.get();
             return Poll::Ready(match next {
                 Some(Ok(chunk)) if chunk.is_empty() => continue,
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
+use ntex::util::Bytes;
 
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::hash;
@@ -169,7 +170,7 @@
     // The entry has checked the limit of the service.
     let upload = match incoming.take_payload() {
         http::Payload::None => Upload::Empty,
-        payload => Upload::stream(payload, length, u64::MAX),
+        payload => Upload::stream(Bytes::new(), payload, length, u64::MAX),
     };
     let request = Request { method, target, headers, upload };
     let limit = deadline.remaining(now);
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -7,9 +7,13 @@
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
+use arbutuslane_core::hash;
+use arbutuslane_wire::{codec, peer};
+
 use crate::keys::fleet;
 use crate::support::node::wait_until;
-use crate::support::{Node, call};
+use crate::support::server::write;
+use crate::support::{Node, Server, call, caller, open};
 
 /// Starts a server of lookups at `node` whose process ends with a request for `/slots/crash`.
 fn fragile(node: &Node, name: &str, crashes: &Arc<AtomicUsize>) {
@@ -77,3 +81,41 @@
         wait_until(|| node.call("GET", "/slots", &[], b"").status == 200);
     }
 }
+
+/// Guards against one fingerprint for all streamed uploads of a route: the crash by one would hold
+/// up every other.
+#[test]
+fn crashed_streamed_body() {
+    let node = Node::start(&[]);
+    let server = Server::start(&node, "bookings", "s1", |received, stream| {
+        write(stream, &received.ok(&received.body.len().to_string()))
+    });
+    // Without register groups a request with one strike is refused.
+    let bad = [b'b'; 100_000];
+    assert_eq!(strike(&node, "POST /bookings", &bad), 200);
+    let refused = node.call("POST", "/bookings", &[], &bad);
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(server.received().len(), 0);
+    let other = node.call("POST", "/bookings", &[], &[b'g'; 100_000]);
+    assert_eq!((other.status, other.text().as_str()), (200, "100000"));
+    let chunks = b"8\r\nsmall ch\r\n3\r\nunk\r\n0\r\n\r\n";
+    let mut stream = open(node.callers);
+    let head = "POST /bookings HTTP/1.1\r\nhost: t\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(chunks).unwrap();
+    assert_eq!(caller::read(&mut stream, false).unwrap().text(), "11");
+}
+
+/// Tells `node` that the request with this head and body has crashed a server.
+fn strike(node: &Node, head: &str, body: &[u8]) -> u16 {
+    let mut bytes = format!("{head}\n").into_bytes();
+    bytes.extend_from_slice(&body[..body.len().min(16 << 10)]);
+    let message = peer::Message::Strike {
+        service: "bookings".to_string(),
+        server: "lost".to_string(),
+        incarnation: 1,
+        fingerprints: vec![hash::of_bytes(&bytes)],
+    };
+    let body = codec::encode(&message).unwrap();
+    call(node.peers, "POST", "/v1/peer", &[("arbutuslane-token", "secret")], &body).status
+}
