Let an operator reset a register group that has lost its majority

Cause: a group without enough voters for a recovery refused the keyed bookings of its shard until 24 h had passed, and no operator could shorten this.

Change: POST /v1/groups/<shard>/reset (operator token, body change_id) proposes the next epoch of the group as a founding one: members that are alive stay, others are chosen, and all vote without the registers of earlier epochs. It is refused while the group has a majority; a live member that has not reported counts as voting, since a new leader has no reports for up to 30 s. The command is answered by change id from the replicated state, like a change of the catalogue, so a resend resets nothing. The event group-reset names shard, epoch, change id and operator. The loop that finds the leader stands once, in leader.rs. Groups carry founding in the stored form; a group stored without it is founding at epoch 1 only, as before.

Conclusion: a lost shard can be brought back in the knowledge of the loss. A group that is partitioned rather than lost can be reset too when its members are seen as dead.

--- a/crates/arbutuslane_catalogue/src/border.rs
+++ b/crates/arbutuslane_catalogue/src/border.rs
@@ -102,8 +102,12 @@
 pub struct Group {
     /// The shard whose registers the group keeps.
     pub shard: u32,
-    /// Raised by one with each replaced member.
+    /// Raised by one with each replaced or added member, and with a reset.
     pub epoch: u64,
+    /// Whether the members vote without the registers of earlier epochs; the first epoch always
+    /// does, also when it was stored by a release without this field.
+    #[serde(default)]
+    pub founding: bool,
     /// The members in ascending order.
     pub members: Vec<Member>,
 }
@@ -301,14 +305,15 @@
 impl From<Group> for group::Group {
     fn from(group: Group) -> Self {
         let members = group.members.into_iter().map(Into::into).collect();
-        Self { shard: group.shard, epoch: group.epoch, members }
+        let founding = group.founding || group.epoch == 1;
+        Self { shard: group.shard, epoch: group.epoch, founding, members }
     }
 }
 
 impl From<group::Group> for Group {
     fn from(group: group::Group) -> Self {
         let members = group.members.into_iter().map(Into::into).collect();
-        Self { shard: group.shard, epoch: group.epoch, members }
+        Self { shard: group.shard, epoch: group.epoch, founding: group.founding, members }
     }
 }
 
--- a/crates/arbutuslane_catalogue/src/change.rs
+++ b/crates/arbutuslane_catalogue/src/change.rs
@@ -1,8 +1,9 @@
 //! Changes that operators propose, and how they were answered.
 
-use arbutuslane_core::id::{Revision, ServiceName};
+use arbutuslane_core::id::{Revision, ServiceName, Shard};
 
 use crate::entry::Entry;
+use crate::group::Group;
 
 /// The whole desired catalogue against a stated revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,4 +87,22 @@
         /// The author of that change.
         author: String,
     },
+    /// A register group was reset.
+    GroupReset {
+        /// The shard of the group.
+        shard: Shard,
+        /// The epoch that the reset made.
+        epoch: u64,
+    },
+}
+
+/// An operator's reset of a register group that lost too many members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reset {
+    /// The id of the change.
+    pub id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// The group after the reset.
+    pub group: Group,
 }
--- a/crates/arbutuslane_catalogue/src/group.rs
+++ b/crates/arbutuslane_catalogue/src/group.rs
@@ -23,8 +23,11 @@
 pub struct Group {
     /// The shard whose registers the group keeps.
     pub shard: Shard,
-    /// Raised by one with each replaced or added member.
+    /// Raised by one with each replaced or added member, and with a reset.
     pub epoch: u64,
+    /// Whether the members vote without the registers of earlier epochs: the first epoch and after
+    /// an operator's reset.
+    pub founding: bool,
     /// The members in ascending order; an odd number, except between two steps of a growth.
     pub members: Vec<Member>,
 }
@@ -57,16 +60,22 @@
     /// assert_eq!((group.epoch, group.members.len()), (1, 3));
     /// ```
     pub fn found(shard: Shard, candidates: &[Candidate]) -> Option<Self> {
-        let size = candidates.len().min(MEMBERS_MAX);
-        let size = if size.is_multiple_of(2) { size.checked_sub(1)? } else { size };
-        let mut chosen: Vec<&Candidate> = Vec::new();
-        while chosen.len() < size {
-            let next = choose(shard, candidates, &chosen)?;
-            chosen.push(next);
-        }
-        let mut members: Vec<Member> = chosen.into_iter().map(member).collect();
-        members.sort_unstable();
-        Some(Self { shard, epoch: 1, members })
+        Some(Self {
+            shard,
+            epoch: 1,
+            founding: true,
+            members: fill(shard, candidates, Vec::new())?,
+        })
+    }
+
+    /// Returns the next epoch, whose members vote without the registers of the earlier ones;
+    /// nothing without candidates. Members that are candidates stay, since their memory still
+    /// protects the keys that they hold.
+    pub fn reset(&self, candidates: &[Candidate]) -> Option<Self> {
+        let is_member = |node: &str| self.members.iter().any(|member| member.node == node);
+        let kept = candidates.iter().filter(|candidate| is_member(&candidate.node)).collect();
+        let members = fill(self.shard, candidates, kept)?;
+        Some(Self { shard: self.shard, epoch: self.epoch + 1, founding: true, members })
     }
 
     /// Returns the next epoch, in which one member that is no candidate any more is replaced;
@@ -80,7 +89,7 @@
         let mut members = self.members.clone();
         members[lost] = member(next);
         members.sort_unstable();
-        Some(Self { shard: self.shard, epoch: self.epoch + 1, members })
+        Some(Self { shard: self.shard, epoch: self.epoch + 1, founding: false, members })
     }
 
     /// Returns the next epoch, in which one member is added; nothing when the group is full, when a
@@ -97,10 +106,28 @@
         let mut members = self.members.clone();
         members.push(member(choose(self.shard, candidates, &kept)?));
         members.sort_unstable();
-        Some(Self { shard: self.shard, epoch: self.epoch + 1, members })
+        Some(Self { shard: self.shard, epoch: self.epoch + 1, founding: false, members })
     }
 }
 
+/// Returns an odd number of members, at most [`MEMBERS_MAX`]: `chosen` and then others.
+fn fill<'a>(
+    shard: Shard,
+    candidates: &'a [Candidate],
+    mut chosen: Vec<&'a Candidate>,
+) -> Option<Vec<Member>> {
+    let size = candidates.len().min(MEMBERS_MAX);
+    let size = if size.is_multiple_of(2) { size.checked_sub(1)? } else { size };
+    chosen.truncate(size);
+    while chosen.len() < size {
+        let next = choose(shard, candidates, &chosen)?;
+        chosen.push(next);
+    }
+    let mut members: Vec<Member> = chosen.into_iter().map(member).collect();
+    members.sort_unstable();
+    Some(members)
+}
+
 fn member(candidate: &Candidate) -> Member {
     Member { node: candidate.node.clone(), incarnation: candidate.incarnation }
 }
@@ -199,4 +226,20 @@
         assert_eq!((last.epoch, last.members.len()), (3, 5));
         assert_eq!(last.grown(&candidates(9, 3)), None);
     }
+
+    /// Guards against a reset that drops the members that still hold registers, or whose members
+    /// wait for registers that nobody has.
+    #[test]
+    fn reset_keeps_survivors() {
+        let nodes = candidates(12, 3);
+        let group = Group::found(9, &nodes).unwrap();
+        let lost: Vec<NodeId> = group.members.iter().take(3).map(|m| m.node.clone()).collect();
+        let mut left = nodes.clone();
+        left.retain(|candidate| !lost.contains(&candidate.node));
+        let next = group.reset(&left).unwrap();
+        assert_eq!((next.epoch, next.founding, next.members.len()), (2, true, 5));
+        assert!(group.members[3..].iter().all(|member| next.members.contains(member)));
+        assert!(!next.repaired(&nodes[..0]).is_some_and(|group| group.founding));
+        assert_eq!(group.reset(&[]), None);
+    }
 }
--- a/crates/arbutuslane_catalogue/src/state.rs
+++ b/crates/arbutuslane_catalogue/src/state.rs
@@ -4,7 +4,7 @@
 
 use arbutuslane_core::id::Revision;
 
-use crate::change::{self, Change, Edit, Outcome, Proposal};
+use crate::change::{self, Change, Edit, Outcome, Proposal, Reset};
 use crate::entry::Entry;
 use crate::group::Group;
 
@@ -64,7 +64,7 @@
             return outcome.clone();
         }
         let outcome = self.decide(&proposal);
-        self.answered.push_back((proposal.id.clone(), outcome.clone()));
+        self.keep_answer(&proposal.id, &outcome);
         if let Outcome::Accepted { revision } = outcome {
             self.revision = revision;
             for edit in &proposal.edits {
@@ -77,15 +77,27 @@
                 edits: proposal.edits,
             });
         }
-        while self.answered.len() > ANSWERED_CHANGES_KEPT {
-            self.answered.pop_front();
-        }
         while self.history.len() > ANSWERED_CHANGES_KEPT {
             self.history.pop_front();
         }
         outcome
     }
 
+    /// Resets a register group and returns the answer; a change id seen before gets its first answer.
+    pub fn apply_reset(&mut self, reset: Reset) -> Outcome {
+        if let Some(outcome) = self.answer(&reset.id) {
+            return outcome.clone();
+        }
+        let shard = reset.group.shard;
+        // Another change of the group may have been decided since the reset was proposed.
+        let known = self.groups.iter().find(|group| group.shard == shard);
+        let epoch = known.map_or(0, |group| group.epoch) + 1;
+        self.apply_group(Group { epoch, ..reset.group });
+        let outcome = Outcome::GroupReset { shard, epoch };
+        self.keep_answer(&reset.id, &outcome);
+        outcome
+    }
+
     /// Returns the answer that the change `id` got.
     pub fn answer(&self, id: &str) -> Option<&Outcome> {
         self.answered.iter().rev().find(|(known, _)| known == id).map(|(_, outcome)| outcome)
@@ -131,6 +143,13 @@
         self.group_version += 1;
     }
 
+    fn keep_answer(&mut self, id: &str, outcome: &Outcome) {
+        self.answered.push_back((id.to_string(), outcome.clone()));
+        while self.answered.len() > ANSWERED_CHANGES_KEPT {
+            self.answered.pop_front();
+        }
+    }
+
     fn decide(&self, change: &Proposal) -> Outcome {
         if change.base == self.revision {
             return Outcome::Accepted { revision: self.revision + 1 };
@@ -187,4 +206,23 @@
         assert_eq!(state.apply_change(change("a", 0)), Outcome::Accepted { revision: 1 });
         assert_eq!(state.revision, 2);
     }
+
+    /// Guards against a resent reset that gives up the registers claimed since the first one.
+    #[test]
+    fn apply_reset_resend() {
+        let mut state = State::default();
+        let group = Group { shard: 3, epoch: 1, founding: true, members: Vec::new() };
+        state.apply_group(group.clone());
+        let reset = |id: &str| Reset {
+            id: id.to_string(),
+            author: "mari".to_string(),
+            group: Group { epoch: 2, ..group.clone() },
+        };
+        let first = Outcome::GroupReset { shard: 3, epoch: 2 };
+        assert_eq!(state.apply_reset(reset("a")), first);
+        let after = state.clone();
+        assert_eq!(state.apply_reset(reset("a")), first);
+        assert_eq!(state, after);
+        assert_eq!(state.apply_reset(reset("b")), Outcome::GroupReset { shard: 3, epoch: 3 });
+    }
 }
--- a/crates/arbutuslane_catalogue/src/stored.rs
+++ b/crates/arbutuslane_catalogue/src/stored.rs
@@ -13,6 +13,19 @@
     Change(Proposal),
     /// Groups of the quorum registers that control assigns.
     Groups(Vec<Group>),
+    /// An operator's reset of a register group.
+    Reset(Reset),
+}
+
+/// The serialized form of [`change::Reset`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reset {
+    /// The id of the change.
+    pub id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// The group after the reset.
+    pub group: Group,
 }
 
 /// The serialized form of [`change::Edit`].
@@ -117,6 +130,13 @@
         /// The author of that change.
         author: String,
     },
+    /// See [`change::Outcome::GroupReset`].
+    GroupReset {
+        /// The shard of the group.
+        shard: u32,
+        /// The epoch that the reset made.
+        epoch: u64,
+    },
 }
 
 /// The serialized form of [`state::Record`].
@@ -191,6 +211,18 @@
     }
 }
 
+impl From<Reset> for change::Reset {
+    fn from(reset: Reset) -> Self {
+        Self { id: reset.id, author: reset.author, group: reset.group.into() }
+    }
+}
+
+impl From<change::Reset> for Reset {
+    fn from(reset: change::Reset) -> Self {
+        Self { id: reset.id, author: reset.author, group: reset.group.into() }
+    }
+}
+
 impl From<Outcome> for change::Outcome {
     fn from(outcome: Outcome) -> Self {
         match outcome {
@@ -198,6 +230,7 @@
             Outcome::Conflict { revision, winner, author } => {
                 Self::Conflict { revision, winner, author }
             }
+            Outcome::GroupReset { shard, epoch } => Self::GroupReset { shard, epoch },
         }
     }
 }
@@ -209,6 +242,7 @@
             change::Outcome::Conflict { revision, winner, author } => {
                 Self::Conflict { revision, winner, author }
             }
+            change::Outcome::GroupReset { shard, epoch } => Self::GroupReset { shard, epoch },
         }
     }
 }
--- a/crates/arbutuslane_cli/src/args.rs
+++ b/crates/arbutuslane_cli/src/args.rs
@@ -37,6 +37,7 @@
                 .about("Shows instances and services as the fleet sees them now")
                 .after_help("Example:\n  arbutuslane status --json"),
         )
+        .subcommand(groups())
         .subcommand(timeline())
         .subcommand(
             Command::new("report")
@@ -110,6 +111,36 @@
         )
 }
 
+fn groups() -> Command {
+    Command::new("groups")
+        .about("Repairs the groups of nodes that keep idempotency keys")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("reset")
+                .about("Gives up the registers of a shard whose group has lost its majority")
+                .arg(
+                    Arg::new("shard")
+                        .required(true)
+                        .value_name("SHARD")
+                        .value_parser(value_parser!(u32))
+                        .help("The shard, as the event registers-unavailable names it"),
+                )
+                .arg(
+                    flag("yes", "Accepts that keys of the last 24 h are no longer protected")
+                        .requires("change-id"),
+                )
+                .arg(
+                    option("change-id", "ID")
+                        .help("The change id; repeat it when the command is run again"),
+                )
+                .after_help(
+                    "Without --yes, nothing is reset: the command warns, and shows the command \
+                     with a change id.\n\nExample:\n  arbutuslane groups reset 7",
+                ),
+        )
+}
+
 fn proposal(command: Command) -> Command {
     command
         .arg(
--- a/crates/arbutuslane_cli/src/catalogue/apply.rs
+++ b/crates/arbutuslane_cli/src/catalogue/apply.rs
@@ -1,6 +1,6 @@
 //! Proposes changes of the catalogue, and waits until they are in force.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -10,13 +10,13 @@
 use ntex::time::sleep;
 use serde::Serialize;
 
-use super::read::ROUND_PAUSE;
 use super::{read, show_findings, show_refused};
 use crate::answers;
 use crate::client::Http;
 use crate::error::Error;
 use crate::exit::Code;
 use crate::files;
+use crate::leader::{self, ROUND_PAUSE};
 use crate::output;
 use crate::settings::Settings;
 
@@ -162,51 +162,20 @@
     started: Instant,
     timeout: Duration,
 ) -> Result<Answer, Error> {
-    if settings.controls.is_empty() {
-        return Err(Error::Missing { what: "control instance", key: "controls" });
-    }
-    loop {
-        let mut tried = Vec::new();
-        let mut queue: VecDeque<String> = settings.controls.iter().cloned().collect();
-        let mut hinted = false;
-        while let Some(address) = queue.pop_front() {
-            let reply = match http.post(&address, "/v1/changes", change).await {
-                Ok(reply) => reply,
-                Err(fault) => {
-                    tried.push(format!("{address}: {fault}"));
-                    continue;
-                }
-            };
-            match reply.status {
-                200 => {
-                    let accepted: operator::Accepted = reply.json(&address)?;
-                    return Ok(Answer::Accepted(accepted.revision));
-                }
-                409 => return Ok(Answer::Conflict(reply.json(&address)?)),
-                422 => {
-                    let findings = reply.json_or_none::<border::Findings>();
-                    let refused = || read::refused(&address, &reply);
-                    return findings.map(Answer::Invalid).ok_or_else(refused);
-                }
-                400..=499 => return Err(read::refused(&address, &reply)),
-                status => {
-                    tried.push(format!("{address}: status {status}, not the leader"));
-                    let hint = reply.json_or_none::<operator::NotLeader>();
-                    let leader = hint.and_then(|not_leader| not_leader.leader);
-                    // One hint a round, so that two instances cannot send the command in a circle.
-                    if let Some(leader) = leader.filter(|_| !hinted) {
-                        hinted = true;
-                        queue.retain(|other| *other != leader);
-                        queue.push_front(leader);
-                    }
-                }
-            }
+    let (path, id) = ("/v1/changes", &change.change_id);
+    let (address, reply) =
+        leader::post(http, settings, path, change, id, (started, timeout)).await?;
+    match reply.status {
+        200 => {
+            let accepted: operator::Accepted = reply.json(&address)?;
+            Ok(Answer::Accepted(accepted.revision))
         }
-        if started.elapsed() >= timeout {
-            let change_id = change.change_id.clone();
-            return Err(Error::Unconfirmed { change_id, tried: tried.join("; ") });
+        409 => Ok(Answer::Conflict(reply.json(&address)?)),
+        422 => {
+            let findings = reply.json_or_none::<border::Findings>();
+            findings.map(Answer::Invalid).ok_or_else(|| leader::refused(&address, &reply))
         }
-        sleep(ROUND_PAUSE).await;
+        _ => Err(leader::refused(&address, &reply)),
     }
 }
 
--- a/crates/arbutuslane_cli/src/catalogue/read.rs
+++ b/crates/arbutuslane_cli/src/catalogue/read.rs
@@ -4,18 +4,16 @@
 
 use arbutuslane_catalogue::{border, diff};
 use arbutuslane_wire::{operator, status};
-use ntex::time::{Millis, sleep};
+use ntex::time::sleep;
 
 use crate::answers;
 use crate::client::{Http, Reply};
 use crate::error::Error;
 use crate::exit::Code;
+use crate::leader::{self, ROUND_PAUSE};
 use crate::output;
 use crate::settings::Settings;
 
-/// The pause between two rounds over all control instances, below the time of an election.
-pub(super) const ROUND_PAUSE: Millis = Millis(250);
-
 /// Shows the catalogue in the form of a catalogue file.
 pub(crate) async fn show(
     revision: Option<u64>,
@@ -118,7 +116,7 @@
         for address in &settings.controls {
             match http.get(address, path).await {
                 Ok(reply) if matches!(reply.status, 401 | 403) => {
-                    return Err(refused(address, &reply));
+                    return Err(leader::refused(address, &reply));
                 }
                 Ok(reply) if reply.status < 500 => return Ok((address.clone(), reply)),
                 Ok(reply) => {
@@ -135,12 +133,3 @@
         sleep(ROUND_PAUSE).await;
     }
 }
-
-/// Returns the error for a response that refuses the request.
-pub(super) fn refused(address: &str, reply: &Reply) -> Error {
-    let refusal = reply.json_or_none::<operator::Refusal>().unwrap_or(operator::Refusal {
-        error: format!("status {}", reply.status),
-        remedy: "check that the token file holds the token of an operator".to_string(),
-    });
-    Error::Refused { address: address.to_string(), problem: refusal.error, remedy: refusal.remedy }
-}
--- a/crates/arbutuslane_cli/src/dispatch.rs
+++ b/crates/arbutuslane_cli/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::exit::Code;
 use crate::settings::Settings;
 use crate::timeline::{Filter, Form};
-use crate::{args, report, status, timeline, when};
+use crate::{args, groups, report, status, timeline, when};
 
 /// Parses `arguments`, runs the command and returns its exit code.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -48,6 +48,7 @@
             Ok(Code::Done)
         }
         Some(("catalogue", matches)) => dispatch_catalogue(matches, json),
+        Some(("groups", matches)) => dispatch_groups(matches, json),
         Some(("status", matches)) => block_on(status::show(settings(matches)?, json)),
         Some(("timeline", matches)) => dispatch_timeline(matches, json),
         Some(("report", matches)) => {
@@ -85,6 +86,17 @@
     }
 }
 
+fn dispatch_groups(matches: &ArgMatches, json: bool) -> Result<Code, Error> {
+    match matches.subcommand() {
+        Some(("reset", matches)) => {
+            let shard = matches.get_one::<u32>("shard").copied().unwrap_or_default();
+            let change_id = text(matches, "change-id").filter(|_| matches.get_flag("yes"));
+            block_on(groups::reset(shard, change_id, settings(matches)?, json))
+        }
+        _ => Ok(Code::Usage),
+    }
+}
+
 fn dispatch_timeline(matches: &ArgMatches, json: bool) -> Result<Code, Error> {
     let many = |name: &str| -> Vec<String> {
         matches.get_many::<String>(name).unwrap_or_default().cloned().collect()
--- a/crates/arbutuslane_cli/src/lib.rs
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod exit;
 pub mod files;
 pub mod gather;
+mod groups;
+mod leader;
 pub mod locate;
 pub mod output;
 pub mod page;
--- a/crates/arbutuslane_cli/tests/control.rs
+++ b/crates/arbutuslane_cli/tests/control.rs
@@ -134,3 +134,20 @@
     assert!(response.contains("entries[0].floor"), "{response}");
     assert!(expect(folder, 0, "catalogue history").lines().count() == 1);
 }
+
+/// Guards against a reset that is made without a warning or without the operator's consent.
+#[test]
+fn groups_reset_consent() {
+    let folder: TempDir = tempfile::tempdir().unwrap();
+    let folder = folder.path();
+    start(folder);
+    let (code, _, stderr) = run(folder, "groups reset 7");
+    assert_eq!(code, 2);
+    assert!(stderr.contains("no longer protected") && stderr.contains("nothing was reset"));
+    let command = stderr.lines().find_map(|line| line.strip_prefix("  arbutuslane ")).unwrap();
+    // No node is alive, so the fleet has no group that could be reset.
+    let (code, _, stderr) = run(folder, command);
+    assert_eq!(code, 5, "{stderr}");
+    assert!(stderr.contains("no longer protected") && stderr.contains("has no group"), "{stderr}");
+    expect(folder, 2, "groups reset 7 --yes");
+}
--- a/crates/arbutuslane_control/src/apply.rs
+++ b/crates/arbutuslane_control/src/apply.rs
@@ -31,6 +31,7 @@
                     self.apply_groups(groups);
                     Answer::Done
                 }
+                Ok(Command::Reset(reset)) => self.apply_reset(reset),
                 Err(error) => {
                     tracing::error!(index = entry.index, %error, "unreadable log entry");
                     Answer::NotLeader(None)
@@ -66,6 +67,7 @@
                 let revision = *revision;
                 self.handle.events.record(Kind::ChangeRefused { revision, change_id, author });
             }
+            Outcome::GroupReset { .. } => {}
         }
         Answer::Outcome(outcome)
     }
@@ -88,6 +90,20 @@
         }
     }
 
+    fn apply_reset(&mut self, reset: stored::Reset) -> Answer {
+        let (change_id, author) = (reset.id.clone(), reset.author.clone());
+        let mut state = self.handle.state.write().unwrap_or_else(PoisonError::into_inner);
+        let known = state.answer(&change_id).is_some();
+        let base = position(&state);
+        let outcome = state.apply_reset(reset.into());
+        if let (false, Outcome::GroupReset { shard, epoch }) = (known, &outcome) {
+            let (shard, epoch) = (*shard, *epoch);
+            self.keep_step(base, &Step::of_groups(&state, &[shard]));
+            self.handle.events.record(Kind::GroupReset { shard, epoch, change_id, author });
+        }
+        Answer::Outcome(outcome)
+    }
+
     /// Keeps a step for the nodes that hold the state before it.
     fn keep_step(&self, base: Position, step: &Step) {
         let Ok(bytes) = codec::encode(step) else { return };
--- a/crates/arbutuslane_control/src/assign.rs
+++ b/crates/arbutuslane_control/src/assign.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use arbutuslane_catalogue::group::{Candidate, Group};
+use arbutuslane_catalogue::group::{Candidate, Group, Member};
 use arbutuslane_core::time::Time;
 
 /// The shards whose groups each node votes in, with their epochs, as the nodes reported last.
@@ -67,6 +67,19 @@
     }
 }
 
+/// Returns whether the members that are alive can form no majority without a reset.
+///
+/// A member that is alive and has not reported yet counts as voting: a new leader has no reports for
+/// up to 30 s, and must not take a healthy group for a lost one.
+pub(crate) fn is_lost(group: &Group, alive: &[Candidate], votes: &Votes) -> bool {
+    let in_force = (group.shard, group.epoch);
+    let may_vote = |member: &&Member| {
+        alive.iter().any(|candidate| candidate.node == member.node)
+            && votes.get(&member.node).is_none_or(|votes| votes.contains(&in_force))
+    };
+    group.members.iter().filter(may_vote).count() < group.members.len() / 2 + 1
+}
+
 /// Returns whether all members that are alive vote in the group's current epoch.
 fn has_settled(group: &Group, alive: &[Candidate], votes: &Votes) -> bool {
     let in_force = (group.shard, group.epoch);
@@ -152,4 +165,21 @@
         let last = decide(25, &next, &five, &votes(&five, &next)).remove(0);
         assert_eq!((last.epoch, last.members.len()), (3, 5));
     }
+
+    /// Guards against a reset of a group that has a majority, or that may have one according to a
+    /// leader without reports.
+    #[test]
+    fn is_lost_reports() {
+        let five = alive(&[1, 2, 3, 4, 5]);
+        let group = Group::found(0, &five).unwrap();
+        assert!(!is_lost(&group, &five, &Votes::new()));
+        let mut reports = votes(&five, &group);
+        assert!(!is_lost(&group, &five[2..], &reports));
+        assert!(is_lost(&group, &five[3..], &reports));
+        // Three restarted members report that they do not vote.
+        for node in &five[..3] {
+            reports.insert(node.node.clone(), Vec::new());
+        }
+        assert!(is_lost(&group, &five, &reports));
+    }
 }
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -13,6 +13,7 @@
 use arbutuslane_consensus::input::Refusal;
 use arbutuslane_consensus::prelude::Reconfigure;
 use arbutuslane_core::hash;
+use arbutuslane_core::id::Shard;
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_member::configuration::Delta;
 use arbutuslane_storage::prelude::*;
@@ -41,10 +42,23 @@
     Readable,
     /// This instance does not lead; the address of the leader's operator API, where known.
     NotLeader(Option<String>),
+    /// The register group is not reset.
+    ResetRefused(ResetRefusal),
     /// The change of the membership is not possible now.
     Refused(Refusal),
 }
 
+/// Why a register group is not reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResetRefusal {
+    /// The shard has no group.
+    NoGroup,
+    /// No node is alive that could be a member.
+    NoNodes,
+    /// The group has a majority, or may have one.
+    HasMajority,
+}
+
 /// What a node reported last.
 #[derive(Debug, Clone)]
 pub struct Report {
@@ -63,6 +77,8 @@
     Change(Change, Reply),
     Read(Reply),
     Reconfigure(Reconfigure, Reply),
+    /// A change id, an author and the shard whose group to reset.
+    Reset(String, String, Shard, Reply),
     Frames(Vec<Frame>),
     /// The shards whose groups a node votes in, with their epochs.
     Votes(String, Vec<(u32, u64)>),
@@ -105,6 +121,11 @@
         self.ask(|reply| Request::Reconfigure(change, reply)).await
     }
 
+    /// Resets the register group of `shard`, giving up its registers.
+    pub async fn reset(&self, id: String, author: String, shard: Shard) -> Answer {
+        self.ask(|reply| Request::Reset(id, author, shard, reply)).await
+    }
+
     /// Returns whether the daemon is being stopped.
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
--- a/crates/arbutuslane_control/src/operators.rs
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -9,14 +9,14 @@
 use arbutuslane_consensus::prelude::Reconfigure;
 use arbutuslane_event::border::Page;
 use arbutuslane_wire::operator::{
-    Accepted, Conflict, History, Membership, NotLeader, Record, Refusal,
+    Accepted, Conflict, GroupEpoch, GroupReset, History, Membership, NotLeader, Record, Refusal,
 };
 use ntex::http::StatusCode;
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::{Answer, Handle};
+use crate::engine::{Answer, Handle, ResetRefusal};
 use crate::token::Tokens;
 use crate::watch;
 
@@ -39,6 +39,7 @@
         .service(web::resource("/v1/status").route(web::get().to(status)))
         .service(web::resource("/v1/events").route(web::get().to(events)))
         .service(web::resource("/v1/changes").route(web::post().to(change)))
+        .service(web::resource("/v1/groups/{shard}/reset").route(web::post().to(reset)))
         .service(web::resource("/v1/instances").route(web::post().to(reconfigure)));
 }
 
@@ -51,7 +52,8 @@
     refuse(
         StatusCode::NOT_FOUND,
         error,
-        "use /v1/catalogue, /v1/history, /v1/status, /v1/events, /v1/changes or /v1/instances",
+        "use /v1/catalogue, /v1/history, /v1/status, /v1/events, /v1/changes, /v1/instances or \
+         /v1/groups/<shard>/reset",
     )
 }
 
@@ -145,9 +147,8 @@
         let error = format!("the token belongs to `{holder}`, the change to `{}`", change.author);
         return refuse(StatusCode::FORBIDDEN, error, "send the change under the token's own name");
     }
-    if change.change_id.is_empty() || change.change_id.len() > 128 {
-        let error = "change_id has no or more than 128 bytes".to_string();
-        return refuse(StatusCode::UNPROCESSABLE_ENTITY, error, "use a random id, such as 32 hex");
+    if let Err(refused) = check_id(&change.change_id) {
+        return refused;
     }
     let change = change::Change::from(change);
     let findings = check::entries(&change.entries);
@@ -162,11 +163,69 @@
         Answer::Outcome(Outcome::Conflict { revision, winner, author }) => {
             json(StatusCode::CONFLICT, &Conflict { revision, winner, author })
         }
+        Answer::Outcome(Outcome::GroupReset { .. }) => refuse_used_id(),
         Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
         _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
     }
 }
 
+async fn reset(
+    request: HttpRequest,
+    shared: State,
+    shard: web::types::Path<u32>,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let holder = match authorize(&request, &shared) {
+        Ok(holder) => holder,
+        Err(refused) => return refused,
+    };
+    let asked: GroupReset = match body(&mut payload).await {
+        Ok(asked) => asked,
+        Err(refused) => return refused,
+    };
+    if let Err(refused) = check_id(&asked.change_id) {
+        return refused;
+    }
+    match shared.engine.reset(asked.change_id, holder, *shard).await {
+        Answer::Outcome(Outcome::GroupReset { shard: done, epoch }) if done == *shard => {
+            json(StatusCode::OK, &GroupEpoch { shard: done, epoch })
+        }
+        Answer::Outcome(_) => refuse_used_id(),
+        Answer::ResetRefused(reason) => {
+            let (status, error, remedy) = match reason {
+                ResetRefusal::NoGroup => {
+                    (StatusCode::NOT_FOUND, "the shard has no group", "use a shard of the fleet")
+                }
+                ResetRefusal::NoNodes => {
+                    (StatusCode::CONFLICT, "no node is alive", "start nodes, then reset the group")
+                }
+                ResetRefusal::HasMajority => (
+                    StatusCode::CONFLICT,
+                    "the group has a majority or may have one, so nothing was reset",
+                    "wait 30 s for the nodes' reports, and reset only if keyed bookings of the \
+                     shard are still refused",
+                ),
+            };
+            refuse(status, error.to_string(), remedy)
+        }
+        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
+        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+    }
+}
+
+fn check_id(change_id: &str) -> Result<(), HttpResponse> {
+    if (1..=128).contains(&change_id.len()) {
+        return Ok(());
+    }
+    let error = "change_id has no or more than 128 bytes".to_string();
+    Err(refuse(StatusCode::UNPROCESSABLE_ENTITY, error, "use a random id, such as 32 hex"))
+}
+
+fn refuse_used_id() -> HttpResponse {
+    let error = "the change id was used for another request".to_string();
+    refuse(StatusCode::UNPROCESSABLE_ENTITY, error, "use a new change id")
+}
+
 async fn reconfigure(
     request: HttpRequest,
     shared: State,
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -11,15 +11,16 @@
 use arbutuslane_consensus::input::Refusal;
 use arbutuslane_consensus::prelude::*;
 use arbutuslane_core::hash;
+use arbutuslane_core::id::Shard;
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_storage::disk::Disk;
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
 
-use crate::assign::{Assigner, Votes};
+use crate::assign::{self, Assigner, Votes};
 use crate::border::Frame;
 use crate::courier::Outbox;
-use crate::engine::{Answer, Handle, Reply, Request};
+use crate::engine::{Answer, Handle, Reply, Request, ResetRefusal};
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::watch::Watch;
@@ -154,6 +155,7 @@
                     }
                 }
             }
+            Request::Reset(id, author, shard, reply) => self.reset(id, author, shard, reply),
             Request::Votes(node, votes) => self.note_votes(node, votes),
             Request::Stop => {}
         }
@@ -190,6 +192,41 @@
         self.step(Input::Propose { token, command });
     }
 
+    /// Proposes the reset of a register group, unless the group has a majority.
+    fn reset(&mut self, id: String, author: String, shard: Shard, reply: Reply) {
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(outcome) = state.answer(&id) {
+            let _ = reply.send(Answer::Outcome(outcome.clone()));
+            return;
+        }
+        let group = state.groups.iter().find(|group| group.shard == shard).cloned();
+        drop(state);
+        let is_leader = self.node.as_ref().is_some_and(|node| node.role() == "leader");
+        if !is_leader || !self.node.as_ref().is_some_and(Node::is_established) {
+            let _ = reply.send(Answer::NotLeader(self.handle.leader_address()));
+            return;
+        }
+        let alive = self.handle.alive.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let group = match group {
+            None => Err(ResetRefusal::NoGroup),
+            Some(group) if !assign::is_lost(&group, &alive, &self.votes) => {
+                Err(ResetRefusal::HasMajority)
+            }
+            Some(group) => group.reset(&alive).ok_or(ResetRefusal::NoNodes),
+        };
+        let group = match group {
+            Ok(group) => group,
+            Err(refusal) => {
+                let _ = reply.send(Answer::ResetRefused(refusal));
+                return;
+            }
+        };
+        let reset = stored::Reset { id, author, group: group.into() };
+        let Ok(command) = codec::encode(&Command::Reset(reset)) else { return };
+        let token = self.await_token(reply);
+        self.step(Input::Propose { token, command });
+    }
+
     fn await_token(&mut self, reply: Reply) -> u64 {
         self.next_token += 1;
         self.waiting.insert(self.next_token, reply);
--- a/crates/arbutuslane_control/tests/cluster/mod.rs
+++ b/crates/arbutuslane_control/tests/cluster/mod.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -127,6 +127,33 @@
         codec::decode(&answer).ok()
     }
 
+    /// Lets nodes that answer nothing appear alive for some seconds, also after a suspicion.
+    pub(crate) fn join(&self, position: usize, nodes: &[&str]) {
+        static INCARNATION: AtomicU64 = AtomicU64::new(1);
+        let held = |node: &&str| peer::gossip::Held {
+            node: (*node).to_string(),
+            inc: INCARNATION.fetch_add(1, Ordering::Relaxed),
+            ver: 1,
+            // Nothing listens on the discard port.
+            peers: "127.0.0.1:9".to_string(),
+            callers: "127.0.0.1:9".to_string(),
+            domain: "domain".to_string(),
+            release: String::new(),
+            servers: Vec::new(),
+            round: 0,
+            standing: peer::gossip::Standing::Alive,
+        };
+        let records = nodes.iter().map(held).collect();
+        let message = peer::gossip::Message::Push { records, verdicts: Vec::new() };
+        self.tell(position, &peer::Message::Gossip(message));
+    }
+
+    /// Reports the shards whose groups a node votes in, with their epochs.
+    pub(crate) fn report(&self, position: usize, node: &str, votes: &[(u32, u64)]) {
+        let (node, votes) = (node.to_string(), votes.to_vec());
+        self.tell(position, &peer::Message::InForce { node, revision: 0, votes });
+    }
+
     /// Posts an empty batch of consensus messages under a token; returns the status.
     pub(crate) fn post_raft(&self, position: usize, token: &str) -> Option<u16> {
         let header = format!("{}: {token}", header::TOKEN);
--- a/crates/arbutuslane_event/src/kind.rs
+++ b/crates/arbutuslane_event/src/kind.rs
@@ -246,6 +246,17 @@
         /// The epoch.
         epoch: u64,
     }
+    /// An operator reset a register group: keys claimed in the last 24 h are not protected.
+    GroupReset = "group-reset", Action {
+        /// The shard.
+        shard: u32,
+        /// The epoch that the reset made.
+        epoch: u64,
+        /// The id of the change.
+        change_id: String,
+        /// The operator who made it.
+        author: String,
+    }
     /// A register replica votes after it pulled its shard.
     RegistersRecovered = "registers-recovered", Routine {
         /// The shard.
--- a/crates/arbutuslane_node/src/cluster/delta.rs
+++ b/crates/arbutuslane_node/src/cluster/delta.rs
@@ -88,7 +88,8 @@
     #[test]
     fn apply_between() {
         let member = Member { node: "a".to_string(), incarnation: 1 };
-        let group = |epoch| Group { shard: 0, epoch, members: vec![member.clone()] };
+        let group =
+            |epoch| Group { shard: 0, epoch, founding: epoch == 1, members: vec![member.clone()] };
         let old = Snapshot {
             revision: 3,
             group_version: 1,
--- a/crates/arbutuslane_node/src/cluster/registers.rs
+++ b/crates/arbutuslane_node/src/cluster/registers.rs
@@ -156,11 +156,17 @@
     }
 }
 
-/// Returns the group as the record crate sees it; nothing is expected in memory at the first epoch.
+/// Returns the group as the record crate sees it; nothing is expected in memory at the first epoch and
+/// after a reset.
 fn group(group: &border::Group) -> Group {
     let mut members = Vec::new();
     for member in &group.members {
         members.push(Member { node: member.node.clone(), incarnation: member.incarnation });
     }
-    Group { shard: group.shard, epoch: group.epoch, founding: group.epoch == 1, members }
+    Group {
+        shard: group.shard,
+        epoch: group.epoch,
+        founding: group.founding || group.epoch == 1,
+        members,
+    }
 }
--- a/crates/arbutuslane_node/tests/faults/keys.rs
+++ b/crates/arbutuslane_node/tests/faults/keys.rs
@@ -35,8 +35,9 @@
         members.push(Member { node: name, incarnation: status["incarnation"].as_u64().unwrap() });
     }
     members.sort_by(|left, right| left.node.cmp(&right.node));
-    let groups =
-        (0..SHARDS).map(|shard| Group { shard, epoch: 1, members: members.clone() }).collect();
+    let groups = (0..SHARDS)
+        .map(|shard| Group { shard, epoch: 1, founding: true, members: members.clone() })
+        .collect();
     let mut snapshot: Snapshot = serde_json::from_str(Node::catalogue()).unwrap();
     snapshot.group_version = version;
     snapshot.groups = groups;
--- a/crates/arbutuslane_record/tests/keys.rs
+++ b/crates/arbutuslane_record/tests/keys.rs
@@ -221,3 +221,41 @@
     }
     assert!(!restarted.is_voting());
 }
+
+/// Guards against a group that lost its majority and votes again before the claims that it lost are
+/// past their retention, or never.
+#[test]
+fn pulled_retention() {
+    let (group, mut seats) = founded();
+    for place in [0, 1, 2] {
+        seats[place] = Seat::join(Duration::ZERO, NODES[place], 2, group.clone());
+    }
+    let day = Duration::from_secs(24 * 3_600);
+    for (now, votes) in [(day - Duration::from_millis(1), false), (day, true)] {
+        for (node, pull) in seats[0].pulls() {
+            let place = NODES.iter().position(|known| *known == node).unwrap();
+            let page = seats[place].handle(now, &pull);
+            seats[0].pulled(now, &node, 0, &page);
+        }
+        assert_eq!(seats[0].is_voting(), votes, "{now:?}");
+    }
+}
+
+/// Guards against a reset group whose members wait for registers that nobody has, and against a
+/// member that restarted after the reset and votes without the registers claimed since.
+#[test]
+fn adopt_reset() {
+    let (group, mut seats) = founded();
+    for place in [0, 1, 2] {
+        seats[place] = Seat::join(Duration::ZERO, NODES[place], 2, group.clone());
+    }
+    let mut reset = Group { epoch: 2, ..group };
+    for place in [0, 1, 2] {
+        reset.members[place].incarnation = 2;
+    }
+    for seat in &mut seats {
+        assert!(seat.adopt(Duration::ZERO, reset.clone()));
+        assert!(seat.is_voting());
+    }
+    assert!(!Seat::join(Duration::ZERO, "a", 3, reset).is_voting());
+}
--- a/crates/arbutuslane_wire/src/operator.rs
+++ b/crates/arbutuslane_wire/src/operator.rs
@@ -20,6 +20,23 @@
     pub author: String,
 }
 
+/// The body of POST `/v1/groups/<shard>/reset`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupReset {
+    /// The id of the change; a resend with the same id gets the first answer.
+    pub change_id: String,
+}
+
+/// The answer to a reset of a register group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupEpoch {
+    /// The shard of the group.
+    pub shard: u32,
+    /// The epoch that the reset made.
+    pub epoch: u64,
+}
+
 /// The answer of a control instance that does not lead.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotLeader {
