Use one type for steps between configurations

Cause: nodes and control instances encoded steps in two types of the same fields. A step that a node made lacked revision and group_version, so a control instance could not have read it.

A step whose content contradicts the position in its envelope is refused.

Conclusion: one type and one way to apply it.

--- a/crates/arbutuslane_catalogue/src/stored.rs
+++ b/crates/arbutuslane_catalogue/src/stored.rs
@@ -68,6 +68,28 @@
 }
 
 impl Step {
+    /// Returns the step from one snapshot to a later one.
+    pub fn between(old: &Snapshot, new: &Snapshot) -> Self {
+        let mut step =
+            Self { revision: new.revision, group_version: new.group_version, ..Self::default() };
+        for entry in &new.entries {
+            if !old.entries.contains(entry) {
+                step.entries.push(entry.clone());
+            }
+        }
+        for entry in &old.entries {
+            if !new.entries.iter().any(|kept| kept.service == entry.service) {
+                step.removed.push(entry.service.clone());
+            }
+        }
+        for group in &new.groups {
+            if !old.groups.contains(group) {
+                step.groups.push(group.clone());
+            }
+        }
+        step
+    }
+
     /// Returns the step that leads to `state`, which was just reached with `record`.
     pub fn of_change(state: &state::State, record: &state::Record) -> Self {
         let mut step = Self::at(state);
@@ -96,20 +118,16 @@
     pub fn advance(&mut self, step: Step) {
         self.revision = step.revision;
         self.group_version = step.group_version;
-        self.entries.retain(|entry| !step.removed.contains(&entry.service));
-        for entry in step.entries {
-            let service = &entry.service;
-            match self.entries.binary_search_by(|known| known.service.cmp(service)) {
-                Ok(index) => self.entries[index] = entry,
-                Err(index) => self.entries.insert(index, entry),
-            }
-        }
-        for group in step.groups {
-            match self.groups.binary_search_by_key(&group.shard, |known| known.shard) {
-                Ok(index) => self.groups[index] = group,
-                Err(index) => self.groups.insert(index, group),
-            }
-        }
+        // A snapshot that an operator wrote to a file need not be sorted.
+        self.entries.retain(|entry| {
+            !step.removed.contains(&entry.service)
+                && !step.entries.iter().any(|changed| changed.service == entry.service)
+        });
+        self.entries.extend(step.entries);
+        self.entries.sort_by(|left, right| left.service.cmp(&right.service));
+        self.groups.retain(|group| !step.groups.iter().any(|changed| changed.shard == group.shard));
+        self.groups.extend(step.groups);
+        self.groups.sort_by_key(|group| group.shard);
     }
 }
 
--- a/crates/arbutuslane_node/src/cluster/delta.rs
+++ b/crates/arbutuslane_node/src/cluster/delta.rs
@@ -2,21 +2,10 @@
 
 use std::sync::Arc;
 
-use arbutuslane_catalogue::border::{Entry, Group, Snapshot};
+use arbutuslane_catalogue::border::Snapshot;
+use arbutuslane_catalogue::stored::Step;
 use arbutuslane_member::prelude::{Delta, Position};
 use arbutuslane_wire::codec;
-use serde::{Deserialize, Serialize};
-
-/// What differs between two configurations.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Step {
-    /// Entries that are new or changed.
-    entries: Vec<Entry>,
-    /// Services without an entry.
-    removed: Vec<String>,
-    /// Register groups that are new or changed.
-    groups: Vec<Group>,
-}
 
 /// Returns the position of a configuration.
 pub(crate) fn position(snapshot: &Snapshot) -> Position {
@@ -25,23 +14,7 @@
 
 /// Returns the step from `old` to `new`, or nothing when it cannot be encoded.
 pub(crate) fn between(old: &Snapshot, new: &Snapshot) -> Option<Delta> {
-    let mut step = Step::default();
-    for entry in &new.entries {
-        if !old.entries.contains(entry) {
-            step.entries.push(entry.clone());
-        }
-    }
-    for entry in &old.entries {
-        if !new.entries.iter().any(|kept| kept.service == entry.service) {
-            step.removed.push(entry.service.clone());
-        }
-    }
-    for group in &new.groups {
-        if !old.groups.contains(group) {
-            step.groups.push(group.clone());
-        }
-    }
-    let bytes: Arc<[u8]> = codec::encode(&step).ok()?.into();
+    let bytes: Arc<[u8]> = codec::encode(&Step::between(old, new)).ok()?.into();
     Some(Delta { base: position(old), position: position(new), bytes })
 }
 
@@ -51,24 +24,17 @@
         return None;
     }
     let step: Step = codec::decode(&delta.bytes).ok()?;
+    if (step.revision, step.group_version) != (delta.position.revision, delta.position.groups) {
+        return None;
+    }
     let mut new = old.clone();
-    new.revision = delta.position.revision;
-    new.group_version = delta.position.groups;
-    new.entries.retain(|entry| {
-        !step.removed.contains(&entry.service)
-            && !step.entries.iter().any(|changed| changed.service == entry.service)
-    });
-    new.entries.extend(step.entries);
-    new.entries.sort_by(|left, right| left.service.cmp(&right.service));
-    new.groups.retain(|group| !step.groups.iter().any(|changed| changed.shard == group.shard));
-    new.groups.extend(step.groups);
-    new.groups.sort_by_key(|group| group.shard);
+    new.advance(step);
     Some(new)
 }
 
 #[cfg(test)]
 mod tests {
-    use arbutuslane_catalogue::border::{Class, Limits, Member, Preference};
+    use arbutuslane_catalogue::border::{Class, Entry, Group, Limits, Member, Preference};
 
     use super::*;
 
@@ -105,5 +71,11 @@
         let delta = between(&old, &new).unwrap();
         assert_eq!(apply(&old, &delta), Some(new.clone()));
         assert_eq!(apply(&new, &delta), None);
+        let moved = Delta { position: Position { revision: 5, groups: 2 }, ..delta.clone() };
+        assert_eq!(apply(&old, &moved), None);
+        // Control instances send and read the same form.
+        let mut same = old;
+        same.advance(codec::decode(&delta.bytes).unwrap());
+        assert_eq!(same, new);
     }
 }
