--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -19,13 +19,13 @@
 
 use crate::peers;
 use crate::shared::Shared;
-use crate::traffic::{self, Answer, Outcome, Pool, Refusal, Routed, Upload, Worker};
+use crate::traffic::{self, Answer, Outcome, Pool, Refusal, Routed, Worker};
 
 /// The longest wait for a majority: many times the round trip between failure domains.
 pub(crate) const CLAIM_WAIT: Duration = Duration::from_millis(500);
 
 /// The bytes of a request's body that its fingerprint covers.
-const FINGERPRINT_BYTES: usize = 16 << 10;
+pub(crate) const FINGERPRINT_BYTES: usize = 16 << 10;
 
 /// Whether a request may be dispatched.
 pub(crate) enum Begun {
@@ -56,16 +56,12 @@
     let Some(text) = field.filter(|_| routed.class == Class::NonIdempotent) else {
         return Ok(Begun::Free);
     };
-    // Control has not assigned any group yet, so that there is no register to claim.
-    if worker.shared.cluster.registers.groups().is_empty() {
-        return Ok(Begun::Free);
-    }
     let key = key::of(&routed.service, &String::from_utf8_lossy(text.as_bytes()));
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     let wait = CLAIM_WAIT.min(remaining / 2);
     let fingerprint = fingerprint(&routed.request);
     let claimed = claim(worker, key, fingerprint, Kind::Booking, wait).await;
-    let Some((coordinator, decision)) = claimed else { return Err(no_quorum()) };
+    let Some((coordinator, decision)) = claimed else { return Err(no_group()) };
     if decision == Some(Decision::Dispatch) {
         return Ok(Begun::Held(Held { coordinator }));
     }
@@ -190,17 +186,24 @@
     receiver
 }
 
+/// Refuses a keyed request while control has assigned no register groups: without a record nothing
+/// would keep a resend from running again.
+fn no_group() -> Refusal {
+    let error = "no register group is assigned for idempotency keys; \
+                 control assigns them once enough nodes are known";
+    Refusal { elsewhere: false, ..Refusal::not_run(error) }
+}
+
 fn no_quorum() -> Refusal {
     let error = "no majority of the replicas for this idempotency key is reachable";
     Refusal { elsewhere: false, ..Refusal::not_run(error) }
 }
 
-/// Returns a hash of the method, path and query, and the first 16 KiB of a body that is held.
+/// Returns a hash of the method, path and query, and the first 16 KiB of the body.
 pub(crate) fn fingerprint(request: &traffic::Request) -> u64 {
     let mut bytes = format!("{} {}\n", request.method, request.target).into_bytes();
-    if let Upload::Whole(body) = &request.upload {
-        bytes.extend_from_slice(&body[..body.len().min(FINGERPRINT_BYTES)]);
-    }
+    let start = request.upload.start();
+    bytes.extend_from_slice(&start[..start.len().min(FINGERPRINT_BYTES)]);
     hash::of_bytes(&bytes)
 }
 
