Ask control rarely while gossip brings revisions, and report isolation

Cause: requests for the configuration at a fixed interval cost 700 a second at target size when made every 2 s. No node reported that it is cut off from control.

Change: a node asks every 28 to 32 s (spread by its name) while it exchanged a digest with a peer in the last 5 s, and every 2 s otherwise, after an answer that held a newer revision, or while requests fail. After 10 s in which no request and no report succeeded, it records control-unreachable, shows isolated in its status and sets arbutuslane_control_unreachable; the first answer ends this.

Figures: 47 requests a second at 1,400 nodes (1,400 / 30 s, computed) instead of 700. With one interval of 60 s all four unit tests fail; they pass now: 5 requests in 2 min with gossip, a request at most 7 s after peers fall silent, isolation told once, within 44 s in virtual time. control_lost (node processes, a killed stand-in for control) passes in 11.4 s.

Conclusion: the cost follows from gossip, and 5 + 2 s stay below 8 s for a node that no peer reaches. Not covered: nodes that gossip only among each other, while requests reach control, wait up to 32 s for the first of them to ask; gossip and requests use the same listeners.

--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -23,10 +23,6 @@
 /// The time between two rounds of upkeep and of pulls for recovering replicas.
 const UPKEEP: Duration = Duration::from_millis(500);
 
-/// The time between two requests for the configuration to a control instance. Gossip passes it on;
-/// this finds it where an instance does not take part in gossip.
-const FETCH: Duration = Duration::from_secs(60);
-
 /// The longest wait for a page of registers.
 const PULL_WAIT: Duration = Duration::from_secs(2);
 
@@ -36,7 +32,7 @@
     let _counting = ntex::rt::spawn(bursts::work(Arc::clone(&shared)));
     let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
     let _reporting = ntex::rt::spawn(report::work(Arc::clone(&shared), Rc::clone(&pool)));
-    let (mut next_upkeep, mut next_fetch) = (Time::ZERO, Time::ZERO);
+    let mut next_upkeep = Time::ZERO;
     let mut fetches = 0;
     let mut published = 0;
     loop {
@@ -46,10 +42,9 @@
             next_upkeep = now + UPKEEP;
             upkeep(&shared, &pool);
         }
-        if now >= next_fetch {
-            next_fetch = now + FETCH;
-            let control = &shared.settings.control;
-            if let Some(address) = control.get(fetches % control.len().max(1)).copied() {
+        let control = &shared.settings.control;
+        if !control.is_empty() && shared.cluster.contact().is_due(now) {
+            if let Some(address) = control.get(fetches % control.len()).copied() {
                 let (shared, pool) = (Arc::clone(&shared), Rc::clone(&pool));
                 let _task = ntex::rt::spawn(async move {
                     configuration::fetch(&shared, &pool, address).await;
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 //! and [`permits`] decides with the fleet about ejections.
 
 mod bursts;
+pub(crate) mod contact;
 pub(crate) mod control;
 pub(crate) mod delta;
 pub(crate) mod keyed;
--- a/crates/arbutuslane_node/src/cluster/peers.rs
+++ b/crates/arbutuslane_node/src/cluster/peers.rs
@@ -17,6 +17,9 @@
     pool: &Rc<Pool>,
     message: peer::gossip::Message,
 ) -> Option<Answer> {
+    if matches!(message, peer::gossip::Message::Digest(_)) {
+        shared.cluster.contact().heard_peer(shared.clock.now());
+    }
     let ticket = shared.cluster.ticket();
     let message: Message = message.into();
     let effects = shared.cluster.member().gossip.handle(shared.clock.now(), ticket, message);
@@ -95,6 +98,9 @@
         },
         Err(_) => None,
     };
+    if matches!(answer, Some(Answer::Digest { .. })) {
+        shared.cluster.contact().heard_peer(shared.clock.now());
+    }
     let mut member = shared.cluster.member();
     let member = &mut *member;
     member.gossip.answered(shared.clock.now(), &mut member.rng, call, answer)
--- a/crates/arbutuslane_node/src/cluster/report.rs
+++ b/crates/arbutuslane_node/src/cluster/report.rs
@@ -39,13 +39,21 @@
         let Some((revision, votes)) = current.clone() else { continue };
         let node = shared.settings.node.clone();
         let message = peer::Message::InForce { node, revision, votes };
+        let mut reached = false;
         for address in &order {
             if peers::ask(&shared, &pool, *address, &message, WAIT).await.is_ok() {
                 reported = current;
                 repeat_after = shared.clock.now() + REPEAT;
+                reached = true;
                 break;
             }
         }
+        if reached {
+            let event = shared.cluster.contact().reached(shared.clock.now());
+            shared.record_contact(event);
+        } else {
+            shared.control_failed();
+        }
     }
 }
 
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arbutuslane_catalogue::border::Snapshot;
+use arbutuslane_core::hash;
 use arbutuslane_core::id::{Incarnation, Revision};
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Time;
@@ -16,6 +17,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
+use super::contact::Contact;
 use super::delta;
 use super::registers::Registers;
 use super::strikes::Known;
@@ -29,6 +31,7 @@
     /// The requests that crashed servers.
     pub(crate) strikes: Known,
     tickets: AtomicU64,
+    contact: Mutex<Contact>,
 }
 
 /// Membership, and the configurations that are not yet superseded by the one in force.
@@ -60,7 +63,14 @@
         let rng = rng::seeded(rand::rng().random());
         let registers = Registers::new(&settings.node, incarnation);
         let member = Mutex::new(Member { gossip, rng, known: vec![Arc::default()] });
-        Self { member, registers, strikes: Known::default(), tickets: AtomicU64::new(0) }
+        let contact = Contact::new(now, hash::of_bytes(settings.node.as_bytes()));
+        let contact = Mutex::new(contact);
+        Self { member, registers, strikes: Known::default(), tickets: AtomicU64::new(0), contact }
+    }
+
+    /// Locks what is known of the contact with control.
+    pub(crate) fn contact(&self) -> MutexGuard<'_, Contact> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks membership.
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -115,9 +115,13 @@
         Ok(answer) => answer,
         Err(error) => {
             tracing::debug!(event = "fetch-failed", peer = %address, error);
+            shared.control_failed();
             return;
         }
     };
+    let is_newer = matches!(answer, peer::Answer::Snapshot(_));
+    let event = shared.cluster.contact().answered(shared.clock.now(), is_newer);
+    shared.record_contact(event);
     let peer::Answer::Snapshot(bytes) = answer else { return };
     match codec::decode::<Snapshot>(&bytes) {
         Ok(snapshot) => {
--- a/crates/arbutuslane_node/src/metrics.rs
+++ b/crates/arbutuslane_node/src/metrics.rs
@@ -110,6 +110,7 @@
         ("configuration_revision", shared.configuration().revision()),
         ("awaited_revision", shared.awaited()),
         ("remote_servers", shared.remotes().len() as u64),
+        ("control_unreachable", u64::from(shared.cluster.contact().is_unreachable())),
         ("stopping", u64::from(shared.stopping())),
     ];
     for (name, value) in gauges {
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -11,6 +11,7 @@
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::buffer::Buffer;
+use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_limit::bucket::Bucket;
 
 use crate::announce::Table;
@@ -146,6 +147,19 @@
         *self.remotes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(remotes);
     }
 
+    /// Takes note that a request to control failed.
+    pub(crate) fn control_failed(&self) {
+        let event = self.cluster.contact().failed(self.clock.now());
+        self.record_contact(event);
+    }
+
+    /// Records that control became unreachable or is reached again.
+    pub(crate) fn record_contact(&self, event: Option<Kind>) {
+        if let Some(kind) = event {
+            self.events.record(Draft::new(kind));
+        }
+    }
+
     /// Returns the secret that processes of the fleet share.
     pub(crate) fn token(&self) -> Arc<String> {
         Arc::clone(&self.token.read().unwrap_or_else(PoisonError::into_inner))
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! Fault tests of the request path: a node as its own process, real sockets, small stand-ins.
 #![allow(missing_docs, reason = "the items of a test binary are not documented API")]
 
+mod contact;
 mod crash;
 mod download;
 mod ejection;
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -41,6 +41,15 @@
 
     /// Starts a node with `threads` traffic threads and random choices that follow from `seed`.
     pub(crate) fn start_with(seeds: &[SocketAddr], threads: usize, seed: u64) -> Self {
+        Self::start_full(seeds, &[], threads, seed)
+    }
+
+    /// Starts a node with the addresses of control instances.
+    pub(crate) fn start_controlled(seeds: &[SocketAddr], control: &[SocketAddr]) -> Self {
+        Self::start_full(seeds, control, 2, 1)
+    }
+
+    fn start_full(seeds: &[SocketAddr], control: &[SocketAddr], threads: usize, seed: u64) -> Self {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let [callers, peers, admin] = [8000, 8001, 8002].map(|port| address(number, port));
         let name = format!("node-{}-{number}", std::process::id());
@@ -50,7 +59,7 @@
         std::fs::write(folder.join("catalogue.json"), CATALOGUE).unwrap();
         let settings = serde_json::json!({
             "node": name, "domain": "d", "callers": callers, "peers": peers, "admin": admin,
-            "token_file": folder.join("token"), "seeds": seeds,
+            "token_file": folder.join("token"), "seeds": seeds, "control": control,
             "catalogue_file": folder.join("catalogue.json"), "stop_ms": 20_000,
             "traffic_threads": threads, "seed": seed,
         });
