--- a/crates/arbutuslane_catalogue/src/stored.rs
+++ b/crates/arbutuslane_catalogue/src/stored.rs
@@ -13,6 +13,19 @@
     Change(Proposal),
     /// Groups of the quorum registers that control assigns.
     Groups(Vec<Group>),
+    /// An operator's reset of a register group.
+    Reset(Reset),
+}
+
+/// The serialized form of [`change::Reset`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reset {
+    /// The id of the change.
+    pub id: String,
+    /// The operator who made it.
+    pub author: String,
+    /// The group after the reset.
+    pub group: Group,
 }
 
 /// The serialized form of [`change::Edit`].
@@ -55,6 +68,28 @@
 }
 
 impl Step {
+    /// Returns the step from one snapshot to a later one.
+    pub fn between(old: &Snapshot, new: &Snapshot) -> Self {
+        let mut step =
+            Self { revision: new.revision, group_version: new.group_version, ..Self::default() };
+        for entry in &new.entries {
+            if !old.entries.contains(entry) {
+                step.entries.push(entry.clone());
+            }
+        }
+        for entry in &old.entries {
+            if !new.entries.iter().any(|kept| kept.service == entry.service) {
+                step.removed.push(entry.service.clone());
+            }
+        }
+        for group in &new.groups {
+            if !old.groups.contains(group) {
+                step.groups.push(group.clone());
+            }
+        }
+        step
+    }
+
     /// Returns the step that leads to `state`, which was just reached with `record`.
     pub fn of_change(state: &state::State, record: &state::Record) -> Self {
         let mut step = Self::at(state);
@@ -83,20 +118,16 @@
     pub fn advance(&mut self, step: Step) {
         self.revision = step.revision;
         self.group_version = step.group_version;
-        self.entries.retain(|entry| !step.removed.contains(&entry.service));
-        for entry in step.entries {
-            let service = &entry.service;
-            match self.entries.binary_search_by(|known| known.service.cmp(service)) {
-                Ok(index) => self.entries[index] = entry,
-                Err(index) => self.entries.insert(index, entry),
-            }
-        }
-        for group in step.groups {
-            match self.groups.binary_search_by_key(&group.shard, |known| known.shard) {
-                Ok(index) => self.groups[index] = group,
-                Err(index) => self.groups.insert(index, group),
-            }
-        }
+        // A snapshot that an operator wrote to a file need not be sorted.
+        self.entries.retain(|entry| {
+            !step.removed.contains(&entry.service)
+                && !step.entries.iter().any(|changed| changed.service == entry.service)
+        });
+        self.entries.extend(step.entries);
+        self.entries.sort_by(|left, right| left.service.cmp(&right.service));
+        self.groups.retain(|group| !step.groups.iter().any(|changed| changed.shard == group.shard));
+        self.groups.extend(step.groups);
+        self.groups.sort_by_key(|group| group.shard);
     }
 }
 
@@ -117,6 +148,13 @@
         /// The author of that change.
         author: String,
     },
+    /// See [`change::Outcome::GroupReset`].
+    GroupReset {
+        /// The shard of the group.
+        shard: u32,
+        /// The epoch that the reset made.
+        epoch: u64,
+    },
 }
 
 /// The serialized form of [`state::Record`].
@@ -191,6 +229,18 @@
     }
 }
 
+impl From<Reset> for change::Reset {
+    fn from(reset: Reset) -> Self {
+        Self { id: reset.id, author: reset.author, group: reset.group.into() }
+    }
+}
+
+impl From<change::Reset> for Reset {
+    fn from(reset: change::Reset) -> Self {
+        Self { id: reset.id, author: reset.author, group: reset.group.into() }
+    }
+}
+
 impl From<Outcome> for change::Outcome {
     fn from(outcome: Outcome) -> Self {
         match outcome {
@@ -198,6 +248,7 @@
             Outcome::Conflict { revision, winner, author } => {
                 Self::Conflict { revision, winner, author }
             }
+            Outcome::GroupReset { shard, epoch } => Self::GroupReset { shard, epoch },
         }
     }
 }
@@ -209,6 +260,7 @@
             change::Outcome::Conflict { revision, winner, author } => {
                 Self::Conflict { revision, winner, author }
             }
+            change::Outcome::GroupReset { shard, epoch } => Self::GroupReset { shard, epoch },
         }
     }
 }
