Hold the claim of a struck request while it may run

Cause: the owner claimed before the queue, so a request that was struck while it waited ran without a claim. The claim was withdrawn whenever the exchange ended or its future was dropped, so after a timeout or when its caller left a second copy ran beside the first. A connect timeout counted as a crash, although only a refused connection proves one. The event Strike was no longer recorded. Change: the claim is made after admission, the verdict is checked again with it, and from dispatch on it is given up only when the request ended or did not run; otherwise it expires with the strike (10 min). A quarantined request is still refused before the queue. The wait for the claim is bounded by half of the remaining time. A server that sheds clears no strike. The connect timeout has no test. Conclusion: an unknown outcome costs a struck request up to 10 min of refusals.

--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
-use arbutuslane_record::message::Kind;
+use arbutuslane_event::prelude::{Draft, Kind};
+use arbutuslane_record::message;
 use arbutuslane_record::prelude::{Coordinator, Decision, Strikes, Verdict, key};
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
@@ -14,7 +15,7 @@
 use crate::announce::Server;
 use crate::peers;
 use crate::shared::Shared;
-use crate::traffic::{Choice, Pool, Refusal, Worker};
+use crate::traffic::{Choice, Failure, Pool, Refusal, Worker};
 
 use super::keyed;
 
@@ -31,12 +32,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Known(Mutex<Strikes>);
 
-/// The claim under which a struck request runs; given up when it is dropped.
+/// The claim under which a struck request runs.
+///
+/// When dropped it is withdrawn, unless the request was dispatched and may run still. A kept claim
+/// expires with the strike.
 pub(crate) struct Alone {
     shared: Arc<Shared>,
     pool: Rc<Pool>,
     coordinator: Coordinator,
-    keep: bool,
+    dispatched: bool,
 }
 
 impl Known {
@@ -47,50 +51,62 @@
 }
 
 impl Alone {
-    /// Keeps the claim until it expires, because the request has crashed another server.
-    pub(crate) fn keep(&mut self) {
-        self.keep = true;
+    /// Keeps the claim from here on, because the request is about to be sent.
+    pub(crate) fn dispatch(&mut self) {
+        self.dispatched = true;
+    }
+
+    /// Gives the claim up, because the request has ended or did not run.
+    pub(crate) fn release(mut self) {
+        self.dispatched = false;
     }
 }
 
 impl Drop for Alone {
     fn drop(&mut self) {
-        if !self.keep {
+        if !self.dispatched {
             let (group, request) = (self.coordinator.group(), self.coordinator.withdraw());
             drop(keyed::send(&self.shared, &self.pool, group, &request));
         }
     }
 }
 
-/// Decides whether a request may run; returns the claim under which a struck one does.
+/// Refuses a quarantined request; returns whether a request may run under a claim only.
+pub(crate) fn check(worker: &Worker, fingerprint: u64) -> Result<bool, Refusal> {
+    if fingerprint == NONE {
+        return Ok(false);
+    }
+    let now = worker.shared.clock.now();
+    match worker.shared.cluster.strikes.lock().verdict(now, fingerprint) {
+        Verdict::Free => Ok(false),
+        Verdict::Alone => Ok(true),
+        Verdict::Quarantined { until } => Err(quarantined(until.saturating_sub(now))),
+    }
+}
+
+/// Decides whether a request may run; returns the claim under which a struck one does. Waits for
+/// the claim for at most half of `remaining`.
 pub(crate) async fn admit(
     worker: &Worker,
     service: &str,
     fingerprint: u64,
+    remaining: Duration,
 ) -> Result<Option<Alone>, Refusal> {
-    let now = worker.shared.clock.now();
-    if fingerprint == NONE {
+    if !check(worker, fingerprint)? {
         return Ok(None);
     }
-    match worker.shared.cluster.strikes.lock().verdict(now, fingerprint) {
-        Verdict::Free => return Ok(None),
-        Verdict::Quarantined { until } => return Err(quarantined(until.saturating_sub(now))),
-        Verdict::Alone => {}
-    }
     let key = key::of(service, &format!("strike-{fingerprint:016x}"));
-    let claimed = keyed::claim(worker, key, fingerprint, Kind::Exclusive, keyed::CLAIM_WAIT).await;
-    match claimed {
-        Some((coordinator, Some(Decision::Dispatch))) => Ok(Some(Alone {
-            shared: Arc::clone(&worker.shared),
-            pool: Rc::clone(&worker.pool),
-            coordinator,
-            keep: false,
-        })),
-        _ => {
-            let error = "this request has crashed a server and runs one at a time";
-            Err(Refusal { choice: Choice::Final, elsewhere: false, ..Refusal::not_run(error) })
-        }
-    }
+    let wait = keyed::CLAIM_WAIT.min(remaining / 2);
+    let claimed = keyed::claim(worker, key, fingerprint, message::Kind::Exclusive, wait).await;
+    let Some((coordinator, Some(Decision::Dispatch))) = claimed else {
+        let error = "this request has crashed a server and runs one at a time";
+        return Err(Refusal { choice: Choice::Final, elsewhere: false, ..Refusal::not_run(error) });
+    };
+    let (shared, pool) = (Arc::clone(&worker.shared), Rc::clone(&worker.pool));
+    let alone = Alone { shared, pool, coordinator, dispatched: false };
+    // Another crash may have been told while the claim was made.
+    check(worker, fingerprint)?;
+    Ok(Some(alone))
 }
 
 /// Forgets the strikes of a request that ran without a crash, here and at other owners.
@@ -111,16 +127,19 @@
     let shared = &worker.shared;
     let newer = shared.servers.get(&server.id);
     let newer = newer.is_some_and(|known| known.incarnation > server.incarnation);
-    if !newer && worker.pool.connect(server.address, CONNECT_WAIT).await.is_ok() {
+    let connected = worker.pool.connect(server.address, CONNECT_WAIT).await;
+    // A server that is merely slow or cut off gives no answer, which proves no crash.
+    if !newer && !matches!(connected, Err(Failure::Connect(_))) {
         return false;
     }
     let now = shared.clock.now();
     shared.cluster.strikes.lock().strike(now, fingerprint, &server.id, server.incarnation);
-    tracing::warn!(
-        event = "strike",
-        server = server.id,
-        fingerprint = format!("{fingerprint:016x}")
-    );
+    let strikes = match shared.cluster.strikes.lock().verdict(now, fingerprint) {
+        Verdict::Quarantined { .. } => 2,
+        Verdict::Free | Verdict::Alone => 1,
+    };
+    let kind = Kind::Strike { fingerprint: format!("{fingerprint:016x}"), strikes };
+    shared.events.record(Draft::new(kind).service(&server.service).server(&server.id));
     let message = peer::Message::Strike {
         service: server.service.clone(),
         server: server.id.clone(),
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -17,7 +17,8 @@
 use arbutuslane_wire::header;
 
 use crate::announce::Server;
-use crate::cluster::strikes;
+use crate::cluster::strikes::{self, Alone};
+use crate::condition::Running;
 use crate::metrics::count;
 
 use super::answer::Answer;
@@ -91,10 +92,13 @@
 pub(crate) async fn dispatch(worker: &Worker, work: Work) -> Result<Answer, Refusal> {
     let clock = &worker.shared.clock;
     let server = find(worker, &work)?;
+    strikes::check(worker, work.fingerprint)?;
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
-    let mut alone = strikes::admit(worker, &server.service, work.fingerprint).await?;
     let until = Deadline::after(clock.now(), limit);
     let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
+    // Decided after the queue, in which the request may have been struck.
+    let remaining = until.remaining(clock.now());
+    let mut alone = strikes::admit(worker, &server.service, work.fingerprint, remaining).await?;
     if let Some((source, summary)) = &work.summary {
         server.condition.record(*source, *summary);
     }
@@ -103,43 +107,63 @@
     let Some(mut running) = running else {
         return Err(Refusal::stale("the server is ejected and takes trial requests only"));
     };
+    if let Some(alone) = &mut alone {
+        alone.dispatch();
+    }
     let started = clock.now();
     let reply = match send(worker, &server, &work).await {
         Ok(reply) => reply,
-        Err(failure) => {
-            if failure.blames_server() {
-                running.finish(false);
-            }
-            if matches!(failure, Failure::WrongExchange) {
-                count(&worker.shared.metrics.wrong_exchange);
-            }
-            tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
-            let refusal = Refusal::from_failure(&failure);
-            let broke = matches!(failure, Failure::Closed(_));
-            if !broke || !strikes::crashed(worker, &server, work.fingerprint).await {
-                return Err(refusal);
-            }
-            if let Some(alone) = &mut alone {
-                alone.keep();
-            }
-            return Err(Refusal { choice: Choice::Final, elsewhere: false, ..refusal });
-        }
+        Err(failure) => return Err(failed(worker, &server, &work, failure, running, alone).await),
     };
-    if alone.take().is_some() {
-        strikes::passed(worker, &server.service, work.fingerprint);
-    }
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
     if reply.echoed {
         server.set_echoes();
     }
     if let Some(refusal) = shed(&reply.headers, reply.status) {
+        if let Some(alone) = alone {
+            alone.release();
+        }
         return Err(refusal);
     }
+    if let Some(alone) = alone {
+        strikes::passed(worker, &server.service, work.fingerprint);
+        alone.release();
+    }
     running.finish(!reply.status.is_server_error());
     Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some((permit, running))) })
 }
 
+/// Returns what a failed exchange means for the entry, after the strike when the server crashed.
+async fn failed(
+    worker: &Worker,
+    server: &Server,
+    work: &Work,
+    failure: Failure,
+    mut running: Running,
+    alone: Option<Alone>,
+) -> Refusal {
+    if failure.blames_server() {
+        running.finish(false);
+    }
+    if matches!(failure, Failure::WrongExchange) {
+        count(&worker.shared.metrics.wrong_exchange);
+    }
+    tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
+    let refusal = Refusal::from_failure(&failure);
+    if refusal.outcome == Outcome::NotRun {
+        if let Some(alone) = alone {
+            alone.release();
+        }
+        return refusal;
+    }
+    let broke = matches!(failure, Failure::Closed(_));
+    match broke && strikes::crashed(worker, server, work.fingerprint).await {
+        true => Refusal { choice: Choice::Final, elsewhere: false, ..refusal },
+        false => refusal,
+    }
+}
+
 fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
     let bad = |what: &str| {
         let remedy = "check that all nodes run compatible releases";
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -13,7 +13,7 @@
 use crate::keys::fleet;
 use crate::support::node::wait_until;
 use crate::support::server::write;
-use crate::support::{Node, Server, call, caller, open};
+use crate::support::{Node, Server, call, caller, open, request};
 
 /// Starts a server of lookups at `node` whose process ends with a request for `/slots/crash`.
 fn fragile(node: &Node, name: &str, crashes: &Arc<AtomicUsize>) {
@@ -119,3 +119,100 @@
     let body = codec::encode(&message).unwrap();
     call(node.peers, "POST", "/v1/peer", &[("arbutuslane-token", "secret")], &body).status
 }
+
+/// Guards against a second run of a struck request while the first may still run: at the same
+/// time, after the first timed out, and after its caller has left.
+#[test]
+fn admit_one_at_a_time() {
+    let nodes = fleet(3);
+    let running = Arc::new(AtomicUsize::new(0));
+    let most = Arc::new(AtomicUsize::new(0));
+    let servers: Vec<Server> = (0..3)
+        .map(|index| {
+            let (running, most) = (Arc::clone(&running), Arc::clone(&most));
+            Server::start(
+                &nodes[index],
+                "bookings",
+                &format!("s{index}"),
+                move |received, stream| {
+                    most.fetch_max(running.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+                    sleep(Duration::from_millis(1_500));
+                    running.fetch_sub(1, Ordering::SeqCst);
+                    write(stream, &received.ok("done"))
+                },
+            )
+        })
+        .collect();
+    wait_until(|| nodes.iter().all(|node| node.metric("arbutuslane_remote_servers") == 2));
+    let runs = || servers.iter().map(|server| server.received().len()).sum::<usize>();
+    for (number, case) in ["parallel", "timeout", "gone"].into_iter().enumerate() {
+        let path = format!("/bookings/{case}");
+        for node in &nodes {
+            assert_eq!(strike(node, &format!("POST {path}"), b"x"), 200);
+        }
+        // Claims made at the same time may take a part of the replicas each, and none runs.
+        let ran_before = runs();
+        wait_until(|| {
+            let threads: Vec<_> = (0..3)
+                .map(|index| {
+                    let (address, path) = (nodes[index].callers, path.clone());
+                    spawn(move || first_call(address, &path, number))
+                })
+                .collect();
+            threads.into_iter().for_each(|thread| thread.join().unwrap());
+            runs() > ran_before
+        });
+        assert_eq!(runs(), ran_before + 1, "{case}");
+        if case != "parallel" {
+            for node in &nodes {
+                let second = node.call("POST", &path, &[], b"x");
+                assert_eq!((second.status, second.outcome()), (503, "not-run"), "{case}");
+            }
+            assert_eq!(runs(), ran_before + 1, "{case}");
+        }
+        wait_until(|| running.load(Ordering::SeqCst) == 0);
+    }
+    assert_eq!(most.load(Ordering::SeqCst), 1);
+    // Success has cleared the strike of the first case.
+    wait_until(|| nodes[0].call("POST", "/bookings/parallel", &[], b"x").status == 200);
+}
+
+/// Sends a booking: 0 waits for the response, 1 with a short deadline, 2 leaves early.
+fn first_call(address: SocketAddr, path: &str, case: usize) {
+    let short: &[(&str, &str)] = &[("arbutuslane-deadline-ms", "700")];
+    let mut stream = open(address);
+    let fields = if case == 1 { short } else { &[] };
+    stream.write_all(&request("POST", path, fields, b"x")).unwrap();
+    if case == 2 {
+        sleep(Duration::from_millis(700));
+        return;
+    }
+    let response = caller::read(&mut stream, false).unwrap();
+    let seen = (response.status, response.outcome().to_string());
+    let expected = if case == 0 { (200, "answered") } else { (504, "unknown") };
+    assert!(seen.0 == 503 && seen.1 == "not-run" || seen == (expected.0, expected.1.to_string()));
+}
+
+/// Guards against a request that waits in a queue while it is struck, and then runs without a
+/// claim.
+#[test]
+fn admit_struck_in_queue() {
+    let node = Node::start(&[]);
+    let server = Server::start(&node, "bookings", "s1", |received, stream| {
+        sleep(Duration::from_millis(if received.path == "/bookings" { 700 } else { 0 }));
+        write(stream, &received.ok("done"))
+    });
+    let address = node.callers;
+    let send = |path: &'static str| spawn(move || call(address, "POST", path, &[], b"x"));
+    let first: Vec<_> = (0..5).map(|_| send("/bookings")).collect();
+    wait_until(|| server.received().len() == 5);
+    let queued = send("/bookings/queued");
+    sleep(Duration::from_millis(200));
+    assert_eq!(strike(&node, "POST /bookings/queued", b"x"), 200);
+    let queued = queued.join().unwrap();
+    for first in first {
+        assert_eq!(first.join().unwrap().status, 200);
+    }
+    assert_eq!((queued.status, queued.outcome()), (503, "not-run"));
+    assert_eq!(server.received().len(), 5);
+}
