Echo the exchange id on peer messages; test stops of several nodes

Cause: forwarded requests leave echoing connections in the pool, and messages to /v1/peer took them, but their responses did not echo the id. Each such message failed as a response to another request. Found by stopping two of five nodes under load: keyed bookings were refused because every remaining replica counts. Change: the peers listener echoes the id on all responses, so connections of messages are reused too. A message whose pooled connection was closed before it was sent goes out on a new one.

--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -49,13 +49,20 @@
     let request =
         traffic::Request { method: Method::POST, target: path.to_string(), headers, upload };
     let reading = async {
-        let connection = match pool.take(address) {
-            Some(connection) => connection,
-            None => pool.connect(address, wait).await?,
+        let mut idle = pool.take(address);
+        let reply = loop {
+            let connection = match idle.take() {
+                Some(connection) => connection,
+                None => pool.connect(address, wait).await?,
+            };
+            let (request, exchange) = (request.clone(), traffic::new_exchange());
+            let reused = connection.reused();
+            // Control instances need not echo the id, so their connections are not kept.
+            match connection.exchange(request, exchange, Echo::Unknown, true, wait).await {
+                Err(Failure::ClosedUnused) if reused => {}
+                result => break result?,
+            }
         };
-        let exchange = traffic::new_exchange();
-        // Control instances need not echo the id, so their connections are not kept.
-        let reply = connection.exchange(request, exchange, Echo::Unknown, true, wait).await?;
         let status = reply.status;
         Ok::<_, Failure>((status, reply.body.collect(MESSAGE_BYTES).await?))
     };
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -179,12 +179,17 @@
             if request.path().starts_with(owner::FORWARD) {
                 return owner::handle(worker, request).await;
             }
-            match read(request.take_payload(), peers::MESSAGE_BYTES).await {
+            let mut response = match read(request.take_payload(), peers::MESSAGE_BYTES).await {
                 Ok(body) => {
                     peers::answer(&worker.shared, &worker.pool, request.path(), &body).await
                 }
                 Err(response) => response,
+            };
+            // Messages share pooled connections with forwarded requests, which must be echoed.
+            if let Some(exchange) = fields::text(request.headers(), header::EXCHANGE) {
+                fields::set(response.headers_mut(), header::EXCHANGE, exchange);
             }
+            response
         }
         Purpose::Admin => match read(request.take_payload(), admin::BODY_BYTES).await {
             Ok(body) => admin::answer(&worker.shared, request.method(), request.uri(), &body),
--- a/crates/arbutuslane_node/tests/faults/keys.rs
+++ b/crates/arbutuslane_node/tests/faults/keys.rs
@@ -1,5 +1,6 @@
 //! The same idempotency key through several nodes: one run, and the first response or unknown.
 
+use std::io::Write;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -9,9 +10,9 @@
 
 use crate::support::node::wait_until;
 use crate::support::server::write;
-use crate::support::{Node, Response, Server, call};
+use crate::support::{Node, Response, Server, call, caller, open, request};
 
-const SHARDS: u32 = 4;
+pub(crate) const SHARDS: u32 = 4;
 
 /// Starts `size` nodes and gives them register groups of all of them, as control does.
 pub(crate) fn fleet(size: usize) -> Vec<Node> {
@@ -167,3 +168,31 @@
     assert_eq!((resend.status, resend.field("arbutuslane-replayed")), (201, Some("true")));
     assert_eq!(server.received().len(), 1);
 }
+
+/// Guards against a claim that fails because it took over a pooled connection of lookups, while
+/// the answer of every remaining replica is needed.
+#[test]
+fn begin_beside_lookups() {
+    let mut nodes = fleet(3);
+    let lookups = Server::start(&nodes[1], "slots", "s2", |received, stream| {
+        write(stream, &received.ok("free"))
+    });
+    let bookings = Server::start(&nodes[1], "bookings", "s1", |received, stream| {
+        write(stream, &received.ok("booked"))
+    });
+    wait_until(|| nodes[0].metric("arbutuslane_remote_servers") == 2);
+    nodes.pop();
+    // One connection, so that one traffic thread with its pool carries all of them.
+    let mut stream = open(nodes[0].callers);
+    let mut call = |method: &str, path: &str, key: &str| {
+        let bytes = request(method, path, &[("idempotency-key", key)], b"x");
+        stream.write_all(&bytes).unwrap();
+        caller::read(&mut stream, false).unwrap()
+    };
+    for number in 0..20 {
+        assert_eq!(call("GET", "/slots", "").status, 200);
+        let response = call("POST", "/bookings", &format!("order-{number}"));
+        assert_eq!((response.status, response.outcome()), (200, "answered"), "{number}");
+    }
+    assert_eq!((lookups.received().len(), bookings.received().len()), (20, 20));
+}
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -14,5 +14,6 @@
 mod response;
 mod silence;
 mod stop;
+mod stop_fleet;
 mod strikes;
 mod support;
--- a/crates/arbutuslane_node/tests/faults/outcome.rs
+++ b/crates/arbutuslane_node/tests/faults/outcome.rs
@@ -116,6 +116,34 @@
     assert!(server.received().iter().any(|received| received.turn == 1), "nothing was reused");
 }
 
+/// Guards against a request that fails or is sent twice because its server closed the pooled
+/// connection while it was idle, also when the body can be sent only once.
+#[test]
+fn outcome_pooled_closed_while_idle() {
+    let node = Node::start_with(&[], 1, 1);
+    let server = Server::start(&node, "slots", "s1", |received, stream| {
+        let idle = stream.try_clone().unwrap();
+        spawn(move || {
+            sleep(Duration::from_millis(100));
+            let _ = idle.shutdown(std::net::Shutdown::Both);
+        });
+        write(stream, &received.ok("free"))
+    });
+    for number in 0..10 {
+        for body in [vec![], vec![b'x'; 100_000]] {
+            let path = format!("/slots?n={number}&length={}", body.len());
+            let response = node.call("PUT", &path, &[], &body);
+            assert_eq!((response.status, response.outcome()), (200, "answered"), "{path}");
+            if !body.is_empty() {
+                sleep(Duration::from_millis(150));
+            }
+        }
+    }
+    let received = server.received();
+    assert_eq!(received.len(), 20);
+    assert!(received.iter().any(|received| received.turn == 1), "nothing was reused");
+}
+
 /// Guards against a server's own statement that it did not run the request which is lost, and
 /// against a bare 503 that is taken for such a statement.
 #[test]
