Use the field's terms in control and consensus, and split long functions

Cause: a newcomer met private names (courier, sort, greetings, beat, found) and functions of over 60 lines; the refusal of an instance that does not lead stood four times in the operator API.

Change: courier is transport, greetings are hellos, beat is send_heartbeats, found in the replica is form_group. Node::receive and read_segment of the log's recovery are split; refuse_without_leader stands once. No behaviour changes; the form of messages between instances stays.

--- a/crates/arbutuslane_consensus/src/election.rs
+++ b/crates/arbutuslane_consensus/src/election.rs
@@ -136,7 +136,7 @@
         let mut leader = self.turn(Leader { first_index: index, since: now, ..Leader::default() });
         let entry = Entry { index, term: leader.common.term, body: Body::Blank };
         leader.add(entry);
-        leader.beat();
+        leader.send_heartbeats();
         Node::Leader(leader)
     }
 }
--- a/crates/arbutuslane_consensus/src/incoming.rs
+++ b/crates/arbutuslane_consensus/src/incoming.rs
@@ -43,34 +43,46 @@
                 self.lead(&from, term, |common| common.install(&from, round, snapshot))
             }
             Message::Appended { term, round, matched, conflict } => {
-                let mut node = self.raise_term(term);
-                if let Self::Leader(leader) = &mut node
-                    && leader.common.term == term
-                {
-                    leader.appended(&from, round, matched, conflict);
-                }
-                node
-            }
-            Message::Joining => {
-                let mut node = self;
-                match &mut node {
-                    Self::Leader(leader) => leader.joining(&from),
-                    other => other.common_mut().forward_joining(&from),
-                }
-                node
-            }
-            Message::ReadIndex { read } => {
-                let mut node = self;
-                match &mut node {
-                    Self::Leader(leader) => leader.read(read, Some(from)),
-                    other => other.common_mut().send(&from, Message::ReadAt { read, index: None }),
-                }
-                node
+                self.appended(&from, term, round, (matched, conflict))
             }
+            Message::Joining => self.joining(&from),
+            Message::ReadIndex { read } => self.read_index(from, read),
             Message::ReadAt { read, index } => self.read_at(read, index),
         }
     }
 
+    fn appended(
+        self,
+        from: &Id,
+        term: u64,
+        round: u64,
+        (matched, conflict): (u64, Option<u64>),
+    ) -> Self {
+        let mut node = self.raise_term(term);
+        if let Self::Leader(leader) = &mut node
+            && leader.common.term == term
+        {
+            leader.appended(from, round, matched, conflict);
+        }
+        node
+    }
+
+    fn joining(mut self, from: &Id) -> Self {
+        match &mut self {
+            Self::Leader(leader) => leader.joining(from),
+            other => other.common_mut().forward_joining(from),
+        }
+        self
+    }
+
+    fn read_index(mut self, from: Id, read: u64) -> Self {
+        match &mut self {
+            Self::Leader(leader) => leader.read(read, Some(from)),
+            other => other.common_mut().send(&from, Message::ReadAt { read, index: None }),
+        }
+        self
+    }
+
     fn pre_vote(mut self, from: &Id, term: u64, last: (u64, u64)) -> Self {
         // A replica that was removed without being told still campaigns after it is added again.
         let is_expected = self
--- a/crates/arbutuslane_consensus/src/leader.rs
+++ b/crates/arbutuslane_consensus/src/leader.rs
@@ -30,7 +30,7 @@
     }
 
     /// Sends a heartbeat to every member and what each lacks.
-    pub(crate) fn beat(&mut self) {
+    pub(crate) fn send_heartbeats(&mut self) {
         let now = self.common.now;
         self.role.round += 1;
         self.role.rounds.push_back((self.role.round, now));
--- a/crates/arbutuslane_consensus/src/node.rs
+++ b/crates/arbutuslane_consensus/src/node.rs
@@ -154,7 +154,7 @@
                     return Self::Leader(leader).step_down();
                 }
                 if leader.common.now >= leader.role.heartbeat_after {
-                    leader.beat();
+                    leader.send_heartbeats();
                 }
                 leader.continue_changes();
                 Self::Leader(leader)
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -21,12 +21,12 @@
 use tokio::sync::oneshot;
 
 use crate::border::Frame;
-use crate::courier;
 use crate::gossip::{self, Exchange};
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store;
 use crate::token::Secrets;
+use crate::transport;
 
 /// The number of events that an instance keeps.
 const EVENTS_KEPT: usize = 4_096;
@@ -183,7 +183,7 @@
         gossip: exchange,
         stopped: Arc::default(),
     };
-    let outbox = courier::start(Arc::clone(&secrets.control));
+    let outbox = transport::start(Arc::clone(&secrets.control));
     gossip::start(settings, handle.clone(), Arc::clone(&secrets.fleet), gossip_inbox);
     let mut replica = Replica::new(settings.clone(), store, saved, handle.clone(), outbox)?;
     let thread = thread::spawn(move || replica.run(&inbox));
--- a/crates/arbutuslane_control/src/gossip.rs
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -180,7 +180,7 @@
             Effect::Apply(_) => {}
             Effect::Changed { node, incarnation, standing } => {
                 let known = self.gossip.table().get(&node);
-                // Control instances greet each other directly and record their losses themselves.
+                // Control instances exchange hellos directly and record their losses themselves.
                 if known.is_none_or(|known| known.record.callers.is_empty()) {
                     return;
                 }
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -8,7 +8,6 @@
 mod apply;
 mod assign;
 mod border;
-mod courier;
 pub mod daemon;
 pub mod engine;
 mod gossip;
@@ -18,6 +17,7 @@
 pub mod settings;
 mod store;
 pub mod token;
+mod transport;
 mod watch;
 
 /// The names that most users of this crate need.
--- a/crates/arbutuslane_control/src/operators.rs
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -164,8 +164,7 @@
             json(StatusCode::CONFLICT, &Conflict { revision, winner, author })
         }
         Answer::Outcome(Outcome::GroupReset { .. } | Outcome::MembersChanged) => refuse_used_id(),
-        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
-        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+        other => refuse_without_leader(other),
     }
 }
 
@@ -208,8 +207,7 @@
             };
             refuse(status, error.to_string(), remedy)
         }
-        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
-        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+        other => refuse_without_leader(other),
     }
 }
 
@@ -262,8 +260,7 @@
             let (error, remedy) = explain(reason);
             refuse(StatusCode::CONFLICT, error.to_string(), remedy)
         }
-        Answer::NotLeader(leader) => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }),
-        _ => json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None }),
+        other => refuse_without_leader(other),
     }
 }
 
@@ -281,15 +278,21 @@
     }
 }
 
+/// Returns the refusal of an instance that does not lead, with the leader's address where known.
+fn refuse_without_leader(answer: Answer) -> HttpResponse {
+    let leader = match answer {
+        Answer::NotLeader(leader) => leader,
+        _ => None,
+    };
+    json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader })
+}
+
 /// Checks the operator's token and that this instance may show the latest state.
 async fn admit_read(request: &HttpRequest, shared: &State) -> Result<(), HttpResponse> {
     authorize(request, shared)?;
     match shared.engine.read().await {
         Answer::Readable => Ok(()),
-        Answer::NotLeader(leader) => {
-            Err(json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader }))
-        }
-        _ => Err(json(StatusCode::SERVICE_UNAVAILABLE, &NotLeader { leader: None })),
+        other => Err(refuse_without_leader(other)),
     }
 }
 
--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -19,10 +19,10 @@
 
 use crate::assign::{self, Assigner, Votes};
 use crate::border::Frame;
-use crate::courier::Outbox;
 use crate::engine::{Answer, Handle, Reply, Request, ResetRefusal};
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::transport::Outbox;
 use crate::watch::{self, Watch};
 
 /// The time between two ticks of the state machine, a sixth of a heartbeat.
@@ -153,7 +153,7 @@
             Request::Frames(frames) => {
                 for frame in frames {
                     match frame {
-                        Frame::Hello(hello) => self.watch.hello(self.clock.now(), hello),
+                        Frame::Hello(hello) => self.watch.take_hello(self.clock.now(), hello),
                         Frame::Votes(node, votes) => {
                             self.votes.insert(node, votes);
                         }
@@ -311,11 +311,11 @@
         }
     }
 
-    /// Publishes the status, greets the other instances and forms the first group.
+    /// Publishes the status, sends hellos to the other instances and forms the first group.
     fn observe(&mut self) {
         let now = self.clock.now();
         let Some(node) = &self.node else { return };
-        for (address, hello) in self.watch.greetings(now, node, self.is_empty) {
+        for (address, hello) in self.watch.hellos(now, node, self.is_empty) {
             let _ = self.outbox.send((address, Frame::Hello(hello)));
         }
         self.watch.publish(now, node);
@@ -330,7 +330,7 @@
         if self.is_empty
             && let Some(members) = self.watch.first_members(now, node.id())
         {
-            self.found(members);
+            self.form_group(members);
         }
         if now >= self.next_assignment {
             self.next_assignment = now + ASSIGNMENT;
@@ -356,7 +356,7 @@
     }
 
     /// Forms the first group; its other members receive the log from this one.
-    fn found(&mut self, members: Vec<Member>) {
+    fn form_group(&mut self, members: Vec<Member>) {
         let Some(node) = self.node.take() else { return };
         let id = node.id().clone();
         let seed = hash::of_bytes(id.name.as_bytes()) ^ id.instance;
--- a/crates/arbutuslane_control/src/courier.rs
+++ b/crates/arbutuslane_control/src/transport.rs
@@ -32,17 +32,18 @@
 /// Frames with the address of their receiver.
 pub(crate) type Outbox = UnboundedSender<(String, Frame)>;
 
-/// Starts the courier's thread; it ends when the outbox is dropped.
+/// Starts the thread that sends frames; it ends when the outbox is dropped.
 pub(crate) fn start(token: Arc<Tokens>) -> Outbox {
     let (outbox, inbox) = unbounded_channel();
     thread::spawn(move || {
-        let system = ntex::rt::System::new("courier", ntex::rt::DefaultRuntime);
-        system.block_on(sort(inbox, token));
+        let system = ntex::rt::System::new("transport", ntex::rt::DefaultRuntime);
+        system.block_on(distribute(inbox, token));
     });
     outbox
 }
 
-async fn sort(mut inbox: UnboundedReceiver<(String, Frame)>, token: Arc<Tokens>) {
+/// Passes each frame to the queue of its receiver.
+async fn distribute(mut inbox: UnboundedReceiver<(String, Frame)>, token: Arc<Tokens>) {
     let client = Client::new().await;
     let mut queues: BTreeMap<String, Sender<Frame>> = BTreeMap::new();
     while let Some((address, frame)) = inbox.recv().await {
--- a/crates/arbutuslane_control/src/watch.rs
+++ b/crates/arbutuslane_control/src/watch.rs
@@ -13,10 +13,10 @@
 use crate::engine::Handle;
 use crate::settings::Settings;
 
-/// The time between two greetings.
-const GREETING: Duration = Duration::from_millis(500);
+/// The time between two hellos.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The silence after which an instance counts as lost: four greetings.
+/// The silence after which an instance counts as lost: four hellos.
 const SILENCE: Duration = Duration::from_secs(2);
 
 /// The time for which a node's report of its revision is shown.
@@ -35,7 +35,7 @@
     heard: BTreeMap<String, Heard>,
     lost: Vec<String>,
     handle: Handle,
-    greet_after: Time,
+    hello_after: Time,
     leader: Option<(u64, String)>,
     majority_at: Time,
     isolated: bool,
@@ -50,7 +50,7 @@
             heard: BTreeMap::new(),
             lost: Vec::new(),
             handle,
-            greet_after: Time::ZERO,
+            hello_after: Time::ZERO,
             leader: None,
             majority_at: Time::ZERO,
             isolated: false,
@@ -76,21 +76,16 @@
         self.settings.iter().find(|address| address.name == name).cloned()
     }
 
-    pub(crate) fn hello(&mut self, now: Time, hello: Hello) {
+    pub(crate) fn take_hello(&mut self, now: Time, hello: Hello) {
         self.heard.insert(hello.from.0.clone(), Heard { at: now, hello });
     }
 
-    /// Returns the greetings that are due, with their addresses.
-    pub(crate) fn greetings(
-        &mut self,
-        now: Time,
-        node: &Node,
-        empty: bool,
-    ) -> Vec<(String, Hello)> {
-        if now < self.greet_after {
+    /// Returns the hellos that are due, with their addresses.
+    pub(crate) fn hellos(&mut self, now: Time, node: &Node, empty: bool) -> Vec<(String, Hello)> {
+        if now < self.hello_after {
             return Vec::new();
         }
-        self.greet_after = now + GREETING;
+        self.hello_after = now + HELLO_INTERVAL;
         let hello = Hello { from: border::id(node.id()), empty, hears: self.recent(now) };
         let others = self.others();
         let addresses = others.iter().filter_map(|name| self.address(name));
@@ -198,7 +193,7 @@
     }
 
     /// Returns whether messages pass in both directions: an instance that is cut off in one
-    /// direction only still greets the others, but does not list this one.
+    /// direction only still sends hellos to the others, but does not list this one.
     fn hears(&self, now: Time, name: &str) -> bool {
         self.heard
             .get(name)
--- a/crates/arbutuslane_storage/src/recovery.rs
+++ b/crates/arbutuslane_storage/src/recovery.rs
@@ -63,6 +63,18 @@
     let last_index = entries.last().map_or(0, |entry| entry.index);
     found.segments.push(Segment { sequence, last_index });
     found.next_batch = batch;
+    read_batches(disk, name, &bytes, last, found, entries)
+}
+
+/// Applies the complete batches of a segment and cuts an incomplete one at the end of the last.
+fn read_batches<D: Disk>(
+    disk: &mut D,
+    name: &str,
+    bytes: &[u8],
+    last: bool,
+    found: &mut Found,
+    entries: &mut Vec<Entry>,
+) -> Result<(), Error> {
     let mut offset = SEGMENT_HEAD;
     // A batch counts as a whole or not at all: a part of one that stayed in front of later batches
     // would make the next recovery take those for the rest of it.
@@ -72,7 +84,7 @@
         let frame = match frame::decode(&bytes[offset..]) {
             Ok(frame) => frame,
             Err(reason) => {
-                let later = first_batch_after(&bytes, offset + 1);
+                let later = first_batch_after(bytes, offset + 1);
                 if !last || later.is_some_and(|batch| batch > found.next_batch) {
                     return Err(Error::corrupt(name, offset, reason));
                 }
