--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-use arbutuslane_catalogue::change::Change;
+use arbutuslane_catalogue::change::{Change, Outcome};
 use arbutuslane_catalogue::stored::{self, Command};
 use arbutuslane_consensus::input::Refusal;
 use arbutuslane_consensus::prelude::*;
@@ -19,11 +19,11 @@
 
 use crate::assign::{self, Assigner, Votes};
 use crate::border::Frame;
-use crate::courier::Outbox;
 use crate::engine::{Answer, Handle, Reply, Request, ResetRefusal};
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::watch::Watch;
+use crate::transport::Outbox;
+use crate::watch::{self, Watch};
 
 /// The time between two ticks of the state machine, a sixth of a heartbeat.
 const TICK: Duration = Duration::from_millis(25);
@@ -141,13 +141,19 @@
                 self.step(Input::Read { token });
             }
             Request::Reconfigure(change, reply) => {
+                if let Reconfigure::Add { contact, .. } = &change
+                    && let Some(outcome) = watch::change_id(contact).and_then(|id| self.known(id))
+                {
+                    let _ = reply.send(Answer::Outcome(outcome));
+                    return;
+                }
                 let token = self.await_token(reply);
                 self.step(Input::Reconfigure { token, change });
             }
             Request::Frames(frames) => {
                 for frame in frames {
                     match frame {
-                        Frame::Hello(hello) => self.watch.hello(self.clock.now(), hello),
+                        Frame::Hello(hello) => self.watch.take_hello(self.clock.now(), hello),
                         Frame::Votes(node, votes) => {
                             self.votes.insert(node, votes);
                         }
@@ -192,13 +198,19 @@
         self.step(Input::Propose { token, command });
     }
 
+    /// Returns the answer that the change `id` got.
+    fn known(&self, id: &str) -> Option<Outcome> {
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+        state.answer(id).cloned()
+    }
+
     /// Proposes the reset of a register group, unless the group has a majority.
     fn reset(&mut self, id: String, author: String, shard: Shard, reply: Reply) {
-        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
-        if let Some(outcome) = state.answer(&id) {
-            let _ = reply.send(Answer::Outcome(outcome.clone()));
+        if let Some(outcome) = self.known(&id) {
+            let _ = reply.send(Answer::Outcome(outcome));
             return;
         }
+        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
         let group = state.groups.iter().find(|group| group.shard == shard).cloned();
         drop(state);
         let is_leader = self.node.as_ref().is_some_and(|node| node.role() == "leader");
@@ -299,11 +311,11 @@
         }
     }
 
-    /// Publishes the status, greets the other instances and forms the first group.
+    /// Publishes the status, sends hellos to the other instances and forms the first group.
     fn observe(&mut self) {
         let now = self.clock.now();
         let Some(node) = &self.node else { return };
-        for (address, hello) in self.watch.greetings(now, node, self.is_empty) {
+        for (address, hello) in self.watch.hellos(now, node, self.is_empty) {
             let _ = self.outbox.send((address, Frame::Hello(hello)));
         }
         self.watch.publish(now, node);
@@ -318,7 +330,7 @@
         if self.is_empty
             && let Some(members) = self.watch.first_members(now, node.id())
         {
-            self.found(members);
+            self.form_group(members);
         }
         if now >= self.next_assignment {
             self.next_assignment = now + ASSIGNMENT;
@@ -344,7 +356,7 @@
     }
 
     /// Forms the first group; its other members receive the log from this one.
-    fn found(&mut self, members: Vec<Member>) {
+    fn form_group(&mut self, members: Vec<Member>) {
         let Some(node) = self.node.take() else { return };
         let id = node.id().clone();
         let seed = hash::of_bytes(id.name.as_bytes()) ^ id.instance;
--- a/crates/arbutuslane_control/src/watch.rs
+++ b/crates/arbutuslane_control/src/watch.rs
@@ -13,10 +13,10 @@
 use crate::engine::Handle;
 use crate::settings::Settings;
 
-/// The time between two greetings.
-const GREETING: Duration = Duration::from_millis(500);
+/// The time between two hellos.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The silence after which an instance counts as lost: four greetings.
+/// The silence after which an instance counts as lost: four hellos.
 const SILENCE: Duration = Duration::from_secs(2);
 
 /// The time for which a node's report of its revision is shown.
@@ -35,7 +35,7 @@
     heard: BTreeMap<String, Heard>,
     lost: Vec<String>,
     handle: Handle,
-    greet_after: Time,
+    hello_after: Time,
     leader: Option<(u64, String)>,
     majority_at: Time,
     isolated: bool,
@@ -50,7 +50,7 @@
             heard: BTreeMap::new(),
             lost: Vec::new(),
             handle,
-            greet_after: Time::ZERO,
+            hello_after: Time::ZERO,
             leader: None,
             majority_at: Time::ZERO,
             isolated: false,
@@ -68,28 +68,24 @@
 
     fn contact(&self, name: &str) -> Option<Address> {
         let member = self.members.iter().find(|member| member.id.name == name);
-        if let Some((peers, operators)) = member.and_then(|member| member.contact.split_once(' ')) {
+        if let Some((peers, rest)) = member.and_then(|member| member.contact.split_once(' ')) {
+            let operators = rest.split(' ').next().unwrap_or_default();
             let (peers, operators) = (peers.to_string(), operators.to_string());
             return Some(Address { name: name.to_string(), peers, operators });
         }
         self.settings.iter().find(|address| address.name == name).cloned()
     }
 
-    pub(crate) fn hello(&mut self, now: Time, hello: Hello) {
+    pub(crate) fn take_hello(&mut self, now: Time, hello: Hello) {
         self.heard.insert(hello.from.0.clone(), Heard { at: now, hello });
     }
 
-    /// Returns the greetings that are due, with their addresses.
-    pub(crate) fn greetings(
-        &mut self,
-        now: Time,
-        node: &Node,
-        empty: bool,
-    ) -> Vec<(String, Hello)> {
-        if now < self.greet_after {
+    /// Returns the hellos that are due, with their addresses.
+    pub(crate) fn hellos(&mut self, now: Time, node: &Node, empty: bool) -> Vec<(String, Hello)> {
+        if now < self.hello_after {
             return Vec::new();
         }
-        self.greet_after = now + GREETING;
+        self.hello_after = now + HELLO_INTERVAL;
         let hello = Hello { from: border::id(node.id()), empty, hears: self.recent(now) };
         let others = self.others();
         let addresses = others.iter().filter_map(|name| self.address(name));
@@ -115,7 +111,12 @@
                     border::from_id(heard.hello.from.clone())
                 }
             };
-            members.push(Member { id, voter: true, replaces: None, contact: contact(address) });
+            members.push(Member {
+                id,
+                voter: true,
+                replaces: None,
+                contact: contact(address, None),
+            });
         }
         members.sort_unstable_by(|left, right| left.id.cmp(&right.id));
         members.iter().any(|member| member.id == *own).then_some(members)
@@ -192,7 +193,7 @@
     }
 
     /// Returns whether messages pass in both directions: an instance that is cut off in one
-    /// direction only still greets the others, but does not list this one.
+    /// direction only still sends hellos to the others, but does not list this one.
     fn hears(&self, now: Time, name: &str) -> bool {
         self.heard
             .get(name)
@@ -243,9 +244,16 @@
     }
 }
 
-/// Returns the form in which the membership keeps an instance's addresses.
-pub(crate) fn contact(address: &Address) -> String {
-    format!("{} {}", address.peers, address.operators)
+/// Returns the form in which the membership keeps an instance's addresses and the id of the change
+/// that added it. The id is thus in the same log entry as the change.
+pub(crate) fn contact(address: &Address, change_id: Option<&str>) -> String {
+    let contact = format!("{} {}", address.peers, address.operators);
+    change_id.map_or_else(|| contact.clone(), |id| format!("{contact} {id}"))
+}
+
+/// Returns the id of the change that added the member with this contact, where it had one.
+pub(crate) fn change_id(contact: &str) -> Option<&str> {
+    contact.splitn(3, ' ').nth(2)
 }
 
 fn millis(duration: Duration) -> u64 {
