Serve HTTP/2 with prior knowledge to callers

Cause: the callers listener spoke HTTP/1.1 only. Change: the first bytes of a connection choose between the services of ntex for HTTP/1.1 and HTTP/2; peers and admin stay with HTTP/1.1. The host comes from :authority. A stopping node sends GOAWAY without error with its next request, since the library sends none. Cancellation by RST_STREAM is not tested.

--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ntex::http::header::{HOST, HeaderName};
-use ntex::http::{self, Method, Payload, Response, StatusCode};
+use ntex::http::{self, Method, Payload, Response, StatusCode, Version};
 use ntex::time::timeout_checked;
 use ntex::util::{Bytes, BytesMut};
 
@@ -24,6 +24,7 @@
 use super::deadline;
 use super::fields;
 use super::owner::{self, Work};
+use super::protocol;
 use super::refusal::{Choice, Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::remote;
@@ -56,7 +57,12 @@
 /// Answers a request of a caller.
 pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
-    let io = incoming.io().cloned();
+    let http2 = incoming.version() == Version::HTTP_2;
+    if http2 && worker.shared.stopping() {
+        incoming.io().into_iter().for_each(protocol::go_away);
+    }
+    // A truncated body resets its stream of HTTP/2, and breaks the connection of HTTP/1.1.
+    let io = incoming.io().filter(|_| !http2).cloned();
     let began = worker.shared.clock.now();
     let result = run(&worker, &mut incoming).await;
     let metrics = &worker.shared.metrics;
@@ -267,7 +273,9 @@
         return Err(Refusal::not_run("this node has no configuration yet"));
     }
     let host = incoming.headers().get(HOST).and_then(|host| host.to_str().ok());
-    let Some((entry, prefix, class)) = configuration.route(host, incoming.path()) else {
+    let host = host.or_else(|| incoming.uri().authority().map(|authority| authority.as_str()));
+    let host = host.map(str::to_string);
+    let Some((entry, prefix, class)) = configuration.route(host.as_deref(), incoming.path()) else {
         let remedy = "check host and path against the routes of the catalogue";
         return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
     };
@@ -284,7 +292,7 @@
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(incoming.headers());
     if !headers.contains_key(HOST) {
-        fields::set(&mut headers, "host", "localhost");
+        fields::set(&mut headers, "host", host.as_deref().unwrap_or("localhost"));
     }
     // The caller's own statement of its address must not be trusted by servers.
     headers.remove(HeaderName::from_static("x-forwarded-for"));
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -22,6 +22,7 @@
 use crate::shared::Shared;
 use crate::{admin, peers};
 
+use super::protocol::Protocols;
 use super::worker::Worker;
 use super::{entry, fields, owner};
 
@@ -102,8 +103,10 @@
         let service = fn_service(async move |request: Request| {
             Ok::<_, std::io::Error>(serve(Rc::clone(&worker), purpose, request).await)
         });
-        HttpService::h1(service)
-            .control(fn_service(async |control| Ok::<_, Infallible>(acknowledge(control))))
+        let http1 = HttpService::h1(service.clone())
+            .control(fn_service(async |control| Ok::<_, Infallible>(acknowledge(control))));
+        let http2 = HttpService::h2(service);
+        Protocols { http1, http2, accepts_http2: purpose == Purpose::Callers }
     })?;
     Ok(builder.config(&name, SharedCfg::new("incoming").add(http).add(io)))
 }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod limiter;
 pub(crate) mod listener;
 mod owner;
+mod protocol;
 mod refusal;
 mod relay;
 mod remote;
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/protocol.rs
@@ -0,0 +1,101 @@
+//! Tells HTTP/2 with prior knowledge from HTTP/1.1 by the first bytes of a connection.
+
+use std::task::Context;
+use std::time::Duration;
+
+use futures_util::future::join;
+use ntex::SharedCfg;
+use ntex::io::{Io, IoRef};
+use ntex::service::{Service, ServiceCtx, ServiceFactory};
+use ntex::time::timeout_checked;
+
+/// The first bytes of a connection that carries HTTP/2 (RFC 9113, section 3.4).
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+/// A GOAWAY frame without error for the highest stream id: streams in flight go on, and the caller
+/// opens no new one (RFC 9113, section 6.8). The server library sends none before it closes.
+const GO_AWAY: [u8; 17] = [0, 0, 8, 7, 0, 0, 0, 0, 0, 0x7f, 0xff, 0xff, 0xff, 0, 0, 0, 0];
+
+/// How long the first bytes may take.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Serves each connection by one of two services.
+#[derive(Debug)]
+pub(super) struct Protocols<A, B> {
+    /// Serves HTTP/1.1.
+    pub(super) http1: A,
+    /// Serves HTTP/2.
+    pub(super) http2: B,
+    /// Whether the listener accepts HTTP/2.
+    pub(super) accepts_http2: bool,
+}
+
+impl<A, B> ServiceFactory<Io, SharedCfg> for Protocols<A, B>
+where
+    A: ServiceFactory<Io, SharedCfg, Response = ()>,
+    B: ServiceFactory<Io, SharedCfg, Response = (), Error = A::Error, InitError = A::InitError>,
+{
+    type Response = ();
+    type Error = A::Error;
+    type InitError = A::InitError;
+    type Service = Protocols<A::Service, B::Service>;
+
+    async fn create(&self, config: SharedCfg) -> Result<Self::Service, Self::InitError> {
+        let http1 = self.http1.create(config.clone()).await?;
+        let http2 = self.http2.create(config).await?;
+        Ok(Protocols { http1, http2, accepts_http2: self.accepts_http2 })
+    }
+}
+
+impl<A, B> Service<Io> for Protocols<A, B>
+where
+    A: Service<Io, Response = ()>,
+    B: Service<Io, Response = (), Error = A::Error>,
+{
+    type Response = ();
+    type Error = A::Error;
+
+    async fn ready(&self, ctx: ServiceCtx<'_, Self>) -> Result<(), Self::Error> {
+        ctx.ready(&self.http1).await?;
+        ctx.ready(&self.http2).await
+    }
+
+    fn poll(&self, cx: &mut Context<'_>) -> Result<(), Self::Error> {
+        self.http1.poll(cx)?;
+        self.http2.poll(cx)
+    }
+
+    async fn shutdown(&self) {
+        join(self.http1.shutdown(), self.http2.shutdown()).await;
+    }
+
+    async fn call(&self, io: Io, ctx: ServiceCtx<'_, Self>) -> Result<(), Self::Error> {
+        match self.accepts_http2 && is_http2(&io).await {
+            true => ctx.call(&self.http2, io).await,
+            false => ctx.call(&self.http1, io).await,
+        }
+    }
+}
+
+/// Tells the caller on an HTTP/2 connection to open no new stream.
+pub(super) fn go_away(io: &IoRef) {
+    let _ = io.encode_slice(&GO_AWAY);
+}
+
+/// Waits for the first bytes; whatever is not the preface is left to HTTP/1.1 to refuse.
+async fn is_http2(io: &Io) -> bool {
+    loop {
+        let decided = io.with_read_buf(|bytes| {
+            let length = bytes.len().min(PREFACE.len());
+            match bytes[..length] == PREFACE[..length] {
+                false => Some(false),
+                true if length == PREFACE.len() => Some(true),
+                true => None,
+            }
+        });
+        if let Some(decided) = decided {
+            return decided;
+        }
+        let Ok(Ok(Some(()))) = timeout_checked(WAIT, io.read_notify()).await else { return false };
+    }
+}
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod download;
 mod ejection;
+mod http2;
 mod keys;
 mod leave;
 mod library;
