--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use ntex::http::header::{HOST, HeaderName};
-use ntex::http::{self, HeaderMap, Method, Payload, Response, StatusCode, Version};
+use ntex::http::{self, HeaderMap, Method, Response, StatusCode, Version};
 use ntex::time::{sleep, timeout_checked};
-use ntex::util::{Bytes, BytesMut};
 
-use arbutuslane_catalogue::entry::{Class, Entry};
+use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::budget::{Origin, RetryBudget};
@@ -22,9 +21,10 @@
 use crate::metrics::count;
 
 use super::answer::Answer;
-use super::client::{Request, Upload};
+use super::client::Request;
 use super::deadline;
 use super::fields;
+use super::intake;
 use super::owner::{self, Work};
 use super::protocol;
 use super::refusal::{Choice, Outcome, Refusal};
@@ -40,9 +40,6 @@
 /// The most servers that one request is sent to when owners refuse because servers have moved.
 const STALE_ATTEMPTS: usize = 6;
 
-/// The largest request body that is held whole, so that it can be sent again.
-const HELD_BYTES: u64 = 64 << 10;
-
 /// The longest wait of a request for the first configuration of a node that has just started.
 ///
 /// A restarted node fetches it from a peer within about 2 s. Without the wait a planned restart
@@ -318,7 +315,8 @@
     let limiter = &worker.shared.limiter;
     limiter.take(&entry.service, &entry.limits, prefix, caller, now).map_err(too_many)?;
     let length = fields::length(incoming.headers());
-    let upload = upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
+    let upload =
+        intake::upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(incoming.headers());
     if !headers.contains_key(HOST) {
@@ -344,62 +342,6 @@
     }
 }
 
-/// Holds a small body, so that it can be sent again, and streams any other after the start that the
-/// fingerprint covers.
-async fn upload(
-    entry: &Entry,
-    mut payload: Payload,
-    length: Option<u64>,
-    remaining: Duration,
-) -> Result<Upload, Refusal> {
-    let limit = entry.limits.body_bytes;
-    if length.is_some_and(|length| length > limit) {
-        return Err(too_large(limit));
-    }
-    if matches!(payload, Payload::None) {
-        return Ok(Upload::Empty);
-    }
-    let held = length.is_some_and(|length| length <= HELD_BYTES);
-    let enough = if held { usize::MAX } else { keyed::FINGERPRINT_BYTES };
-    let reading = read_start(&mut payload, enough);
-    let Ok(Ok((start, ended))) = timeout_checked(remaining, reading).await else {
-        return Err(incomplete());
-    };
-    if start.len() as u64 > limit {
-        return Err(too_large(limit));
-    }
-    if !ended {
-        return Ok(Upload::stream(start, payload, length, limit));
-    }
-    match length.is_none_or(|length| length == start.len() as u64) {
-        true => Ok(Upload::Whole(start)),
-        false => Err(incomplete()),
-    }
-}
-
-/// Reads a body until it has ended or `enough` bytes have come; returns them and whether it ended.
-async fn read_start(payload: &mut Payload, enough: usize) -> Result<(Bytes, bool), ()> {
-    let mut start = BytesMut::new();
-    while start.len() < enough {
-        match payload.recv().await {
-            Some(chunk) => start.extend_from_slice(&chunk.map_err(|_| ())?),
-            None => return Ok((start.freeze(), true)),
-        }
-    }
-    Ok((start.freeze(), false))
-}
-
-fn too_large(limit: u64) -> Refusal {
-    let error = format!("request body exceeds the {limit} bytes that the service allows");
-    let remedy = "send a smaller body or raise the limit in the catalogue";
-    Refusal::rejected(StatusCode::PAYLOAD_TOO_LARGE, &error, remedy)
-}
-
-fn incomplete() -> Refusal {
-    let remedy = "send the complete body within the deadline";
-    Refusal::rejected(StatusCode::BAD_REQUEST, "request body is incomplete", remedy)
-}
-
 /// Returns whether a response to `method` may be continued from another server.
 pub(crate) fn resumable(method: &Method) -> bool {
     owner::is_get(method)
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod deadline;
 mod entry;
 mod fields;
+mod intake;
 mod limiter;
 pub(crate) mod listener;
 mod owner;
