Tell refusals of a full server from failures at the entry

Cause: the entry counted a request that an owner's queue refused as a failed one with its latency. Under overload this raised the peers' share of failures, against which owners compare, so that a server that really fails stands out less. Change: the owner marks the refusal (arbutuslane-refusal: full), and the entry calls both; requests that an owner could not be reached for count as neither.

--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -160,9 +160,13 @@
     let mut answer = match result {
         Ok(answer) => answer,
         Err(refusal) => {
-            // A server that refuses or fails quickly must not look idle for it.
-            if refusal.choice != Choice::Stale {
-                ongoing.note(worker.shared.clock.now().saturating_sub(began), false);
+            // A server that refuses or fails quickly must not look idle for it. What did not run
+            // is no failure, and would hide real ones from the comparison with peers.
+            match refusal.choice {
+                Choice::Stale => {}
+                Choice::Full | Choice::Shed => ongoing.refuse(),
+                _ if refusal.outcome == Outcome::NotRun => {}
+                _ => ongoing.note(worker.shared.clock.now().saturating_sub(began), false),
             }
             if matches!(refusal.choice, Choice::Stale | Choice::Shed) {
                 services::avoid(worker, service, &server);
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -274,7 +274,8 @@
         Reason::Closed => return Refusal::stale("the server takes no new work"),
     };
     let seconds = u32::try_from(refusal.retry_after.as_secs()).unwrap_or(u32::MAX);
-    Refusal { retry_after: Some(seconds.saturating_add(1).min(60)), ..Refusal::not_run(error) }
+    let retry_after = Some(seconds.saturating_add(1).min(60));
+    Refusal { choice: Choice::Full, retry_after, ..Refusal::not_run(error) }
 }
 
 fn request_for(work: &Work, now: Time) -> Request {
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -35,6 +35,8 @@
     Stale,
     /// The server itself sheds load.
     Shed,
+    /// The owner's queue for the server cannot take the request.
+    Full,
     /// No other server may be tried: the request has crashed one.
     Final,
 }
@@ -137,6 +139,9 @@
             Choice::Shed => {
                 builder.header(header::REFUSAL, header::REFUSAL_SHED);
             }
+            Choice::Full => {
+                builder.header(header::REFUSAL, header::REFUSAL_FULL);
+            }
             Choice::Final => {
                 builder.header(header::REFUSAL, header::REFUSAL_FINAL);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -110,6 +110,7 @@
     let choice = match fields::text(&reply.headers, header::REFUSAL) {
         Some(header::REFUSAL_STALE) => Choice::Stale,
         Some(header::REFUSAL_SHED) => Choice::Shed,
+        Some(header::REFUSAL_FULL) => Choice::Full,
         Some(header::REFUSAL_FINAL) => Choice::Final,
         _ => Choice::Sound,
     };
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -76,6 +76,7 @@
     id: u64,
     latency: Option<Duration>,
     success: bool,
+    refused: bool,
 }
 
 #[derive(Debug)]
@@ -167,6 +168,11 @@
         self.latency = Some(latency);
         self.success = success;
     }
+
+    /// Notes that the request was refused because the server is full.
+    pub(crate) fn refuse(&mut self) {
+        self.refused = true;
+    }
 }
 
 impl Drop for Ongoing {
@@ -176,6 +182,10 @@
         let now = self.clock.now();
         service.picker.answered(&self.server, now, self.latency, self.success);
         service.summarizer.ended(self.id);
+        if self.refused {
+            service.picker.refused(&self.server, now);
+            service.summarizer.refused(&self.server, self.class, now);
+        }
         if let Some(latency) = self.latency {
             let (server, class) = (&self.server, self.class);
             service.summarizer.observe(server, class, latency, self.success, now);
@@ -218,6 +228,7 @@
         id,
         latency: None,
         success: false,
+        refused: false,
     };
     Some((Choice { server: pick.server, place, trial: pick.trial, summary }, ongoing))
 }
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -57,6 +57,9 @@
 /// The backend server itself sheds load.
 pub const REFUSAL_SHED: &str = "shed";
 
+/// The owner's queue for the backend server cannot take the request.
+pub const REFUSAL_FULL: &str = "full";
+
 /// Tells apart the sources of baselines (16 hexadecimal digits), on requests to an owner.
 pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
 
