Let callers' resends add nothing to the retry budget

Ruled out: telling resends by the request alone; equal lookups of one caller that are answered are new work and would starve the budget. Change: limit::resend::Failures remembers the failed requests of the last 10 to 20 s by caller, service and idempotency key or fingerprint; a repeated one earns nothing.

--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Everything here is a pure function of explicit state and time. The owner of a backend server
 //! keeps one [`Gate`](gate::Gate) for it. An entry keeps [`Bucket`](bucket::Bucket)s per caller,
-//! route and service, one [`RetryBudget`](budget::RetryBudget) per service, and asks
+//! route and service, one [`RetryBudget`](budget::RetryBudget) per service, tells
+//! callers' resends from new requests by [`Failures`](resend::Failures), and asks
 //! [`retry::decide`] and [`hedge::delay`] what to do with a late or failed attempt.
 //!
 //! ```
@@ -25,6 +26,7 @@
 pub mod deadline;
 pub mod gate;
 pub mod hedge;
+pub mod resend;
 pub mod retry;
 
 /// The names that most users of this crate need.
@@ -33,6 +35,7 @@
     pub use crate::budget::{Origin, RetryBudget};
     pub use crate::deadline::Deadline;
     pub use crate::gate::{Admission, Cancelled, Gate, Next, Reason, Refusal, Ticket};
+    pub use crate::resend::Failures;
     pub use crate::retry::{Attempt, Decision, Outcome};
     pub use crate::{hedge, retry};
 }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use subtle::ConstantTimeEq;
@@ -13,6 +13,7 @@
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_limit::bucket::Bucket;
+use arbutuslane_limit::resend::Failures;
 
 use crate::announce::Table;
 use crate::cluster::Cluster;
@@ -70,6 +71,7 @@
     /// The rates that this node accepts as an entry.
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
+    failures: Mutex<Failures>,
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
@@ -96,6 +98,7 @@
             cluster,
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
+            failures: Mutex::default(),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -191,6 +194,11 @@
         self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take_above(kept, now)
     }
 
+    /// Locks the requests that failed lately.
+    pub(crate) fn failures(&self) -> MutexGuard<'_, Failures> {
+        self.failures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the node is in a planned stop.
     pub(crate) fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -10,11 +10,13 @@
 use ntex::time::{sleep, timeout_checked};
 
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::hash;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
-use arbutuslane_limit::budget::{Origin, RetryBudget};
+use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::retry;
+use arbutuslane_wire::header;
 
 use crate::cluster::keyed::{self, Begun, Finished};
 use crate::configuration::Configuration;
@@ -223,7 +225,9 @@
 }
 
 async fn run_routed(worker: &Worker, routed: &Routed) -> (Result<Answer, Refusal>, Vec<ServerId>) {
-    let earn = |budget: &mut RetryBudget| budget.earn(Origin::First);
+    let id = resend_id(routed);
+    let origin = worker.shared.failures().origin(id, worker.shared.clock.now());
+    let earn = |budget: &mut RetryBudget| budget.earn(origin);
     worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let mut tried = Vec::new();
     loop {
@@ -232,6 +236,9 @@
         if !services::has_other(worker, &routed.service, &tried)
             || !may_retry(worker, routed, &result, tried.len())
         {
+            if result.as_ref().map_or(true, failed) {
+                worker.shared.failures().record(id, worker.shared.clock.now());
+            }
             return (result, tried);
         }
         let stale = matches!(&result, Err(refusal) if refusal.choice == Choice::Stale);
@@ -240,6 +247,18 @@
     }
 }
 
+/// Returns what a caller's resend has in common with the first request: the caller, the service and
+/// the idempotency key, or without one the request itself.
+fn resend_id(routed: &Routed) -> u64 {
+    let headers = &routed.request.headers;
+    let caller = fields::text(headers, "x-forwarded-for").unwrap_or_default();
+    let request = match fields::text(headers, header::IDEMPOTENCY_KEY) {
+        Some(key) => key.to_string(),
+        None => format!("{:016x}", keyed::fingerprint(&routed.request)),
+    };
+    hash::of_bytes(format!("{caller} {} {request}", routed.service).as_bytes())
+}
+
 /// Returns whether another server may run the request after `result`, and charges the budget.
 fn may_retry(
     worker: &Worker,
--- a/crates/arbutuslane_node/tests/faults/overload.rs
+++ b/crates/arbutuslane_node/tests/faults/overload.rs
@@ -71,3 +71,30 @@
     assert!(retries * 10 <= answered + not_run + unknown + 20, "{retries} retries");
     assert!(stale <= 60, "{stale} retries because of one server that left");
 }
+
+/// Guards against callers that raise the fleet's retry budget by sending a failed request again.
+#[test]
+fn overload_resends_earn_nothing() {
+    let node = Node::start_with(&[], 1, 1);
+    let servers: Vec<Server> = ["s1", "s2"]
+        .into_iter()
+        .map(|name| {
+            Server::start(&node, "slots", name, |received, stream| {
+                write(stream, &received.respond("500 Failed", "", ""))
+            })
+        })
+        .collect();
+    // The same request 100 times: the budget is one retry in reserve and 10% of the first one.
+    for _ in 0..100 {
+        assert_eq!(node.call("GET", "/slots/one", &[], b"").status, 500);
+    }
+    assert_eq!(node.metric("arbutuslane_retries_total"), 1);
+    // New requests still earn their share.
+    for number in 0..100 {
+        assert_eq!(node.call("GET", &format!("/slots/{number}"), &[], b"").status, 500);
+    }
+    let retries = node.metric("arbutuslane_retries_total");
+    assert!((9..=12).contains(&retries), "{retries}");
+    let runs: usize = servers.iter().map(|server| server.received().len()).sum();
+    assert_eq!(runs as u64, 200 + retries);
+}
