Probe a server that broke a connection several times before it counts as alive

Cause: a process that ends closes its connections before its listening socket. Change: up to four connections, 0, 20, 70 and 170 ms after the break; the first that is refused, or a newer incarnation, proves the crash. A broken connection of a server that lives is reported up to 170 ms later.

--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -10,7 +10,7 @@
 use arbutuslane_record::prelude::{Coordinator, Decision, Strikes, Verdict, key};
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
-use ntex::time::timeout_checked;
+use ntex::time::{sleep, timeout_checked};
 
 use crate::announce::Server;
 use crate::peers;
@@ -25,6 +25,15 @@
 /// The longest wait for a connection that tells whether a server's process is gone.
 const CONNECT_WAIT: Duration = Duration::from_millis(200);
 
+/// The waits before each connection. A process that ends closes its connections before its listening
+/// socket, so that the first connection can still succeed; one night had a third crash for it.
+const PROBE_WAITS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(50),
+    Duration::from_millis(100),
+];
+
 /// The fingerprint of a request whose entry states none.
 const NONE: u64 = 0;
 
@@ -125,11 +134,7 @@
         return false;
     }
     let shared = &worker.shared;
-    let newer = shared.servers.get(&server.id);
-    let newer = newer.is_some_and(|known| known.incarnation > server.incarnation);
-    let connected = worker.pool.connect(server.address, CONNECT_WAIT).await;
-    // A server that is merely slow or cut off gives no answer, which proves no crash.
-    if !newer && !matches!(connected, Err(Failure::Connect(_))) {
+    if !is_gone(worker, server).await {
         return false;
     }
     let now = shared.clock.now();
@@ -153,6 +158,24 @@
     true
 }
 
+/// Returns whether the process of a server has ended: it refuses connections or has a newer
+/// incarnation. A server that is merely slow or cut off gives no answer, which proves no crash.
+async fn is_gone(worker: &Worker, server: &Server) -> bool {
+    for wait in PROBE_WAITS {
+        sleep(wait).await;
+        let newer = worker.shared.servers.get(&server.id);
+        if newer.is_some_and(|known| known.incarnation > server.incarnation) {
+            return true;
+        }
+        match worker.pool.connect(server.address, CONNECT_WAIT).await {
+            Err(Failure::Connect(_)) => return true,
+            Err(_) => return false,
+            Ok(_) => {}
+        }
+    }
+    false
+}
+
 /// Takes the strikes that another owner tells.
 pub(crate) fn told(shared: &Shared, now: Time, server: &str, life: u64, fingerprints: &[u64]) {
     let mut strikes = shared.cluster.strikes.lock();
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -15,8 +15,9 @@
 use crate::support::server::write;
 use crate::support::{Node, Server, call, caller, open, request};
 
-/// Starts a server of lookups at `node` whose process ends with a request for `/slots/crash`.
-fn fragile(node: &Node, name: &str, crashes: &Arc<AtomicUsize>) {
+/// Starts a server of lookups at `node` whose process ends with a request for `/slots/crash`; its
+/// listening socket stays open for `linger` after its connections are closed.
+fn fragile(node: &Node, name: &str, crashes: &Arc<AtomicUsize>, linger: Duration) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (crashes, gone) = (Arc::clone(crashes), Arc::new(AtomicUsize::new(0)));
@@ -30,6 +31,8 @@
             if head.starts_with("GET /slots/crash") {
                 crashes.fetch_add(1, Ordering::Relaxed);
                 ended.store(1, Ordering::Relaxed);
+                drop(stream);
+                sleep(linger);
                 return;
             }
             let echo = head.lines().find(|line| line.starts_with("arbutuslane-exchange"));
@@ -60,11 +63,23 @@
 /// that the fleet could retry by itself.
 #[test]
 fn crashed_resent() {
+    resend(Duration::ZERO);
+}
+
+/// Guards against a crash that is taken for a broken connection, because the process that ends
+/// closes its connections before its listening socket. A night on real processes had three crashes.
+#[test]
+fn crashed_slow_exit() {
+    resend(Duration::from_millis(30));
+}
+
+/// Sends a crashing request 12 times through three nodes; two of six servers may crash.
+fn resend(linger: Duration) {
     let nodes = fleet(3);
     let crashes = Arc::new(AtomicUsize::new(0));
     for (index, node) in nodes.iter().enumerate() {
         for number in 0..2 {
-            fragile(node, &format!("s{index}{number}"), &crashes);
+            fragile(node, &format!("s{index}{number}"), &crashes, linger);
         }
     }
     wait_until(|| nodes.iter().all(|node| node.metric("arbutuslane_remote_servers") == 4));
