Record quarantined requests and disk faults as events

Cause: both kinds were defined, marked as needing action, and recorded by no daemon, so the morning report left them out.

--- a/crates/arbutuslane_control/src/replica.rs
+++ b/crates/arbutuslane_control/src/replica.rs
@@ -13,6 +13,7 @@
 use arbutuslane_core::hash;
 use arbutuslane_core::id::Shard;
 use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_event::prelude::Kind;
 use arbutuslane_storage::disk::Disk;
 use arbutuslane_storage::error::Error;
 use arbutuslane_wire::codec;
@@ -382,5 +383,6 @@
         self.node = None;
         tracing::error!(instance = self.settings.name, %error, "the replica stopped");
         self.watch.failed(&error.to_string());
+        self.handle.events.record(Kind::DiskFault { detail: error.to_string() });
     }
 }
--- a/crates/arbutuslane_control/tests/instances.rs
+++ b/crates/arbutuslane_control/tests/instances.rs
@@ -112,6 +112,9 @@
     let status = cluster
         .wait("the stop", || cluster.status(leader).filter(|status| status.role == "stopped"));
     assert!(status.failure.unwrap().contains("sync"));
+    // The operator finds it on the timeline in the morning.
+    let (_, events) = cluster.ask(leader, "GET", "/v1/events", "").unwrap();
+    assert!(events.to_string().contains("disk-fault"), "{events}");
     assert_eq!(cluster.ask(leader, "GET", "/v1/catalogue", "").unwrap().0, 503);
     assert_ne!(cluster.leader(), leader);
     // After a restart it has what was synced and takes over the rest.
--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -139,12 +139,8 @@
     }
     let now = shared.clock.now();
     shared.cluster.strikes.lock().strike(now, fingerprint, &server.id, server.incarnation);
-    let strikes = match shared.cluster.strikes.lock().verdict(now, fingerprint) {
-        Verdict::Quarantined { .. } => 2,
-        Verdict::Free | Verdict::Alone => 1,
-    };
-    let kind = Kind::Strike { fingerprint: format!("{fingerprint:016x}"), strikes };
-    shared.events.record(Draft::new(kind).service(&server.service).server(&server.id));
+    let verdict = shared.cluster.strikes.lock().verdict(now, fingerprint);
+    record(shared, server, fingerprint, verdict, now);
     let message = peer::Message::Strike {
         service: server.service.clone(),
         server: server.id.clone(),
@@ -158,6 +154,21 @@
     true
 }
 
+/// Records the events of a strike.
+fn record(shared: &Shared, server: &Server, fingerprint: u64, verdict: Verdict, now: Time) {
+    let fingerprint = format!("{fingerprint:016x}");
+    let (strikes, quarantine) = match verdict {
+        Verdict::Quarantined { until } => (2, Some(until.saturating_sub(now))),
+        Verdict::Free | Verdict::Alone => (1, None),
+    };
+    let kind = Kind::Strike { fingerprint: fingerprint.clone(), strikes };
+    shared.events.record(Draft::new(kind).service(&server.service).server(&server.id));
+    if let Some(rest) = quarantine {
+        let kind = Kind::RequestQuarantined { fingerprint, for_s: rest.as_secs() };
+        shared.events.record(Draft::new(kind).service(&server.service));
+    }
+}
+
 /// Returns whether the process of a server has ended: it refuses connections or has a newer
 /// incarnation. A server that is merely slow or cut off gives no answer, which proves no crash.
 async fn is_gone(worker: &Worker, server: &Server) -> bool {
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -91,6 +91,11 @@
     assert_eq!(crashes.load(Ordering::Relaxed), 2, "{seen:?}");
     let last = seen.last().unwrap();
     assert_eq!((last.0, last.1.as_str()), (503, "not-run"));
+    let quarantined = |node: &Node| {
+        let events = node.get("/v1/events?since=0").unwrap().text();
+        events.matches("\"request-quarantined\"").count()
+    };
+    assert_eq!(nodes.iter().map(quarantined).sum::<usize>(), 1);
     // Other requests run, once the lost servers are known.
     for node in &nodes {
         wait_until(|| node.call("GET", "/slots", &[], b"").status == 200);
