Call the incarnations of members incarnations

Cause: record, wire and node called them lives, a word of their own beside the term that the rest of the code uses. Change: names and comments; behaviour is unchanged.

--- a/crates/arbutuslane_bench/src/spread/register.rs
+++ b/crates/arbutuslane_bench/src/spread/register.rs
@@ -80,7 +80,7 @@
 fn coordinate() -> f64 {
     let response = Response::Claim {
         epoch: 1,
-        lives: vec![1; 5],
+        incarnations: vec![1; 5],
         holding: arbutuslane_record::message::Holding::Accepted,
     };
     let answer = codec::encode(&peer::Answer::Register(response.into())).unwrap_or_default();
--- a/crates/arbutuslane_node/src/cluster/registers.rs
+++ b/crates/arbutuslane_node/src/cluster/registers.rs
@@ -80,7 +80,7 @@
             return match request {
                 Request::Claim(_) => {
                     let holding = Holding::Refused(Refusal::NoReplica);
-                    Response::Claim { epoch: 0, lives: Vec::new(), holding }
+                    Response::Claim { epoch: 0, incarnations: Vec::new(), holding }
                 }
                 _ => Response::Done,
             };
--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -188,11 +188,17 @@
 }
 
 /// Takes the strikes that another owner tells.
-pub(crate) fn told(shared: &Shared, now: Time, server: &str, life: u64, fingerprints: &[u64]) {
+pub(crate) fn told(
+    shared: &Shared,
+    now: Time,
+    server: &str,
+    incarnation: u64,
+    fingerprints: &[u64],
+) {
     let mut strikes = shared.cluster.strikes.lock();
     strikes.sweep(now);
     for fingerprint in fingerprints {
-        strikes.strike(now, *fingerprint, server, life);
+        strikes.strike(now, *fingerprint, server, incarnation);
     }
 }
 
--- a/crates/arbutuslane_record/src/coordinator.rs
+++ b/crates/arbutuslane_record/src/coordinator.rs
@@ -55,16 +55,16 @@
 
     /// Takes the response of the member `from`; returns the decision once, when there is one.
     pub fn replied(&mut self, from: &str, response: &Response) -> Option<Decision> {
-        let Response::Claim { epoch, lives, holding } = response else { return None };
+        let Response::Claim { epoch, incarnations, holding } = response else { return None };
         let place = self.group.place(from)?;
         if self.decided.is_some() {
             return None;
         }
-        let valid = *epoch == self.group.epoch && lives.len() == self.group.members.len();
+        let valid = *epoch == self.group.epoch && incarnations.len() == self.group.members.len();
         let reply = match holding {
             Holding::Accepted if !valid => (Vec::new(), Holding::Refused(Refusal::Epoch)),
             holding if !valid => (Vec::new(), holding.clone()),
-            holding => (lives.clone(), holding.clone()),
+            holding => (incarnations.clone(), holding.clone()),
         };
         self.replies[place] = Some(reply);
         self.decide(false)
@@ -114,21 +114,21 @@
     }
 
     /// Returns the number of members whose acceptance still stands: not those of which another
-    /// accepting member knows a later life, since they have forgotten it.
+    /// accepting member knows a later incarnation, since they have forgotten it.
     fn accepted(&self) -> usize {
         let mut latest = vec![0; self.replies.len()];
         let accepting = |reply: &Option<(Vec<Incarnation>, Holding)>| {
             reply.as_ref().is_some_and(|(_, holding)| *holding == Holding::Accepted)
         };
-        for (lives, _) in self.replies.iter().flatten() {
-            for (latest, life) in latest.iter_mut().zip(lives) {
-                *latest = (*latest).max(*life);
+        for (incarnations, _) in self.replies.iter().flatten() {
+            for (latest, incarnation) in latest.iter_mut().zip(incarnations) {
+                *latest = (*latest).max(*incarnation);
             }
         }
         let mut count = 0;
         for (place, reply) in self.replies.iter().enumerate() {
-            let life = reply.as_ref().and_then(|(lives, _)| lives.get(place));
-            if accepting(reply) && life == latest.get(place) {
+            let incarnation = reply.as_ref().and_then(|(incarnations, _)| incarnations.get(place));
+            if accepting(reply) && incarnation == latest.get(place) {
                 count += 1;
             }
         }
--- a/crates/arbutuslane_record/src/message.rs
+++ b/crates/arbutuslane_record/src/message.rs
@@ -151,7 +151,7 @@
         /// The epoch that the replica has adopted.
         epoch: u64,
         /// The incarnations of the group's members that the replica knows, in the group's order.
-        lives: Vec<Incarnation>,
+        incarnations: Vec<Incarnation>,
         /// What the replica holds.
         holding: Holding,
     },
@@ -162,7 +162,7 @@
         /// Whether the replica votes.
         voting: bool,
         /// The incarnations of the group's members that the replica knows.
-        lives: Vec<Incarnation>,
+        incarnations: Vec<Incarnation>,
         /// Some of the registers.
         copies: Vec<Copy>,
         /// Where to go on, or nothing after the last page.
--- a/crates/arbutuslane_record/src/permit.rs
+++ b/crates/arbutuslane_record/src/permit.rs
@@ -105,7 +105,7 @@
 }
 
 impl Ledger {
-    /// Allows grants after one lease, when those of an earlier life or epoch have ended.
+    /// Allows grants after one lease, when those of an earlier incarnation or epoch have ended.
     pub(crate) fn open(&mut self, now: Time) {
         self.opens.get_or_insert(now + LEASE);
     }
--- a/crates/arbutuslane_record/src/replica.rs
+++ b/crates/arbutuslane_record/src/replica.rs
@@ -8,7 +8,7 @@
 use crate::permit::Ledger;
 use crate::store::{BOOKING_KEPT, Limits, Store};
 
-/// A replica that may lack registers that its node accepted in an earlier life.
+/// A replica that may lack registers that its node accepted in an earlier incarnation.
 #[derive(Debug, Clone)]
 pub struct Recovering {
     since: Time,
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone)]
 struct Source {
     place: usize,
-    lives: Vec<Incarnation>,
+    incarnations: Vec<Incarnation>,
     cursor: Option<u32>,
     adopted: bool,
 }
@@ -34,7 +34,7 @@
     node: NodeId,
     place: usize,
     group: Group,
-    lives: Vec<Incarnation>,
+    incarnations: Vec<Incarnation>,
     store: Store,
     ledger: Ledger,
     state: S,
@@ -71,32 +71,32 @@
         let voting = voting && *epoch == self.group.epoch;
         if *epoch == self.group.epoch {
             // A claim accepted from here on carries the puller's new incarnation, which tells
-            // its coordinator not to count what the puller accepted in an earlier life.
+            // its coordinator not to count what the puller accepted in an earlier incarnation.
             if let Some(place) = self.group.place(node) {
-                self.lives[place] = self.lives[place].max(*incarnation);
+                self.incarnations[place] = self.incarnations[place].max(*incarnation);
             }
             if voting {
                 (copies, next) = self.store.page(now, *cursor);
             }
         }
-        let lives = self.lives.clone();
-        Response::Page { epoch: self.group.epoch, voting, lives, copies, next }
+        let incarnations = self.incarnations.clone();
+        Response::Page { epoch: self.group.epoch, voting, incarnations, copies, next }
     }
 
     fn into_state<T>(self, state: T) -> Replica<T> {
-        let Self { node, place, group, lives, store, ledger, .. } = self;
-        Replica { node, place, group, lives, store, ledger, state }
+        let Self { node, place, group, incarnations, store, ledger, .. } = self;
+        Replica { node, place, group, incarnations, store, ledger, state }
     }
 
     /// Moves to a newer epoch of the group; false when this node is no longer a member.
     fn move_to(&mut self, group: Group) -> bool {
         let Some(place) = group.place(&self.node) else { return false };
-        let mut lives = Vec::new();
+        let mut incarnations = Vec::new();
         for member in &group.members {
-            let known = self.group.place(&member.node).map_or(0, |place| self.lives[place]);
-            lives.push(known.max(member.incarnation));
+            let known = self.group.place(&member.node).map_or(0, |place| self.incarnations[place]);
+            incarnations.push(known.max(member.incarnation));
         }
-        self.lives = lives;
+        self.incarnations = incarnations;
         self.place = place;
         self.group = group;
         true
@@ -111,7 +111,11 @@
         } else {
             Holding::Refused(Refusal::Epoch)
         };
-        Response::Claim { epoch: self.group.epoch, lives: self.lives.clone(), holding }
+        Response::Claim {
+            epoch: self.group.epoch,
+            incarnations: self.incarnations.clone(),
+            holding,
+        }
     }
 }
 
@@ -127,7 +131,7 @@
                 shard: self.group.shard,
                 epoch: self.group.epoch,
                 node: self.node.clone(),
-                incarnation: self.lives[self.place],
+                incarnation: self.incarnations[self.place],
                 cursor,
             };
             pulls.push((member.node.clone(), request));
@@ -137,15 +141,15 @@
 
     /// Takes a page of the member `from`, which was asked for `cursor`.
     pub fn pulled(&mut self, now: Time, from: &str, cursor: u32, response: &Response) {
-        let Response::Page { epoch, voting, lives, copies, next } = response else { return };
+        let Response::Page { epoch, voting, incarnations, copies, next } = response else { return };
         let Some(place) = self.group.place(from) else { return };
-        if *epoch != self.group.epoch || lives.len() != self.group.members.len() {
+        if *epoch != self.group.epoch || incarnations.len() != self.group.members.len() {
             return;
         }
-        if lives[self.place] > self.lives[self.place] {
+        if incarnations[self.place] > self.incarnations[self.place] {
             // The clock went back over a restart. Only a higher incarnation than that of the
-            // earlier life tells coordinators not to count what the earlier life accepted.
-            self.lives[self.place] = lives[self.place] + 1;
+            // earlier incarnation tells coordinators not to count what the earlier incarnation accepted.
+            self.incarnations[self.place] = incarnations[self.place] + 1;
             self.state.sources.clear();
             return;
         }
@@ -153,17 +157,22 @@
         let index = match sources.iter().position(|source| source.place == place) {
             Some(index) => index,
             None => {
-                let source = Source { place, lives: lives.clone(), cursor: Some(0), adopted: true };
+                let source = Source {
+                    place,
+                    incarnations: incarnations.clone(),
+                    cursor: Some(0),
+                    adopted: true,
+                };
                 sources.push(source);
                 sources.len() - 1
             }
         };
         let source = &mut sources[index];
         source.adopted = true;
-        if !voting || source.lives[place] != lives[place] {
+        if !voting || source.incarnations[place] != incarnations[place] {
             // The source restarted; its slots are in another order now.
             source.cursor = Some(0);
-            source.lives.clone_from(lives);
+            source.incarnations.clone_from(incarnations);
             if !voting || cursor != 0 {
                 return;
             }
@@ -172,8 +181,8 @@
             return;
         }
         source.cursor = *next;
-        merge_lives(&mut source.lives, lives);
-        merge_lives(&mut self.lives, lives);
+        merge_incarnations(&mut source.incarnations, incarnations);
+        merge_incarnations(&mut self.incarnations, incarnations);
         for copy in copies {
             self.store.merge(now, copy);
         }
@@ -181,7 +190,7 @@
     }
 
     /// Returns true when enough other members have been pulled from entirely, or when every claim
-    /// of an earlier life is past its retention.
+    /// of an earlier incarnation is past its retention.
     pub fn is_complete(&self, now: Time) -> bool {
         let done = self.state.sources.iter().filter(|source| source.cursor.is_none()).count();
         done >= self.group.recovery() || now >= self.state.since + BOOKING_KEPT
@@ -195,10 +204,10 @@
     /// Pulls anew from a source that has restarted since, as another source tells.
     ///
     /// The restarted source may have recovered before this replica's pull was known anywhere, and
-    /// accept claims that count this replica's earlier life.
+    /// accept claims that count this replica's earlier incarnation.
     fn drop_outdated_sources(&mut self) {
         for source in &mut self.state.sources {
-            if source.lives[source.place] < self.lives[source.place] {
+            if source.incarnations[source.place] < self.incarnations[source.place] {
                 source.cursor = Some(0);
             }
         }
@@ -233,14 +242,14 @@
     ) -> Self {
         let place = group.place(node).expect("the node is a member of the group");
         let founder = group.founding && group.members[place].incarnation == incarnation;
-        let mut lives: Vec<Incarnation> =
+        let mut incarnations: Vec<Incarnation> =
             group.members.iter().map(|member| member.incarnation).collect();
-        lives[place] = incarnation;
+        incarnations[place] = incarnation;
         let mut replica = Replica {
             node: node.to_string(),
             place,
             group,
-            lives,
+            incarnations,
             store: Store::new(limits),
             ledger: Ledger::default(),
             state: Recovering { since: now, sources: Vec::new() },
@@ -288,7 +297,7 @@
             (Self::Recovering(replica), Request::Claim(_)) => {
                 return Response::Claim {
                     epoch: replica.group.epoch,
-                    lives: replica.lives.clone(),
+                    incarnations: replica.incarnations.clone(),
                     holding: Holding::Refused(Refusal::Recovering),
                 };
             }
@@ -352,7 +361,7 @@
                     return false;
                 }
                 let stored = replica.group.members[replica.place].incarnation;
-                if replica.group.founding && stored == replica.lives[replica.place] {
+                if replica.group.founding && stored == replica.incarnations[replica.place] {
                     replica.ledger.open(now);
                     *self = Self::Voting(replica.clone().vote());
                 }
@@ -382,7 +391,7 @@
     }
 }
 
-fn merge_lives(into: &mut [Incarnation], from: &[Incarnation]) {
+fn merge_incarnations(into: &mut [Incarnation], from: &[Incarnation]) {
     for (into, from) in into.iter_mut().zip(from) {
         *into = (*into).max(*from);
     }
--- a/crates/arbutuslane_record/src/strike.rs
+++ b/crates/arbutuslane_record/src/strike.rs
@@ -39,9 +39,9 @@
 }
 
 impl Strikes {
-    /// Records that a request crashed the given life of a server; the same crash counts once.
-    pub fn strike(&mut self, now: Time, fingerprint: u64, server: &str, life: Incarnation) {
-        let crash = (server.to_string(), life);
+    /// Records that a request crashed the given incarnation of a server; the same crash counts once.
+    pub fn strike(&mut self, now: Time, fingerprint: u64, server: &str, incarnation: Incarnation) {
+        let crash = (server.to_string(), incarnation);
         match self.index(fingerprint) {
             Ok(index) => {
                 let struck = &mut self.struck[index];
--- a/crates/arbutuslane_record/tests/strikes.rs
+++ b/crates/arbutuslane_record/tests/strikes.rs
@@ -90,8 +90,8 @@
                 continue;
             }
             for fingerprint in fingerprints {
-                let life = u64::from(self.crashes);
-                strikes.strike(self.now, *fingerprint, &format!("server-{owner}"), life);
+                let incarnation = u64::from(self.crashes);
+                strikes.strike(self.now, *fingerprint, &format!("server-{owner}"), incarnation);
             }
         }
     }
--- a/crates/arbutuslane_record/tests/support/keys.rs
+++ b/crates/arbutuslane_record/tests/support/keys.rs
@@ -21,7 +21,7 @@
     RecoveringVotes,
     /// A restarted replica votes after one page of one other member.
     ShortRecovery,
-    /// Coordinators and replicas ignore which lives the others know.
+    /// Coordinators and replicas ignore which incarnations the others know.
     LivesIgnored,
     /// The coordinator withdraws an attempt whose response was lost.
     UnknownWithdrawn,
@@ -62,8 +62,8 @@
     Replace,
     Pull(usize),
     Send { key: Key },
-    Deliver { to: usize, from: usize, life: u64, call: Call, request: Request },
-    Reply { to: usize, from: usize, life: u64, call: Call, response: Response },
+    Deliver { to: usize, from: usize, incarnation: u64, call: Call, request: Request },
+    Reply { to: usize, from: usize, incarnation: u64, call: Call, response: Response },
     Expire { node: usize, attempt: u128 },
     Run { node: usize, attempt: u128 },
     Ran { node: usize, attempt: u128 },
@@ -79,7 +79,7 @@
 
 struct Node {
     up: bool,
-    life: u64,
+    incarnation: u64,
     known: usize,
     seat: Option<Seat>,
     coordinators: HashMap<u128, (Coordinator, Key)>,
@@ -130,7 +130,7 @@
         for node in 0..NODES {
             let seat = (node < size).then(|| Seat::join(Time::ZERO, &name(node), 1, group.clone()));
             let coordinators = HashMap::new();
-            nodes.push(Node { up: true, life: 1, known: 0, seat, coordinators });
+            nodes.push(Node { up: true, incarnation: 1, known: 0, seat, coordinators });
         }
         let mut world = Self {
             queue: Queue::new(),
@@ -156,11 +156,11 @@
             Event::Replace => self.replace(),
             Event::Pull(node) => self.pull(node),
             Event::Send { key } => self.send(key),
-            Event::Deliver { to, from, life, call, request } => {
-                self.deliver(to, from, life, call, &request);
+            Event::Deliver { to, from, incarnation, call, request } => {
+                self.deliver(to, from, incarnation, call, &request);
             }
-            Event::Reply { to, from, life, call, response } => {
-                if self.nodes[to].up && self.nodes[to].life == life {
+            Event::Reply { to, from, incarnation, call, response } => {
+                if self.nodes[to].up && self.nodes[to].incarnation == incarnation {
                     self.reply(to, from, call, &response);
                 }
             }
@@ -181,17 +181,17 @@
     }
 
     fn transmit(&mut self, from: usize, to: usize, call: Call, request: &Request) {
-        let life = self.nodes[from].life;
+        let incarnation = self.nodes[from].incarnation;
         self.network.uniform = self.duel && matches!(call, Call::Claim(_));
         let arrivals = self.network.arrivals(from, to);
         self.network.uniform = false;
         for delay in arrivals {
             let request = request.clone();
-            self.queue.push(delay, Event::Deliver { to, from, life, call, request });
+            self.queue.push(delay, Event::Deliver { to, from, incarnation, call, request });
         }
     }
 
-    fn deliver(&mut self, to: usize, from: usize, life: u64, call: Call, sent: &Request) {
+    fn deliver(&mut self, to: usize, from: usize, incarnation: u64, call: Call, sent: &Request) {
         let now = self.queue.now();
         if !self.nodes[to].up {
             return;
@@ -205,11 +205,11 @@
         }
         let mut response = seat.handle(now, &request);
         match &mut response {
-            Response::Claim { lives, .. } | Response::Page { lives, .. }
+            Response::Claim { incarnations, .. } | Response::Page { incarnations, .. }
                 if self.mutation == Some(Mutation::LivesIgnored) =>
             {
                 let members = seat.group().members.iter();
-                *lives = members.map(|member| member.incarnation).collect();
+                *incarnations = members.map(|member| member.incarnation).collect();
             }
             _ => {}
         }
@@ -220,7 +220,8 @@
         }
         for delay in self.network.arrivals(to, from) {
             let response = response.clone();
-            self.queue.push(delay, Event::Reply { to: from, from: to, life, call, response });
+            self.queue
+                .push(delay, Event::Reply { to: from, from: to, incarnation, call, response });
         }
     }
 
--- a/crates/arbutuslane_record/tests/support/keys/faults.rs
+++ b/crates/arbutuslane_record/tests/support/keys/faults.rs
@@ -72,7 +72,7 @@
 
     pub(super) fn restart(&mut self, node: usize) {
         self.nodes[node].up = true;
-        self.nodes[node].life += 1;
+        self.nodes[node].incarnation += 1;
         // A restarted node may learn an outdated group first.
         let known = self.network.rng.random_range(0..self.groups.len());
         let known = if self.network.rng.random_bool(0.7) { self.groups.len() - 1 } else { known };
@@ -89,8 +89,8 @@
         if group.place(&name(node)).is_none() {
             return;
         }
-        let life = self.nodes[node].life;
-        let mut seat = Seat::join(self.queue.now(), &name(node), life, group);
+        let incarnation = self.nodes[node].incarnation;
+        let mut seat = Seat::join(self.queue.now(), &name(node), incarnation, group);
         if self.mutation == Some(Mutation::RecoveringVotes)
             && let Seat::Recovering(replica) = seat
         {
@@ -137,7 +137,7 @@
             return;
         }
         let joins = spare[self.network.rng.random_range(0..spare.len())];
-        let member = Member { node: name(joins), incarnation: self.nodes[joins].life };
+        let member = Member { node: name(joins), incarnation: self.nodes[joins].incarnation };
         if group.members.len() < 5 && self.network.rng.random_bool(0.7) {
             self.groups.push(group.grown(&member));
             self.outcome.grown += 1;
--- a/crates/arbutuslane_record/tests/support/permits.rs
+++ b/crates/arbutuslane_record/tests/support/permits.rs
@@ -51,7 +51,7 @@
 
 struct Node {
     up: bool,
-    life: u64,
+    incarnation: u64,
     drift: f64,
     seat: Option<Seat>,
     /// Number of live servers above the floor as this node sees it, and of which truth.
@@ -125,7 +125,7 @@
         for node in 0..NODES {
             nodes.push(Node {
                 up: true,
-                life: 1,
+                incarnation: 1,
                 drift: network.rng.random_range(-0.01..0.01),
                 seat: (node < size).then(|| Seat::join(Time::ZERO, &name(node), 1, group.clone())),
                 headroom: 0,
--- a/crates/arbutuslane_record/tests/support/permits/faults.rs
+++ b/crates/arbutuslane_record/tests/support/permits/faults.rs
@@ -79,12 +79,12 @@
         let place = self.group.place(&name(node));
         let state = &mut self.nodes[node];
         state.up = true;
-        state.life += 1;
-        let (mut life, mut since) = (state.life, now);
+        state.incarnation += 1;
+        let (mut incarnation, mut since) = (state.incarnation, now);
         if self.mutation == Some(Mutation::NoQuietPeriod) {
-            (life, since) = (1, Time::ZERO);
+            (incarnation, since) = (1, Time::ZERO);
         }
-        state.seat = place.map(|_| Seat::join(since, &name(node), life, self.group.clone()));
+        state.seat = place.map(|_| Seat::join(since, &name(node), incarnation, self.group.clone()));
     }
 
     pub(super) fn heal(&mut self, server: usize) {
--- a/crates/arbutuslane_wire/src/peer/register.rs
+++ b/crates/arbutuslane_wire/src/peer/register.rs
@@ -175,7 +175,7 @@
         /// The replica's epoch.
         epoch: u64,
         /// The incarnations that the replica knows.
-        lives: Vec<u64>,
+        incarnations: Vec<u64>,
         /// What the replica holds.
         holding: Holding,
     },
@@ -186,7 +186,7 @@
         /// Whether the replica votes.
         voting: bool,
         /// The incarnations that the replica knows.
-        lives: Vec<u64>,
+        incarnations: Vec<u64>,
         /// Some of the registers.
         copies: Vec<Copy>,
         /// Where to go on.
--- a/crates/arbutuslane_wire/src/peer/register/convert.rs
+++ b/crates/arbutuslane_wire/src/peer/register/convert.rs
@@ -240,12 +240,12 @@
 impl From<message::Response> for Answer {
     fn from(response: message::Response) -> Self {
         match response {
-            message::Response::Claim { epoch, lives, holding } => {
-                Self::Claim { epoch, lives, holding: holding.into() }
+            message::Response::Claim { epoch, incarnations, holding } => {
+                Self::Claim { epoch, incarnations, holding: holding.into() }
             }
-            message::Response::Page { epoch, voting, lives, copies, next } => {
+            message::Response::Page { epoch, voting, incarnations, copies, next } => {
                 let copies = copies.into_iter().map(Copy::from).collect();
-                Self::Page { epoch, voting, lives, copies, next }
+                Self::Page { epoch, voting, incarnations, copies, next }
             }
             message::Response::Permit(response) => Self::Permit {
                 attempt: wide(response.attempt),
@@ -262,12 +262,12 @@
 impl From<Answer> for message::Response {
     fn from(answer: Answer) -> Self {
         match answer {
-            Answer::Claim { epoch, lives, holding } => {
-                Self::Claim { epoch, lives, holding: holding.into() }
+            Answer::Claim { epoch, incarnations, holding } => {
+                Self::Claim { epoch, incarnations, holding: holding.into() }
             }
-            Answer::Page { epoch, voting, lives, copies, next } => {
+            Answer::Page { epoch, voting, incarnations, copies, next } => {
                 let copies = copies.into_iter().map(message::Copy::from).collect();
-                Self::Page { epoch, voting, lives, copies, next }
+                Self::Page { epoch, voting, incarnations, copies, next }
             }
             Answer::Permit { attempt, round, granted, waiting, free } => {
                 let attempt = narrow(attempt);
