Compute the fingerprint of a request once

Cause: the read-through found that the entry hashed method, path and up to 16 KiB of body for the resend check, for the key's claim and for each attempt. Change: the routed request carries its fingerprint; behaviour is unchanged.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -59,8 +59,7 @@
     let key = key::of(&routed.service, &String::from_utf8_lossy(text.as_bytes()));
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     let wait = CLAIM_WAIT.min(remaining / 2);
-    let fingerprint = fingerprint(&routed.request);
-    let claimed = claim(worker, key, fingerprint, Kind::Booking, wait).await;
+    let claimed = claim(worker, key, routed.fingerprint, Kind::Booking, wait).await;
     let Some((coordinator, decision)) = claimed else { return Err(no_group()) };
     if decision == Some(Decision::Dispatch) {
         return Ok(Begun::Held(Held { coordinator }));
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -62,6 +62,8 @@
     pub(crate) deadline: Deadline,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
+    /// What tells the request from others.
+    pub(crate) fingerprint: u64,
 }
 
 /// Answers a request of a caller.
@@ -145,7 +147,7 @@
         summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         limit,
-        fingerprint: keyed::fingerprint(&routed.request),
+        fingerprint: routed.fingerprint,
         request: routed.request.clone(),
     };
     let began = worker.shared.clock.now();
@@ -254,7 +256,7 @@
     let caller = fields::text(headers, "x-forwarded-for").unwrap_or_default();
     let request = match fields::text(headers, header::IDEMPOTENCY_KEY) {
         Some(key) => key.to_string(),
-        None => format!("{:016x}", keyed::fingerprint(&routed.request)),
+        None => format!("{:016x}", routed.fingerprint),
     };
     hash::of_bytes(format!("{caller} {} {request}", routed.service).as_bytes())
 }
@@ -352,7 +354,8 @@
     }
     let method = incoming.method().clone();
     let request = Request { method, target: target.to_string(), headers, upload };
-    Ok(Routed { service: entry.service.clone(), class, deadline, request })
+    let fingerprint = keyed::fingerprint(&request);
+    Ok(Routed { service: entry.service.clone(), class, deadline, request, fingerprint })
 }
 
 fn too_many(wait: Duration) -> Refusal {
