--- a/crates/arbutuslane_balance/src/lib.rs
+++ b/crates/arbutuslane_balance/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod candidate;
 pub mod picker;
+pub mod share;
 pub mod subset;
 
 mod estimate;
--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -147,6 +147,7 @@
             class: stored.class,
             outcome,
             made: stored.made,
+            limit: retry::ATTEMPTS,
             response_started: false,
             deadline: stored.deadline,
         };
--- a/crates/arbutuslane_control/src/engine.rs
+++ b/crates/arbutuslane_control/src/engine.rs
@@ -15,7 +15,9 @@
 use arbutuslane_core::hash;
 use arbutuslane_core::id::Shard;
 use arbutuslane_event::buffer::Buffer;
+use arbutuslane_event::clock::wall_ms;
 use arbutuslane_member::configuration::Delta;
+use arbutuslane_member::record::Record;
 use arbutuslane_storage::prelude::*;
 use arbutuslane_wire::operator::Status;
 use tokio::sync::oneshot;
@@ -184,7 +186,10 @@
         stopped: Arc::default(),
     };
     let outbox = transport::start(Arc::clone(&secrets.control));
-    gossip::start(settings, handle.clone(), Arc::clone(&secrets.fleet), gossip_inbox);
+    let record = Record::new(&settings.name, wall_ms(), &settings.peers, &settings.domain);
+    let others = settings.members.iter().filter(|member| member.name != settings.name);
+    let seeds = others.map(|member| member.peers.clone()).collect();
+    gossip::start(record, seeds, handle.clone(), Arc::clone(&secrets.fleet), gossip_inbox);
     let mut replica = Replica::new(settings.clone(), store, saved, handle.clone(), outbox)?;
     let thread = thread::spawn(move || replica.run(&inbox));
     Ok((handle, thread))
--- a/crates/arbutuslane_control/src/gossip.rs
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -8,15 +8,16 @@
 use arbutuslane_catalogue::border::Snapshot;
 use arbutuslane_catalogue::group::Candidate;
 use arbutuslane_core::hash;
+use arbutuslane_core::id::Incarnation;
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Clock;
-use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
 use arbutuslane_member::configuration::Position;
 use arbutuslane_member::effect::{Call, Effect, Ticket};
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::message::Answer as GossipAnswer;
 use arbutuslane_member::record::{Record, Standing};
+use arbutuslane_member::table::Table;
 use arbutuslane_wire::peer::{self, gossip as wire};
 use arbutuslane_wire::{codec, header};
 use ntex::client::Client;
@@ -25,7 +26,6 @@
 use tokio::sync::oneshot;
 
 use crate::engine::Handle;
-use crate::settings::Settings;
 use crate::token::Tokens;
 
 /// The time between two ticks of the gossip.
@@ -34,6 +34,34 @@
 /// The time after which a request of a peer is given up: it may wait for a probe of a third node.
 const PATIENCE: Millis = Millis(2_000);
 
+/// What a process does with what the gossip finds.
+pub(crate) trait Host: Clone + Send + 'static {
+    /// Returns whether the process ends.
+    fn is_stopped(&self) -> bool;
+
+    /// Offers newer configuration to the nodes.
+    fn publish(&self, gossip: &mut Gossip);
+
+    /// Takes note of a member that joined, is suspected or has gone.
+    fn changed(&self, member: &Member<'_>);
+
+    /// Takes note of the members that live.
+    fn note_members(&self, table: &Table);
+}
+
+/// A member whose standing changed.
+#[derive(Debug)]
+pub(crate) struct Member<'a> {
+    /// Its name.
+    pub(crate) node: &'a str,
+    /// Its incarnation.
+    pub(crate) incarnation: Incarnation,
+    /// Its standing.
+    pub(crate) standing: Standing,
+    /// Whether it is a control instance, which takes no callers.
+    pub(crate) is_control: bool,
+}
+
 enum Event {
     Asked(wire::Message, oneshot::Sender<wire::Answer>),
     Answered(Call, Option<wire::Answer>),
@@ -73,20 +101,23 @@
     inbox: UnboundedReceiver<Event>,
 }
 
-/// Starts the gossip's thread.
-pub(crate) fn start(settings: &Settings, handle: Handle, token: Arc<Tokens>, inbox: Inbox) {
-    let own = &settings.name;
-    let record = Record::new(own, wall_ms(), &settings.peers, &settings.domain);
-    let others = settings.members.iter().filter(|member| member.name != *own);
-    let seeds = others.map(|member| member.peers.clone()).collect();
+/// Starts the gossip's thread for the process of `record`.
+pub(crate) fn start<H: Host>(
+    record: Record,
+    seeds: Vec<String>,
+    host: H,
+    token: Arc<Tokens>,
+    inbox: Inbox,
+) {
     let Inbox { events, inbox } = inbox;
     thread::spawn(move || {
         let clock = Clock::start();
+        let seed = hash::of_bytes(format!("{} {}", record.node, record.incarnation).as_bytes());
         let mut task = Task {
             gossip: Gossip::new(clock.now(), record, seeds),
-            rng: rng::seeded(hash::of_bytes(handle.events.stamp().wall_ms.to_string().as_bytes())),
+            rng: rng::seeded(seed),
             clock,
-            handle,
+            host,
             token,
             events,
             tickets: BTreeMap::new(),
@@ -97,36 +128,36 @@
     });
 }
 
-struct Task {
+struct Task<H> {
     gossip: Gossip,
     rng: Rng,
     clock: Clock,
-    handle: Handle,
+    host: H,
     token: Arc<Tokens>,
     events: UnboundedSender<Event>,
     tickets: BTreeMap<Ticket, oneshot::Sender<wire::Answer>>,
     next_ticket: Ticket,
 }
 
-impl Task {
+impl<H: Host> Task<H> {
     async fn run(&mut self, mut inbox: UnboundedReceiver<Event>) {
         let client = Client::new().await;
         let ticks = self.events.clone();
-        let handle = self.handle.clone();
+        let host = self.host.clone();
         ntex::rt::spawn(async move {
-            while !handle.is_stopped() && ticks.send(Event::Tick).is_ok() {
+            while !host.is_stopped() && ticks.send(Event::Tick).is_ok() {
                 ntex::time::sleep(TICK).await;
             }
             ticks.send(Event::Tick)
         });
         while let Some(event) = inbox.recv().await {
-            if self.handle.is_stopped() {
+            if self.host.is_stopped() {
                 return;
             }
             let now = self.clock.now();
             let effects = match event {
                 Event::Tick => {
-                    self.publish();
+                    self.host.publish(&mut self.gossip);
                     self.gossip.tick(now, &mut self.rng)
                 }
                 Event::Asked(message, reply) => {
@@ -142,7 +173,7 @@
             for effect in effects {
                 self.carry_out(&client, effect);
             }
-            self.note_alive();
+            self.host.note_members(self.gossip.table());
         }
     }
 
@@ -180,42 +211,54 @@
             Effect::Apply(_) => {}
             Effect::Changed { node, incarnation, standing } => {
                 let known = self.gossip.table().get(&node);
-                // Control instances exchange hellos directly and record their losses themselves.
-                if known.is_none_or(|known| known.record.callers.is_empty()) {
-                    return;
-                }
-                let kind = match standing {
-                    Standing::Alive => Kind::NodeJoined { node, incarnation },
-                    Standing::Suspect => Kind::NodeSuspected { node },
-                    Standing::Dead | Standing::Left => Kind::NodeDead { node },
-                };
-                self.handle.events.record(kind);
+                let is_control = known.is_none_or(|known| known.record.callers.is_empty());
+                self.host.changed(&Member { node: &node, incarnation, standing, is_control });
             }
         }
     }
+}
+
+impl Host for Handle {
+    fn is_stopped(&self) -> bool {
+        Handle::is_stopped(self)
+    }
 
     /// Offers the applied state to the nodes when it is newer than what they were offered.
-    fn publish(&mut self) {
-        let state = self.handle.state.read().unwrap_or_else(PoisonError::into_inner);
+    fn publish(&self, gossip: &mut Gossip) {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
         let position = Position { revision: state.revision, groups: state.group_version };
-        if position <= self.gossip.position() {
+        if position <= gossip.position() {
             return;
         }
         let snapshot = Snapshot::from(&*state);
         drop(state);
         if let Ok(bytes) = codec::encode(&snapshot) {
             // Steps that do not lead here from the last offer are of no use to anyone.
-            let from = self.gossip.position();
-            let steps = self.handle.steps.lock().unwrap_or_else(PoisonError::into_inner);
+            let from = gossip.position();
+            let steps = self.steps.lock().unwrap_or_else(PoisonError::into_inner);
             let steps = steps.iter().skip_while(|step| step.base < from);
             let steps = steps.take_while(|step| step.position <= position).cloned().collect();
-            self.gossip.install(position, steps, bytes.into());
+            gossip.install(position, steps, bytes.into());
+        }
+    }
+
+    fn changed(&self, member: &Member<'_>) {
+        // Control instances exchange hellos directly and record their losses themselves.
+        if member.is_control {
+            return;
         }
+        let (node, incarnation) = (member.node.to_string(), member.incarnation);
+        let kind = match member.standing {
+            Standing::Alive => Kind::NodeJoined { node, incarnation },
+            Standing::Suspect => Kind::NodeSuspected { node },
+            Standing::Dead | Standing::Left => Kind::NodeDead { node },
+        };
+        self.events.record(kind);
     }
 
-    fn note_alive(&self) {
+    fn note_members(&self, table: &Table) {
         let mut alive = Vec::new();
-        for known in self.gossip.table().members() {
+        for known in table.members() {
             let record = &known.record;
             // Control instances take no callers.
             if record.callers.is_empty() {
@@ -227,6 +270,6 @@
                 domain: record.domain.clone(),
             });
         }
-        *self.handle.alive.write().unwrap_or_else(PoisonError::into_inner) = alive;
+        *self.alive.write().unwrap_or_else(PoisonError::into_inner) = alive;
     }
 }
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -0,0 +1,161 @@
+//! What the threads of a control instance share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arbutuslane_event::buffer::Buffer;
+use arbutuslane_event::kind::Kind;
+use arbutuslane_item::prelude::{Item, Replication};
+use arbutuslane_member::gossip::Gossip;
+use arbutuslane_member::record::Standing;
+use arbutuslane_member::table::Table;
+use tokio::sync::watch;
+
+use crate::gossip::{Host, Member};
+use crate::token::Tokens;
+
+use super::disk::Disk;
+use super::settings::Settings;
+
+/// The event timeline.
+pub(super) type Events = Arc<Buffer>;
+
+/// The addresses of members by name.
+pub(super) type Addresses = BTreeMap<String, String>;
+
+/// What the threads of a control instance share.
+pub(super) struct Core {
+    pub(super) settings: Settings,
+    pub(super) tokens: Arc<Tokens>,
+    pub(super) disk: Disk,
+    pub(super) events: Events,
+    pub(super) counters: Counters,
+    replication: Mutex<Replication>,
+    members: Mutex<Members>,
+    accepted: watch::Sender<u64>,
+    stopping: AtomicBool,
+}
+
+/// The members that gossip holds for alive.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Members {
+    /// The other control instances.
+    pub(super) control: Addresses,
+    /// The nodes.
+    pub(super) nodes: Addresses,
+}
+
+/// Counters of a control instance; each only rises.
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    /// Changes that were accepted.
+    pub(super) accepted: AtomicU64,
+    /// Changes that were refused as invalid.
+    pub(super) invalid: AtomicU64,
+    /// Changes whose copies could not be collected in time.
+    pub(super) unconfirmed: AtomicU64,
+    /// Messages to nodes about accepted items that got no answer.
+    pub(super) push_failures: AtomicU64,
+}
+
+impl Core {
+    pub(super) fn new(
+        settings: Settings,
+        disk: Disk,
+        replication: Replication,
+        events: Events,
+    ) -> Arc<Self> {
+        let tokens = match &settings.token_file {
+            Some(path) => Tokens::new(path),
+            None => Tokens::open(),
+        };
+        Arc::new(Self {
+            settings,
+            tokens: Arc::new(tokens),
+            disk,
+            events,
+            counters: Counters::default(),
+            replication: Mutex::new(replication),
+            members: Mutex::default(),
+            accepted: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Locks the items.
+    pub(super) fn replication(&self) -> MutexGuard<'_, Replication> {
+        self.replication.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the members that gossip holds for alive.
+    pub(super) fn members(&self) -> Members {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns a receiver that is told of accepted changes.
+    pub(super) fn watch_accepted(&self) -> watch::Receiver<u64> {
+        self.accepted.subscribe()
+    }
+
+    /// Tells those who wait that items were accepted, and records them.
+    pub(super) fn note_accepted(&self, items: &[Item]) {
+        if items.is_empty() {
+            return;
+        }
+        for item in items {
+            tracing::info!(
+                event = "item-accepted",
+                item = ?item.key,
+                version = item.version,
+                removed = item.content.is_none()
+            );
+        }
+        self.accepted.send_modify(|count| *count += 1);
+    }
+
+    /// Returns whether the process ends.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Host for Arc<Core> {
+    fn is_stopped(&self) -> bool {
+        false
+    }
+
+    fn publish(&self, _: &mut Gossip) {
+        // Items spread by messages of their own; the gossip carries membership only.
+    }
+
+    fn changed(&self, member: &Member<'_>) {
+        let (node, incarnation) = (member.node.to_string(), member.incarnation);
+        self.events.record(match member.standing {
+            Standing::Alive => Kind::NodeJoined { node, incarnation },
+            Standing::Suspect => Kind::NodeSuspected { node },
+            Standing::Dead | Standing::Left => Kind::NodeDead { node },
+        });
+    }
+
+    fn note_members(&self, table: &Table) {
+        let mut members = Members::default();
+        for known in table.members() {
+            let record = &known.record;
+            if record.node == self.settings.name {
+                continue;
+            }
+            let list = match record.callers.is_empty() {
+                true => &mut members.control,
+                false => &mut members.nodes,
+            };
+            list.insert(record.node.clone(), record.peers.clone());
+        }
+        *self.members.lock().unwrap_or_else(PoisonError::into_inner) = members;
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -0,0 +1,120 @@
+//! Starts and stops a control instance for items.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuslane_event::buffer::Buffer;
+use arbutuslane_event::clock::wall_ms;
+use arbutuslane_event::kind::Kind;
+use arbutuslane_item::prelude::Replication;
+use arbutuslane_member::record::Record;
+use clap::{Arg, Command, value_parser};
+use ntex::client::Client;
+use ntex::rt::signals::{Signal, signal};
+use ntex::rt::{DefaultRuntime, System};
+use ntex::web::{self, App, HttpServer};
+
+use crate::daemon::Error;
+use crate::gossip;
+
+use super::core::Core;
+use super::interface::Operators;
+use super::settings::Settings;
+use super::{disk, replicate, server};
+
+/// The number of events that an instance keeps.
+const EVENTS_KEPT: usize = 4_096;
+
+/// Parses the command line of `name` and runs an instance until a stop signal.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub fn from_arguments(name: &'static str, operators: Arc<dyn Operators>) -> miette::Result<()> {
+    let settings = Arg::new("settings")
+        .help("The JSON file with the settings of this instance")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    let matches = Command::new(name)
+        .about("Control instance of a fleet whose catalogue consists of items")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(settings)
+        .get_matches();
+    arbutuslane_event::log::init("info,ntex_server=warn,ntex_rt=warn,ntex=warn");
+    let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let settings = Settings::load(&path).map_err(Error::from)?;
+    Ok(run(settings, operators)?)
+}
+
+/// Runs an instance until a stop signal.
+///
+/// # Errors
+///
+/// See [`Error`]; the data folder and the listener are opened before anything is served.
+pub fn run(settings: Settings, operators: Arc<dyn Operators>) -> Result<(), Error> {
+    let events = Arc::new(Buffer::new(settings.name.clone(), EVENTS_KEPT));
+    let (disk, found) =
+        disk::start(settings.data.clone(), settings.first_start, Arc::clone(&events))?;
+    let listener = TcpListener::bind(&settings.listen)
+        .map_err(|source| Error::Listen { address: settings.listen.clone(), source })?;
+    let copies = settings.lost_disks + 1;
+    let replication = Replication::new(&settings.name, copies, found.standing, found.items);
+    tracing::info!(
+        event = "items-found",
+        items = replication.table().items().len(),
+        complete = replication.is_complete()
+    );
+    let incarnation = wall_ms();
+    let record = Record::new(&settings.name, incarnation, &settings.listen, &settings.domain);
+    let seeds = settings.seeds.iter().filter(|seed| **seed != settings.listen).cloned().collect();
+    let core = Core::new(settings, disk, replication, Arc::clone(&events));
+    let (gossip, inbox) = gossip::prepare();
+    gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
+    let version = env!("CARGO_PKG_VERSION").to_string();
+    events.record(Kind::Start { version, incarnation });
+    let system = System::new("arbutuslane-control", DefaultRuntime);
+    system.block_on(serve(core, gossip, operators, listener)).map_err(Error::Serve)
+}
+
+async fn serve(
+    core: Arc<Core>,
+    gossip: gossip::Exchange,
+    operators: Arc<dyn Operators>,
+    listener: TcpListener,
+) -> std::io::Result<()> {
+    let for_workers = Arc::clone(&core);
+    let stop_s = usize::try_from(core.settings.stop_ms / 1_000).unwrap_or(1).max(1);
+    let server = HttpServer::new(async move || {
+        let shared = Arc::new(server::Shared {
+            core: Arc::clone(&for_workers),
+            gossip: gossip.clone(),
+            operators: Arc::clone(&operators),
+            client: Client::new().await,
+        });
+        App::new()
+            .state(shared)
+            .configure(server::configure)
+            .default_service(web::route().to(server::operate))
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(ntex::time::Seconds::checked_new(stop_s))
+    .listen(listener)?
+    .run();
+    let _repairing = ntex::rt::spawn(replicate::work(Arc::clone(&core)));
+    System::current().enable_signals();
+    loop {
+        match signal().await {
+            Ok(signals) if signals.iter().all(|signal| matches!(signal, Signal::Hup)) => {}
+            Ok(_) => break,
+            Err(_) => ntex::time::sleep(Duration::from_secs(1)).await,
+        }
+    }
+    core.stop();
+    core.events.record(Kind::Stop { in_flight: 0 });
+    server.stop(true).await;
+    core.events.record(Kind::Stopped { interrupted: 0 });
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -0,0 +1,215 @@
+//! The thread that writes items to the disk of this instance.
+
+use std::path::PathBuf;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use arbutuslane_event::kind::Kind;
+use arbutuslane_item::prelude::{Item, Table};
+use arbutuslane_item::{border, replication::Standing};
+use arbutuslane_storage::prelude::*;
+use arbutuslane_wire::codec;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use crate::store::open_disk;
+
+use super::core::Events;
+
+/// The log is replaced by a snapshot after this many entries, so that a restart stays short.
+const ENTRIES_BEFORE_SNAPSHOT: u64 = 4_096;
+
+/// How often a disk that failed is tried again.
+const REOPEN: Duration = Duration::from_secs(1);
+
+/// What the disk keeps besides the items.
+#[derive(Debug, Serialize, Deserialize)]
+struct Meta {
+    /// Whether the instance holds every change accepted before it started.
+    complete: bool,
+}
+
+/// Work for the thread; the reply tells whether it is on the disk.
+pub(super) struct Job {
+    items: Vec<Item>,
+    complete: bool,
+    done: oneshot::Sender<bool>,
+}
+
+/// The way to the thread.
+#[derive(Clone)]
+pub(super) struct Disk {
+    jobs: Sender<Job>,
+}
+
+/// What was found on the disk.
+pub(super) struct Found {
+    pub(super) items: Vec<Item>,
+    pub(super) standing: Standing,
+}
+
+impl Disk {
+    /// Writes items; returns whether they are on the disk.
+    pub(super) async fn store(&self, items: Vec<Item>) -> bool {
+        self.ask(items, false).await
+    }
+
+    /// Notes that this instance holds every accepted change; returns whether that is on the disk.
+    pub(super) async fn note_complete(&self) -> bool {
+        self.ask(Vec::new(), true).await
+    }
+
+    async fn ask(&self, items: Vec<Item>, complete: bool) -> bool {
+        let (done, answer) = oneshot::channel();
+        if self.jobs.send(Job { items, complete, done }).is_err() {
+            return false;
+        }
+        answer.await.unwrap_or(false)
+    }
+}
+
+/// Opens the folder and starts the thread; `first_start` tells that an empty disk has lost nothing.
+pub(super) fn start(
+    folder: PathBuf,
+    first_start: bool,
+    events: Events,
+) -> Result<(Disk, Found), Error> {
+    let (log, recovered) = Log::open(open_disk(&folder)?, log::SEGMENT_BYTES)?;
+    let next = recovered.entries.last().map_or(0, |entry| entry.index);
+    let next = next.max(recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)) + 1;
+    let is_new = recovered.meta.is_none() && recovered.entries.is_empty();
+    let meta: Option<Meta> = match &recovered.meta {
+        Some(bytes) => Some(codec::decode(bytes).map_err(|error| unreadable(&error))?),
+        None => None,
+    };
+    let mut items = Vec::new();
+    if let Some(snapshot) = &recovered.snapshot {
+        items.extend(decode(&snapshot.payload)?);
+    }
+    for entry in &recovered.entries {
+        items.extend(decode(&entry.payload)?);
+    }
+    let complete = meta.is_some_and(|meta| meta.complete) || (is_new && first_start);
+    let mut table = Table::default();
+    for item in &items {
+        table.merge(item.clone());
+    }
+    let mut writer = Writer { folder, log: Some(log), table, next, since_snapshot: 0, complete };
+    writer.write_meta()?;
+    let (jobs, inbox) = channel();
+    thread::spawn(move || writer.run(&inbox, &events));
+    let standing = match complete {
+        true => Standing::Complete,
+        false => Standing::Recovering { heard: Vec::new() },
+    };
+    Ok((Disk { jobs }, Found { items, standing }))
+}
+
+struct Writer {
+    folder: PathBuf,
+    /// Nothing while the disk does not work.
+    log: Option<Log<disk::Real>>,
+    table: Table,
+    next: u64,
+    since_snapshot: u64,
+    complete: bool,
+}
+
+impl Writer {
+    fn run(&mut self, inbox: &Receiver<Job>, events: &Events) {
+        let mut tried = Instant::now();
+        loop {
+            let mut jobs = match inbox.recv_timeout(REOPEN) {
+                Ok(job) => vec![job],
+                Err(RecvTimeoutError::Timeout) => Vec::new(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            // One sync serves all jobs that wait.
+            jobs.extend(inbox.try_iter());
+            if self.log.is_none() && tried.elapsed() >= REOPEN {
+                tried = Instant::now();
+                self.reopen();
+            }
+            if jobs.is_empty() {
+                continue;
+            }
+            let written = self.write(&jobs);
+            if let Err(error) = &written {
+                self.log = None;
+                events.record(Kind::DiskFault { detail: error.to_string() });
+            }
+            for job in jobs {
+                // The asker may have given up waiting.
+                let _ = job.done.send(written.is_ok());
+            }
+        }
+    }
+
+    fn write(&mut self, jobs: &[Job]) -> Result<(), Error> {
+        let mut items = Vec::new();
+        for job in jobs {
+            items.extend(job.items.iter().cloned());
+            for item in &job.items {
+                self.table.settle(item.clone());
+            }
+        }
+        let becomes_complete = !self.complete && jobs.iter().any(|job| job.complete);
+        self.complete |= becomes_complete;
+        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
+        let mut batch = Batch::default();
+        if becomes_complete {
+            batch.meta = Some(encode(&Meta { complete: true })?);
+        }
+        if !items.is_empty() {
+            let payload = encode(&border::encode(&items))?;
+            batch.entries.push(Entry { index: self.next, term: 1, payload });
+            self.next += 1;
+            self.since_snapshot += 1;
+        }
+        log.append(&batch)?;
+        if self.since_snapshot >= ENTRIES_BEFORE_SNAPSHOT {
+            self.save_snapshot()?;
+        }
+        Ok(())
+    }
+
+    fn write_meta(&mut self) -> Result<(), Error> {
+        let meta = encode(&Meta { complete: self.complete })?;
+        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
+        log.append(&Batch { meta: Some(meta), entries: Vec::new() })
+    }
+
+    fn save_snapshot(&mut self) -> Result<(), Error> {
+        let payload = encode(&border::encode(self.table.items()))?;
+        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
+        log.save_snapshot(&Snapshot { index: self.next - 1, term: 1, payload }, false)?;
+        self.since_snapshot = 0;
+        Ok(())
+    }
+
+    /// Opens the log again after a fault and writes everything that is held, because what the fault
+    /// left on the disk is unknown.
+    fn reopen(&mut self) {
+        let opened = open_disk(&self.folder).and_then(|disk| Log::open(disk, log::SEGMENT_BYTES));
+        let Ok((log, _)) = opened else { return };
+        self.log = Some(log);
+        if self.write_meta().and_then(|()| self.save_snapshot()).is_err() {
+            self.log = None;
+            return;
+        }
+        tracing::info!(event = "disk-regained", items = self.table.items().len());
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    codec::encode(value).map_err(|error| unreadable(&error))
+}
+
+fn decode(bytes: &[u8]) -> Result<Vec<Item>, Error> {
+    codec::decode(bytes).map(border::decode).map_err(|error| unreadable(&error))
+}
+
+fn unreadable(error: &codec::Error) -> Error {
+    Error::Corrupt { file: "items".to_string(), offset: 0, reason: error.to_string() }
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -0,0 +1,262 @@
+//! Answers operators, nodes and the other control instances.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arbutuslane_item::border;
+use arbutuslane_item::prelude::Item;
+use arbutuslane_wire::peer::{Answer, Message};
+use arbutuslane_wire::{codec, header, operator};
+use ntex::client::Client;
+use ntex::http::StatusCode;
+use ntex::util::BytesMut;
+use ntex::web::{self, HttpRequest, HttpResponse};
+
+use crate::gossip::Exchange;
+
+use super::core::Core;
+use super::interface::{Call, Operators};
+use super::replicate;
+
+/// The largest accepted body in bytes.
+const BODY_BYTES: usize = 64 << 20;
+
+/// The longest wait for the copies of a change. Operators move on to another instance after about
+/// a second, and a change that is accepted meanwhile is acknowledged when it is sent again.
+const ACCEPT_WAIT: Duration = Duration::from_millis(3_500);
+
+/// What the handlers share.
+pub(super) struct Shared {
+    pub(super) core: Arc<Core>,
+    pub(super) gossip: Exchange,
+    pub(super) operators: Arc<dyn Operators>,
+    pub(super) client: Client,
+}
+
+type State = web::types::State<Arc<Shared>>;
+
+/// Adds the routes.
+pub(super) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .service(web::resource("/v1/peer").route(web::post().to(peer)))
+        .service(web::resource("/metrics").route(web::get().to(metrics)))
+        .service(web::resource("/health").route(web::get().to(health)));
+}
+
+async fn health(shared: State) -> HttpResponse {
+    match shared.core.is_stopping() || !shared.core.replication().is_complete() {
+        true => HttpResponse::ServiceUnavailable().finish(),
+        false => HttpResponse::Ok().finish(),
+    }
+}
+
+async fn metrics(shared: State) -> HttpResponse {
+    let core = &shared.core;
+    let counters = &core.counters;
+    let mut text = String::new();
+    let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    let (held, accepted, pending, complete) = {
+        let replication = core.replication();
+        (
+            replication.table().items().len(),
+            replication.accepted().items().len(),
+            replication.pending().len(),
+            replication.is_complete(),
+        )
+    };
+    let members = core.members();
+    for (name, kind, value) in [
+        ("changes_accepted_total", "counter", load(&counters.accepted)),
+        ("changes_invalid_total", "counter", load(&counters.invalid)),
+        ("changes_unconfirmed_total", "counter", load(&counters.unconfirmed)),
+        ("push_failures_total", "counter", load(&counters.push_failures)),
+        ("items_held", "gauge", held as u64),
+        ("items_accepted", "gauge", accepted as u64),
+        ("items_pending", "gauge", pending as u64),
+        ("complete", "gauge", u64::from(complete)),
+        ("control_members", "gauge", members.control.len() as u64 + 1),
+        ("nodes", "gauge", members.nodes.len() as u64),
+    ] {
+        let _ = writeln!(text, "# TYPE arbutuslane_control_{name} {kind}");
+        let _ = writeln!(text, "arbutuslane_control_{name} {value}");
+    }
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(text)
+}
+
+async fn peer(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let presented = request.headers().get(header::TOKEN).and_then(|value| value.to_str().ok());
+    if shared.core.tokens.holder(presented.unwrap_or_default()).is_none() {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let bytes = match read(&mut payload).await {
+        Ok(bytes) => bytes,
+        Err(status) => return HttpResponse::build(status).finish(),
+    };
+    let Ok(message) = codec::decode::<Message>(&bytes) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let answer = match message {
+        Message::Gossip(message) => match shared.gossip.ask(message).await {
+            Some(answer) => Answer::Gossip(answer),
+            None => return HttpResponse::GatewayTimeout().finish(),
+        },
+        Message::SyncItems { buckets, unaccepted } => difference(&shared, &buckets, unaccepted),
+        Message::StoreItems { items } => match store(&shared, &items).await {
+            Some(answer) => answer,
+            None => return HttpResponse::ServiceUnavailable().finish(),
+        },
+        Message::AcceptedItems { items } => {
+            let Ok(items) = codec::decode(&items) else {
+                return HttpResponse::BadRequest().finish();
+            };
+            replicate::accept(&shared.core, &shared.client, border::decode(items), false);
+            Answer::Done
+        }
+        _ => Answer::Unsupported,
+    };
+    match codec::encode(&answer) {
+        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+/// Returns what the asker lacks; an instance that lost its disk has nothing to say to nodes.
+fn difference(shared: &Shared, buckets: &[u64], unaccepted: bool) -> Answer {
+    let replication = shared.core.replication();
+    let encode = |items: &[Item]| codec::encode(&border::encode(items)).unwrap_or_default();
+    let accepted = replication.accepted().difference(buckets);
+    let (items, accepted) = match unaccepted {
+        true => (replication.table().difference(buckets), accepted),
+        false => (accepted, Vec::new()),
+    };
+    Answer::Items {
+        instance: shared.core.settings.name.clone(),
+        complete: replication.is_complete(),
+        items: encode(&items),
+        accepted: encode(&accepted),
+    }
+}
+
+/// Writes items of another instance to the disk.
+async fn store(shared: &Shared, items: &[u8]) -> Option<Answer> {
+    let items = border::decode(codec::decode(items).ok()?);
+    let core = &shared.core;
+    let contradicting = {
+        let mut replication = core.replication();
+        replication.take(items.clone());
+        replication.contradicting(&items)
+    };
+    // Written also when it is not new: an earlier write may have failed.
+    if !core.disk.store(items.clone()).await {
+        return None;
+    }
+    let own = core.settings.name.clone();
+    let accepted = core.replication().stored(&own, &items);
+    core.note_accepted(&accepted);
+    let contradicting = codec::encode(&border::encode(&contradicting)).ok()?;
+    Some(Answer::Stored { instance: own, contradicting })
+}
+
+/// Answers everything that no other route takes: the operators' interface.
+pub(super) async fn operate(
+    request: HttpRequest,
+    shared: State,
+    mut payload: web::types::Payload,
+) -> HttpResponse {
+    let body = match read(&mut payload).await {
+        Ok(body) => body,
+        Err(status) => return refuse(status, "the body is incomplete or too large", "send it whole"),
+    };
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    match shared.operators.read(request.method().as_str(), target, &body) {
+        Call::Change(Ok(items)) => change(&shared, items).await,
+        Call::Change(Err(error)) => {
+            shared.core.counters.invalid.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(event = "change-refused", reason = %error);
+            refuse(StatusCode::BAD_REQUEST, &error.to_string(), "correct the change")
+        }
+        Call::Read => show(&shared).await,
+        Call::Unknown => refuse(StatusCode::NOT_FOUND, "no such call", "see the operators' page"),
+    }
+}
+
+async fn change(shared: &Shared, items: Vec<Item>) -> HttpResponse {
+    let began = Instant::now();
+    let core = &shared.core;
+    if core.is_stopping() || !core.replication().is_complete() {
+        return unavailable("this instance does not hold all accepted changes yet");
+    }
+    let mut ordered = core.replication().order(items.clone());
+    if ordered.is_err() {
+        // This instance may be behind; the others may hold what the change refers to.
+        let complete = replicate::compare(core, &shared.client).await;
+        if complete < core.replication().copies() {
+            return unavailable("too few control instances answer to check the change");
+        }
+        ordered = core.replication().order(items.clone());
+    }
+    let fresh = match ordered {
+        Ok(fresh) => fresh,
+        Err(error) => {
+            core.counters.invalid.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(event = "change-refused", reason = %error);
+            return refuse(StatusCode::BAD_REQUEST, &error.to_string(), "correct the change");
+        }
+    };
+    let mut accepted = core.watch_accepted();
+    replicate::spread(core, &shared.client, fresh);
+    let waiting = async {
+        while !core.replication().are_accepted(&items) {
+            if accepted.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    let in_time = ntex::time::timeout(ACCEPT_WAIT, waiting).await.is_ok();
+    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let outcome = if in_time { "accepted" } else { "unconfirmed" };
+    tracing::info!(event = "change", items = items.len(), outcome, took_ms);
+    if !in_time {
+        core.counters.unconfirmed.fetch_add(1, Ordering::Relaxed);
+        return unavailable("too few control instances hold the change yet; it may be accepted");
+    }
+    core.counters.accepted.fetch_add(1, Ordering::Relaxed);
+    HttpResponse::Ok().content_type("application/json").body("{}")
+}
+
+async fn show(shared: &Shared) -> HttpResponse {
+    let core = &shared.core;
+    let complete = replicate::compare(core, &shared.client).await;
+    if complete < core.replication().copies() {
+        return unavailable("too few control instances answer to read the newest items");
+    }
+    let text = shared.operators.show(core.replication().table());
+    HttpResponse::Ok().content_type("application/json").body(text)
+}
+
+fn unavailable(error: &str) -> HttpResponse {
+    refuse(StatusCode::SERVICE_UNAVAILABLE, error, "send the request again, also elsewhere")
+}
+
+fn refuse(status: StatusCode, error: &str, remedy: &str) -> HttpResponse {
+    let refusal = operator::Refusal { error: error.to_string(), remedy: remedy.to_string() };
+    HttpResponse::build(status).json(&refusal)
+}
+
+async fn read(payload: &mut web::types::Payload) -> Result<BytesMut, StatusCode> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = payload.recv().await {
+        let part = part.map_err(|_| StatusCode::BAD_REQUEST)?;
+        if bytes.len() + part.len() > BODY_BYTES {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -0,0 +1,77 @@
+//! The settings of a control instance for items.
+
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use crate::settings::{Error, parse_file};
+
+/// The settings of one control instance, in JSON; unknown keys are refused.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this instance, unique in the fleet.
+    pub name: String,
+    /// The failure domain of this instance.
+    #[serde(default)]
+    pub domain: String,
+    /// The folder of the log and the snapshots; no other process may use it.
+    pub data: PathBuf,
+    /// The IP address and port for operators, nodes and the other control instances.
+    pub listen: String,
+    /// The addresses of instances that are asked first; this one may be among them.
+    pub seeds: Vec<String>,
+    /// Whether the whole fleet starts for the first time, so that an empty disk has lost nothing.
+    #[serde(default)]
+    pub first_start: bool,
+    /// The number of instances that may lose their disks at the same time.
+    pub lost_disks: usize,
+    /// The file of the secret that the processes of the fleet share.
+    #[serde(default)]
+    pub token_file: Option<PathBuf>,
+    /// Accepts peers and operators without a token, because strangers cannot reach the network.
+    #[serde(default)]
+    pub open_network: bool,
+    /// The longest time in milliseconds that a planned stop waits for requests in flight.
+    #[serde(default = "default_stop_ms")]
+    pub stop_ms: u64,
+}
+
+fn default_stop_ms() -> u64 {
+    5_000
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; the message names the bad key.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let settings: Self = parse_file(path)?;
+        settings.check(&path.display().to_string())?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &str) -> Result<(), Error> {
+        let refuse = |key: &str, reason: &str, remedy: &str| Error::Value {
+            path: path.to_string(),
+            key: key.to_string(),
+            reason: reason.to_string(),
+            remedy: remedy.to_string(),
+        };
+        if self.name.is_empty() {
+            return Err(refuse("name", "empty", "give each instance a name of its own"));
+        }
+        if self.listen.parse::<std::net::SocketAddr>().is_err() {
+            let remedy = "write an IP address and port, such as 192.0.2.1:7100";
+            return Err(refuse("listen", "no IP address and port", remedy));
+        }
+        if self.token_file.is_none() && !self.open_network {
+            let remedy = "name a file with a secret, or set `open_network` where strangers cannot \
+                          reach the network";
+            return Err(refuse("token_file", "missing", remedy));
+        }
+        Ok(())
+    }
+}
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`Settings`](settings::Settings) come from a JSON file. [`run`](daemon::run) opens the data
 //! folder, serves operators, nodes and the other control instances, and returns after a stop
 //! signal. [`Daemon`](daemon::Daemon) is the same for tests that run several instances in one
-//! process.
+//! process. [`items::daemon::run`] serves a catalogue of items with versions of their own instead,
+//! for fleets whose control instances find each other.
 
 mod apply;
 mod assign;
@@ -11,6 +12,7 @@
 pub mod daemon;
 pub mod engine;
 mod gossip;
+pub mod items;
 mod operators;
 mod peers;
 mod replica;
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use arbutuslane_wire::operator::Address;
 
@@ -87,26 +88,27 @@
     },
 }
 
+/// Reads a JSON file; unknown keys are refused, and the error names the bad key.
+pub(crate) fn parse_file<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let shown = path.display().to_string();
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: shown.clone(), source })?;
+    let mut input = serde_json::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut input).map_err(|error| Error::Parse {
+        path: shown,
+        key: error.path().to_string(),
+        reason: error.inner().to_string(),
+    })
+}
+
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let shown = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::Read { path: shown.clone(), source })?;
-        let settings = Self::parse(&shown, &text)?;
-        settings.check(&shown)?;
+        let settings: Self = parse_file(path)?;
+        settings.check(&path.display().to_string())?;
         Ok(settings)
     }
 
-    fn parse(path: &str, text: &str) -> Result<Self, Error> {
-        let mut input = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut input).map_err(|error| Error::Parse {
-            path: path.to_string(),
-            key: error.path().to_string(),
-            reason: error.inner().to_string(),
-        })
-    }
-
     fn check(&self, path: &str) -> Result<(), Error> {
         let refuse = |key: &str, reason: String, remedy: &str| Error::Value {
             path: path.to_string(),
--- a/crates/arbutuslane_control/src/token.rs
+++ b/crates/arbutuslane_control/src/token.rs
@@ -24,14 +24,20 @@
 ///
 /// The type has no `Debug` form, so that no log line can hold a secret.
 pub struct Tokens {
-    path: PathBuf,
+    /// Nothing where the network itself keeps strangers out and everybody is accepted.
+    path: Option<PathBuf>,
     cached: Mutex<(Option<Instant>, Vec<Token>)>,
 }
 
 impl Tokens {
     /// Uses the file at `path`, which may appear later.
     pub fn new(path: &Path) -> Self {
-        Self { path: path.to_path_buf(), cached: Mutex::new((None, Vec::new())) }
+        Self { path: Some(path.to_path_buf()), cached: Mutex::new((None, Vec::new())) }
+    }
+
+    /// Accepts everybody; only for a network that strangers cannot reach.
+    pub fn open() -> Self {
+        Self { path: None, cached: Mutex::new((None, Vec::new())) }
     }
 
     /// Returns the holder's name, or an empty name, when `presented` is an accepted token.
@@ -39,6 +45,9 @@
     /// Every token of the file is compared in constant time, so that the time of a refusal says
     /// nothing about how much of a guess is right.
     pub fn holder(&self, presented: &str) -> Option<String> {
+        if self.path.is_none() {
+            return Some(String::new());
+        }
         let mut found = None;
         for token in self.current() {
             let equal: bool = token.secret.as_bytes().ct_eq(presented.as_bytes()).into();
@@ -58,7 +67,8 @@
         let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
         if cached.0.is_none_or(|read| read.elapsed() >= FRESH) {
             // An unreadable file accepts nobody.
-            let text = fs::read_to_string(&self.path).unwrap_or_default();
+            let text = self.path.as_ref().map(fs::read_to_string);
+            let text = text.and_then(Result::ok).unwrap_or_default();
             *cached = (Some(Instant::now()), parse(&text));
         }
         cached.1.clone()
--- /dev/null
+++ b/crates/arbutuslane_item/src/border.rs
@@ -0,0 +1,138 @@
+//! The form of items between processes and on disk.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::border::Class;
+use serde::{Deserialize, Serialize};
+
+use crate::item;
+
+/// An item at one version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    key: Key,
+    version: u64,
+    content: Option<Content>,
+    source: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum Key {
+    Limits,
+    Service(String),
+    Route(String),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum Content {
+    Limits { head_bytes: u64, body_bytes: u64, head_wait_ms: u64, idle_ms: u64 },
+    Service { health_path: String, connections: u32 },
+    Route(Route),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Route {
+    host: String,
+    path_prefix: String,
+    class: Class,
+    timeout_ms: u64,
+    objective_ms: u64,
+    priority: u8,
+    attempts: u32,
+    targets: Vec<(String, u32)>,
+}
+
+impl From<&item::Item> for Item {
+    fn from(item: &item::Item) -> Self {
+        let key = match &item.key {
+            item::Key::Limits => Key::Limits,
+            item::Key::Service(name) => Key::Service(name.clone()),
+            item::Key::Route(name) => Key::Route(name.clone()),
+        };
+        let content = item.content.as_ref().map(|content| match content {
+            item::Content::Limits(limits) => Content::Limits {
+                head_bytes: limits.head_bytes,
+                body_bytes: limits.body_bytes,
+                head_wait_ms: millis(limits.head_wait),
+                idle_ms: millis(limits.idle),
+            },
+            item::Content::Service(service) => Content::Service {
+                health_path: service.health_path.clone(),
+                connections: service.connections,
+            },
+            item::Content::Route(route) => Content::Route(Route::from(route)),
+        });
+        Self { key, version: item.version, content, source: item.source.clone() }
+    }
+}
+
+impl From<Item> for item::Item {
+    fn from(item: Item) -> Self {
+        let key = match item.key {
+            Key::Limits => item::Key::Limits,
+            Key::Service(name) => item::Key::Service(name),
+            Key::Route(name) => item::Key::Route(name),
+        };
+        let content = item.content.map(|content| match content {
+            Content::Limits { head_bytes, body_bytes, head_wait_ms, idle_ms } => {
+                item::Content::Limits(item::Limits {
+                    head_bytes,
+                    body_bytes,
+                    head_wait: Duration::from_millis(head_wait_ms),
+                    idle: Duration::from_millis(idle_ms),
+                })
+            }
+            Content::Service { health_path, connections } => {
+                item::Content::Service(item::Service { health_path, connections })
+            }
+            Content::Route(route) => item::Content::Route(route.into()),
+        });
+        Self { key, version: item.version, content, source: item.source }
+    }
+}
+
+impl From<&item::Route> for Route {
+    fn from(route: &item::Route) -> Self {
+        let targets = route.targets.iter();
+        Self {
+            host: route.host.clone(),
+            path_prefix: route.path_prefix.clone(),
+            class: route.class.into(),
+            timeout_ms: millis(route.timeout),
+            objective_ms: millis(route.objective),
+            priority: route.priority,
+            attempts: route.attempts,
+            targets: targets.map(|target| (target.service.clone(), target.weight)).collect(),
+        }
+    }
+}
+
+impl From<Route> for item::Route {
+    fn from(route: Route) -> Self {
+        let targets = route.targets.into_iter();
+        Self {
+            host: route.host,
+            path_prefix: route.path_prefix,
+            class: route.class.into(),
+            timeout: Duration::from_millis(route.timeout_ms),
+            objective: Duration::from_millis(route.objective_ms),
+            priority: route.priority,
+            attempts: route.attempts,
+            targets: targets.map(|(service, weight)| item::Target { service, weight }).collect(),
+        }
+    }
+}
+
+/// Converts items for the way to another process.
+pub fn encode(items: &[item::Item]) -> Vec<Item> {
+    items.iter().map(Item::from).collect()
+}
+
+/// Converts items that came from another process.
+pub fn decode(items: Vec<Item>) -> Vec<item::Item> {
+    items.into_iter().map(Into::into).collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/arbutuslane_limit/src/retry.rs
+++ b/crates/arbutuslane_limit/src/retry.rs
@@ -28,6 +28,9 @@
     pub outcome: Outcome,
     /// The attempts made so far, this one included.
     pub made: u32,
+    /// The most attempts that the request may make; at most [`ATTEMPTS`] are made where the route
+    /// states no limit.
+    pub limit: u32,
     /// Whether the caller has received a part of the response.
     pub response_started: bool,
     /// The deadline of the request.
@@ -54,7 +57,7 @@
     if attempt.response_started || !is_safe(attempt.class, attempt.outcome) {
         return Decision::Unsafe;
     }
-    if attempt.made >= ATTEMPTS || attempt.deadline.is_expired(now) || !budget.spend() {
+    if attempt.made >= attempt.limit || attempt.deadline.is_expired(now) || !budget.spend() {
         return Decision::Exhausted;
     }
     Decision::Retry
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -1,6 +1,7 @@
 //! The listener for backend servers, operators and metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ntex::http::{Method, Response, StatusCode, Uri};
 use serde::Serialize;
@@ -9,7 +10,8 @@
 use arbutuslane_wire::announce::{Announcement, Lease};
 use arbutuslane_wire::operator::Refusal;
 
-use crate::announce::{LEASE, RENEWAL};
+use crate::announce::RENEWALS_PER_LEASE;
+use crate::interface::Call;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -52,6 +54,17 @@
 
 /// Answers a request on the `admin` listener.
 pub(crate) fn answer(shared: &Arc<Shared>, method: &Method, uri: &Uri, body: &[u8]) -> Response {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    match shared.interface.read(method.as_str(), target, body) {
+        Call::Announce(Ok(announcement)) => return take(shared, &announcement),
+        Call::Announce(Err(error)) => {
+            tracing::info!(event = "announcement-refused", error);
+            return refuse(StatusCode::BAD_REQUEST, &error, "correct the named key");
+        }
+        Call::Leave { server, incarnation } => return leave(shared, &server, incarnation),
+        Call::Ready => return health(shared),
+        Call::Native => {}
+    }
     let path = uri.path();
     if let Some(rest) = path.strip_prefix("/v1/servers") {
         return servers(shared, method, rest, body);
@@ -93,7 +106,7 @@
         }
         (&Method::DELETE, true) => {
             let incarnation = server.as_ref().map_or(0, |server| server.incarnation);
-            let left = shared.servers.leave(name, shared.clock.now());
+            let left = shared.servers.leave(name, None, shared.clock.now());
             (left, Kind::ServerLeft { incarnation })
         }
         _ => return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use DELETE"),
@@ -134,11 +147,31 @@
             return refuse(StatusCode::BAD_REQUEST, &error.to_string(), remedy);
         }
     };
+    take(shared, &announcement)
+}
+
+/// Answers that a server left; a departure that is sent again is acknowledged again.
+fn leave(shared: &Shared, name: &str, incarnation: Option<u64>) -> Response {
+    let server = shared.servers.get(name);
+    shared.servers.leave(name, incarnation, shared.clock.now());
+    if let Some(server) = server.filter(|_| shared.servers.get(name).is_none()) {
+        record(shared, &server.service, name, Kind::ServerLeft { incarnation: server.incarnation });
+    }
+    Response::build(StatusCode::OK).json(&Acknowledged {})
+}
+
+/// The empty answer to a call that needs none.
+#[derive(Debug, Serialize)]
+struct Acknowledged {}
+
+fn take(shared: &Shared, announcement: &Announcement) -> Response {
     shared.await_revision(announcement.revision);
-    match shared.servers.announce(&announcement, shared.clock.now()) {
+    let before = shared.servers.get(&announcement.server);
+    let was_draining = before.as_ref().is_some_and(|server| server.draining());
+    match shared.servers.announce(announcement, shared.clock.now()) {
         Ok(false) => {}
         Ok(true) => {
-            let Announcement { incarnation, slots, .. } = announcement;
+            let Announcement { incarnation, slots, .. } = *announcement;
             let kind = Kind::ServerAnnounced { incarnation, slots };
             record(shared, &announcement.service, &announcement.server, kind);
         }
@@ -147,9 +180,15 @@
             return refuse(StatusCode::CONFLICT, &refused.to_string(), remedy);
         }
     }
+    if announcement.draining && !was_draining {
+        let in_flight = before.map_or(0, |server| server.report().in_flight);
+        record(shared, &announcement.service, &announcement.server, Kind::Drain { in_flight });
+    }
+    let lease = Duration::from_millis(shared.settings.lease_ms);
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let lease = Lease {
-        lease_ms: u64::try_from(LEASE.as_millis()).unwrap_or(u64::MAX),
-        renew_ms: u64::try_from(RENEWAL.as_millis()).unwrap_or(u64::MAX),
+        lease_ms: millis(lease),
+        renew_ms: millis(lease.div_f64(RENEWALS_PER_LEASE)),
         revision: shared.cluster.renewed(shared.clock.now(), announcement.revision),
     };
     Response::build(StatusCode::OK).json(&lease)
@@ -159,7 +198,7 @@
     if shared.stopping() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "node is stopping", "use another node");
     }
-    if shared.configuration().revision() == 0 {
+    if shared.configuration().is_empty() {
         let remedy = "check that a control instance or another node is reachable";
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", remedy);
     }
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -13,13 +13,8 @@
 use crate::condition::Condition;
 use crate::traffic::Admission;
 
-/// How long nothing renews a lease before dispatch stops.
-///
-/// 2.5 s plus clock drift stays below the 3 s after which a server that left gets no new work.
-pub(crate) const LEASE: Duration = Duration::from_millis(2_500);
-
-/// How often a server renews its lease.
-pub(crate) const RENEWAL: Duration = Duration::from_secs(1);
+/// The announcements in the time of one lease.
+pub(crate) const RENEWALS_PER_LEASE: f64 = 2.5;
 
 /// How long a departed incarnation is refused, so that a delayed renewal does not bring it back.
 const DEPARTED_KEPT: Duration = Duration::from_secs(60);
@@ -42,8 +37,13 @@
     pub(crate) admission: Arc<Admission>,
     /// Its health as this node sees it.
     pub(crate) condition: Arc<Condition>,
+    lease: Duration,
     renewed_ms: AtomicU64,
+    /// The highest announcement of this incarnation.
+    sequence: AtomicU64,
     draining: AtomicBool,
+    /// Whether the server refused a connection after its last announcement.
+    refusing: AtomicBool,
     /// Whether the end of the lease was reported.
     lost: AtomicBool,
     echoes: AtomicBool,
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub(crate) struct Table {
     clock: Clock,
+    /// How long nothing renews a lease before dispatch stops.
+    lease: Duration,
     /// Raised with every change that choices of servers depend on.
     version: AtomicU64,
     servers: RwLock<Vec<Arc<Server>>>,
@@ -84,7 +86,12 @@
     /// Returns whether the lease is valid at `now`.
     pub(crate) fn leased(&self, now: Time) -> bool {
         let renewed = Duration::from_millis(self.renewed_ms.load(Ordering::Acquire));
-        now < renewed + LEASE
+        now < renewed + self.lease
+    }
+
+    /// Notes that the server refused a connection: its process is gone until it announces itself.
+    pub(crate) fn set_refusing(&self) {
+        self.refusing.store(true, Ordering::Release);
     }
 
     /// Returns whether the server takes no new work.
@@ -94,7 +101,7 @@
 
     /// Returns whether new work may be dispatched at `now`.
     pub(crate) fn open(&self, now: Time) -> bool {
-        self.leased(now) && !self.draining()
+        self.leased(now) && !self.draining() && !self.refusing.load(Ordering::Acquire)
     }
 
     /// Returns whether the server echoed an exchange id.
@@ -136,14 +143,26 @@
     fn renew(&self, now: Time) {
         let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         self.renewed_ms.fetch_max(now, Ordering::AcqRel);
+        self.refusing.store(false, Ordering::Release);
+    }
+
+    /// Takes an announcement of the same incarnation; a late one changes nothing.
+    fn take(&self, announcement: &Announcement, now: Time) {
+        let before = self.sequence.fetch_max(announcement.sequence, Ordering::AcqRel);
+        if announcement.sequence < before {
+            return;
+        }
+        self.admission.set_slots(announcement.slots);
+        self.renew(now);
     }
 }
 
 impl Table {
     /// Returns an empty table.
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: Clock, lease: Duration) -> Self {
         Self {
             clock,
+            lease,
             version: AtomicU64::new(1),
             servers: RwLock::default(),
             departed: RwLock::default(),
@@ -173,14 +192,24 @@
             let known = &servers[index];
             let same = known.address == address && known.service == announcement.service;
             if known.incarnation == announcement.incarnation && same {
-                known.admission.set_slots(announcement.slots);
-                known.renew(now);
+                known.take(announcement, now);
+                if announcement.draining && !known.draining.swap(true, Ordering::AcqRel) {
+                    known.admission.close();
+                    self.changed();
+                }
                 return Ok(false);
             }
             if known.incarnation >= announcement.incarnation {
                 return Err(Refused::Incarnation { known: known.incarnation });
             }
         }
+        // Two servers at one address are two lives of one: the later start holds it.
+        let rival = servers.iter().find(|known| {
+            known.address == address && known.incarnation > announcement.incarnation
+        });
+        if let Some(rival) = rival {
+            return Err(Refused::Incarnation { known: rival.incarnation });
+        }
         let server = Arc::new(Server {
             id: announcement.server.clone(),
             service: announcement.service.clone(),
@@ -188,17 +217,27 @@
             address,
             admission: Arc::new(Admission::new(announcement.slots, self.clock)),
             condition: Condition::new(self.clock),
+            lease: self.lease,
             renewed_ms: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
+            sequence: AtomicU64::new(announcement.sequence),
+            draining: AtomicBool::new(announcement.draining),
+            refusing: AtomicBool::new(false),
             lost: AtomicBool::new(false),
             echoes: AtomicBool::new(false),
             latency_us: AtomicU32::new(0),
         });
         server.renew(now);
+        if announcement.draining {
+            server.admission.close();
+        }
+        if let Some(warming_ms) = announcement.warming_ms {
+            server.condition.set_ramp(Duration::from_millis(warming_ms));
+        }
         match index {
             Ok(index) => servers[index] = server,
             Err(index) => servers.insert(index, server),
         }
+        servers.retain(|known| known.address != address || known.id == announcement.server);
         drop(servers);
         self.changed();
         Ok(true)
@@ -214,7 +253,21 @@
     }
 
     /// Removes a server at once; returns whether it was known.
-    pub(crate) fn leave(&self, server: &str, now: Time) -> bool {
+    ///
+    /// A later announcement of the stated incarnation is refused also when the server is not known,
+    /// because this node may have restarted since.
+    pub(crate) fn leave(&self, server: &str, incarnation: Option<Incarnation>, now: Time) -> bool {
+        let known = self.get(server);
+        // A late departure of an earlier life says nothing about the present one.
+        if let (Some(known), Some(stated)) = (&known, incarnation)
+            && known.incarnation > stated
+        {
+            return true;
+        }
+        if let (None, Some(incarnation)) = (&known, incarnation) {
+            let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
+            departed.push((server.to_string(), incarnation, now));
+        }
         if !self.drain(server) {
             return false;
         }
@@ -242,7 +295,7 @@
         }
         servers.retain(|server| {
             let renewed = Duration::from_millis(server.renewed_ms.load(Ordering::Acquire));
-            now < renewed + LEASE * 4
+            now < renewed + self.lease * 4
         });
         let mut departed = self.departed.write().unwrap_or_else(PoisonError::into_inner);
         departed.retain(|(_, _, left)| now < *left + DEPARTED_KEPT);
@@ -283,6 +336,8 @@
 mod tests {
     use super::*;
 
+    const LEASE: Duration = Duration::from_millis(2_500);
+
     fn announcement(incarnation: Incarnation) -> Announcement {
         Announcement {
             service: "slots".to_string(),
@@ -291,13 +346,16 @@
             address: "127.0.0.1:9000".to_string(),
             slots: 5,
             revision: 0,
+            sequence: 0,
+            draining: false,
+            warming_ms: None,
         }
     }
 
     /// Guards against dispatch to a server that stopped renewing.
     #[test]
     fn open_expired() {
-        let table = Table::new(Clock::start());
+        let table = Table::new(Clock::start(), LEASE);
         table.announce(&announcement(1), Duration::from_millis(100)).unwrap();
         let server = table.get("s1").unwrap();
         assert!(server.open(Duration::from_millis(2_599)));
@@ -309,11 +367,11 @@
     /// Guards against a delayed renewal that brings a departed server back.
     #[test]
     fn announce_departed() {
-        let table = Table::new(Clock::start());
+        let table = Table::new(Clock::start(), LEASE);
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         let server = table.get("s1").unwrap();
-        assert!(table.leave("s1", now));
+        assert!(table.leave("s1", None, now));
         assert!(!server.open(now));
         assert_eq!(table.announce(&announcement(1), now), Err(Refused::Incarnation { known: 1 }));
         assert_eq!(table.announce(&announcement(2), now), Ok(true));
@@ -322,7 +380,7 @@
     /// Guards against an outdated announcement that replaces a newer one.
     #[test]
     fn announce_outdated() {
-        let table = Table::new(Clock::start());
+        let table = Table::new(Clock::start(), LEASE);
         let now = Duration::from_secs(1);
         table.announce(&announcement(7), now).unwrap();
         assert_eq!(table.announce(&announcement(6), now), Err(Refused::Incarnation { known: 7 }));
@@ -334,11 +392,56 @@
     /// Guards against a drain that the next renewal undoes.
     #[test]
     fn drain_renewed() {
-        let table = Table::new(Clock::start());
+        let table = Table::new(Clock::start(), LEASE);
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         assert!(table.drain("s1"));
         table.announce(&announcement(1), now).unwrap();
         assert!(!table.get("s1").unwrap().open(now));
     }
+
+    /// Guards against a delayed announcement from before a drain that puts the server in use again,
+    /// and one that renews a lease although its sender is silent.
+    #[test]
+    fn announce_late() {
+        let table = Table::new(Clock::start(), LEASE);
+        let at = |ms| Duration::from_millis(ms);
+        let send = |sequence, draining, now| {
+            table.announce(&Announcement { sequence, draining, ..announcement(1) }, now).unwrap();
+            table.get("s1").unwrap().open(now)
+        };
+        assert!(send(3, false, at(0)));
+        send(2, false, at(2_000));
+        assert!(!table.get("s1").unwrap().open(at(2_600)), "a late announcement renewed the lease");
+        assert!(send(4, false, at(2_700)));
+        assert!(!send(5, true, at(2_800)));
+        assert!(!send(4, false, at(2_900)));
+    }
+
+    /// Guards against an announcement of a crashed server, held up by a partition, that takes the
+    /// address from the server that was started there since.
+    #[test]
+    fn announce_earlier_life() {
+        let table = Table::new(Clock::start(), LEASE);
+        let now = Duration::from_secs(1);
+        table.announce(&announcement(5), now).unwrap();
+        let successor = Announcement { server: "s2".to_string(), ..announcement(9) };
+        table.announce(&successor, now).unwrap();
+        assert!(table.get("s1").is_none());
+        assert_eq!(table.announce(&announcement(5), now), Err(Refused::Incarnation { known: 9 }));
+        assert_eq!(table.all().len(), 1);
+    }
+
+    /// Guards against a departure that is forgotten when the node restarted before it came, and
+    /// against a late one that removes the server's next life.
+    #[test]
+    fn leave_unknown() {
+        let table = Table::new(Clock::start(), LEASE);
+        let now = Duration::from_secs(1);
+        assert!(!table.leave("s1", Some(4), now));
+        assert_eq!(table.announce(&announcement(4), now), Err(Refused::Incarnation { known: 4 }));
+        assert_eq!(table.announce(&announcement(5), now), Ok(true));
+        assert!(table.leave("s1", Some(4), now));
+        assert!(table.get("s1").unwrap().open(now));
+    }
 }
--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -11,11 +11,12 @@
 use arbutuslane_wire::peer;
 use ntex::time::sleep;
 
+use crate::settings::Source;
 use crate::shared::{Remote, Shared};
 use crate::traffic::Pool;
 use crate::{configuration, peers};
 
-use super::{bursts, permits, report};
+use super::{bursts, items, permits, report};
 
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(100);
@@ -31,7 +32,12 @@
     let pool = Pool::new();
     let _counting = ntex::rt::spawn(bursts::work(Arc::clone(&shared)));
     let _judging = ntex::rt::spawn(permits::work(Arc::clone(&shared), Rc::clone(&pool)));
-    let _reporting = ntex::rt::spawn(report::work(Arc::clone(&shared), Rc::clone(&pool)));
+    let from_items = shared.settings.source == Source::Items;
+    if from_items {
+        let _comparing = ntex::rt::spawn(items::work(Arc::clone(&shared), Rc::clone(&pool)));
+    } else {
+        let _reporting = ntex::rt::spawn(report::work(Arc::clone(&shared), Rc::clone(&pool)));
+    }
     let mut next_upkeep = Time::ZERO;
     let mut fetches = 0;
     let mut published = 0;
@@ -43,7 +49,7 @@
             upkeep(&shared, &pool);
         }
         let control = &shared.settings.control;
-        if !control.is_empty() && shared.cluster.contact().is_due(now) {
+        if !from_items && !control.is_empty() && shared.cluster.contact().is_due(now) {
             if let Some(address) = control.get(fetches % control.len()).copied() {
                 let (shared, pool) = (Arc::clone(&shared), Rc::clone(&pool));
                 let _task = ntex::rt::spawn(async move {
@@ -116,6 +122,9 @@
 
 fn own_servers(shared: &Shared, now: Time) -> Vec<Server> {
     let mut servers = Vec::new();
+    if shared.stopping() && shared.settings.withdraw_on_stop {
+        return servers;
+    }
     for server in shared.servers.all() {
         // A stopping node keeps its servers until they have announced themselves elsewhere.
         if !server.open(now) {
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -51,6 +51,12 @@
         Arc::new(Self { clock, state: Mutex::new(state) })
     }
 
+    /// Sets the time in which the server takes a rising share of its load, counted from now.
+    pub(crate) fn set_ramp(&self, ramp: Duration) {
+        let now = self.clock.now();
+        self.lock().stage = Stage::cold(now, ramp);
+    }
+
     /// Takes in what the entry with the hash `entry` sees of the server's peers.
     pub(crate) fn record(&self, entry: u64, summary: Summary) {
         let now = self.clock.now();
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -1,4 +1,7 @@
 //! The configuration in force, and how the node obtains it from control instances and other nodes.
+//!
+//! It is made from a snapshot of the catalogue or from a table of items; the request path sees
+//! [`Rule`]s either way.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,8 +10,11 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::border::Snapshot;
-use arbutuslane_catalogue::entry::{Class, Entry};
-use arbutuslane_core::id::Revision;
+use arbutuslane_catalogue::entry::{Class, Entry, Limits};
+use arbutuslane_core::id::{Revision, ServiceName};
+use arbutuslane_item::item;
+use arbutuslane_item::prelude::{Content, Table};
+use arbutuslane_limit::retry;
 use arbutuslane_wire::{codec, peer};
 
 use crate::peers;
@@ -18,21 +24,45 @@
 /// The longest wait for one peer.
 const PEER_WAIT: Duration = Duration::from_secs(1);
 
-/// An immutable snapshot of the catalogue.
+/// The rank of routes that state none; between the highest, 0, and the lowest.
+const RANK: u8 = 1;
+
+/// The largest request body in bytes where no limit is declared.
+const BODY_BYTES: u64 = 64 << 20;
+
+/// An immutable snapshot of the catalogue or of the items in force.
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
     snapshot: Snapshot,
     entries: Vec<Entry>,
-    /// (host, path prefix, entry, class), the longest prefix first, a stated host before any host.
-    routes: Vec<Rule>,
+    items: Table,
+    /// By host in ascending order, rules for any host first; the longest prefix first for each.
+    rules: Vec<Rule>,
 }
 
+/// How the requests of one route are handled.
 #[derive(Debug)]
-struct Rule {
-    host: Option<String>,
-    prefix: String,
-    entry: usize,
-    class: Class,
+pub(crate) struct Rule {
+    /// The host that a request names, or any host.
+    pub(crate) host: Option<String>,
+    /// The start of the path.
+    pub(crate) prefix: String,
+    /// What may be done with a request whose outcome is in doubt.
+    pub(crate) class: Class,
+    /// The services that share the requests, with their weights.
+    pub(crate) targets: Vec<(ServiceName, u32)>,
+    /// The longest time that a request may wait for its response.
+    pub(crate) timeout: Duration,
+    /// The time within which a response is worth most.
+    pub(crate) objective: Duration,
+    /// The rank; 0 is served first.
+    pub(crate) rank: u8,
+    /// The most servers that one request is sent to.
+    pub(crate) attempts: usize,
+    /// The largest request body in bytes.
+    pub(crate) body_bytes: u64,
+    /// Limits on the rate of requests.
+    pub(crate) limits: Option<Limits>,
 }
 
 impl Configuration {
@@ -48,6 +78,16 @@
             && self.snapshot.revision >= other.snapshot.revision
     }
 
+    /// Returns whether nothing was ever configured.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.snapshot.revision == 0 && self.items.is_empty()
+    }
+
+    /// Returns the items that this configuration was made from.
+    pub(crate) fn items(&self) -> &Table {
+        &self.items
+    }
+
     /// Returns the snapshot that this configuration was made from.
     pub(crate) fn snapshot(&self) -> &Snapshot {
         &self.snapshot
@@ -59,44 +99,95 @@
         index.ok().map(|index| &self.entries[index])
     }
 
-    /// Returns the entry, path prefix and class that serve `host` and `path`.
-    pub(crate) fn route(&self, host: Option<&str>, path: &str) -> Option<(&Entry, &str, Class)> {
+    /// Returns the rule for `host` and `path`: the longest prefix, a stated host before any host.
+    pub(crate) fn route(&self, host: Option<&str>, path: &str) -> Option<&Rule> {
         let host = host.map(|host| host.rsplit_once(':').map_or(host, |(name, _)| name));
-        for rule in &self.routes {
-            if !path.starts_with(&rule.prefix) {
-                continue;
+        let stated = host.map(str::to_ascii_lowercase);
+        let stated = stated.and_then(|host| self.longest(Some(&host), path));
+        let any = self.longest(None, path);
+        match (stated, any) {
+            (Some(stated), Some(any)) if any.prefix.len() > stated.prefix.len() => Some(any),
+            (stated, any) => stated.or(any),
+        }
+    }
+
+    fn longest(&self, host: Option<&str>, path: &str) -> Option<&Rule> {
+        let first = self.rules.partition_point(|rule| rule.host.as_deref() < host);
+        for rule in &self.rules[first..] {
+            if rule.host.as_deref() != host {
+                return None;
             }
-            match (&rule.host, host) {
-                (None, _) => {}
-                (Some(wanted), Some(host)) if wanted.eq_ignore_ascii_case(host) => {}
-                _ => continue,
+            if path.starts_with(&rule.prefix) {
+                return Some(rule);
             }
-            return Some((&self.entries[rule.entry], &rule.prefix, rule.class));
         }
         None
     }
+
+    fn sort(mut rules: Vec<Rule>) -> Vec<Rule> {
+        for rule in &mut rules {
+            if let Some(host) = &mut rule.host {
+                host.make_ascii_lowercase();
+            }
+        }
+        rules.sort_by(|left, right| {
+            let order = left.host.cmp(&right.host);
+            order.then(right.prefix.len().cmp(&left.prefix.len()))
+        });
+        rules
+    }
 }
 
 impl From<Snapshot> for Configuration {
     fn from(snapshot: Snapshot) -> Self {
         let mut entries: Vec<Entry> = snapshot.entries.iter().cloned().map(Into::into).collect();
         entries.sort_by(|left, right| left.service.cmp(&right.service));
-        let mut routes = Vec::new();
-        for (index, entry) in entries.iter().enumerate() {
+        let mut rules = Vec::new();
+        for entry in &entries {
             for route in &entry.routes {
-                routes.push(Rule {
+                rules.push(Rule {
                     host: route.host.clone(),
                     prefix: route.path_prefix.clone(),
-                    entry: index,
                     class: route.class.unwrap_or(entry.class),
+                    targets: vec![(entry.service.clone(), 1)],
+                    timeout: entry.limits.deadline,
+                    objective: entry.limits.deadline,
+                    rank: RANK,
+                    attempts: retry::ATTEMPTS as usize,
+                    body_bytes: entry.limits.body_bytes,
+                    limits: Some(entry.limits.clone()),
                 });
             }
         }
-        routes.sort_by(|left, right| {
-            let left = (left.prefix.len(), left.host.is_some());
-            (right.prefix.len(), right.host.is_some()).cmp(&left)
-        });
-        Self { snapshot, entries, routes }
+        Self { snapshot, entries, items: Table::default(), rules: Self::sort(rules) }
+    }
+}
+
+impl From<Table> for Configuration {
+    fn from(items: Table) -> Self {
+        let mut body_bytes = BODY_BYTES;
+        if let Some(Content::Limits(limits)) =
+            items.get(&item::Key::Limits).and_then(|limits| limits.content.as_ref())
+        {
+            body_bytes = limits.body_bytes;
+        }
+        let mut rules = Vec::new();
+        for route in items.standing().filter_map(item::Item::route) {
+            let targets = route.targets.iter();
+            rules.push(Rule {
+                host: Some(route.host.clone()),
+                prefix: route.path_prefix.clone(),
+                class: route.class,
+                targets: targets.map(|target| (target.service.clone(), target.weight)).collect(),
+                timeout: route.timeout,
+                objective: route.objective,
+                rank: route.priority,
+                attempts: usize::try_from(route.attempts.max(1)).unwrap_or(1),
+                body_bytes,
+                limits: None,
+            });
+        }
+        Self { items, rules: Self::sort(rules), ..Self::default() }
     }
 }
 
@@ -165,7 +256,7 @@
     #[test]
     fn route_longest_prefix() {
         let configuration = Configuration::from(snapshot());
-        let service = |host, path| configuration.route(host, path).unwrap().0.service.clone();
+        let service = |host, path| configuration.route(host, path).unwrap().targets[0].0.clone();
         assert_eq!(service(None, "/booking/7"), "bookings");
         assert_eq!(service(Some("a.example"), "/x"), "slots");
         assert_eq!(service(Some("B.example:8000"), "/x"), "bookings");
--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -23,6 +23,7 @@
 mod cluster;
 mod condition;
 mod configuration;
+pub mod interface;
 mod metrics;
 mod peers;
 pub mod run;
@@ -32,6 +33,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::interface::{Interface, Native};
     pub use crate::run::run;
     pub use crate::settings::Settings;
 }
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::cluster;
 use crate::shared::Shared;
-use crate::traffic::{self, Echo, Failure, Pool, Upload};
+use crate::traffic::{self, Echo, Failure, Pool, Terms, Upload};
 
 /// The largest message in bytes.
 pub(crate) const MESSAGE_BYTES: usize = 16 << 20;
@@ -55,10 +55,11 @@
                 Some(connection) => connection,
                 None => pool.connect(address, wait).await?,
             };
-            let (request, exchange) = (request.clone(), traffic::new_exchange());
+            let request = request.clone();
             let reused = connection.reused();
             // Control instances need not echo the id, so their connections are not kept.
-            match connection.exchange(request, exchange, Echo::Unknown, true, wait).await {
+            let terms = Terms::with_peer(Echo::Unknown, true, wait);
+            match connection.exchange(request, terms).await {
                 Err(Failure::ClosedUnused) if reused => {}
                 result => break result?,
             }
@@ -133,6 +134,13 @@
             shared.cluster.strikes.lock().clear(fingerprint);
             peer::Answer::Done
         }
-        peer::Message::InForce { .. } => peer::Answer::Unsupported,
+        peer::Message::SyncItems { buckets, .. } => cluster::items::difference(shared, &buckets),
+        peer::Message::AcceptedItems { items } => match cluster::items::told(shared, &items) {
+            true => peer::Answer::Done,
+            false => peer::Answer::Unsupported,
+        },
+        peer::Message::InForce { .. } | peer::Message::StoreItems { .. } => {
+            peer::Answer::Unsupported
+        }
     }
 }
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::cluster;
 use crate::configuration;
+use crate::interface::Interface;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
 use crate::traffic::listener;
@@ -62,13 +63,13 @@
     Start(#[from] std::io::Error),
 }
 
-/// Reads the arguments of the process and runs a node.
-pub fn from_arguments() -> miette::Result<()> {
+/// Reads the arguments of the process and runs a node that is called in the form of `interface`.
+pub fn from_arguments(name: &'static str, interface: Arc<dyn Interface>) -> miette::Result<()> {
     let settings = Arg::new("settings")
         .help("The JSON file with the settings of the node")
         .required(true)
         .value_parser(value_parser!(PathBuf));
-    let matches = Command::new("arbutuslane-node")
+    let matches = Command::new(name)
         .about("Runs a node of the proxy fleet")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings)
@@ -77,14 +78,16 @@
     log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
-    Ok(run(settings)?)
+    Ok(run(settings, interface)?)
 }
 
 /// Runs a node until the process is told to stop.
-pub fn run(settings: Settings) -> Result<(), Error> {
-    let path = settings.token_file.clone();
-    let token = read_token(&path).map_err(|source| Error::Token { path, source })?;
-    let shared = Shared::new(settings, token);
+pub fn run(settings: Settings, interface: Arc<dyn Interface>) -> Result<(), Error> {
+    let token = match settings.token_file.clone() {
+        Some(path) => read_token(&path).map_err(|source| Error::Token { path, source })?,
+        None => String::new(),
+    };
+    let shared = Shared::new(settings, interface, token);
     if let Some(path) = &shared.settings.catalogue_file {
         let read = configuration::read(path);
         let configuration =
@@ -115,7 +118,7 @@
     shared.stop();
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
-    sleep(LINGER.min(Duration::from_millis(shared.settings.stop_ms))).await;
+    sleep(LINGER.min(Duration::from_millis(shared.settings.stop_ms * 3 / 5))).await;
     server.stop(true).await;
     // What is still in flight after the workers have ended was cut by the time limit of the stop.
     shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -22,8 +22,31 @@
     /// The address under which other nodes reach `peers`; `peers` itself when absent.
     #[serde(default)]
     pub advertise: Option<SocketAddr>,
+    /// One more address that answers what `admin` does, where servers and whoever asks for the
+    /// readiness of the node use different ones.
+    #[serde(default)]
+    pub readiness: Option<SocketAddr>,
     /// The file with the secret that processes of the fleet share.
-    pub token_file: PathBuf,
+    #[serde(default)]
+    pub token_file: Option<PathBuf>,
+    /// Accepts peers without a token, because strangers cannot reach the network.
+    #[serde(default)]
+    pub open_network: bool,
+    /// The service whose backend server runs beside this node and sends requests through it.
+    #[serde(default)]
+    pub origin_service: Option<String>,
+    /// How long in milliseconds a server may be silent before its lease ends.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// Servers cannot announce themselves to another node, so that a stopping node withdraws them.
+    #[serde(default)]
+    pub withdraw_on_stop: bool,
+    /// Where the configuration comes from.
+    #[serde(default)]
+    pub source: Source,
+    /// The retry budget of the whole fleet.
+    #[serde(default)]
+    pub retry_budget: Option<Budget>,
     /// The `peers` addresses of nodes that are asked first.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -44,6 +67,30 @@
     pub stop_ms: u64,
 }
 
+/// Where the configuration of a node comes from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    /// The catalogue, which has one revision.
+    #[default]
+    Catalogue,
+    /// Items, each of which has a version of its own.
+    Items,
+}
+
+/// The repeated requests that a service may get from the whole fleet, as a share of first requests
+/// and a number in any window.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// The share of first requests.
+    pub ratio: f64,
+    /// The number that is allowed beyond the share.
+    pub slack: u32,
+    /// The length of the window in seconds.
+    pub window_s: f64,
+}
+
 /// Settings that cannot be used.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum Error {
@@ -96,6 +143,11 @@
         if settings.node.is_empty() {
             return Err(Error::Value { key: "node", reason: "must not be empty" });
         }
+        if settings.token_file.is_none() && !settings.open_network {
+            let reason = "name a file with a secret, or set `open_network` where strangers cannot \
+                          reach the network";
+            return Err(Error::Value { key: "token_file", reason });
+        }
         if settings.traffic_threads == 0 {
             return Err(Error::Value { key: "traffic_threads", reason: "must be at least 1" });
         }
@@ -112,6 +164,10 @@
     2
 }
 
+fn default_lease_ms() -> u64 {
+    2_500
+}
+
 fn default_stop_ms() -> u64 {
     60_000
 }
@@ -144,6 +200,8 @@
     fn parse_no_threads() {
         let text = COMPLETE.replace("\"node\"", "\"traffic_threads\": 0, \"node\"");
         assert!(Settings::parse(&text).unwrap_err().to_string().contains("traffic_threads"));
+        let text = COMPLETE.replace(", \"token_file\": \"t\"", "");
+        assert!(Settings::parse(&text).unwrap_err().to_string().contains("token_file"));
         assert_eq!(Settings::parse(COMPLETE).unwrap().advertised().port(), 2);
     }
 }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use subtle::ConstantTimeEq;
 
@@ -12,12 +12,14 @@
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
+use arbutuslane_item::prelude::Item;
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::resend::Failures;
 
 use crate::announce::Table;
 use crate::cluster::Cluster;
 use crate::configuration::Configuration;
+use crate::interface::Interface;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::traffic::Limiter;
@@ -56,6 +58,8 @@
 pub(crate) struct Shared {
     /// The settings of the node.
     pub(crate) settings: Settings,
+    /// The form in which servers and the platform call.
+    pub(crate) interface: Arc<dyn Interface>,
     /// The clock that every thread counts by.
     pub(crate) clock: Clock,
     /// The start time of the node in milliseconds, which rises with each restart.
@@ -82,17 +86,23 @@
 
 impl Shared {
     /// Returns the state of a node that has learned nothing yet.
-    pub(crate) fn new(settings: Settings, token: String) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: Settings,
+        interface: Arc<dyn Interface>,
+        token: String,
+    ) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start();
         let events = Buffer::new(settings.node.clone(), EVENTS);
         let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
+        let lease = Duration::from_millis(settings.lease_ms);
         Arc::new(Self {
             settings,
+            interface,
             clock,
             incarnation,
-            servers: Table::new(clock),
+            servers: Table::new(clock, lease),
             metrics: Metrics::default(),
             events,
             cluster,
@@ -124,6 +134,25 @@
         true
     }
 
+    /// Puts the items in force that are newer than those in force; returns how many there are.
+    pub(crate) fn adopt_items(&self, items: Vec<Item>) -> usize {
+        let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        let mut table = current.items().clone();
+        let mut taken = 0;
+        for item in items {
+            let (name, version) = (format!("{:?}", item.key), item.version);
+            if !table.merge(item) {
+                continue;
+            }
+            taken += 1;
+            tracing::info!(event = "item-in-force", item = name, version);
+        }
+        if taken > 0 {
+            *current = Arc::new(table.into());
+        }
+        taken
+    }
+
     /// Returns the highest revision that a backend server was told.
     pub(crate) fn awaited(&self) -> Revision {
         self.awaited.load(Ordering::Relaxed)
@@ -170,12 +199,13 @@
 
     /// Returns whether `candidate` is the shared secret, in a time that does not depend on it.
     pub(crate) fn accepts(&self, candidate: &[u8]) -> bool {
-        self.token().as_bytes().ct_eq(candidate).into()
+        self.settings.token_file.is_none() || self.token().as_bytes().ct_eq(candidate).into()
     }
 
     /// Reads the secret again, so that it can be replaced without a restart.
     pub(crate) fn reload_token(&self) {
-        let Ok(token) = read_token(&self.settings.token_file) else { return };
+        let Some(path) = &self.settings.token_file else { return };
+        let Ok(token) = read_token(path) else { return };
         if token == *self.token() {
             return;
         }
--- a/crates/arbutuslane_node/src/traffic/client/body.rs
+++ b/crates/arbutuslane_node/src/traffic/client/body.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -24,9 +25,12 @@
     line: Option<Line>,
     framing: Framing,
     upload: Upload,
-    keep: Option<(Rc<Pool>, SocketAddr)>,
+    keep: Option<Keep>,
 }
 
+/// Where a connection is kept after its exchange, and how long the other side keeps it idle.
+pub(super) type Keep = (Rc<Pool>, SocketAddr, Option<Duration>);
+
 /// How the end of a body is found; one that ends with the connection could be cut unnoticed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -36,6 +40,8 @@
     Length(u64),
     /// The body consists of chunks and ends with an empty one.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
 #[derive(Debug)]
@@ -66,6 +72,13 @@
             (None, _) => None,
         }
     }
+
+    /// Returns the framing of a response that has neither a length nor chunks.
+    pub(super) fn until_close(headers: &HeaderMap) -> Option<Self> {
+        let framed =
+            headers.contains_key("content-length") || headers.contains_key("transfer-encoding");
+        (!framed).then_some(Self::UntilClose)
+    }
 }
 
 impl Body {
@@ -75,7 +88,7 @@
         incoming: Incoming,
         framing: Framing,
         upload: Upload,
-        keep: Option<(Rc<Pool>, SocketAddr)>,
+        keep: Option<Keep>,
     ) -> Self {
         let mut body =
             Self { line: Some(Line { sender, driver, incoming }), framing, upload, keep };
@@ -90,7 +103,7 @@
         match self.framing {
             Framing::Empty => Some(0),
             Framing::Length(length) => Some(length),
-            Framing::Chunked => None,
+            Framing::Chunked | Framing::UntilClose => None,
         }
     }
 
@@ -145,9 +158,9 @@
     /// Keeps the connection when nothing of this exchange is outstanding on it.
     fn finish(&mut self) {
         let Some(Line { sender, mut driver, .. }) = self.line.take() else { return };
-        let Some((pool, address)) = self.keep.take() else { return };
+        let Some((pool, address, idle)) = self.keep.take() else { return };
         if driver.idle(&sender) {
-            pool.put(address, sender, driver);
+            pool.put(address, sender, driver, idle);
         }
     }
 }
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -14,9 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use arbutuslane_core::id::Exchange;
 use arbutuslane_wire::header;
 
+use crate::traffic::fields;
+use crate::traffic::worker::new_exchange;
+
 use super::body::{Body, Framing};
 use super::upload::Sending;
 use super::{Failure, Pool, Upload};
@@ -71,6 +73,29 @@
     Unknown,
 }
 
+/// How one exchange is carried out.
+#[derive(Debug, Clone)]
+pub(crate) struct Terms {
+    /// The field that identifies the exchange, and its value.
+    pub(crate) id: (&'static str, String),
+    /// Whether the other side must echo it.
+    pub(crate) echo: Echo,
+    /// Whether the connection may be kept for later exchanges.
+    pub(crate) keep: bool,
+    /// Whether the end of the connection may end the response.
+    pub(crate) ends_with_connection: bool,
+    /// How long to wait for the response head.
+    pub(crate) limit: Duration,
+}
+
+impl Terms {
+    /// Returns the terms of an exchange with a process of the fleet.
+    pub(crate) fn with_peer(echo: Echo, keep: bool, limit: Duration) -> Self {
+        let id = (header::EXCHANGE, format!("{:032x}", new_exchange()));
+        Self { id, echo, keep, ends_with_connection: false, limit }
+    }
+}
+
 /// A response whose body is still to be read.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -124,15 +149,12 @@
     pub(crate) async fn exchange(
         self,
         request: Request,
-        exchange: Exchange,
-        echo: Echo,
-        keep: bool,
-        limit: Duration,
+        terms: Terms,
     ) -> Result<Reply, Failure> {
         let Self { mut sender, mut driver, address, reused, pool } = self;
-        let id = format!("{exchange:032x}");
+        let Terms { id: (field, id), echo, keep, ends_with_connection, limit } = terms;
         let (method, upload) = (request.method.clone(), request.upload.clone());
-        let request = convert(&request, &id, keep)?;
+        let request = convert(&request, (field, &id), keep)?;
         let mut responding = Box::pin(sender.try_send_request(request));
         let receive = poll_fn(|cx| {
             let ended = driver.poll(cx).is_ready();
@@ -167,13 +189,19 @@
             let value = value.map_err(|error| Failure::Closed(error.to_string()))?;
             headers.append(HeaderName::clone(name), value);
         }
-        let echoed = match headers.get(header::EXCHANGE).map(HeaderValue::as_bytes) {
+        let echoed = match headers.get(field).map(HeaderValue::as_bytes) {
             Some(value) if value == id.as_bytes() => true,
             None if echo == Echo::Unknown && !reused => false,
             _ => return Err(Failure::WrongExchange),
         };
-        let framing = Framing::of(&method, head.status, &headers).ok_or(Failure::Unframed)?;
-        let keep = (keep && echoed).then_some((pool, address));
+        let framing = Framing::of(&method, head.status, &headers);
+        let framing = match framing {
+            None if ends_with_connection => Framing::until_close(&headers),
+            framing => framing,
+        };
+        let framing = framing.ok_or(Failure::Unframed)?;
+        let idle = idle_limit(&headers);
+        let keep = (keep && echoed).then_some((pool, address, idle));
         let body = Body::new(sender, driver, incoming, framing, upload, keep);
         Ok(Reply { status: head.status, headers, body, echoed })
     }
@@ -194,13 +222,28 @@
     }
 }
 
-fn convert(request: &Request, id: &str, keep: bool) -> Result<hyper::Request<Sending>, Failure> {
+/// Returns how long the other side keeps an idle connection, where it says so.
+fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let stated = fields::text(headers, "keep-alive")?;
+    let mut parameters = stated.split(',').filter_map(|part| part.trim().split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn convert(
+    request: &Request,
+    (field, id): (&'static str, &str),
+    keep: bool,
+) -> Result<hyper::Request<Sending>, Failure> {
     let bad = |error: hyper::http::Error| Failure::Request(error.to_string());
     let mut builder = hyper::Request::builder()
         .method(request.method.clone())
         .uri(request.target.as_str())
-        .header(header::EXCHANGE, id);
+        .header(field, id);
     for (name, value) in &request.headers {
+        if name.as_str() == field {
+            continue;
+        }
         builder = builder.header(HeaderName::clone(name), value.as_bytes());
     }
     if !keep {
--- a/crates/arbutuslane_node/src/traffic/client/pool.rs
+++ b/crates/arbutuslane_node/src/traffic/client/pool.rs
@@ -34,6 +34,7 @@
     sender: SendRequest<Sending>,
     driver: Driver,
     since: Instant,
+    limit: Duration,
 }
 
 impl Pool {
@@ -47,7 +48,7 @@
         let mut idle = self.idle.borrow_mut();
         let index = idle.binary_search_by_key(&address, |(known, _)| *known).ok()?;
         while let Some(mut entry) = idle[index].1.pop() {
-            if entry.since.elapsed() > IDLE || !entry.driver.idle(&entry.sender) {
+            if entry.since.elapsed() > entry.limit || !entry.driver.idle(&entry.sender) {
                 continue;
             }
             let Idle { sender, driver, .. } = entry;
@@ -66,17 +67,27 @@
     }
 
     /// Keeps a connection whose exchange was completed.
-    pub(super) fn put(&self, address: SocketAddr, sender: SendRequest<Sending>, driver: Driver) {
+    ///
+    /// `stated` is the time after which the other side closes an idle connection; half of it is
+    /// used, because a request that crosses the close may or may not have run.
+    pub(super) fn put(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Sending>,
+        driver: Driver,
+        stated: Option<Duration>,
+    ) {
         let now = Instant::now();
         if self.distrusted.borrow().iter().any(|(known, end)| *known == address && now < *end) {
             return;
         }
         let mut idle = self.idle.borrow_mut();
-        let entry = Idle { sender, driver, since: now };
+        let limit = stated.map_or(IDLE, |stated| (stated / 2).min(IDLE));
+        let entry = Idle { sender, driver, since: now, limit };
         match idle.binary_search_by_key(&address, |(known, _)| *known) {
             Ok(index) => {
                 let connections = &mut idle[index].1;
-                connections.retain(|entry| entry.since.elapsed() <= IDLE);
+                connections.retain(|entry| entry.since.elapsed() <= entry.limit);
                 if connections.len() < IDLE_PER_ADDRESS {
                     connections.push(entry);
                 }
@@ -109,7 +120,7 @@
         let mut idle = self.idle.borrow_mut();
         for (_, connections) in idle.iter_mut() {
             connections.retain_mut(|entry| {
-                entry.since.elapsed() <= IDLE && entry.driver.idle(&entry.sender)
+                entry.since.elapsed() <= entry.limit && entry.driver.idle(&entry.sender)
             });
         }
         idle.retain(|(_, connections)| !connections.is_empty());
--- a/crates/arbutuslane_node/src/traffic/deadline.rs
+++ b/crates/arbutuslane_node/src/traffic/deadline.rs
@@ -20,9 +20,19 @@
 /// round trip between failure domains (3 ms) and the granularity of the timers.
 const HOP: Duration = Duration::from_millis(20);
 
-/// Reads the remaining time from `headers`, or uses `default`.
+/// Reads the remaining time from the fleet's own field, or uses `default`.
 pub(crate) fn read(headers: &HeaderMap, default: Duration, now: Time) -> Deadline {
-    let stated = fields::text(headers, header::DEADLINE_MS);
+    read_from(header::DEADLINE_MS, headers, default, now)
+}
+
+/// Reads the remaining time from `field`, or uses `default`.
+pub(crate) fn read_from(
+    field: &str,
+    headers: &HeaderMap,
+    default: Duration,
+    now: Time,
+) -> Deadline {
+    let stated = fields::text(headers, field);
     let stated = stated.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
     Deadline::after(now, stated.unwrap_or(default).min(LONGEST))
 }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -36,9 +36,6 @@
 use super::services::{self, Place};
 use super::worker::Worker;
 
-/// The most servers that one request is sent to.
-const ATTEMPTS: usize = retry::ATTEMPTS as usize;
-
 /// The most servers that one request is sent to when owners refuse because servers have moved.
 const STALE_ATTEMPTS: usize = 6;
 
@@ -60,6 +57,8 @@
     pub(crate) class: Class,
     /// When its response is of no use any more.
     pub(crate) deadline: Deadline,
+    /// The most servers that it is sent to.
+    pub(crate) attempts: usize,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
     /// What tells the request from others.
@@ -232,11 +231,16 @@
     let earn = |budget: &mut RetryBudget| budget.earn(origin);
     worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let mut tried = Vec::new();
+    // The servers that may have begun to run the request.
+    let mut sent = 0;
     loop {
-        let last = tried.len() + 1 >= ATTEMPTS;
+        let last = sent + 1 >= routed.attempts;
         let result = attempt(worker, routed, &mut tried, last).await;
+        if !turned_away(&result) {
+            sent += 1;
+        }
         if !services::has_other(worker, &routed.service, &tried)
-            || !may_retry(worker, routed, &result, tried.len())
+            || !may_retry(worker, routed, &result, sent, tried.len())
         {
             if result.as_ref().map_or(true, failed) {
                 worker.shared.failures().record(id, worker.shared.clock.now());
@@ -266,7 +270,8 @@
     worker: &Worker,
     routed: &Routed,
     result: &Result<Answer, Refusal>,
-    made: usize,
+    sent: usize,
+    asked: usize,
 ) -> bool {
     let now = worker.shared.clock.now();
     if !routed.request.upload.replayable() || deadline::passed(routed.deadline, now) {
@@ -276,8 +281,9 @@
         Ok(answer) if failed(answer) => retry::Outcome::Failed,
         Ok(_) => return false,
         Err(refusal) if !refusal.elsewhere => return false,
-        // A planned drain or stop must not use up the budget and then refuse requests.
-        Err(refusal) if refusal.choice == Choice::Stale => return made < STALE_ATTEMPTS,
+        // What no server was asked adds no work; a planned drain or stop must not use up the budget
+        // and then refuse requests.
+        Err(_) if turned_away(result) => return asked < STALE_ATTEMPTS,
         Err(refusal) => match refusal.outcome {
             Outcome::NotRun => retry::Outcome::NotRun,
             Outcome::Unknown => retry::Outcome::Unknown,
@@ -286,7 +292,8 @@
     let attempt = retry::Attempt {
         class: routed.class,
         outcome,
-        made: u32::try_from(made).unwrap_or(u32::MAX),
+        made: u32::try_from(sent).unwrap_or(u32::MAX),
+        limit: u32::try_from(routed.attempts).unwrap_or(u32::MAX),
         response_started: false,
         deadline: routed.deadline,
     };
@@ -295,6 +302,12 @@
     services.with_budget(&worker.shared, &routed.service, decide) == retry::Decision::Retry
 }
 
+/// Returns whether the owner refused a request before its server was asked.
+fn turned_away(result: &Result<Answer, Refusal>) -> bool {
+    let Err(refusal) = result else { return false };
+    matches!(refusal.choice, Choice::Stale | Choice::Full)
+}
+
 /// Returns whether a server says that it failed.
 fn failed(answer: &Answer) -> bool {
     answer.status.is_server_error() || answer.status == StatusCode::TOO_MANY_REQUESTS
@@ -306,11 +319,13 @@
     headers: &HeaderMap,
     arrived: Time,
 ) -> Result<Arc<Configuration>, Refusal> {
-    let limit = deadline::read(headers, FIRST_CONFIGURATION, arrived).remaining(arrived) / 2;
+    let field = worker.shared.interface.dialect().deadline_ms;
+    let limit = deadline::read_from(field, headers, FIRST_CONFIGURATION, arrived);
+    let limit = limit.remaining(arrived) / 2;
     let limit = limit.min(FIRST_CONFIGURATION);
     loop {
         let configuration = worker.shared.configuration();
-        if configuration.revision() > 0 {
+        if !configuration.is_empty() {
             return Ok(configuration);
         }
         if worker.shared.clock.now().saturating_sub(arrived) >= limit {
@@ -326,22 +341,33 @@
     let host = incoming.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| incoming.uri().authority().map(|authority| authority.as_str()));
     let host = host.map(str::to_string);
-    let Some((entry, prefix, class)) = configuration.route(host.as_deref(), incoming.path()) else {
+    let Some(rule) = configuration.route(host.as_deref(), incoming.path()) else {
         let remedy = "check host and path against the routes of the catalogue";
         return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
     };
     // The deadline counts from the arrival of the request, before the wait for a configuration.
-    let deadline = deadline::read(incoming.headers(), entry.limits.deadline, now);
+    let dialect = worker.shared.interface.dialect();
+    let deadline =
+        deadline::read_from(dialect.deadline_ms, incoming.headers(), rule.timeout, now);
+    let deadline = match rule.limits {
+        Some(_) => deadline,
+        // An operator's timeout binds callers who would wait longer.
+        None => Deadline::after(now, deadline.remaining(now).min(rule.timeout)),
+    };
     let now = worker.shared.clock.now();
     if deadline::passed(deadline, now) {
         return Err(Refusal::not_run("the deadline passed before the request arrived"));
     }
     let caller = incoming.peer_addr().map(|caller| caller.ip());
-    let limiter = &worker.shared.limiter;
-    limiter.take(&entry.service, &entry.limits, prefix, caller, now).map_err(too_many)?;
+    let service = worker.shares.borrow_mut().next(rule);
+    if let Some(limits) = &rule.limits {
+        let limiter = &worker.shared.limiter;
+        limiter.take(&service, limits, &rule.prefix, caller, now).map_err(too_many)?;
+    }
     let length = fields::length(incoming.headers());
+    let payload = incoming.take_payload();
     let upload =
-        intake::upload(entry, incoming.take_payload(), length, deadline.remaining(now)).await?;
+        intake::upload(rule.body_bytes, payload, length, deadline.remaining(now)).await?;
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(incoming.headers());
     if !headers.contains_key(HOST) {
@@ -352,10 +378,16 @@
     if let Some(caller) = caller {
         fields::set(&mut headers, "x-forwarded-for", &caller.to_string());
     }
+    if let (Some(field), Some(service)) =
+        (dialect.origin_service, &worker.shared.settings.origin_service)
+    {
+        fields::set(&mut headers, field, service);
+    }
     let method = incoming.method().clone();
     let request = Request { method, target: target.to_string(), headers, upload };
     let fingerprint = keyed::fingerprint(&request);
-    Ok(Routed { service: entry.service.clone(), class, deadline, request, fingerprint })
+    let (class, attempts) = (rule.class, rule.attempts);
+    Ok(Routed { service, class, deadline, attempts, request, fingerprint })
 }
 
 fn too_many(wait: Duration) -> Refusal {
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -6,8 +6,6 @@
 use ntex::time::timeout_checked;
 use ntex::util::{Bytes, BytesMut};
 
-use arbutuslane_catalogue::entry::Entry;
-
 use crate::cluster::keyed;
 
 use super::client::Upload;
@@ -19,12 +17,11 @@
 /// Holds a small body, so that it can be sent again, and streams any other after the start that the
 /// fingerprint covers.
 pub(super) async fn upload(
-    entry: &Entry,
+    limit: u64,
     mut payload: Payload,
     length: Option<u64>,
     remaining: Duration,
 ) -> Result<Upload, Refusal> {
-    let limit = entry.limits.body_bytes;
     if length.is_some_and(|length| length > limit) {
         return Err(too_large(limit));
     }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -20,12 +20,13 @@
 mod remote;
 mod resume;
 mod services;
+mod shares;
 mod worker;
 
 pub(crate) use admission::Admission;
 pub(crate) use answer::Answer;
-pub(crate) use client::{Echo, Failure, Pool, Request, Upload};
+pub(crate) use client::{Echo, Failure, Pool, Request, Terms, Upload};
 pub(crate) use entry::Routed;
 pub(crate) use limiter::Limiter;
 pub(crate) use refusal::{Choice, Outcome, Refusal};
-pub(crate) use worker::{Worker, new_exchange};
+pub(crate) use worker::Worker;
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -14,6 +14,7 @@
 use arbutuslane_health::peers::Summary;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::gate::{self, Reason};
+use arbutuslane_wire::dialect::{Dialect, Exchange};
 use arbutuslane_wire::header;
 
 use crate::announce::Server;
@@ -22,7 +23,7 @@
 use crate::metrics::count;
 
 use super::answer::Answer;
-use super::client::{Connection, Echo, Failure, Reply, Request, Upload};
+use super::client::{Connection, Echo, Failure, Reply, Request, Terms, Upload};
 use super::refusal::{Choice, Outcome, Refusal};
 use super::relay::{InFlight, Relay};
 use super::worker::{Worker, new_exchange};
@@ -111,6 +112,7 @@
         alone.dispatch();
     }
     let started = clock.now();
+    let dialect = worker.shared.interface.dialect();
     let reply = match send(worker, &server, &work).await {
         Ok(reply) => reply,
         Err(failure) => return Err(failed(worker, &server, &work, failure, running, alone).await),
@@ -120,12 +122,17 @@
     if reply.echoed {
         server.set_echoes();
     }
-    if let Some(refusal) = shed(&reply.headers, reply.status) {
+    if let Some(refusal) = shed(dialect, &reply.headers, reply.status) {
         if let Some(alone) = alone {
             alone.release();
         }
         return Err(refusal);
     }
+    if dialect.statuses_promise && promises(reply.status) {
+        running.finish(false);
+        let error = format!("the server answered {} without saying that it ran nothing", reply.status);
+        return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, error));
+    }
     if let Some(alone) = alone {
         strikes::passed(worker, &server.service, work.fingerprint);
         alone.release();
@@ -235,12 +242,14 @@
     let clock = &worker.shared.clock;
     // A booking never depends on whether an idle connection is still open.
     let keep = work.class != Class::NonIdempotent;
-    let mut idle = if keep && server.echoes() { worker.pool.take(server.address) } else { None };
+    let dialect = worker.shared.interface.dialect();
+    let always_echoes = matches!(dialect.exchange, Exchange::OfCaller(_));
+    let mut idle = if keep && (always_echoes || server.echoes()) { worker.pool.take(server.address) } else { None };
     loop {
         let limit = work.deadline.remaining(clock.now()).min(work.limit);
         let connection = match idle.take() {
             Some(connection) => connection,
-            None => worker.pool.connect(server.address, limit.min(CONNECT)).await?,
+            None => connect(worker, server, limit.min(CONNECT)).await?,
         };
         // Checked after the last wait, so that nothing is dispatched after the lease.
         if !server.open(clock.now()) {
@@ -249,9 +258,16 @@
         let limit = work.deadline.remaining(clock.now()).min(work.limit);
         let reused = connection.reused();
         count_connection(worker, &connection);
-        let echo = if server.echoes() { Echo::Required } else { Echo::Unknown };
-        let request = request_for(work, clock.now());
-        let result = connection.exchange(request, new_exchange(), echo, keep, limit).await;
+        let echoes = always_echoes || server.echoes();
+        let terms = Terms {
+            id: exchange_id(dialect, &work.request.headers),
+            echo: if echoes { Echo::Required } else { Echo::Unknown },
+            keep,
+            ends_with_connection: dialect.ends_with_connection,
+            limit,
+        };
+        let request = request_for(dialect, work, clock.now());
+        let result = connection.exchange(request, terms).await;
         match result {
             Err(Failure::ClosedUnused) if reused => {}
             Err(failure) => {
@@ -278,12 +294,40 @@
     Refusal { choice: Choice::Full, retry_after, ..Refusal::not_run(error) }
 }
 
-fn request_for(work: &Work, now: Time) -> Request {
+fn request_for(dialect: &Dialect, work: &Work, now: Time) -> Request {
     let mut request = work.request.clone();
-    fields::set(&mut request.headers, header::DEADLINE_MS, &deadline::encode(work.deadline, now));
+    fields::set(&mut request.headers, dialect.deadline_ms, &deadline::encode(work.deadline, now));
+    if let Some(field) = dialect.expected_server {
+        fields::set(&mut request.headers, field, &work.server);
+    }
     request
 }
 
+/// Returns the field and value by which the server's response is matched to the request.
+fn exchange_id(dialect: &Dialect, headers: &HeaderMap) -> (&'static str, String) {
+    match dialect.exchange {
+        Exchange::PerHop(field) => (field, format!("{:032x}", new_exchange())),
+        Exchange::OfCaller(field) => {
+            (field, fields::text(headers, field).unwrap_or_default().to_string())
+        }
+    }
+}
+
+/// Opens a connection to a server; a refused one shows that its process is gone.
+async fn connect(
+    worker: &Worker,
+    server: &Server,
+    limit: Duration,
+) -> Result<Connection, Failure> {
+    let result = worker.pool.connect(server.address, limit).await;
+    if let Err(Failure::Connect(error)) = &result
+        && error.kind() == std::io::ErrorKind::ConnectionRefused
+    {
+        server.set_refusing();
+    }
+    result
+}
+
 /// Counts an opened or reused connection.
 pub(crate) fn count_connection(worker: &Worker, connection: &Connection) {
     let metrics = &worker.shared.metrics;
@@ -298,7 +342,7 @@
     let host = fields::text(&request.headers, "host");
     let path = request.target.split('?').next().unwrap_or_default();
     let configuration = worker.shared.configuration();
-    let route = configuration.route(host, path).map_or("", |(_, prefix, _)| prefix);
+    let route = configuration.route(host, path).map_or("", |rule| rule.prefix.as_str());
     let caller = fields::text(&request.headers, "x-forwarded-for").unwrap_or_default();
     (hash::of_bytes(route.as_bytes()), hash::of_bytes(caller.as_bytes()))
 }
@@ -306,10 +350,16 @@
 /// Returns the refusal of a server that says itself that it did not run the request.
 ///
 /// A bare 503 is no proof: a server may fail with it after it began.
-fn shed(headers: &HeaderMap, status: StatusCode) -> Option<Refusal> {
+fn shed(dialect: &Dialect, headers: &HeaderMap, status: StatusCode) -> Option<Refusal> {
+    let stated = fields::text(headers, dialect.not_run.name);
+    let stated = stated.is_some_and(|stated| dialect.not_run.value.is_none_or(|v| v == stated));
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if misdirected && dialect.expected_server.is_some() {
+        return Some(Refusal::stale("another server has this address"));
+    }
     let refused =
         status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
-    if !refused || fields::text(headers, header::OUTCOME) != Some(header::OUTCOME_NOT_RUN) {
+    if !refused || !stated {
         return None;
     }
     let retry_after = fields::text(headers, "retry-after").and_then(|text| text.parse().ok());
@@ -322,6 +372,17 @@
     })
 }
 
+/// Returns whether a status promises callers of some dialects that the request did not run.
+fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns whether `method` may be sent again and resumed.
 pub(crate) fn is_get(method: &Method) -> bool {
     method == Method::GET
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -9,10 +9,10 @@
 use arbutuslane_wire::{header, load, operator};
 
 use super::answer::Answer;
-use super::client::{Echo, Failure, Reply};
+use super::client::{Echo, Failure, Reply, Terms};
 use super::owner::{FORWARD, Work, count_connection};
 use super::refusal::{Choice, Outcome, Refusal};
-use super::worker::{Worker, new_exchange};
+use super::worker::Worker;
 use super::{deadline, fields, services};
 
 /// The longest wait for a connection to an owner.
@@ -97,7 +97,7 @@
             header::DEADLINE_MS,
             &deadline::encode(deadline, clock.now()),
         );
-        let result = connection.exchange(request, new_exchange(), Echo::Required, keep, wait).await;
+        let result = connection.exchange(request, Terms::with_peer(Echo::Required, keep, wait)).await;
         match result {
             Err(Failure::ClosedUnused) if reused => {}
             result => return result,
--- a/crates/arbutuslane_node/src/traffic/worker.rs
+++ b/crates/arbutuslane_node/src/traffic/worker.rs
@@ -13,6 +13,7 @@
 
 use super::client::Pool;
 use super::services::Services;
+use super::shares::Shares;
 
 /// What one traffic thread keeps to itself.
 #[derive(Debug)]
@@ -23,6 +24,8 @@
     pub(crate) pool: Rc<Pool>,
     /// The pickers and retry budgets of this thread.
     pub(crate) services: Rc<RefCell<Services>>,
+    /// The shares of services in weighted routes.
+    pub(crate) shares: RefCell<Shares>,
     /// Tells this thread apart from others as a source of summaries.
     pub(crate) source: u64,
     /// The generator for the choice of servers.
@@ -40,6 +43,7 @@
             shared,
             pool: Pool::new(),
             services: Rc::default(),
+            shares: RefCell::default(),
             source: rand::rng().random(),
             rng: RefCell::new(rng::seeded(seed)),
         })
--- a/crates/arbutuslane_standin/src/backend/announce.rs
+++ b/crates/arbutuslane_standin/src/backend/announce.rs
@@ -39,6 +39,9 @@
             address: address.to_string(),
             slots: state.settings.slots,
             revision: state.revision.load(Ordering::Relaxed),
+            sequence: 0,
+            draining: false,
+            warming_ms: None,
         };
         let Some(lease) = announce(&client, nodes[node], &announcement).await else {
             node = (node + 1) % nodes.len();
--- a/crates/arbutuslane_wire/src/announce.rs
+++ b/crates/arbutuslane_wire/src/announce.rs
@@ -19,6 +19,16 @@
     /// The highest catalogue revision that any node told this server; 0 at first.
     #[serde(default)]
     pub revision: u64,
+    /// Raised with each announcement of an incarnation, so that a late one is told from the newest;
+    /// 0 where the server does not count them.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Whether the server takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+    /// Milliseconds for which the server is still slow after its start, where it says so.
+    #[serde(default)]
+    pub warming_ms: Option<u64>,
 }
 
 /// The answer to an accepted announcement.
--- a/crates/arbutuslane_wire/src/lib.rs
+++ b/crates/arbutuslane_wire/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod announce;
 pub mod codec;
+pub mod dialect;
 pub mod header;
 pub mod load;
 pub mod operator;
@@ -21,6 +22,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::dialect::Dialect;
     pub use crate::load::Report;
     pub use crate::{announce, codec, header, load, operator, peer, status};
 }
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -44,6 +44,23 @@
         /// The shards whose groups the node votes in, with their epochs.
         votes: Vec<(u32, u64)>,
     },
+    /// Asks for the catalogue items in which the receiver's table differs from the sender's.
+    SyncItems {
+        /// The hashes of the parts of the sender's table.
+        buckets: Vec<u64>,
+        /// Whether items are wanted that are not known to be accepted.
+        unaccepted: bool,
+    },
+    /// Asks a control instance to hold catalogue items on its disk.
+    StoreItems {
+        /// The items, encoded.
+        items: Vec<u8>,
+    },
+    /// Tells of catalogue items that are accepted.
+    AcceptedItems {
+        /// The items, encoded.
+        items: Vec<u8>,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -61,4 +78,22 @@
     Register(register::Answer),
     /// Received.
     Done,
+    /// To [`Message::SyncItems`].
+    Items {
+        /// The answering instance or node.
+        instance: String,
+        /// Whether it holds everything that was accepted before it started; nodes never say so.
+        complete: bool,
+        /// The items that differ, encoded.
+        items: Vec<u8>,
+        /// Those of them that are known to be accepted, encoded.
+        accepted: Vec<u8>,
+    },
+    /// To [`Message::StoreItems`]: the items, or newer versions, are on the receiver's disk.
+    Stored {
+        /// The answering instance.
+        instance: String,
+        /// Accepted items that contradict those that were sent, encoded.
+        contradicting: Vec<u8>,
+    },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub use arbutuslane_core as core;
 pub use arbutuslane_event as event;
 pub use arbutuslane_health as health;
+pub use arbutuslane_item as item;
 pub use arbutuslane_limit as limit;
 pub use arbutuslane_member as member;
 pub use arbutuslane_node as node;
