Try suspects last: two failures in a row at the owner make a server one

Cause: at any time three servers in ten fail 85% of their requests for about 8 s while their health is good; entries kept sending them work, and a failed call failed its parent.

Ruled out: ejection with permits. Its register groups need the catalogue's log, and its evidence needs about 130 requests; a bout lasts 25 to 60.

--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod detector;
 pub mod ejection;
 pub mod peers;
+pub mod streak;
 pub mod summarizer;
 pub mod summary;
 
@@ -39,5 +40,6 @@
 pub mod prelude {
     pub use crate::detector::{Detector, Kind, Observation, Start, Suspicion};
     pub use crate::ejection::{Ejection, Input, Stage};
+    pub use crate::streak::Streak;
     pub use crate::peers::{Baseline, Peers, Summarizer, Summary};
 }
--- /dev/null
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -0,0 +1,82 @@
+//! Tells within a few requests that a server has begun to fail, and that it is well again.
+//!
+//! [`Detector`](crate::detector::Detector) weighs the evidence against peers and leads to an
+//! ejection, which needs a permit. A [`Streak`] only changes the order in which servers are
+//! preferred: work goes to a suspect when no other server takes it, so no capacity is lost and no
+//! floor can be crossed.
+
+use std::time::Duration;
+
+use arbutuslane_core::time::Time;
+
+/// The evidence of one failure: the logarithm of how much likelier a server that fails 85% of its
+/// requests fails one than a server that fails 8%.
+const FAILURE: f64 = 2.36;
+
+/// The evidence of one success, likewise.
+const SUCCESS: f64 = -1.81;
+
+/// The evidence at which a server becomes a suspect: two failures in a row.
+const SUSPECT: f64 = 4.0;
+
+/// The evidence at which it is none any more: two successes in a row.
+const TRUSTED: f64 = 1.5;
+
+/// The most evidence that is kept, so that a long outage is not held against a server that is well.
+const MOST: f64 = 5.0;
+
+/// The time between two requests that try a suspect.
+const TRIAL: Duration = Duration::from_millis(800);
+
+/// The recent successes and failures of one server.
+#[derive(Debug, Clone, Default)]
+pub struct Streak {
+    evidence: f64,
+    suspect: bool,
+    tried: Option<Time>,
+}
+
+/// What an outcome changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The server has become a suspect.
+    Suspected,
+    /// The server is trusted again.
+    Trusted,
+}
+
+impl Streak {
+    /// Takes in the outcome of one request.
+    pub fn observe(&mut self, success: bool) -> Option<Change> {
+        let evidence = if success { SUCCESS } else { FAILURE };
+        self.evidence = (self.evidence + evidence).clamp(0.0, MOST);
+        if !self.suspect && self.evidence >= SUSPECT {
+            self.suspect = true;
+            return Some(Change::Suspected);
+        }
+        if self.suspect && self.evidence <= TRUSTED {
+            self.suspect = false;
+            return Some(Change::Trusted);
+        }
+        None
+    }
+
+    /// Returns whether the server should get work only where no other takes it.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
+    /// Returns whether a request that may be repeated should try a suspect now, and counts it.
+    pub fn try_now(&mut self, now: Time) -> bool {
+        if self.tried.is_some_and(|tried| now < tried + TRIAL) {
+            return false;
+        }
+        self.tried = Some(now);
+        true
+    }
+
+    /// Returns the evidence against the server.
+    pub fn evidence(&self) -> f64 {
+        self.evidence
+    }
+}
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -11,10 +11,20 @@
 use arbutuslane_health::detector::{Detector, Observation, Start, Suspicion};
 use arbutuslane_health::ejection::{Input, Permission, Stage, TrialResult};
 use arbutuslane_health::peers::{Baseline, Summary};
+use arbutuslane_health::streak::{Change, Streak};
 
 /// The time in which a server that announced itself takes a rising share of its load.
 const COLD_RAMP: Duration = Duration::from_secs(5);
 
+/// A request that is given up counts as failed when it had run for this many times the mean latency.
+const HANGS: u32 = 4;
+
+/// The shortest time after which a request that is given up may count as failed.
+const SHORTEST_HANG: Duration = Duration::from_millis(400);
+
+/// The weight of the newest latency in the mean is one in this many.
+const SMOOTHING: u32 = 8;
+
 /// The health of one backend server.
 #[derive(Debug)]
 pub(crate) struct Condition {
@@ -37,6 +47,9 @@
     detector: Detector,
     baseline: Baseline,
     stage: Stage,
+    streak: Streak,
+    /// The mean latency of successful requests by class.
+    latency: [Option<Duration>; 3],
     next: u64,
 }
 
@@ -47,7 +60,7 @@
         let mut detector = Detector::new(Preference::FewFalseEjections);
         detector.set_warming(true);
         let stage = Stage::cold(now, COLD_RAMP);
-        let state = State { detector, baseline: Baseline::default(), stage, next: 0 };
+        let state = State { detector, baseline: Baseline::default(), stage, streak: Streak::default(), latency: [None; 3], next: 0 };
         Arc::new(Self { clock, state: Mutex::new(state) })
     }
 
@@ -108,6 +121,19 @@
         }
     }
 
+    /// Returns whether the server should take a request of `class` that other servers may take, and
+    /// counts the request as a trial when the server is a suspect.
+    pub(crate) fn prefers(&self, class: Class) -> bool {
+        let now = self.clock.now();
+        let streak = &mut self.lock().streak;
+        !streak.is_suspect() || (class != Class::NonIdempotent && streak.try_now(now))
+    }
+
+    /// Returns whether the server fails most requests.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.lock().streak.is_suspect()
+    }
+
     /// Returns whether the server is ejected, and the share of its load that it takes in percent.
     pub(crate) fn view(&self) -> (bool, u32) {
         let now = self.clock.now();
@@ -126,6 +152,8 @@
         self.finished = true;
         let now = self.condition.clock.now();
         let mut state = self.condition.lock();
+        let taken = now.saturating_sub(self.start.at);
+        state.judge(self.start.class, success.then_some(taken));
         let State { detector, baseline, stage, .. } = &mut *state;
         detector.finished(self.id, now, success, baseline);
         if !self.trial {
@@ -141,11 +169,24 @@
         *stage = stage.step(Input::Tried(result), now);
     }
 
+    /// Takes in a failure that says nothing about the server, such as that of a request that needed
+    /// another one.
+    pub(crate) fn excuse(&mut self) {
+        self.finished = true;
+        let mut state = self.condition.lock();
+        state.detector.cancelled(self.id);
+        if self.trial {
+            let now = self.condition.clock.now();
+            state.stage = state.stage.step(Input::Tried(TrialResult::Cancelled), now);
+        }
+    }
+
     /// Takes in that the body broke off after a response head that looked well.
     pub(crate) fn broke(&self) {
         let latency = self.condition.clock.now().saturating_sub(self.start.at);
         let observation = Observation { start: self.start, success: false, latency };
         let mut state = self.condition.lock();
+        state.judge(self.start.class, None);
         let State { detector, baseline, .. } = &mut *state;
         detector.observe(&observation, baseline);
     }
@@ -159,12 +200,39 @@
         let now = self.condition.clock.now();
         let mut state = self.condition.lock();
         state.detector.cancelled(self.id);
+        let usual = state.latency[index(self.start.class)].unwrap_or_default() * HANGS;
+        if now.saturating_sub(self.start.at) > usual.max(SHORTEST_HANG) {
+            state.judge(self.start.class, None);
+        }
         if self.trial {
             state.stage = state.stage.step(Input::Tried(TrialResult::Cancelled), now);
         }
     }
 }
 
+impl State {
+    /// Takes in a success with its latency, or a failure.
+    fn judge(&mut self, class: Class, success: Option<Duration>) {
+        if let Some(taken) = success {
+            let mean = &mut self.latency[index(class)];
+            *mean = Some(mean.map_or(taken, |mean| (mean * (SMOOTHING - 1) + taken) / SMOOTHING));
+        }
+        let change = self.streak.observe(success.is_some());
+        if let Some(change) = change {
+            let (suspect, evidence) = (change == Change::Suspected, self.streak.evidence());
+            tracing::info!(event = "server-judged", suspect, evidence);
+        }
+    }
+}
+
+fn index(class: Class) -> usize {
+    match class {
+        Class::NonIdempotent => 0,
+        Class::Idempotent => 1,
+        Class::Download => 2,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -25,6 +25,9 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
+/// How often a stopping node looks whether requests are in flight.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// What is logged by default: the server library reports every start of a thread.
 const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
 
@@ -116,9 +119,15 @@
         }
     }
     shared.stop();
+    let stopping = shared.clock.now();
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
-    sleep(LINGER.min(Duration::from_millis(shared.settings.stop_ms * 3 / 5))).await;
+    let limit = Duration::from_millis(shared.settings.stop_ms);
+    sleep(LINGER.min(limit * 3 / 5)).await;
+    // The server library breaks off requests that still run when it stops.
+    while in_flight() > 0 && shared.clock.now().saturating_sub(stopping) < limit {
+        sleep(LOOK).await;
+    }
     server.stop(true).await;
     // What is still in flight after the workers have ended was cut by the time limit of the stop.
     shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of a node share.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,6 +15,7 @@
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_item::prelude::Item;
 use arbutuslane_limit::bucket::Bucket;
+use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::resend::Failures;
 
 use crate::announce::Table;
@@ -34,6 +36,13 @@
 /// The events that a node keeps for `/v1/events`.
 const EVENTS: usize = 4_096;
 
+/// The part of the fleet's retry budget that nodes spend; the rest covers what they cannot see:
+/// repeats of calls by requests that are themselves repeated.
+const BUDGET_USED: f64 = 0.6;
+
+/// The requests with failed calls that a node remembers; a server runs a few at a time.
+const FAILED_CALLS: usize = 128;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Remote {
@@ -76,6 +85,8 @@
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
     failures: Mutex<Failures>,
+    /// The running requests whose calls failed, the newest last.
+    failed_calls: Mutex<VecDeque<String>>,
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
@@ -109,6 +120,7 @@
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES, SUMMARY_BURST, clock.now())),
             failures: Mutex::default(),
+            failed_calls: Mutex::default(),
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -192,6 +204,18 @@
         }
     }
 
+    /// Returns the budget of one service at this node.
+    ///
+    /// The share of first requests holds wherever they arrive. What the fleet may repeat beyond it is
+    /// divided among the nodes, each of which may save up one retry at least.
+    pub(crate) fn retry_budget(&self) -> RetryBudget {
+        let Some(budget) = self.settings.retry_budget else { return RetryBudget::default() };
+        let nodes = self.cluster.member().gossip.table().members().count().max(1);
+        let percent = (budget.ratio * BUDGET_USED * 100.0) as u32;
+        let each = f64::from(budget.slack) * BUDGET_USED / nodes as f64;
+        RetryBudget::new(percent, 1, (each as u32).max(1))
+    }
+
     /// Returns the secret that processes of the fleet share.
     pub(crate) fn token(&self) -> Arc<String> {
         Arc::clone(&self.token.read().unwrap_or_else(PoisonError::into_inner))
@@ -224,6 +248,21 @@
         self.summaries.lock().unwrap_or_else(PoisonError::into_inner).take_above(kept, now)
     }
 
+    /// Notes that a call of the running request `id` failed.
+    pub(crate) fn note_failed_call(&self, id: &str) {
+        let mut calls = self.failed_calls.lock().unwrap_or_else(PoisonError::into_inner);
+        if calls.len() >= FAILED_CALLS {
+            calls.pop_front();
+        }
+        calls.push_back(id.to_string());
+    }
+
+    /// Returns whether a call of the request `id` failed.
+    pub(crate) fn call_failed(&self, id: &str) -> bool {
+        let calls = self.failed_calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.iter().any(|known| known == id)
+    }
+
     /// Locks the requests that failed lately.
     pub(crate) fn failures(&self) -> MutexGuard<'_, Failures> {
         self.failures.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -59,6 +59,8 @@
     pub(crate) deadline: Deadline,
     /// The most servers that it is sent to.
     pub(crate) attempts: usize,
+    /// Whether a backend server sent it while it ran another request.
+    pub(crate) is_call: bool,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
     /// What tells the request from others.
@@ -75,7 +77,10 @@
     // A truncated body resets its stream of HTTP/2, and breaks the connection of HTTP/1.1.
     let io = incoming.io().filter(|_| !http2).cloned();
     let began = worker.shared.clock.now();
+    let dialect = worker.shared.interface.dialect();
+    let id = owner::request_id(dialect, incoming.headers()).to_string();
     let result = run(&worker, &mut incoming).await;
+    note_call(&worker, &id, &result);
     let metrics = &worker.shared.metrics;
     let (routed, answer, tried) = match result {
         Ok(Done::Relayed(relayed)) => *relayed,
@@ -106,6 +111,20 @@
     Relay::respond(&worker.shared, answer, io, in_flight, Some(limit))
 }
 
+/// Notes that a call of a request that a server beside this node runs has failed: the request will
+/// fail for it, which says nothing about that server.
+fn note_call(worker: &Worker, id: &str, result: &Result<Done, Refusal>) {
+    let Some(parent) = worker.shared.interface.dialect().parent(id) else { return };
+    let failed = match result {
+        Ok(Done::Relayed(relayed)) => failed(&relayed.1),
+        Ok(Done::Whole(_)) => false,
+        Err(_) => true,
+    };
+    if failed {
+        worker.shared.note_failed_call(parent);
+    }
+}
+
 /// Tells the caller of a stopping node to use another connection, which leads to another node.
 fn closing(worker: &Worker, mut response: Response) -> Response {
     if worker.shared.stopping() {
@@ -114,12 +133,23 @@
     response
 }
 
+/// How an attempt is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Effort {
+    /// Another attempt may follow.
+    Ordinary,
+    /// No other attempt follows.
+    Last,
+    /// No other attempt follows, and a suspect must take the request.
+    Insist,
+}
+
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
 pub(crate) async fn attempt(
     worker: &Worker,
     routed: &Routed,
     tried: &mut Vec<ServerId>,
-    last: bool,
+    effort: Effort,
 ) -> Result<Answer, Refusal> {
     let service = &routed.service;
     let chosen = services::choose(worker, service, routed.class, tried);
@@ -131,7 +161,7 @@
     tried.push(server.clone());
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     // Leaves time for another server when this one or its connection is silent.
-    let may_change = routed.class != Class::NonIdempotent && !last;
+    let may_change = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
     let alternatives = may_change && services::has_other(worker, service, tried);
     let limit = if alternatives { remaining / 2 } else { remaining };
     let work = Work {
@@ -143,6 +173,7 @@
         },
         class: routed.class,
         trial: choice.trial,
+        insist: effort == Effort::Insist,
         summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         limit,
@@ -166,12 +197,12 @@
             // A server that refuses or fails quickly must not look idle for it. What did not run
             // is no failure, and would hide real ones from the comparison with peers.
             match refusal.choice {
-                Choice::Stale => {}
+                Choice::Stale | Choice::Suspect => {}
                 Choice::Full | Choice::Shed => ongoing.refuse(),
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => ongoing.note(worker.shared.clock.now().saturating_sub(began), false),
             }
-            if matches!(refusal.choice, Choice::Stale | Choice::Shed) {
+            if matches!(refusal.choice, Choice::Stale | Choice::Shed | Choice::Suspect) {
                 services::avoid(worker, service, &server);
             }
             return Err(refusal);
@@ -228,17 +259,28 @@
 async fn run_routed(worker: &Worker, routed: &Routed) -> (Result<Answer, Refusal>, Vec<ServerId>) {
     let id = resend_id(routed);
     let origin = worker.shared.failures().origin(id, worker.shared.clock.now());
-    let earn = |budget: &mut RetryBudget| budget.earn(origin);
+    // A call belongs to a request that was counted; its repeats count like any others.
+    let earn = |budget: &mut RetryBudget| {
+        if !routed.is_call {
+            budget.earn(origin);
+        }
+    };
     worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let mut tried = Vec::new();
     // The servers that may have begun to run the request.
     let mut sent = 0;
     loop {
         let last = sent + 1 >= routed.attempts;
-        let result = attempt(worker, routed, &mut tried, last).await;
+        let effort = if last { Effort::Last } else { Effort::Ordinary };
+        let mut result = attempt(worker, routed, &mut tried, effort).await;
         if !turned_away(&result) {
             sent += 1;
         }
+        let exhausted = tried.len() >= STALE_ATTEMPTS
+            || !services::has_other(worker, &routed.service, &tried);
+        if exhausted && is_suspect(&result) {
+            result = attempt(worker, routed, &mut Vec::new(), Effort::Insist).await;
+        }
         if !services::has_other(worker, &routed.service, &tried)
             || !may_retry(worker, routed, &result, sent, tried.len())
         {
@@ -305,7 +347,11 @@
 /// Returns whether the owner refused a request before its server was asked.
 fn turned_away(result: &Result<Answer, Refusal>) -> bool {
     let Err(refusal) = result else { return false };
-    matches!(refusal.choice, Choice::Stale | Choice::Full)
+    matches!(refusal.choice, Choice::Stale | Choice::Full | Choice::Suspect)
+}
+
+fn is_suspect(result: &Result<Answer, Refusal>) -> bool {
+    result.as_ref().is_err_and(|refusal| refusal.choice == Choice::Suspect)
 }
 
 /// Returns whether a server says that it failed.
@@ -387,7 +433,8 @@
     let request = Request { method, target: target.to_string(), headers, upload };
     let fingerprint = keyed::fingerprint(&request);
     let (class, attempts) = (rule.class, rule.attempts);
-    Ok(Routed { service, class, deadline, attempts, request, fingerprint })
+    let is_call = dialect.parent(owner::request_id(dialect, &request.headers)).is_some();
+    Ok(Routed { service, class, deadline, attempts, is_call, request, fingerprint })
 }
 
 fn too_many(wait: Duration) -> Refusal {
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -1,4 +1,4 @@
-//! The three listeners of a node and what runs on the connections that they accept.
+//! The listeners of a node and what runs on the connections that they accept.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -69,12 +69,16 @@
         .backlog(BACKLOG)
         .disable_signals()
         .shutdown_timeout(stop);
-    for (purpose, address) in [
-        (Purpose::Callers, settings.callers),
-        (Purpose::Peers, settings.peers),
-        (Purpose::Admin, settings.admin),
-    ] {
-        builder = listen(builder, shared, purpose, address)?;
+    let mut listeners = vec![
+        ("callers", Purpose::Callers, settings.callers),
+        ("peers", Purpose::Peers, settings.peers),
+        ("admin", Purpose::Admin, settings.admin),
+    ];
+    if let Some(address) = settings.readiness {
+        listeners.push(("readiness", Purpose::Admin, address));
+    }
+    for (name, purpose, address) in listeners {
+        builder = listen(builder, shared, name, purpose, address)?;
     }
     Ok(builder.run())
 }
@@ -82,10 +86,10 @@
 fn listen(
     builder: ServerBuilder,
     shared: &Arc<Shared>,
+    name: &str,
     purpose: Purpose,
     address: SocketAddr,
 ) -> std::io::Result<ServerBuilder> {
-    let name = format!("{purpose:?}");
     let listener = create_tcp_listener(address, BACKLOG)
         .map_err(|error| std::io::Error::new(error.kind(), format!("{name} {address}: {error}")))?;
     let shared = Arc::clone(shared);
@@ -98,7 +102,7 @@
         4 << 10,
         32,
     );
-    let builder = builder.listen(&name, listener, async move |_| {
+    let builder = builder.listen(name, listener, async move |_| {
         let worker = worker(&shared);
         let service = fn_service(async move |request: Request| {
             Ok::<_, std::io::Error>(serve(Rc::clone(&worker), purpose, request).await)
@@ -108,7 +112,7 @@
         let http2 = HttpService::h2(service);
         Protocols { http1, http2, accepts_http2: purpose == Purpose::Callers }
     })?;
-    Ok(builder.config(&name, SharedCfg::new("incoming").add(http).add(io)))
+    Ok(builder.config(name, SharedCfg::new("incoming").add(http).add(io)))
 }
 
 fn worker(shared: &Arc<Shared>) -> Rc<Worker> {
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -48,6 +48,8 @@
     pub(crate) class: Class,
     /// Whether an ejected server may run the request as a trial.
     pub(crate) trial: bool,
+    /// Whether a suspect must take the request, because no other server does.
+    pub(crate) insist: bool,
     /// How the server's peers perform, with the entry thread that saw it.
     pub(crate) summary: Option<(u64, Summary)>,
     /// When the response is of no use any more.
@@ -94,9 +96,16 @@
     let clock = &worker.shared.clock;
     let server = find(worker, &work)?;
     strikes::check(worker, work.fingerprint)?;
+    let was_suspect = server.condition.is_suspect();
+    if !work.insist && !server.condition.prefers(work.class) {
+        return Err(Refusal::suspect());
+    }
     let limit = work.deadline.remaining(clock.now()).min(work.limit);
     let until = Deadline::after(clock.now(), limit);
     let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
+    if !work.insist && !was_suspect && server.condition.is_suspect() {
+        return Err(Refusal::suspect());
+    }
     // Decided after the queue, in which the request may have been struck.
     let remaining = until.remaining(clock.now());
     let mut alone = strikes::admit(worker, &server.service, work.fingerprint, remaining).await?;
@@ -119,6 +128,13 @@
     };
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
+    tracing::info!(
+        event = "dispatched",
+        request = request_id(dialect, &work.request.headers),
+        server = server.id,
+        status = reply.status.as_u16(),
+        took_ms = millis(took)
+    );
     if reply.echoed {
         server.set_echoes();
     }
@@ -137,7 +153,11 @@
         strikes::passed(worker, &server.service, work.fingerprint);
         alone.release();
     }
-    running.finish(!reply.status.is_server_error());
+    let id = request_id(dialect, &work.request.headers);
+    match reply.status.is_server_error() && worker.shared.call_failed(id) {
+        true => running.excuse(),
+        false => running.finish(!reply.status.is_server_error()),
+    }
     Ok(Answer { took, ..Answer::new(reply, &work.request.method, Some((permit, running))) })
 }
 
@@ -206,6 +226,7 @@
     let request = Request { method, target, headers, upload };
     let limit = deadline.remaining(now);
     let trial = incoming.headers().contains_key(header::TRIAL);
+    let insist = incoming.headers().contains_key(header::INSIST);
     let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
     let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
     let fingerprint = fingerprint.unwrap_or_default();
@@ -216,6 +237,7 @@
         incarnation,
         class,
         trial,
+        insist,
         summary,
         deadline,
         limit,
@@ -303,6 +325,19 @@
     request
 }
 
+/// Returns the id that the caller gave its request, or an empty one.
+pub(crate) fn request_id<'a>(dialect: &Dialect, headers: &'a HeaderMap) -> &'a str {
+    let field = match dialect.exchange {
+        Exchange::OfCaller(field) => field,
+        Exchange::PerHop(_) => header::IDEMPOTENCY_KEY,
+    };
+    fields::text(headers, field).unwrap_or_default()
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the field and value by which the server's response is matched to the request.
 fn exchange_id(dialect: &Dialect, headers: &HeaderMap) -> (&'static str, String) {
     match dialect.exchange {
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -37,6 +37,8 @@
     Shed,
     /// The owner's queue for the server cannot take the request.
     Full,
+    /// The server fails most requests; it takes the request when no other server does.
+    Suspect,
     /// No other server may be tried: the request has crashed one.
     Final,
 }
@@ -69,6 +71,11 @@
         Self { choice: Choice::Stale, ..Self::not_run(error) }
     }
 
+    /// Returns a refusal of a request that a server that does not fail should run.
+    pub(crate) fn suspect() -> Self {
+        Self { choice: Choice::Suspect, ..Self::not_run("the server fails most requests") }
+    }
+
     /// Returns a refusal of a request that did not run and that no server would run.
     pub(crate) fn rejected(status: StatusCode, error: &str, remedy: &'static str) -> Self {
         Self {
@@ -101,7 +108,8 @@
             return Self::stale(failure.to_string());
         }
         if !failure.sent() {
-            return Self::not_run(failure.to_string());
+            // No server was asked, so another attempt adds no work.
+            return Self::stale(failure.to_string());
         }
         match failure {
             Failure::Deadline | Failure::Stalled => {
@@ -142,6 +150,9 @@
             Choice::Full => {
                 builder.header(header::REFUSAL, header::REFUSAL_FULL);
             }
+            Choice::Suspect => {
+                builder.header(header::REFUSAL, header::REFUSAL_SUSPECT);
+            }
             Choice::Final => {
                 builder.header(header::REFUSAL, header::REFUSAL_FINAL);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -59,7 +59,7 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, .. } =
+    let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, insist, .. } =
         work;
     let fingerprint = format!("{:016x}", work.fingerprint);
     fields::set(&mut request.headers, header::FINGERPRINT, &fingerprint);
@@ -77,6 +77,9 @@
         fields::set(&mut request.headers, header::BASELINE, &summary.encode());
         fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
     }
+    if insist {
+        fields::set(&mut request.headers, header::INSIST, "1");
+    }
     if trial {
         fields::set(&mut request.headers, header::TRIAL, "1");
     }
@@ -111,6 +114,7 @@
         Some(header::REFUSAL_STALE) => Choice::Stale,
         Some(header::REFUSAL_SHED) => Choice::Shed,
         Some(header::REFUSAL_FULL) => Choice::Full,
+        Some(header::REFUSAL_SUSPECT) => Choice::Suspect,
         Some(header::REFUSAL_FINAL) => Choice::Final,
         _ => Choice::Sound,
     };
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -16,7 +16,7 @@
 
 use super::answer::{Answer, Stream};
 use super::client::Failure;
-use super::entry::{self, Routed};
+use super::entry::{self, Effort, Routed};
 use super::fields;
 use super::relay::Source;
 use super::worker::Worker;
@@ -97,7 +97,7 @@
         let (tag, length, received) = (self.tag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.next = Some(Box::pin(async move {
-            let answer = entry::attempt(&worker, &routed, &mut tried, true).await.ok()?;
+            let answer = entry::attempt(&worker, &routed, &mut tried, Effort::Last).await.ok()?;
             continues(&answer, &tag, received, length).then_some((answer.body, tried))
         }));
     }
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -110,7 +110,7 @@
             Err(index) => {
                 let fresh = Service {
                     picker: Picker::new(shared.settings.domain.clone()),
-                    budget: RetryBudget::default(),
+                    budget: shared.retry_budget(),
                     summarizer: Summarizer::default(),
                     next: 0,
                     avoided: Vec::new(),
--- a/crates/arbutuslane_wire/src/dialect.rs
+++ b/crates/arbutuslane_wire/src/dialect.rs
@@ -11,6 +11,9 @@
     pub deadline_ms: &'static str,
     /// How a response is matched to its request.
     pub exchange: Exchange,
+    /// Separates the id of a running request from the rest of the id of a call that its server makes
+    /// through the fleet, where such ids tell the two apart.
+    pub call_separator: Option<char>,
     /// Names the backend server that is to run a request; any other refuses it as not run.
     pub expected_server: Option<&'static str>,
     /// Names the service on whose machine a request began.
@@ -43,10 +46,16 @@
 }
 
 impl Dialect {
+    /// Returns the id of the running request that the request `id` is a call of.
+    pub fn parent<'a>(&self, id: &'a str) -> Option<&'a str> {
+        id.rsplit_once(self.call_separator?).map(|(parent, _)| parent)
+    }
+
     /// The fleet's own names.
     pub const NATIVE: Self = Self {
         deadline_ms: header::DEADLINE_MS,
         exchange: Exchange::PerHop(header::EXCHANGE),
+        call_separator: None,
         expected_server: None,
         origin_service: None,
         not_run: NotRun { name: header::OUTCOME, value: Some(header::OUTCOME_NOT_RUN) },
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -60,6 +60,12 @@
 /// The owner's queue for the backend server cannot take the request.
 pub const REFUSAL_FULL: &str = "full";
 
+/// The backend server fails most requests, and the entry may try another one first.
+pub const REFUSAL_SUSPECT: &str = "suspect";
+
+/// Marks a request that a suspect must take, because no other server does.
+pub const INSIST: &str = "arbutuslane-insist";
+
 /// Tells apart the sources of baselines (16 hexadecimal digits), on requests to an owner.
 pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
 
