--- a/crates/arbutuslane_balance/src/estimate.rs
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -75,9 +75,9 @@
     }
 
     /// Returns the expected work per effective slot.
-    pub(crate) fn utilization(&self, slots: u32, weights: &Weights, now: Time) -> f64 {
+    pub(crate) fn utilization(&self, slots: u32, mean: f64, weights: &Weights, now: Time) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
-        let kept = (-age / weights.report_half_life.max(1e-6)).exp2();
+        let kept = (-age / (weights.report_half_life * mean).max(1e-6)).exp2();
         let ramp = f64::from(self.ramp_percent) / 100.0;
         let work = f64::from(self.own_in_flight) + self.reported_others * kept;
         let refused = self.refused_at.map_or(0.0, |at| {
@@ -98,6 +98,6 @@
         let latency = if self.latency == 0.0 { 1.0 } else { self.latency / mean };
         let latency = latency.clamp(1.0 / weights.latency_limit, weights.latency_limit);
         let success = self.success.max(weights.success_floor);
-        (self.utilization(slots, weights, now) + share) * latency / success
+        (self.utilization(slots, mean, weights, now) + share) * latency / success
     }
 }
--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -39,8 +39,8 @@
     pub latency_limit: f64,
     /// The success rate below which a server's score rises no further.
     pub success_floor: f64,
-    /// The seconds in which reports of other entries' work lose half their weight: a report says
-    /// little about the load after the requests that it counted have finished.
+    /// The share of the mean latency in which reports of other entries' work lose half their weight:
+    /// a report says little about the load after the requests that it counted have finished.
     pub report_half_life: f64,
     /// A server of another domain is chosen over one with room in the own domain only when its
     /// score is lower by this factor.
@@ -52,7 +52,7 @@
         Self {
             latency_limit: 1.2,
             success_floor: 0.25,
-            report_half_life: 0.02,
+            report_half_life: 1.0,
             remote_penalty: 2.0,
         }
     }
@@ -66,6 +66,8 @@
     peers: Vec<Peer>,
     unreachable: Vec<Backoff>,
     latency: f64,
+    /// The responses that the mean latency counts.
+    answers: u32,
     eligible: Vec<usize>,
 }
 
@@ -87,6 +89,9 @@
 /// The share of requests (non-idempotent ones excepted) that is offered to ejected servers, one in this many.
 const TRIAL_ONE_IN: u32 = 100;
 
+/// The responses over which the mean latency of the service is taken.
+const LATENCY_ANSWERS: u32 = 100;
+
 /// The first back-off of an owner that could not be reached; it doubles up to `BACKOFF_MAX`.
 const BACKOFF_FIRST: Duration = Duration::from_millis(200);
 
@@ -108,6 +113,7 @@
             peers: Vec::new(),
             unreachable: Vec::new(),
             latency: 0.02,
+            answers: 0,
             eligible: Vec::new(),
         }
     }
@@ -179,7 +185,7 @@
             (Some(near), Some(far)) => {
                 let peer = &self.peers[near.0];
                 let has_room =
-                    peer.estimate.utilization(peer.candidate.slots, &self.weights, now) < 1.0;
+                    peer.estimate.utilization(peer.candidate.slots, self.latency, &self.weights, now) < 1.0;
                 let penalty = if has_room { self.weights.remote_penalty } else { 1.0 };
                 if near.1 <= far.1 * penalty { near.0 } else { far.0 }
             }
@@ -214,7 +220,10 @@
         let Some(latency) = latency else { return };
         estimate.observe(Some(latency), success, now);
         if success {
-            self.latency += 0.01 * (latency.as_secs_f64() - self.latency);
+            // The mean of all at first, so that a few requests show the scale of the service.
+            self.answers = (self.answers + 1).min(LATENCY_ANSWERS);
+            let weight = 1.0 / f64::from(self.answers);
+            self.latency += weight * (latency.as_secs_f64() - self.latency);
         }
         if !self.unreachable.is_empty() {
             let owner = self.peers[place].candidate.owner.clone();
--- a/crates/arbutuslane_health/src/streak.rs
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -10,23 +10,24 @@
 use arbutuslane_core::time::Time;
 
 /// The evidence of one failure: the logarithm of how much likelier a server that fails 85% of its
-/// requests fails one than a server that fails 8%.
-const FAILURE: f64 = 2.36;
+/// requests fails one than a server that fails 2%.
+const FAILURE: f64 = 3.75;
 
 /// The evidence of one success, likewise.
-const SUCCESS: f64 = -1.81;
+const SUCCESS: f64 = -1.88;
 
-/// The evidence at which a server becomes a suspect: two failures in a row.
-const SUSPECT: f64 = 4.0;
+/// The evidence at which a server becomes a suspect: one failure. Most failures of requests that
+/// need no others come from servers that fail most requests.
+const SUSPECT: f64 = 3.0;
 
-/// The evidence at which it is none any more: two successes in a row.
-const TRUSTED: f64 = 1.5;
+/// The evidence at which it is none any more: one success after a single failure, two after several.
+const TRUSTED: f64 = 2.0;
 
 /// The most evidence that is kept, so that a long outage is not held against a server that is well.
 const MOST: f64 = 5.0;
 
 /// The time between two requests that try a suspect.
-const TRIAL: Duration = Duration::from_millis(800);
+const TRIAL: Duration = Duration::from_millis(1_200);
 
 /// The recent successes and failures of one server.
 #[derive(Debug, Clone, Default)]
--- a/crates/arbutuslane_limit/src/budget.rs
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -70,6 +70,11 @@
         allowed
     }
 
+    /// Returns whether a retry or hedge would be allowed.
+    pub fn is_available(&self) -> bool {
+        self.credit >= COST
+    }
+
     /// Returns a retry that was not sent after all.
     pub fn refund(&mut self) {
         self.credit = self.credit.saturating_add(COST).min(self.cap);
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(next.start.len(), 1);
 //! ```
 
+pub mod attempts;
 pub mod bucket;
 pub mod budget;
 pub mod deadline;
@@ -31,6 +32,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::attempts::{Attempts, Effort, Ending};
     pub use crate::bucket::Bucket;
     pub use crate::budget::{Origin, RetryBudget};
     pub use crate::deadline::Deadline;
--- /dev/null
+++ b/crates/arbutuslane_limit/tests/attempts.rs
@@ -0,0 +1,77 @@
+//! How often a request is sent, whatever becomes of its attempts.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_limit::attempts::{Attempts, Effort, Ending};
+use arbutuslane_limit::budget::RetryBudget;
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::retry::Outcome;
+use quickcheck::{Gen, QuickCheck};
+
+const NOW: Duration = Duration::ZERO;
+
+fn deadline() -> Deadline {
+    Deadline::after(NOW, Duration::from_secs(5))
+}
+
+fn ending(choice: u8) -> Ending {
+    match choice % 7 {
+        0 => Ending::Busy,
+        1 => Ending::Gone,
+        2 => Ending::Asked(Outcome::NotRun),
+        3 => Ending::Asked(Outcome::Failed),
+        4 => Ending::Asked(Outcome::Unknown),
+        5 => Ending::Asked(Outcome::Crashed),
+        _ => Ending::Final,
+    }
+}
+
+/// Guards against a request that more servers run than its route allows, also after the attempt that
+/// waits for a slot, and against non-idempotent work that is sent on after it may have run.
+#[test]
+fn next_limits() {
+    fn property(endings: Vec<u8>, limit: u8, idempotent: bool) -> bool {
+        let class = if idempotent { Class::Idempotent } else { Class::NonIdempotent };
+        let limit = u32::from(limit % 4);
+        let mut attempts = Attempts::new(class, limit, deadline());
+        let mut budget = RetryBudget::new(100, 100, 100);
+        let (mut asked, mut ran, mut steps) = (0, false, 0);
+        let mut effort = attempts.first();
+        for choice in endings.iter().chain(&[3; 20]) {
+            let ending = ending(*choice);
+            steps += 1;
+            if let Ending::Asked(outcome) = ending {
+                asked += 1;
+                if ran && !idempotent {
+                    return false;
+                }
+                ran |= outcome != Outcome::NotRun;
+            }
+            let Some(next) = attempts.next(ending, true, &mut budget, NOW) else { break };
+            if effort == Effort::Insist {
+                return false;
+            }
+            effort = next;
+        }
+        asked <= limit.max(1) && steps <= 12 && attempts.may_have_run() == ran
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 17))
+        .tests(5_000)
+        .quickcheck(property as fn(Vec<u8>, u8, bool) -> bool);
+}
+
+/// Guards against refusals of owners that use up the retry budget, and against a request that ends
+/// refused although a server would take it when it has to.
+#[test]
+fn next_busy() {
+    let mut attempts = Attempts::new(Class::NonIdempotent, 1, deadline());
+    let mut budget = RetryBudget::new(0, 0, 0);
+    assert_eq!(attempts.first(), Effort::Last);
+    assert_eq!(attempts.next(Ending::Busy, true, &mut budget, NOW), Some(Effort::Last));
+    assert_eq!(attempts.next(Ending::Gone, true, &mut budget, NOW), Some(Effort::Last));
+    assert_eq!(attempts.next(Ending::Busy, false, &mut budget, NOW), Some(Effort::Insist));
+    assert_eq!(attempts.next(Ending::Busy, false, &mut budget, NOW), None);
+    assert!(!attempts.may_have_run());
+}
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -121,12 +121,12 @@
         }
     }
 
-    /// Returns whether the server should take a request of `class` that other servers may take, and
-    /// counts the request as a trial when the server is a suspect.
-    pub(crate) fn prefers(&self, class: Class) -> bool {
+    /// Returns whether the server should take a request that other servers may take. A suspect takes
+    /// one now and then that would be repeated if it failed.
+    pub(crate) fn prefers(&self, repeatable: bool) -> bool {
         let now = self.clock.now();
         let streak = &mut self.lock().streak;
-        !streak.is_suspect() || (class != Class::NonIdempotent && streak.try_now(now))
+        !streak.is_suspect() || (repeatable && streak.try_now(now))
     }
 
     /// Returns whether the server fails most requests.
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -43,6 +43,8 @@
 /// How the requests of one route are handled.
 #[derive(Debug)]
 pub(crate) struct Rule {
+    /// The name of the route, unique in the configuration.
+    pub(crate) name: String,
     /// The host that a request names, or any host.
     pub(crate) host: Option<String>,
     /// The start of the path.
@@ -145,7 +147,9 @@
         let mut rules = Vec::new();
         for entry in &entries {
             for route in &entry.routes {
+                let host = route.host.as_deref().unwrap_or("*");
                 rules.push(Rule {
+                    name: format!("{host}{}", route.path_prefix),
                     host: route.host.clone(),
                     prefix: route.path_prefix.clone(),
                     class: route.class.unwrap_or(entry.class),
@@ -172,9 +176,11 @@
             body_bytes = limits.body_bytes;
         }
         let mut rules = Vec::new();
-        for route in items.standing().filter_map(item::Item::route) {
+        for item in items.standing() {
+            let (item::Key::Route(name), Some(route)) = (&item.key, item.route()) else { continue };
             let targets = route.targets.iter();
             rules.push(Rule {
+                name: name.clone(),
                 host: Some(route.host.clone()),
                 prefix: route.path_prefix.clone(),
                 class: route.class,
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -38,7 +38,7 @@
 
 /// The part of the fleet's retry budget that nodes spend; the rest covers what they cannot see:
 /// repeats of calls by requests that are themselves repeated.
-const BUDGET_USED: f64 = 0.6;
+const BUDGET_USED: f64 = 0.5;
 
 /// The requests with failed calls that a node remembers; a server runs a few at a time.
 const FAILED_CALLS: usize = 128;
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -6,6 +6,7 @@
 use std::future::poll_fn;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use ntex::time::timeout_checked;
 
@@ -17,6 +18,9 @@
 /// The longest queue as a multiple of the slots; it is short, because another server may be free.
 const QUEUE_PER_SLOT: usize = 2;
 
+/// The time that a request takes to another server, between failure domains.
+const HOP: Duration = Duration::from_millis(5);
+
 /// Admission to the slots of one backend server.
 #[derive(Debug)]
 pub(crate) struct Admission {
@@ -84,6 +88,19 @@
         (number(gate.in_flight()), number(gate.queued()), number(gate.slots()))
     }
 
+    /// Takes a slot, or refuses a request that would wait longer than a hop to another server takes.
+    pub(crate) async fn enter_now(
+        self: &Arc<Self>,
+        class: Class,
+        deadline: Deadline,
+    ) -> Result<Permit, Refusal> {
+        let wait = self.lock().gate.predicted_wait(class);
+        if wait > HOP {
+            return Err(Refusal { reason: Reason::Full, retry_after: wait });
+        }
+        self.enter(class, deadline).await
+    }
+
     /// Waits for a slot at most until `deadline`.
     pub(crate) async fn enter(
         self: &Arc<Self>,
@@ -181,8 +198,6 @@
 #[cfg(test)]
 mod tests {
     use std::pin::pin;
-    use std::time::Duration;
-
     use super::*;
 
     fn poll<F: Future>(future: std::pin::Pin<&mut F>) -> Poll<F::Output> {
@@ -224,6 +239,18 @@
         assert_eq!(admission.occupancy(), (0, 0, 1));
     }
 
+    /// Guards against a request that waits although another server may be free.
+    #[ntex::test]
+    async fn enter_now_busy() {
+        let (admission, deadline) = admission();
+        let first = admission.enter_now(Class::Idempotent, deadline).await.unwrap();
+        ntex::time::sleep(HOP * 4).await;
+        drop(first);
+        let _second = admission.enter_now(Class::Idempotent, deadline).await.unwrap();
+        let third = admission.enter_now(Class::Idempotent, deadline).await;
+        assert_eq!(third.map(|_| ()).map_err(|refusal| refusal.reason), Err(Reason::Full));
+    }
+
     /// Guards against a queue that grows without bound, and one that outlives its server.
     #[ntex::test]
     async fn enter_full() {
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/ahead.rs
@@ -0,0 +1,252 @@
+//! Runs pipelined requests side by side.
+//!
+//! The server library hands over the next request of a connection after the response to the one
+//! before it was sent. A caller that pipelines would therefore wait for the sum of all its requests.
+//! While a request runs, this module looks at the bytes that have arrived behind it and starts the
+//! requests in them; the library hands each of them over later, in order, and receives the response
+//! that is ready by then. Only requests without a body that may run twice are started ahead, because
+//! a caller sends whatever stands behind a closed connection again.
+
+use std::collections::VecDeque;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use ntex::http::header::{HeaderName, HeaderValue};
+use ntex::http::{self, HeaderMap, Method, Payload, Response, Uri, Version};
+use ntex::io::IoRef;
+use ntex::time::sleep;
+
+use arbutuslane_catalogue::entry::Class;
+
+use super::entry;
+use super::route::Incoming;
+use super::worker::Worker;
+
+/// How often the bytes behind a running request are looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// The most requests of one connection that run ahead.
+const AHEAD: usize = 16;
+
+/// The most header fields of a request that is started ahead.
+const FIELDS: usize = 64;
+
+/// The requests that were started ahead, by connection, while the library is between two of them.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    waiting: Vec<(IoRef, VecDeque<Started>)>,
+}
+
+/// A request that was started ahead.
+struct Started {
+    target: String,
+    headers: HeaderMap,
+    response: Pending,
+}
+
+enum Pending {
+    Running(Pin<Box<dyn Future<Output = Response>>>),
+    Ready(Response),
+}
+
+impl std::fmt::Debug for Started {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Started").field("target", &self.target).finish_non_exhaustive()
+    }
+}
+
+impl Connections {
+    fn take(&mut self, io: &IoRef) -> VecDeque<Started> {
+        let index = self.waiting.iter().position(|(known, _)| known == io);
+        index.map_or_else(VecDeque::new, |index| self.waiting.swap_remove(index).1)
+    }
+
+    fn put(&mut self, io: IoRef, started: VecDeque<Started>) {
+        if !started.is_empty() {
+            self.waiting.push((io, started));
+        }
+    }
+
+    /// Ends the requests of connections that were closed between two of them.
+    pub(crate) fn expire(&mut self) {
+        self.waiting.retain(|(io, _)| !io.is_closed());
+    }
+}
+
+impl Started {
+    fn is(&self, request: &http::Request) -> bool {
+        let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+        let same = self.headers.len() == request.headers().len();
+        same && *request.method() == Method::GET
+            && self.target == target
+            && self.headers.iter().all(|(name, value)| {
+                request.headers().get_all(name).any(|other| other == value)
+            })
+    }
+
+    /// Polls the request; returns whether it is ready.
+    fn poll(&mut self, cx: &mut std::task::Context<'_>) {
+        if let Pending::Running(running) = &mut self.response
+            && let Poll::Ready(response) = running.as_mut().poll(cx)
+        {
+            self.response = Pending::Ready(response);
+        }
+    }
+}
+
+/// Answers a request of a caller, and starts those that are pipelined behind it.
+pub(crate) async fn handle(worker: Rc<Worker>, mut request: http::Request) -> Response {
+    let http1 = request.version() != Version::HTTP_2;
+    let Some(io) = request.io().filter(|_| http1).cloned() else {
+        return entry::handle(worker, request).await;
+    };
+    let mut started = worker.ahead.borrow_mut().take(&io);
+    let mut response = match started.front().is_some_and(|first| first.is(&request)) {
+        true => started.pop_front().map(|first| first.response),
+        // What the library hands over differs from what was read ahead: nothing of that is used.
+        false => {
+            started.clear();
+            None
+        }
+    };
+    let mut running = match response.take() {
+        Some(Pending::Running(running)) => running,
+        Some(Pending::Ready(response)) => Box::pin(std::future::ready(response)),
+        None => {
+            let incoming = Incoming::from(&mut request);
+            Box::pin(entry::respond(Rc::clone(&worker), incoming, Some(io.clone())))
+        }
+    };
+    let caller = request.peer_addr().map(|caller| caller.ip());
+    let mut look = sleep(LOOK);
+    let response = poll_fn(|cx| {
+        if let Poll::Ready(response) = running.as_mut().poll(cx) {
+            return Poll::Ready(response);
+        }
+        for request in &mut started {
+            request.poll(cx);
+        }
+        while look.poll_elapsed(cx).is_ready() {
+            look = sleep(LOOK);
+            for incoming in unread(&worker, &io, started.len(), caller) {
+                let mut next = start(&worker, incoming, &io);
+                next.poll(cx);
+                started.push_back(next);
+            }
+        }
+        Poll::Pending
+    })
+    .await;
+    worker.ahead.borrow_mut().put(io, started);
+    response
+}
+
+fn start(worker: &Rc<Worker>, incoming: Incoming, io: &IoRef) -> Started {
+    let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
+    let headers = incoming.headers.clone();
+    let running = entry::respond(Rc::clone(worker), incoming, Some(io.clone()));
+    Started { target, headers, response: Pending::Running(Box::pin(running)) }
+}
+
+/// Returns the complete requests in the read buffer after the first `known`, as far as they may be
+/// started ahead.
+fn unread(
+    worker: &Worker,
+    io: &IoRef,
+    known: usize,
+    caller: Option<std::net::IpAddr>,
+) -> Vec<Incoming> {
+    let requests = io.with_read_buf(|bytes| match bytes.is_empty() {
+        true => Vec::new(),
+        false => parse(bytes),
+    });
+    let configuration = worker.shared.configuration();
+    let mut fit = Vec::new();
+    for (index, mut incoming) in requests.into_iter().enumerate().take(AHEAD) {
+        let host = incoming.headers.get("host").and_then(|host| host.to_str().ok());
+        let rule = configuration.route(host, incoming.uri.path());
+        if rule.is_none_or(|rule| rule.class == Class::NonIdempotent) {
+            break;
+        }
+        incoming.caller = caller;
+        if index >= known {
+            fit.push(incoming);
+        }
+    }
+    fit
+}
+
+/// Parses requests without bodies from the start of `bytes`, up to the first that is incomplete or
+/// of another kind.
+fn parse(mut bytes: &[u8]) -> Vec<Incoming> {
+    let mut requests = Vec::new();
+    loop {
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+        let mut head = httparse::Request::new(&mut fields);
+        let Ok(httparse::Status::Complete(length)) = head.parse(bytes) else { return requests };
+        let (Some("GET"), Some(target), Some(1)) = (head.method, head.path, head.version) else {
+            return requests;
+        };
+        let Ok(uri) = target.parse::<Uri>() else { return requests };
+        let Some(headers) = fields_of(head.headers) else { return requests };
+        requests.push(Incoming {
+            method: Method::GET,
+            uri,
+            headers,
+            payload: Payload::None,
+            caller: None,
+        });
+        bytes = &bytes[length..];
+    }
+}
+
+/// Returns the header fields, unless they announce a body or concern the connection.
+fn fields_of(fields: &[httparse::Header<'_>]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::try_from(field.name).ok()?;
+        if matches!(
+            name.as_str(),
+            "content-length" | "transfer-encoding" | "expect" | "upgrade" | "connection"
+        ) {
+            return None;
+        }
+        headers.append(name, HeaderValue::from_bytes(field.value).ok()?);
+    }
+    Some(headers)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GET: &str = "GET /a/1?x=2 HTTP/1.1\r\nHost: h.example\r\nAttempt: 1\r\n\r\n";
+
+    fn targets(text: &str) -> Vec<String> {
+        parse(text.as_bytes()).iter().map(|incoming| incoming.uri.to_string()).collect()
+    }
+
+    /// Guards against a request that is started before its head is complete, or twice.
+    #[test]
+    fn parse_incomplete() {
+        assert_eq!(targets(&format!("{GET}{GET}")), ["/a/1?x=2", "/a/1?x=2"]);
+        for length in 0..GET.len() {
+            assert_eq!(targets(&format!("{GET}{}", &GET[..length])).len(), 1);
+        }
+    }
+
+    /// Guards against the bytes of a body that are taken for a request, and against a request that
+    /// is started behind one whose end is not known.
+    #[test]
+    fn parse_body() {
+        let post = format!("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", GET.len());
+        assert_eq!(targets(&format!("{post}{GET}")).len(), 0);
+        let get = format!("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", GET.len());
+        assert_eq!(targets(&format!("{GET}{get}{GET}")).len(), 1);
+        let closing = "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        assert_eq!(targets(&format!("{closing}{GET}")).len(), 0);
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -0,0 +1,149 @@
+//! One attempt of a request at one server.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::time::timeout_checked;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::id::ServerId;
+use arbutuslane_limit::attempts::Effort;
+
+use super::answer::Answer;
+use super::entry::failed;
+use super::owner::{self, Work};
+use super::refusal::{Choice, Outcome, Refusal};
+use super::remote;
+use super::route::Routed;
+use super::services::{self, Place};
+use super::worker::Worker;
+
+/// An attempt is given up after this many times the usual latency.
+const SILENT: u32 = 3;
+
+/// The shortest time after which an attempt is given up.
+const SHORTEST: Duration = Duration::from_millis(20);
+
+/// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
+pub(crate) async fn send(
+    worker: &Worker,
+    routed: &Routed,
+    tried: &mut Vec<ServerId>,
+    effort: Effort,
+) -> Result<Answer, Refusal> {
+    let service = &routed.service;
+    let chosen = services::choose(worker, service, routed.class, tried);
+    let Some((choice, mut ongoing)) = chosen else {
+        let error = format!("no server of {service} takes work");
+        return Err(Refusal { elsewhere: false, ..Refusal::not_run(error) });
+    };
+    let server = choice.server;
+    tried.push(server.clone());
+    let may_change = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
+    let patience = may_change.then(|| patience(worker, routed));
+    let work = Work {
+        service: service.clone(),
+        server: server.clone(),
+        incarnation: match &choice.place {
+            Place::Local(server) => server.incarnation,
+            Place::Remote { incarnation, .. } => *incarnation,
+        },
+        class: routed.class,
+        trial: choice.trial,
+        repeatable: may_change && services::may_repeat(worker, service),
+        insist: effort == Effort::Insist,
+        summary: choice.summary.map(|summary| (worker.source, summary)),
+        deadline: routed.deadline,
+        fingerprint: routed.fingerprint,
+        request: routed.request.clone(),
+    };
+    let began = worker.shared.clock.now();
+    let running = async {
+        match choice.place {
+            Place::Local(local) => {
+                let result = owner::dispatch(worker, work).await;
+                services::report(worker, service, &server, &local.report());
+                result
+            }
+            Place::Remote { owner, address, .. } => {
+                forward_in_time(worker, work, (&owner, address)).await
+            }
+        }
+    };
+    let result = run_patiently(worker, routed, running, patience, tried).await;
+    let mut answer = match result {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            // A server that refuses or fails quickly must not look idle for it. What did not run
+            // is no failure, and would hide real ones from the comparison with peers.
+            match refusal.choice {
+                Choice::Stale | Choice::Suspect => {}
+                Choice::Full | Choice::Shed => ongoing.refuse(),
+                _ if refusal.outcome == Outcome::NotRun => {}
+                _ => ongoing.note(worker.shared.clock.now().saturating_sub(began), false),
+            }
+            if matches!(refusal.choice, Choice::Stale | Choice::Shed | Choice::Suspect) {
+                services::avoid(worker, service, &server);
+            }
+            return Err(refusal);
+        }
+    };
+    ongoing.note(answer.took, !failed(&answer));
+    if !failed(&answer) {
+        worker.routes.borrow_mut().observe(&routed.route, answer.took);
+    }
+    answer.body.hold(ongoing);
+    Ok(answer)
+}
+
+/// Returns how long an attempt may be silent before another server is tried.
+///
+/// A few times the usual latency of the route tells a hung server from a slow request; half of the
+/// remaining time leaves as much for the other server.
+fn patience(worker: &Worker, routed: &Routed) -> Duration {
+    let remaining = routed.deadline.remaining(worker.shared.clock.now());
+    let usual = worker.routes.borrow().latency(&routed.route);
+    usual.map_or(remaining / 2, |usual| (usual * SILENT).clamp(SHORTEST, remaining / 2))
+}
+
+/// Waits for an attempt; gives it up after `patience` when another server may be tried.
+async fn run_patiently(
+    worker: &Worker,
+    routed: &Routed,
+    running: impl Future<Output = Result<Answer, Refusal>>,
+    patience: Option<Duration>,
+    tried: &[ServerId],
+) -> Result<Answer, Refusal> {
+    let mut running = pin!(running);
+    let Some(patience) = patience else { return running.await };
+    if let Ok(result) = timeout_checked(patience, running.as_mut()).await {
+        return result;
+    }
+    // Without another attempt the response may still come in time.
+    if !services::may_repeat(worker, &routed.service) || !services::has_other(worker, &routed.service, tried) {
+        return running.await;
+    }
+    let error = "no response in several times the usual latency";
+    Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error))
+}
+
+/// Forwards `work` to the owner of its server and gives up at its deadline.
+async fn forward_in_time(
+    worker: &Worker,
+    work: Work,
+    place: (&str, SocketAddr),
+) -> Result<Answer, Refusal> {
+    let limit = work.deadline.remaining(worker.shared.clock.now());
+    let forwarding = remote::forward(worker, work, place);
+    match timeout_checked(limit.max(Duration::from_millis(1)), forwarding).await {
+        Ok(result) => result,
+        Err(()) => {
+            worker.pool.purge(place.1);
+            let error = "no response within the deadline";
+            Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error))
+        }
+    }
+}
+
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HeaderMap, Method, StatusCode};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -32,6 +33,18 @@
 /// The size of a connection's read buffer in bytes; bounds the memory of a long body.
 const BUFFER_BYTES: usize = 64 << 10;
 
+/// How long sent bytes may stay unacknowledged: several retransmissions on a link that loses packets.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// How long a connection is quiet before it is probed; a running request may be quiet for seconds.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+
+/// The time between two probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// The unanswered probes after which a connection ends.
+const PROBES: u32 = 2;
+
 /// The shortest time that an exchange is given.
 const SHORTEST: Duration = Duration::from_millis(1);
 
@@ -120,6 +133,7 @@
         let stream = connecting.await.map_err(|_| Failure::ConnectTimeout)?;
         let stream = stream.map_err(Failure::Connect)?;
         stream.set_nodelay(true).map_err(Failure::Connect)?;
+        notice_silence(&stream).map_err(Failure::Connect)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES).max_header_size(HEAD_BYTES).max_headers(FIELDS);
         let (sender, connection) =
@@ -222,6 +236,15 @@
     }
 }
 
+/// Lets the system end a connection whose other side acknowledges nothing, because something between
+/// the two has lost track of it.
+fn notice_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_EVERY);
+    socket.set_tcp_keepalive(&probes.with_retries(PROBES))
+}
+
 /// Returns how long the other side keeps an idle connection, where it says so.
 fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
     let stated = fields::text(headers, "keep-alive")?;
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -24,7 +24,7 @@
 
 use super::protocol::Protocols;
 use super::worker::Worker;
-use super::{entry, fields, owner};
+use super::{ahead, fields, owner};
 
 /// How long a connection without requests is kept open.
 const KEEP_ALIVE: Seconds = Seconds(75);
@@ -130,6 +130,7 @@
     loop {
         ntex::time::sleep(EXPIRY).await;
         worker.pool.expire();
+        worker.ahead.borrow_mut().expire();
     }
 }
 
@@ -172,7 +173,7 @@
 
 async fn serve(worker: Rc<Worker>, purpose: Purpose, mut request: Request) -> Response {
     match purpose {
-        Purpose::Callers => entry::handle(worker, request).await,
+        Purpose::Callers => ahead::handle(worker, request).await,
         Purpose::Peers => {
             let token = request.headers().get(header::TOKEN);
             if !token.is_some_and(|token| worker.shared.accepts(token.as_bytes())) {
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -5,7 +5,9 @@
 //! and dispatch. Both use the same client, which knows whether a byte of the request was sent.
 
 mod admission;
+mod ahead;
 mod answer;
+mod attempt;
 mod client;
 mod deadline;
 mod entry;
@@ -19,14 +21,15 @@
 mod relay;
 mod remote;
 mod resume;
+mod route;
+mod routes;
 mod services;
-mod shares;
 mod worker;
 
 pub(crate) use admission::Admission;
 pub(crate) use answer::Answer;
 pub(crate) use client::{Echo, Failure, Pool, Request, Terms, Upload};
-pub(crate) use entry::Routed;
 pub(crate) use limiter::Limiter;
 pub(crate) use refusal::{Choice, Outcome, Refusal};
+pub(crate) use route::Routed;
 pub(crate) use worker::Worker;
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -48,14 +48,15 @@
     pub(crate) class: Class,
     /// Whether an ejected server may run the request as a trial.
     pub(crate) trial: bool,
-    /// Whether a suspect must take the request, because no other server does.
+    /// Whether the entry would repeat the request elsewhere if it failed.
+    pub(crate) repeatable: bool,
+    /// Whether the request may wait for a slot, and a suspect must take it, because no other server
+    /// does.
     pub(crate) insist: bool,
     /// How the server's peers perform, with the entry thread that saw it.
     pub(crate) summary: Option<(u64, Summary)>,
     /// When the response is of no use any more.
     pub(crate) deadline: Deadline,
-    /// How long to wait for the response head.
-    pub(crate) limit: Duration,
     /// Tells requests apart that crash servers.
     pub(crate) fingerprint: u64,
     /// The request with its end-to-end header fields.
@@ -97,12 +98,15 @@
     let server = find(worker, &work)?;
     strikes::check(worker, work.fingerprint)?;
     let was_suspect = server.condition.is_suspect();
-    if !work.insist && !server.condition.prefers(work.class) {
+    if !work.insist && !server.condition.prefers(work.repeatable) {
         return Err(Refusal::suspect());
     }
-    let limit = work.deadline.remaining(clock.now()).min(work.limit);
-    let until = Deadline::after(clock.now(), limit);
-    let permit = server.admission.enter(work.class, until).await.map_err(denied)?;
+    let until = work.deadline;
+    let permit = match work.insist {
+        true => server.admission.enter(work.class, until).await,
+        false => server.admission.enter_now(work.class, until).await,
+    };
+    let permit = permit.map_err(denied)?;
     if !work.insist && !was_suspect && server.condition.is_suspect() {
         return Err(Refusal::suspect());
     }
@@ -128,11 +132,15 @@
     };
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
+    let id = request_id(dialect, &work.request.headers);
     tracing::info!(
         event = "dispatched",
-        request = request_id(dialect, &work.request.headers),
+        request = id,
         server = server.id,
         status = reply.status.as_u16(),
+        suspect = was_suspect,
+        insisted = work.insist,
+        call_failed = reply.status.is_server_error() && worker.shared.call_failed(id),
         took_ms = millis(took)
     );
     if reply.echoed {
@@ -153,7 +161,6 @@
         strikes::passed(worker, &server.service, work.fingerprint);
         alone.release();
     }
-    let id = request_id(dialect, &work.request.headers);
     match reply.status.is_server_error() && worker.shared.call_failed(id) {
         true => running.excuse(),
         false => running.finish(!reply.status.is_server_error()),
@@ -224,8 +231,8 @@
         payload => Upload::stream(Bytes::new(), payload, length, u64::MAX),
     };
     let request = Request { method, target, headers, upload };
-    let limit = deadline.remaining(now);
     let trial = incoming.headers().contains_key(header::TRIAL);
+    let repeatable = incoming.headers().contains_key(header::REPEATABLE);
     let insist = incoming.headers().contains_key(header::INSIST);
     let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
     let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
@@ -237,10 +244,10 @@
         incarnation,
         class,
         trial,
+        repeatable,
         insist,
         summary,
         deadline,
-        limit,
         fingerprint,
         request,
     })
@@ -268,7 +275,7 @@
     let always_echoes = matches!(dialect.exchange, Exchange::OfCaller(_));
     let mut idle = if keep && (always_echoes || server.echoes()) { worker.pool.take(server.address) } else { None };
     loop {
-        let limit = work.deadline.remaining(clock.now()).min(work.limit);
+        let limit = work.deadline.remaining(clock.now());
         let connection = match idle.take() {
             Some(connection) => connection,
             None => connect(worker, server, limit.min(CONNECT)).await?,
@@ -277,7 +284,7 @@
         if !server.open(clock.now()) {
             return Err(Failure::Left);
         }
-        let limit = work.deadline.remaining(clock.now()).min(work.limit);
+        let limit = work.deadline.remaining(clock.now());
         let reused = connection.reused();
         count_connection(worker, &connection);
         let echoes = always_echoes || server.echoes();
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -15,8 +15,9 @@
 use super::worker::Worker;
 use super::{deadline, fields, services};
 
-/// The longest wait for a connection to an owner.
-const CONNECT: Duration = Duration::from_secs(1);
+/// The longest wait for a connection to an owner: several round trips between regions. Another owner
+/// is tried after it, which is sooner than a lost packet is sent again.
+const CONNECT: Duration = Duration::from_millis(250);
 
 /// The largest refusal in bytes.
 const REFUSAL_BYTES: usize = 16 << 10;
@@ -59,7 +60,7 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, limit, mut request, trial, summary, insist, .. } =
+    let Work { server, incarnation, class, deadline, mut request, trial, summary, repeatable, insist, .. } =
         work;
     let fingerprint = format!("{:016x}", work.fingerprint);
     fields::set(&mut request.headers, header::FINGERPRINT, &fingerprint);
@@ -77,6 +78,9 @@
         fields::set(&mut request.headers, header::BASELINE, &summary.encode());
         fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
     }
+    if repeatable {
+        fields::set(&mut request.headers, header::REPEATABLE, "1");
+    }
     if insist {
         fields::set(&mut request.headers, header::INSIST, "1");
     }
@@ -86,14 +90,14 @@
     let keep = class != Class::NonIdempotent;
     let mut idle = if keep { worker.pool.take(address) } else { None };
     loop {
-        let wait = deadline.remaining(clock.now()).min(limit);
+        let wait = deadline.remaining(clock.now());
         let connection = match idle.take() {
             Some(connection) => connection,
             None => worker.pool.connect(address, wait.min(CONNECT)).await?,
         };
         let reused = connection.reused();
         count_connection(worker, &connection);
-        let wait = deadline.remaining(clock.now()).min(limit);
+        let wait = deadline.remaining(clock.now());
         let mut request = request.clone();
         fields::set(
             &mut request.headers,
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -10,15 +10,18 @@
 use ntex::util::Bytes;
 
 use arbutuslane_core::id::ServerId;
+use arbutuslane_limit::attempts::Effort;
 use arbutuslane_limit::deadline::Deadline;
 
 use crate::metrics::count;
 
 use super::answer::{Answer, Stream};
 use super::client::Failure;
-use super::entry::{self, Effort, Routed};
+use super::attempt;
+use super::entry;
 use super::fields;
 use super::relay::Source;
+use super::route::Routed;
 use super::worker::Worker;
 
 /// The most times that one download is continued.
@@ -97,7 +100,7 @@
         let (tag, length, received) = (self.tag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.next = Some(Box::pin(async move {
-            let answer = entry::attempt(&worker, &routed, &mut tried, Effort::Last).await.ok()?;
+            let answer = attempt::send(&worker, &routed, &mut tried, Effort::Last).await.ok()?;
             continues(&answer, &tag, received, length).then_some((answer.body, tried))
         }));
     }
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -0,0 +1,171 @@
+//! Finds the route of a request, and what the request becomes for the fleet.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::header::{HOST, HeaderName};
+use ntex::http::{self, HeaderMap, Method, Payload, StatusCode, Uri};
+use ntex::time::sleep;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::time::Time;
+use arbutuslane_limit::deadline::Deadline;
+
+use crate::cluster::keyed;
+use crate::configuration::Configuration;
+
+use super::client::Request;
+use super::deadline;
+use super::fields;
+use super::intake;
+use super::owner;
+use super::refusal::Refusal;
+use super::worker::Worker;
+
+/// The longest wait of a request for the first configuration of a node that has just started.
+///
+/// A restarted node fetches it from a peer within about 2 s. Without the wait a planned restart
+/// refuses the requests of that time.
+const FIRST_CONFIGURATION: Duration = Duration::from_secs(4);
+
+/// How often a request that waits looks for the configuration.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A request of a caller before routing.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    /// The method.
+    pub(crate) method: Method,
+    /// Path and query, and the host where the request line states it.
+    pub(crate) uri: Uri,
+    /// All header fields.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) payload: Payload,
+    /// The address of the caller.
+    pub(crate) caller: Option<IpAddr>,
+}
+
+impl From<&mut http::Request> for Incoming {
+    fn from(request: &mut http::Request) -> Self {
+        Self {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            headers: request.headers().clone(),
+            payload: request.take_payload(),
+            caller: request.peer_addr().map(|caller| caller.ip()),
+        }
+    }
+}
+
+/// A request of a caller after routing.
+#[derive(Debug, Clone)]
+pub(crate) struct Routed {
+    /// The name of its route.
+    pub(crate) route: String,
+    /// The service that runs it.
+    pub(crate) service: String,
+    /// Its class.
+    pub(crate) class: Class,
+    /// When its response is of no use any more.
+    pub(crate) deadline: Deadline,
+    /// The most servers that it is sent to.
+    pub(crate) attempts: usize,
+    /// Whether a backend server sent it while it ran another request.
+    pub(crate) is_call: bool,
+    /// The request with its end-to-end header fields.
+    pub(crate) request: Request,
+    /// What tells the request from others.
+    pub(crate) fingerprint: u64,
+}
+
+/// Returns the configuration in force, and waits for the first one of a node that has just started.
+async fn configuration(
+    worker: &Worker,
+    headers: &HeaderMap,
+    arrived: Time,
+) -> Result<Arc<Configuration>, Refusal> {
+    let field = worker.shared.interface.dialect().deadline_ms;
+    let limit = deadline::read_from(field, headers, FIRST_CONFIGURATION, arrived);
+    let limit = limit.remaining(arrived) / 2;
+    let limit = limit.min(FIRST_CONFIGURATION);
+    loop {
+        let configuration = worker.shared.configuration();
+        if !configuration.is_empty() {
+            return Ok(configuration);
+        }
+        if worker.shared.clock.now().saturating_sub(arrived) >= limit {
+            return Err(Refusal::not_run("this node has no configuration yet"));
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// Routes a request of a caller and reads as much of its body as must be held.
+pub(super) async fn route(worker: &Worker, incoming: Incoming) -> Result<Routed, Refusal> {
+    let now = worker.shared.clock.now();
+    let configuration = configuration(worker, &incoming.headers, now).await?;
+    let host = incoming.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| incoming.uri.authority().map(|authority| authority.as_str()));
+    let host = host.map(str::to_string);
+    let Some(rule) = configuration.route(host.as_deref(), incoming.uri.path()) else {
+        let remedy = "check host and path against the routes of the catalogue";
+        return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
+    };
+    // The deadline counts from the arrival of the request, before the wait for a configuration.
+    let dialect = worker.shared.interface.dialect();
+    let deadline =
+        deadline::read_from(dialect.deadline_ms, &incoming.headers, rule.timeout, now);
+    let deadline = match rule.limits {
+        Some(_) => deadline,
+        // An operator's timeout binds callers who would wait longer.
+        None => Deadline::after(now, deadline.remaining(now).min(rule.timeout)),
+    };
+    let now = worker.shared.clock.now();
+    if deadline::passed(deadline, now) {
+        return Err(Refusal::not_run("the deadline passed before the request arrived"));
+    }
+    let caller = incoming.caller;
+    let service = worker.routes.borrow_mut().next(rule);
+    if let Some(limits) = &rule.limits {
+        let limiter = &worker.shared.limiter;
+        limiter.take(&service, limits, &rule.prefix, caller, now).map_err(too_many)?;
+    }
+    let length = fields::length(&incoming.headers);
+    let payload = incoming.payload;
+    let upload =
+        intake::upload(rule.body_bytes, payload, length, deadline.remaining(now)).await?;
+    let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str());
+    let mut headers = fields::end_to_end(&incoming.headers);
+    if !headers.contains_key(HOST) {
+        fields::set(&mut headers, "host", host.as_deref().unwrap_or("localhost"));
+    }
+    // The caller's own statement of its address must not be trusted by servers.
+    headers.remove(HeaderName::from_static("x-forwarded-for"));
+    if let Some(caller) = caller {
+        fields::set(&mut headers, "x-forwarded-for", &caller.to_string());
+    }
+    if let (Some(field), Some(service)) =
+        (dialect.origin_service, &worker.shared.settings.origin_service)
+    {
+        fields::set(&mut headers, field, service);
+    }
+    let method = incoming.method;
+    let request = Request { method, target: target.to_string(), headers, upload };
+    let fingerprint = keyed::fingerprint(&request);
+    let (route, class, attempts) = (rule.name.clone(), rule.class, rule.attempts);
+    let is_call = dialect.parent(owner::request_id(dialect, &request.headers)).is_some();
+    Ok(Routed { route, service, class, deadline, attempts, is_call, request, fingerprint })
+}
+
+fn too_many(wait: Duration) -> Refusal {
+    let seconds = u32::try_from(wait.as_secs()).unwrap_or(u32::MAX).saturating_add(1);
+    Refusal {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        retry_after: Some(seconds.min(60)),
+        elsewhere: false,
+        ..Refusal::not_run("the rate of the caller, the route or the service is exceeded")
+    }
+}
+
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/routes.rs
@@ -0,0 +1,77 @@
+//! What a traffic thread remembers of each route: the shares of its services and its latency.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use arbutuslane_balance::share::Share;
+use arbutuslane_core::id::ServiceName;
+
+use crate::configuration::Rule;
+
+/// The most routes that are remembered; all are forgotten above it.
+const ROUTES: usize = 65_536;
+
+/// The weight of the newest latency in the mean is one in this many.
+const SMOOTHING: u32 = 8;
+
+/// The routes by name in ascending order.
+#[derive(Debug, Default)]
+pub(crate) struct Routes {
+    routes: Vec<(String, Route)>,
+}
+
+#[derive(Debug)]
+struct Route {
+    share: Share,
+    latency: Option<Duration>,
+}
+
+impl Routes {
+    /// Returns the service for the next request of `rule`.
+    pub(crate) fn next(&mut self, rule: &Rule) -> ServiceName {
+        let route = self.route(rule);
+        if !route.share.is_for(&rule.targets) {
+            route.share = fresh(rule);
+        }
+        route.share.next()
+    }
+
+    /// Takes in the latency of a successful response.
+    pub(crate) fn observe(&mut self, name: &str, taken: Duration) {
+        let Ok(index) = self.find(name) else { return };
+        let mean = &mut self.routes[index].1.latency;
+        *mean = Some(mean.map_or(taken, |mean| (mean * (SMOOTHING - 1) + taken) / SMOOTHING));
+    }
+
+    /// Returns the mean latency of successful responses.
+    pub(crate) fn latency(&self, name: &str) -> Option<Duration> {
+        self.find(name).ok().and_then(|index| self.routes[index].1.latency)
+    }
+
+    fn route(&mut self, rule: &Rule) -> &mut Route {
+        let index = match self.find(&rule.name) {
+            Ok(index) => index,
+            Err(_) if self.routes.len() >= ROUTES => {
+                self.routes.clear();
+                self.insert(0, rule)
+            }
+            Err(index) => self.insert(index, rule),
+        };
+        &mut self.routes[index].1
+    }
+
+    fn insert(&mut self, index: usize, rule: &Rule) -> usize {
+        let route = Route { share: fresh(rule), latency: None };
+        self.routes.insert(index, (rule.name.clone(), route));
+        index
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.routes.binary_search_by(|(known, _)| known.as_str().cmp(name))
+    }
+}
+
+fn fresh(rule: &Rule) -> Share {
+    Share::new(&rule.targets, rand::rng().random())
+}
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -233,6 +233,12 @@
     Some((Choice { server: pick.server, place, trial: pick.trial, summary }, ongoing))
 }
 
+/// Returns whether the retry budget of `service` allows another attempt.
+pub(crate) fn may_repeat(worker: &Worker, service: &str) -> bool {
+    let mut services = worker.services.borrow_mut();
+    services.known(service).is_some_and(|service| service.budget.is_available())
+}
+
 /// Returns whether `service` has a server that is not in `tried`.
 pub(crate) fn has_other(worker: &Worker, service: &str, tried: &[ServerId]) -> bool {
     let mut services = worker.services.borrow_mut();
--- a/crates/arbutuslane_node/src/traffic/worker.rs
+++ b/crates/arbutuslane_node/src/traffic/worker.rs
@@ -11,9 +11,10 @@
 
 use crate::shared::Shared;
 
+use super::ahead::Connections;
 use super::client::Pool;
+use super::routes::Routes;
 use super::services::Services;
-use super::shares::Shares;
 
 /// What one traffic thread keeps to itself.
 #[derive(Debug)]
@@ -24,8 +25,10 @@
     pub(crate) pool: Rc<Pool>,
     /// The pickers and retry budgets of this thread.
     pub(crate) services: Rc<RefCell<Services>>,
-    /// The shares of services in weighted routes.
-    pub(crate) shares: RefCell<Shares>,
+    /// Pipelined requests that were started ahead.
+    pub(crate) ahead: RefCell<Connections>,
+    /// What this thread remembers of each route.
+    pub(crate) routes: RefCell<Routes>,
     /// Tells this thread apart from others as a source of summaries.
     pub(crate) source: u64,
     /// The generator for the choice of servers.
@@ -43,7 +46,8 @@
             shared,
             pool: Pool::new(),
             services: Rc::default(),
-            shares: RefCell::default(),
+            ahead: RefCell::default(),
+            routes: RefCell::default(),
             source: rand::rng().random(),
             rng: RefCell::new(rng::seeded(seed)),
         })
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -63,6 +63,9 @@
 /// The backend server fails most requests, and the entry may try another one first.
 pub const REFUSAL_SUSPECT: &str = "suspect";
 
+/// Marks a request that may be repeated if it fails, and that a suspect may therefore take as a trial.
+pub const REPEATABLE: &str = "arbutuslane-repeatable";
+
 /// Marks a request that a suspect must take, because no other server does.
 pub const INSIST: &str = "arbutuslane-insist";
 
