--- a/crates/arbutuslane_node/src/cluster/items.rs
+++ b/crates/arbutuslane_node/src/cluster/items.rs
@@ -32,8 +32,12 @@
 /// Compares the items in force with those of other processes until this one ends.
 pub(crate) async fn work(shared: Arc<Shared>, pool: Rc<Pool>) {
     let mut reached = true;
+    // A minority of the control instances may lack what the others accept, so that no instance is
+    // asked twice in a row. Nodes start at different ones.
+    let mut turn: usize = rand::rng().random_range(0..1_000);
     loop {
-        let now_reached = compare(&shared, &pool).await;
+        let now_reached = compare(&shared, &pool, turn).await;
+        turn += 1;
         if now_reached != reached {
             reached = now_reached;
             tracing::info!(event = "configuration-source", reached, known = !is_empty(&shared));
@@ -80,9 +84,10 @@
 
 /// Compares with one control instance, or with another node when two of them do not answer; returns
 /// whether a control instance answered.
-async fn compare(shared: &Arc<Shared>, pool: &Rc<Pool>) -> bool {
+async fn compare(shared: &Arc<Shared>, pool: &Rc<Pool>, turn: usize) -> bool {
     let (control, nodes) = addresses(shared);
-    for address in control.iter().take(2) {
+    let start = turn % control.len().max(1);
+    for address in control[start..].iter().chain(&control[..start]).take(2) {
         if ask(shared, pool, *address).await {
             return true;
         }
@@ -106,7 +111,7 @@
     }
 }
 
-/// Returns the known control instances and nodes, each in random order.
+/// Returns the known control instances in a fixed order, and the nodes in random order.
 fn addresses(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let (mut control, mut nodes) = (Vec::new(), Vec::new());
     for known in shared.cluster.member().gossip.table().members() {
@@ -122,7 +127,7 @@
     if control.is_empty() {
         control.extend(&shared.settings.control);
     }
-    control.shuffle(&mut rand::rng());
+    control.sort_unstable();
     nodes.shuffle(&mut rand::rng());
     (control, nodes)
 }
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -28,6 +28,10 @@
 /// How often a stopping node looks whether requests are in flight.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// The looks without a request in flight after which a stopping node ends: a response that was handed
+/// over to the system has been sent by then.
+const QUIET: u32 = 5;
+
 /// What is logged by default: the server library reports every start of a thread.
 const LOG: &str = "info,ntex_server=warn,ntex_rt=warn";
 
@@ -124,8 +128,12 @@
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
     let limit = Duration::from_millis(shared.settings.stop_ms);
     sleep(LINGER.min(limit * 3 / 5)).await;
-    // The server library breaks off requests that still run when it stops.
-    while in_flight() > 0 && shared.clock.now().saturating_sub(stopping) < limit {
+    shared.end_intake();
+    // The server library breaks off requests that still run when it stops, and callers use open
+    // connections until they are closed.
+    let mut quiet = 0;
+    while quiet < QUIET && shared.clock.now().saturating_sub(stopping) < limit {
+        quiet = if in_flight() > 0 { 0 } else { quiet + 1 };
         sleep(LOOK).await;
     }
     server.stop(true).await;
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -91,6 +91,7 @@
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
     stopping: AtomicBool,
+    intake_ended: AtomicBool,
     awaited: AtomicU64,
     threads: AtomicU64,
 }
@@ -125,6 +126,7 @@
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
             stopping: AtomicBool::new(false),
+            intake_ended: AtomicBool::new(false),
             awaited: AtomicU64::new(0),
             threads: AtomicU64::new(0),
         })
@@ -273,6 +275,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether a stopping node takes no more requests, because they might be cut.
+    pub(crate) fn intake_ended(&self) -> bool {
+        self.intake_ended.load(Ordering::Relaxed)
+    }
+
+    /// Takes no more requests from here on.
+    pub(crate) fn end_intake(&self) {
+        self.intake_ended.store(true, Ordering::Relaxed);
+    }
+
     /// Begins a planned stop.
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -154,6 +154,9 @@
 }
 
 async fn run(worker: &Worker, incoming: Incoming) -> Result<Done, Refusal> {
+    if worker.shared.intake_ended() {
+        return Err(Refusal::not_run("this node is about to stop"));
+    }
     let routed = route(worker, incoming).await?;
     let held = match keyed::begin(worker, &routed).await? {
         Begun::Replay(response) => return Ok(Done::Whole(response)),
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -175,8 +175,8 @@
     match purpose {
         Purpose::Callers => ahead::handle(worker, request).await,
         Purpose::Peers => {
-            let token = request.headers().get(header::TOKEN);
-            if !token.is_some_and(|token| worker.shared.accepts(token.as_bytes())) {
+            let token = request.headers().get(header::TOKEN).map(|token| token.as_bytes());
+            if !worker.shared.accepts(token.unwrap_or_default()) {
                 let remedy = "send the fleet's token in the header arbutuslane-token";
                 return admin::refuse(
                     StatusCode::UNAUTHORIZED,
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -258,6 +258,9 @@
     if deadline::passed(work.deadline, now) {
         return Err(Refusal::not_run("the deadline passed before dispatch"));
     }
+    if worker.shared.intake_ended() {
+        return Err(Refusal::stale("the node beside the server is about to stop"));
+    }
     let server = worker.shared.servers.get(&work.server);
     let server = server.filter(|server| server.incarnation == work.incarnation);
     let server = server.ok_or_else(|| Refusal::stale("this node does not own the server"))?;
