Order queues by rank and due time, and refuse late work at once

Ruled out: a configuration that lags; all nodes had the routes.

Within a rank the request that is due first goes first.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -49,12 +49,7 @@
 
 impl Default for Weights {
     fn default() -> Self {
-        Self {
-            latency_limit: 1.2,
-            success_floor: 0.25,
-            report_half_life: 1.0,
-            remote_penalty: 2.0,
-        }
+        Self { latency_limit: 1.2, success_floor: 0.25, report_half_life: 1.0, remote_penalty: 2.0 }
     }
 }
 
@@ -184,8 +179,12 @@
         let chosen = match (near, far) {
             (Some(near), Some(far)) => {
                 let peer = &self.peers[near.0];
-                let has_room =
-                    peer.estimate.utilization(peer.candidate.slots, self.latency, &self.weights, now) < 1.0;
+                let has_room = peer.estimate.utilization(
+                    peer.candidate.slots,
+                    self.latency,
+                    &self.weights,
+                    now,
+                ) < 1.0;
                 let penalty = if has_room { self.weights.remote_penalty } else { 1.0 };
                 if near.1 <= far.1 * penalty { near.0 } else { far.0 }
             }
--- a/crates/arbutuslane_bench/src/cost.rs
+++ b/crates/arbutuslane_bench/src/cost.rs
@@ -98,7 +98,9 @@
         let now = Duration::from_micros(u64::from(step) * 100);
         let gate = &mut gates[rng.random_range(0..count)];
         let deadline = Deadline::after(now, Duration::from_secs(2));
-        if let Admission::Run(ticket) = gate.arrive(now, Class::Idempotent, deadline) {
+        if let Admission::Run(ticket) =
+            gate.arrive(now, Arrival::of_class(Class::Idempotent, now, deadline))
+        {
             black_box(gate.finish(ticket, now + Duration::from_millis(1)));
         }
     }
--- a/crates/arbutuslane_bench/src/sim/owner.rs
+++ b/crates/arbutuslane_bench/src/sim/owner.rs
@@ -5,7 +5,7 @@
 use arbutuslane_balance::candidate::Load;
 use arbutuslane_health::detector::Start;
 use arbutuslane_health::ejection::{Input, Permission, TrialResult};
-use arbutuslane_limit::gate::{Admission, Next, Ticket};
+use arbutuslane_limit::gate::{Admission, Arrival, Next, Ticket};
 
 use super::queue::Event;
 use super::{GOSSIP, Gradient, RENEWAL, Result, Sim};
@@ -39,7 +39,7 @@
             return self.respond(attempt, Result::NotRun);
         }
         self.attempts.get(attempt).trial = permission == Permission::Trial;
-        match self.servers[server].gate.arrive(now, class, deadline) {
+        match self.servers[server].gate.arrive(now, Arrival::of_class(class, now, deadline)) {
             Admission::Run(ticket) => {
                 self.servers[server].held.push((ticket, attempt));
                 self.dispatch(attempt);
--- a/crates/arbutuslane_cli/tests/docs.rs
+++ b/crates/arbutuslane_cli/tests/docs.rs
@@ -62,11 +62,14 @@
     // The message about an unknown key lists all keys that the code knows.
     std::fs::write(&path, "{\"no-such-key\": 1}").unwrap();
     let control = arbutuslane_control::settings::Settings::load(&path).unwrap_err().to_string();
+    let items = arbutuslane_control::items::settings::Settings::load(&path);
+    let items = items.unwrap_err().to_string();
     let node = arbutuslane_node::settings::Settings::read(&path).unwrap_err().to_string();
     let operator = arbutuslane_cli::settings::Settings::read(&path).unwrap_err().to_string();
     let text = page("docs/settings.md");
     for (title, message) in [
         ("## arbutuslane-control\n", control),
+        ("## Control instance for items\n", items),
         ("## arbutuslane-node\n", node),
         ("## arbutuslane\n", operator),
     ] {
--- a/crates/arbutuslane_control/src/items/replicate.rs
+++ b/crates/arbutuslane_control/src/items/replicate.rs
@@ -167,12 +167,7 @@
 }
 
 /// Takes over what one other instance holds; returns whether it is on the disk here.
-async fn take(
-    core: &Arc<Core>,
-    client: &Client,
-    items: Vec<Item>,
-    accepted: Vec<Item>,
-) -> bool {
+async fn take(core: &Arc<Core>, client: &Client, items: Vec<Item>, accepted: Vec<Item>) -> bool {
     let fresh = core.replication().take(items);
     accept(core, client, accepted, true);
     if fresh.is_empty() {
@@ -210,9 +205,8 @@
             take_copies(&core, &client, &own, &again);
         }
         let members = core.members().control;
-        let sending = members
-            .iter()
-            .map(|(name, address)| store_at(&core, &client, name, address, &again));
+        let sending =
+            members.iter().map(|(name, address)| store_at(&core, &client, name, address, &again));
         join_all(sending).await;
     }
 }
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -171,7 +171,9 @@
 ) -> HttpResponse {
     let body = match read(&mut payload).await {
         Ok(body) => body,
-        Err(status) => return refuse(status, "the body is incomplete or too large", "send it whole"),
+        Err(status) => {
+            return refuse(status, "the body is incomplete or too large", "send it whole");
+        }
     };
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
     match shared.operators.read(request.method().as_str(), target, &body) {
--- a/crates/arbutuslane_health/src/lib.rs
+++ b/crates/arbutuslane_health/src/lib.rs
@@ -40,6 +40,6 @@
 pub mod prelude {
     pub use crate::detector::{Detector, Kind, Observation, Start, Suspicion};
     pub use crate::ejection::{Ejection, Input, Stage};
-    pub use crate::streak::Streak;
     pub use crate::peers::{Baseline, Peers, Summarizer, Summary};
+    pub use crate::streak::Streak;
 }
--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -10,6 +10,32 @@
 /// Identifies an admitted request at its gate.
 pub type Ticket = u64;
 
+/// A request that arrives at a gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its class, by which service times are measured.
+    pub class: Class,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// Until when its response is worth most; earlier goes first among requests of one rank.
+    pub due: Time,
+    /// When its response is of no use any more.
+    pub deadline: Deadline,
+}
+
+impl Arrival {
+    /// Returns a request ranked by its class: bookings before lookups before downloads, each in the
+    /// order of arrival, and worth the same until its deadline.
+    pub fn of_class(class: Class, now: Time, deadline: Deadline) -> Self {
+        let rank = match class {
+            Class::NonIdempotent => 0,
+            Class::Idempotent => 1,
+            Class::Download => 2,
+        };
+        Self { class, rank, due: now + deadline.remaining(now), deadline }
+    }
+}
+
 /// The gate's answer to an arriving request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -40,7 +66,7 @@
 pub enum Reason {
     /// Its deadline has passed.
     Expired,
-    /// It would probably not be answered within its deadline.
+    /// It would probably not be answered while its response is worth most.
     TooLate,
     /// The queue is full of requests of at least its priority.
     Full,
@@ -70,9 +96,11 @@
 
 /// The slots and the queue of one backend server.
 ///
-/// A request is refused on arrival when the wait predicted from the measured service times, plus
-/// one service time, exceeds what remains of its deadline. Refusing then costs nothing, while an
-/// answer after the deadline costs a slot.
+/// Requests wait in the order of their rank, and among those of one rank the one that is due first
+/// goes first, so that requests with little time are not starved by those with much. A request is
+/// refused on arrival when the wait predicted from the measured service times, plus one service
+/// time, ends after it is due. Refusing then costs nothing, while a late answer costs a slot that
+/// another request would have used in time.
 #[derive(Debug, Clone)]
 pub struct Gate {
     slots: usize,
@@ -94,8 +122,14 @@
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     ticket: Ticket,
-    class: Class,
-    deadline: Deadline,
+    arrival: Arrival,
+}
+
+impl Waiting {
+    /// Returns whether it goes before a request that arrives later.
+    fn precedes(&self, arrival: &Arrival) -> bool {
+        (self.arrival.rank, self.arrival.due) <= (arrival.rank, arrival.due)
+    }
 }
 
 const CLASSES: usize = 3;
@@ -118,12 +152,13 @@
     }
 
     /// Admits, queues or refuses a request.
-    pub fn arrive(&mut self, now: Time, class: Class, deadline: Deadline) -> Admission {
+    pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Admission {
+        let class = arrival.class;
         if !self.open {
-            return self.refuse(Reason::Closed, class);
+            return self.refuse(Reason::Closed, &arrival);
         }
-        if deadline.is_expired(now) {
-            return self.refuse(Reason::Expired, class);
+        if arrival.deadline.is_expired(now) {
+            return self.refuse(Reason::Expired, &arrival);
         }
         // A free slot is used whatever the measured service time says: refusing here would end the
         // measurement, and a server whose mean once exceeded the deadline would never be used again.
@@ -132,21 +167,22 @@
             self.running.push(Running { ticket, class, since: now });
             return Admission::Run(ticket);
         }
-        if deadline.remaining(now) < self.predicted_wait(class) + self.expected_service(class) {
-            return self.refuse(Reason::TooLate, class);
+        let needed = self.predicted_wait(&arrival) + self.expected_service(class);
+        if arrival.due.saturating_sub(now) < needed {
+            return self.refuse(Reason::TooLate, &arrival);
         }
         let mut displaced = None;
         if self.queue.len() >= self.queue_limit {
             match self.queue.last() {
-                Some(last) if priority(last.class) < priority(class) => {
+                Some(last) if last.arrival.rank > arrival.rank => {
                     displaced = self.queue.pop().map(|waiting| waiting.ticket);
                 }
-                _ => return self.refuse(Reason::Full, class),
+                _ => return self.refuse(Reason::Full, &arrival),
             }
         }
         let ticket = self.take_ticket();
-        let place = self.queue.partition_point(|other| priority(other.class) >= priority(class));
-        self.queue.insert(place, Waiting { ticket, class, deadline });
+        let place = self.queue.partition_point(|other| other.precedes(&arrival));
+        self.queue.insert(place, Waiting { ticket, arrival });
         Admission::Queued { ticket, displaced }
     }
 
@@ -185,9 +221,9 @@
         let service = self.service;
         let mut expired = Vec::new();
         self.queue.retain(|waiting| {
-            let needed = service[index(waiting.class)].unwrap_or_default();
-            let keep =
-                waiting.deadline.remaining(now) >= needed && !waiting.deadline.is_expired(now);
+            let Arrival { class, deadline, .. } = waiting.arrival;
+            let needed = service[index(class)].unwrap_or_default();
+            let keep = deadline.remaining(now) >= needed && !deadline.is_expired(now);
             if !keep {
                 expired.push(waiting.ticket);
             }
@@ -227,8 +263,8 @@
         self.queue.len()
     }
 
-    /// Returns the time that an arriving request of `class` would probably wait for a slot.
-    pub fn predicted_wait(&self, class: Class) -> Duration {
+    /// Returns the time that an arriving request would probably wait for a slot.
+    pub fn predicted_wait(&self, arrival: &Arrival) -> Duration {
         if self.running.len() < self.slots || self.slots == 0 {
             return Duration::ZERO;
         }
@@ -238,8 +274,8 @@
         }
         let mut ahead = 0;
         for waiting in &self.queue {
-            if priority(waiting.class) >= priority(class) {
-                work += self.expected_service(waiting.class);
+            if waiting.precedes(arrival) {
+                work += self.expected_service(waiting.arrival.class);
                 ahead += 1;
             }
         }
@@ -262,8 +298,8 @@
         self.next_ticket
     }
 
-    fn refuse(&self, reason: Reason, class: Class) -> Admission {
-        let wait = self.predicted_wait(class) + self.expected_service(class);
+    fn refuse(&self, reason: Reason, arrival: &Arrival) -> Admission {
+        let wait = self.predicted_wait(arrival) + self.expected_service(arrival.class);
         Admission::Refused(Refusal { reason, retry_after: wait.max(Duration::from_millis(50)) })
     }
 
@@ -271,22 +307,18 @@
         let mut next = Next { start: Vec::new(), refuse: self.expire(now) };
         while self.running.len() < self.slots && !self.queue.is_empty() {
             let waiting = self.queue.remove(0);
-            self.running.push(Running { ticket: waiting.ticket, class: waiting.class, since: now });
+            let class = waiting.arrival.class;
+            self.running.push(Running { ticket: waiting.ticket, class, since: now });
             next.start.push(waiting.ticket);
         }
         next
     }
 }
 
-/// Returns the priority of a class in the queue; higher goes first.
-fn priority(class: Class) -> u8 {
+fn index(class: Class) -> usize {
     match class {
-        Class::NonIdempotent => 2,
+        Class::NonIdempotent => 0,
         Class::Idempotent => 1,
-        Class::Download => 0,
+        Class::Download => 2,
     }
 }
-
-fn index(class: Class) -> usize {
-    usize::from(priority(class))
-}
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -15,8 +15,9 @@
 //! let now = Duration::ZERO;
 //! let mut gate = Gate::new(1, 4);
 //! let deadline = Deadline::after(now, Duration::from_secs(5));
-//! let Admission::Run(ticket) = gate.arrive(now, Class::Idempotent, deadline) else { panic!() };
-//! assert!(matches!(gate.arrive(now, Class::Idempotent, deadline), Admission::Queued { .. }));
+//! let arrival = Arrival::of_class(Class::Idempotent, now, deadline);
+//! let Admission::Run(ticket) = gate.arrive(now, arrival) else { panic!() };
+//! assert!(matches!(gate.arrive(now, arrival), Admission::Queued { .. }));
 //! let next = gate.finish(ticket, Duration::from_millis(20));
 //! assert_eq!(next.start.len(), 1);
 //! ```
@@ -36,7 +37,7 @@
     pub use crate::bucket::Bucket;
     pub use crate::budget::{Origin, RetryBudget};
     pub use crate::deadline::Deadline;
-    pub use crate::gate::{Admission, Cancelled, Gate, Next, Reason, Refusal, Ticket};
+    pub use crate::gate::{Admission, Arrival, Cancelled, Gate, Next, Reason, Refusal, Ticket};
     pub use crate::resend::Failures;
     pub use crate::retry::{Attempt, Decision, Outcome};
     pub use crate::{hedge, retry};
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -66,7 +66,10 @@
         match action % 8 {
             0..=3 => {
                 let remaining = Duration::from_millis(u64::from(wait));
-                match gate.arrive(now, class(which), Deadline::after(now, remaining)) {
+                match gate.arrive(
+                    now,
+                    Arrival::of_class(class(which), now, Deadline::after(now, remaining)),
+                ) {
                     Admission::Run(ticket) => {
                         states.insert(ticket, State::Running);
                     }
@@ -142,16 +145,23 @@
     let second = Duration::from_secs(1);
     let mut now = Duration::ZERO;
     for _ in 0..20 {
-        let admission = gate.arrive(now, Class::Idempotent, Deadline::after(now, 60 * second));
+        let admission = gate.arrive(
+            now,
+            Arrival::of_class(Class::Idempotent, now, Deadline::after(now, 60 * second)),
+        );
         let Admission::Run(ticket) = admission else { panic!("{admission:?}") };
         now += second;
         gate.finish(ticket, now);
     }
-    gate.arrive(now, Class::Idempotent, Deadline::after(now, 60 * second));
-    let late = gate.arrive(now, Class::Idempotent, Deadline::after(now, second * 3 / 2));
+    gate.arrive(now, Arrival::of_class(Class::Idempotent, now, Deadline::after(now, 60 * second)));
+    let late = gate.arrive(
+        now,
+        Arrival::of_class(Class::Idempotent, now, Deadline::after(now, second * 3 / 2)),
+    );
     let Admission::Refused(refusal) = late else { panic!("{late:?}") };
     assert_eq!(refusal.reason, Reason::TooLate);
-    let timely = gate.arrive(now, Class::Idempotent, Deadline::after(now, 3 * second));
+    let timely = gate
+        .arrive(now, Arrival::of_class(Class::Idempotent, now, Deadline::after(now, 3 * second)));
     assert!(matches!(timely, Admission::Queued { .. }), "{timely:?}");
 }
 
@@ -160,14 +170,18 @@
 fn arrive_idle_after_slow() {
     let mut gate = Gate::new(1, 10);
     let long = Duration::from_secs(60);
-    let Admission::Run(ticket) =
-        gate.arrive(Duration::ZERO, Class::Idempotent, Deadline::after(Duration::ZERO, long))
-    else {
+    let Admission::Run(ticket) = gate.arrive(
+        Duration::ZERO,
+        Arrival::of_class(Class::Idempotent, Duration::ZERO, Deadline::after(Duration::ZERO, long)),
+    ) else {
         panic!("the slot is free")
     };
     gate.finish(ticket, long);
     let deadline = Deadline::after(long, Duration::from_secs(1));
-    assert!(matches!(gate.arrive(long, Class::Idempotent, deadline), Admission::Run(_)));
+    assert!(matches!(
+        gate.arrive(long, Arrival::of_class(Class::Idempotent, long, deadline)),
+        Admission::Run(_)
+    ));
 }
 
 /// Guards against a booking that is refused while lookups hold the queue.
@@ -175,15 +189,18 @@
 fn arrive_displaces_lower() {
     let mut gate = Gate::new(1, 1);
     let deadline = Deadline::after(Duration::ZERO, Duration::from_secs(9));
-    gate.arrive(Duration::ZERO, Class::Download, deadline);
-    let Admission::Queued { ticket, .. } = gate.arrive(Duration::ZERO, Class::Idempotent, deadline)
+    gate.arrive(Duration::ZERO, Arrival::of_class(Class::Download, Duration::ZERO, deadline));
+    let Admission::Queued { ticket, .. } =
+        gate.arrive(Duration::ZERO, Arrival::of_class(Class::Idempotent, Duration::ZERO, deadline))
     else {
         panic!("the queue is empty")
     };
-    let booking = gate.arrive(Duration::ZERO, Class::NonIdempotent, deadline);
+    let booking = gate
+        .arrive(Duration::ZERO, Arrival::of_class(Class::NonIdempotent, Duration::ZERO, deadline));
     assert!(
         matches!(booking, Admission::Queued { displaced: Some(displaced), .. } if displaced == ticket)
     );
-    let lookup = gate.arrive(Duration::ZERO, Class::Idempotent, deadline);
+    let lookup =
+        gate.arrive(Duration::ZERO, Arrival::of_class(Class::Idempotent, Duration::ZERO, deadline));
     assert!(matches!(lookup, Admission::Refused(refusal) if refusal.reason == Reason::Full));
 }
--- a/crates/arbutuslane_limit/tests/rate.rs
+++ b/crates/arbutuslane_limit/tests/rate.rs
@@ -84,7 +84,8 @@
             for response_started in [false, true] {
                 let mut budget = RetryBudget::new(10, 5, 5);
                 let deadline = Deadline::after(now, Duration::from_secs(1));
-                let attempt = Attempt { class, outcome, made: 1, limit: 3, response_started, deadline };
+                let attempt =
+                    Attempt { class, outcome, made: 1, limit: 3, response_started, deadline };
                 let may = !response_started
                     && match outcome {
                         Outcome::NotRun => true,
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -204,9 +204,9 @@
             }
         }
         // Two servers at one address are two lives of one: the later start holds it.
-        let rival = servers.iter().find(|known| {
-            known.address == address && known.incarnation > announcement.incarnation
-        });
+        let rival = servers
+            .iter()
+            .find(|known| known.address == address && known.incarnation > announcement.incarnation);
         if let Some(rival) = rival {
             return Err(Refused::Incarnation { known: rival.incarnation });
         }
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -60,7 +60,14 @@
         let mut detector = Detector::new(Preference::FewFalseEjections);
         detector.set_warming(true);
         let stage = Stage::cold(now, COLD_RAMP);
-        let state = State { detector, baseline: Baseline::default(), stage, streak: Streak::default(), latency: [None; 3], next: 0 };
+        let state = State {
+            detector,
+            baseline: Baseline::default(),
+            stage,
+            streak: Streak::default(),
+            latency: [None; 3],
+            next: 0,
+        };
         Arc::new(Self { clock, state: Mutex::new(state) })
     }
 
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -24,9 +24,6 @@
 /// The longest wait for one peer.
 const PEER_WAIT: Duration = Duration::from_secs(1);
 
-/// The rank of routes that state none; between the highest, 0, and the lowest.
-const RANK: u8 = 1;
-
 /// The largest request body in bytes where no limit is declared.
 const BODY_BYTES: u64 = 64 << 20;
 
@@ -156,7 +153,7 @@
                     targets: vec![(entry.service.clone(), 1)],
                     timeout: entry.limits.deadline,
                     objective: entry.limits.deadline,
-                    rank: RANK,
+                    rank: rank(route.class.unwrap_or(entry.class)),
                     attempts: retry::ATTEMPTS as usize,
                     body_bytes: entry.limits.body_bytes,
                     limits: Some(entry.limits.clone()),
@@ -197,6 +194,15 @@
     }
 }
 
+/// Returns the rank of routes in a catalogue, which states none: bookings go first.
+fn rank(class: Class) -> u8 {
+    match class {
+        Class::NonIdempotent => 0,
+        Class::Idempotent => 1,
+        Class::Download => 2,
+    }
+}
+
 /// Reads a catalogue snapshot from a JSON file.
 pub(crate) fn read(path: &Path) -> Result<Configuration, String> {
     let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -25,6 +25,10 @@
 /// announced themselves elsewhere and other nodes know it before the listeners close.
 const LINGER: Duration = Duration::from_millis(3_500);
 
+/// The same where servers cannot announce themselves elsewhere: other nodes learn within a second that
+/// they are withdrawn, and whoever asks for the readiness of the node has asked twice.
+const WITHDRAWN_LINGER: Duration = Duration::from_millis(2_900);
+
 /// How often a stopping node looks whether requests are in flight.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -127,7 +131,8 @@
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
     let limit = Duration::from_millis(shared.settings.stop_ms);
-    sleep(LINGER.min(limit * 3 / 5)).await;
+    let linger = if shared.settings.withdraw_on_stop { WITHDRAWN_LINGER } else { LINGER };
+    sleep(linger.min(limit)).await;
     shared.end_intake();
     // The server library breaks off requests that still run when it stops, and callers use open
     // connections until they are closed.
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -10,10 +10,8 @@
 
 use ntex::time::timeout_checked;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::time::{Clock, Time};
-use arbutuslane_limit::deadline::Deadline;
-use arbutuslane_limit::gate::{self, Cancelled, Gate, Next, Reason, Refusal};
+use arbutuslane_limit::gate::{self, Arrival, Cancelled, Gate, Next, Reason, Refusal};
 
 /// The longest queue as a multiple of the slots; it is short, because another server may be free.
 const QUEUE_PER_SLOT: usize = 2;
@@ -89,28 +87,20 @@
     }
 
     /// Takes a slot, or refuses a request that would wait longer than a hop to another server takes.
-    pub(crate) async fn enter_now(
-        self: &Arc<Self>,
-        class: Class,
-        deadline: Deadline,
-    ) -> Result<Permit, Refusal> {
-        let wait = self.lock().gate.predicted_wait(class);
+    pub(crate) async fn enter_now(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
+        let wait = self.lock().gate.predicted_wait(&arrival);
         if wait > HOP {
             return Err(Refusal { reason: Reason::Full, retry_after: wait });
         }
-        self.enter(class, deadline).await
+        self.enter(arrival).await
     }
 
-    /// Waits for a slot at most until `deadline`.
-    pub(crate) async fn enter(
-        self: &Arc<Self>,
-        class: Class,
-        deadline: Deadline,
-    ) -> Result<Permit, Refusal> {
+    /// Waits for a slot at most until the deadline of the request.
+    pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
         let now = self.clock.now();
         let place = {
             let mut state = self.lock();
-            match state.gate.arrive(now, class, deadline) {
+            match state.gate.arrive(now, arrival) {
                 gate::Admission::Run(ticket) => return Ok(self.permit(ticket)),
                 gate::Admission::Refused(refusal) => return Err(refusal),
                 gate::Admission::Queued { ticket, displaced } => {
@@ -120,12 +110,12 @@
                 }
             }
         };
-        let limit = deadline.remaining(now);
+        let limit = arrival.deadline.remaining(now);
         let waiting = poll_fn(|cx| self.lock().poll(place.ticket, cx));
         match timeout_checked(limit, waiting).await {
             Ok(true) => Ok(self.permit(place.ticket)),
             Ok(false) | Err(()) => {
-                let wait = self.lock().gate.predicted_wait(class);
+                let wait = self.lock().gate.predicted_wait(&arrival);
                 Err(Refusal { reason: Reason::TooLate, retry_after: wait })
             }
         }
@@ -197,25 +187,32 @@
 
 #[cfg(test)]
 mod tests {
+    use arbutuslane_catalogue::entry::Class;
+    use arbutuslane_limit::deadline::Deadline;
     use std::pin::pin;
+
     use super::*;
 
     fn poll<F: Future>(future: std::pin::Pin<&mut F>) -> Poll<F::Output> {
         future.poll(&mut Context::from_waker(Waker::noop()))
     }
 
-    fn admission() -> (Arc<Admission>, Deadline) {
-        let admission = Arc::new(Admission::new(1, Clock::start()));
-        (admission, Deadline::after(Time::ZERO, Duration::from_secs(60)))
+    fn admission() -> Arc<Admission> {
+        Arc::new(Admission::new(1, Clock::start()))
+    }
+
+    fn arrival(class: Class) -> Arrival {
+        let deadline = Deadline::after(Time::ZERO, Duration::from_secs(60));
+        Arrival::of_class(class, Time::ZERO, deadline)
     }
 
     /// Guards against a booking that waits behind downloads, and against a lost slot.
     #[ntex::test]
     async fn enter_priority() {
-        let (admission, deadline) = admission();
-        let first = admission.enter(Class::Idempotent, deadline).await.unwrap();
-        let mut download = pin!(admission.enter(Class::Download, deadline));
-        let mut booking = pin!(admission.enter(Class::NonIdempotent, deadline));
+        let admission = admission();
+        let first = admission.enter(arrival(Class::Idempotent)).await.unwrap();
+        let mut download = pin!(admission.enter(arrival(Class::Download)));
+        let mut booking = pin!(admission.enter(arrival(Class::NonIdempotent)));
         assert!(poll(download.as_mut()).is_pending());
         assert!(poll(booking.as_mut()).is_pending());
         drop(first);
@@ -229,10 +226,10 @@
     /// Guards against a slot that stays taken when its request is cancelled after the grant.
     #[ntex::test]
     async fn enter_abandoned() {
-        let (admission, deadline) = admission();
-        let first = admission.enter(Class::Idempotent, deadline).await.unwrap();
+        let admission = admission();
+        let first = admission.enter(arrival(Class::Idempotent)).await.unwrap();
         {
-            let mut second = pin!(admission.enter(Class::Idempotent, deadline));
+            let mut second = pin!(admission.enter(arrival(Class::Idempotent)));
             assert!(poll(second.as_mut()).is_pending());
             drop(first);
         }
@@ -242,25 +239,25 @@
     /// Guards against a request that waits although another server may be free.
     #[ntex::test]
     async fn enter_now_busy() {
-        let (admission, deadline) = admission();
-        let first = admission.enter_now(Class::Idempotent, deadline).await.unwrap();
+        let admission = admission();
+        let first = admission.enter_now(arrival(Class::Idempotent)).await.unwrap();
         ntex::time::sleep(HOP * 4).await;
         drop(first);
-        let _second = admission.enter_now(Class::Idempotent, deadline).await.unwrap();
-        let third = admission.enter_now(Class::Idempotent, deadline).await;
+        let _second = admission.enter_now(arrival(Class::Idempotent)).await.unwrap();
+        let third = admission.enter_now(arrival(Class::Idempotent)).await;
         assert_eq!(third.map(|_| ()).map_err(|refusal| refusal.reason), Err(Reason::Full));
     }
 
     /// Guards against a queue that grows without bound, and one that outlives its server.
     #[ntex::test]
     async fn enter_full() {
-        let (admission, deadline) = admission();
-        let _first = admission.enter(Class::Idempotent, deadline).await.unwrap();
-        let mut second = pin!(admission.enter(Class::Idempotent, deadline));
-        let mut third = pin!(admission.enter(Class::Idempotent, deadline));
+        let admission = admission();
+        let _first = admission.enter(arrival(Class::Idempotent)).await.unwrap();
+        let mut second = pin!(admission.enter(arrival(Class::Idempotent)));
+        let mut third = pin!(admission.enter(arrival(Class::Idempotent)));
         assert!(poll(second.as_mut()).is_pending());
         assert!(poll(third.as_mut()).is_pending());
-        let fourth = admission.enter(Class::Idempotent, deadline).await;
+        let fourth = admission.enter(arrival(Class::Idempotent)).await;
         assert_eq!(fourth.map(|_| ()).map_err(|refusal| refusal.reason), Err(Reason::Full));
         admission.close();
         assert!(matches!(poll(second.as_mut()), Poll::Ready(Err(_))));
--- a/crates/arbutuslane_node/src/traffic/ahead.rs
+++ b/crates/arbutuslane_node/src/traffic/ahead.rs
@@ -82,9 +82,10 @@
         let same = self.headers.len() == request.headers().len();
         same && *request.method() == Method::GET
             && self.target == target
-            && self.headers.iter().all(|(name, value)| {
-                request.headers().get_all(name).any(|other| other == value)
-            })
+            && self
+                .headers
+                .iter()
+                .all(|(name, value)| request.headers().get_all(name).any(|other| other == value))
     }
 
     /// Polls the request; returns whether it is ready.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -51,6 +51,8 @@
             Place::Remote { incarnation, .. } => *incarnation,
         },
         class: routed.class,
+        rank: routed.rank,
+        due: routed.due,
         trial: choice.trial,
         repeatable: may_change && services::may_repeat(worker, service),
         insist: effort == Effort::Insist,
@@ -122,7 +124,9 @@
         return result;
     }
     // Without another attempt the response may still come in time.
-    if !services::may_repeat(worker, &routed.service) || !services::has_other(worker, &routed.service, tried) {
+    if !services::may_repeat(worker, &routed.service)
+        || !services::has_other(worker, &routed.service, tried)
+    {
         return running.await;
     }
     let error = "no response in several times the usual latency";
@@ -146,4 +150,3 @@
         }
     }
 }
-
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -160,11 +160,7 @@
     ///
     /// The first byte is written before this function first waits. The connection is kept for
     /// later exchanges only when `keep` is set, the id was echoed and both bodies were completed.
-    pub(crate) async fn exchange(
-        self,
-        request: Request,
-        terms: Terms,
-    ) -> Result<Reply, Failure> {
+    pub(crate) async fn exchange(self, request: Request, terms: Terms) -> Result<Reply, Failure> {
         let Self { mut sender, mut driver, address, reused, pool } = self;
         let Terms { id: (field, id), echo, keep, ends_with_connection, limit } = terms;
         let (method, upload) = (request.method.clone(), request.upload.clone());
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -43,11 +43,7 @@
 }
 
 /// Answers a request of a caller; a response that breaks off closes the connection `io`.
-pub(crate) async fn respond(
-    worker: Rc<Worker>,
-    incoming: Incoming,
-    io: Option<IoRef>,
-) -> Response {
+pub(crate) async fn respond(worker: Rc<Worker>, incoming: Incoming, io: Option<IoRef>) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
     let began = worker.shared.clock.now();
     let dialect = worker.shared.interface.dialect();
@@ -189,9 +185,7 @@
     let mut tried = Vec::new();
     loop {
         let result = match effort {
-            Effort::Insist => {
-                attempt::send(worker, routed, &mut Vec::new(), effort).await
-            }
+            Effort::Insist => attempt::send(worker, routed, &mut Vec::new(), effort).await,
             Effort::Ordinary | Effort::Last => {
                 attempt::send(worker, routed, &mut tried, effort).await
             }
@@ -250,9 +244,7 @@
 /// nothing.
 fn finally(result: Result<Answer, Refusal>, may_have_run: bool) -> Result<Answer, Refusal> {
     result.map_err(|refusal| match refusal.outcome {
-        Outcome::NotRun if may_have_run => {
-            Refusal::unknown(StatusCode::BAD_GATEWAY, refusal.error)
-        }
+        Outcome::NotRun if may_have_run => Refusal::unknown(StatusCode::BAD_GATEWAY, refusal.error),
         _ => refusal,
     })
 }
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -13,7 +13,7 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_health::peers::Summary;
 use arbutuslane_limit::deadline::Deadline;
-use arbutuslane_limit::gate::{self, Reason};
+use arbutuslane_limit::gate::{self, Arrival, Reason};
 use arbutuslane_wire::dialect::{Dialect, Exchange};
 use arbutuslane_wire::header;
 
@@ -46,6 +46,10 @@
     pub(crate) incarnation: Incarnation,
     /// The class of the request.
     pub(crate) class: Class,
+    /// Its rank; 0 goes first.
+    pub(crate) rank: u8,
+    /// Until when its response is worth most.
+    pub(crate) due: Time,
     /// Whether an ejected server may run the request as a trial.
     pub(crate) trial: bool,
     /// Whether the entry would repeat the request elsewhere if it failed.
@@ -101,17 +105,18 @@
     if !work.insist && !server.condition.prefers(work.repeatable) {
         return Err(Refusal::suspect());
     }
-    let until = work.deadline;
+    let Work { class, rank, due, deadline, .. } = work;
+    let arrival = Arrival { class, rank, due, deadline };
     let permit = match work.insist {
-        true => server.admission.enter(work.class, until).await,
-        false => server.admission.enter_now(work.class, until).await,
+        true => server.admission.enter(arrival).await,
+        false => server.admission.enter_now(arrival).await,
     };
     let permit = permit.map_err(denied)?;
     if !work.insist && !was_suspect && server.condition.is_suspect() {
         return Err(Refusal::suspect());
     }
     // Decided after the queue, in which the request may have been struck.
-    let remaining = until.remaining(clock.now());
+    let remaining = deadline.remaining(clock.now());
     let mut alone = strikes::admit(worker, &server.service, work.fingerprint, remaining).await?;
     if let Some((source, summary)) = &work.summary {
         server.condition.record(*source, *summary);
@@ -154,7 +159,8 @@
     }
     if dialect.statuses_promise && promises(reply.status) {
         running.finish(false);
-        let error = format!("the server answered {} without saying that it ran nothing", reply.status);
+        let error =
+            format!("the server answered {} without saying that it ran nothing", reply.status);
         return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, error));
     }
     if let Some(alone) = alone {
@@ -216,6 +222,10 @@
     };
     let now = worker.shared.clock.now();
     let deadline = deadline::read(headers, Duration::ZERO, now);
+    let rank = fields::text(headers, header::RANK).and_then(|text| text.parse().ok());
+    let rank = rank.unwrap_or_else(|| Arrival::of_class(class, now, deadline).rank);
+    let due = deadline::read_from(header::DUE_MS, headers, deadline.remaining(now), now);
+    let due = now + due.remaining(now);
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
     let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
     let target = target.ok_or_else(|| bad("no path"))?.to_string();
@@ -243,6 +253,8 @@
         server,
         incarnation,
         class,
+        rank,
+        due,
         trial,
         repeatable,
         insist,
@@ -276,7 +288,11 @@
     let keep = work.class != Class::NonIdempotent;
     let dialect = worker.shared.interface.dialect();
     let always_echoes = matches!(dialect.exchange, Exchange::OfCaller(_));
-    let mut idle = if keep && (always_echoes || server.echoes()) { worker.pool.take(server.address) } else { None };
+    let mut idle = if keep && (always_echoes || server.echoes()) {
+        worker.pool.take(server.address)
+    } else {
+        None
+    };
     loop {
         let limit = work.deadline.remaining(clock.now());
         let connection = match idle.take() {
@@ -359,11 +375,7 @@
 }
 
 /// Opens a connection to a server; a refused one shows that its process is gone.
-async fn connect(
-    worker: &Worker,
-    server: &Server,
-    limit: Duration,
-) -> Result<Connection, Failure> {
+async fn connect(worker: &Worker, server: &Server, limit: Duration) -> Result<Connection, Failure> {
     let result = worker.pool.connect(server.address, limit).await;
     if let Err(Failure::Connect(error)) = &result
         && error.kind() == std::io::ErrorKind::ConnectionRefused
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -60,8 +60,20 @@
 
 async fn send(worker: &Worker, work: Work, address: SocketAddr) -> Result<Reply, Failure> {
     let clock = &worker.shared.clock;
-    let Work { server, incarnation, class, deadline, mut request, trial, summary, repeatable, insist, .. } =
-        work;
+    let Work {
+        server,
+        incarnation,
+        class,
+        rank,
+        due,
+        deadline,
+        mut request,
+        trial,
+        summary,
+        repeatable,
+        insist,
+        ..
+    } = work;
     let fingerprint = format!("{:016x}", work.fingerprint);
     fields::set(&mut request.headers, header::FINGERPRINT, &fingerprint);
     request.target = format!("{FORWARD}{}", request.target);
@@ -78,6 +90,7 @@
         fields::set(&mut request.headers, header::BASELINE, &summary.encode());
         fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
     }
+    fields::set(&mut request.headers, header::RANK, &rank.to_string());
     if repeatable {
         fields::set(&mut request.headers, header::REPEATABLE, "1");
     }
@@ -99,12 +112,12 @@
         count_connection(worker, &connection);
         let wait = deadline.remaining(clock.now());
         let mut request = request.clone();
-        fields::set(
-            &mut request.headers,
-            header::DEADLINE_MS,
-            &deadline::encode(deadline, clock.now()),
-        );
-        let result = connection.exchange(request, Terms::with_peer(Echo::Required, keep, wait)).await;
+        let now = clock.now();
+        fields::set(&mut request.headers, header::DEADLINE_MS, &deadline::encode(deadline, now));
+        let due_ms = due.saturating_sub(now).as_millis().to_string();
+        fields::set(&mut request.headers, header::DUE_MS, &due_ms);
+        let result =
+            connection.exchange(request, Terms::with_peer(Echo::Required, keep, wait)).await;
         match result {
             Err(Failure::ClosedUnused) if reused => {}
             result => return result,
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -16,8 +16,8 @@
 use crate::metrics::count;
 
 use super::answer::{Answer, Stream};
-use super::client::Failure;
 use super::attempt;
+use super::client::Failure;
 use super::entry;
 use super::fields;
 use super::relay::Source;
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -32,6 +32,9 @@
 /// How often a request that waits looks for the configuration.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// The rank of calls that backend servers make while they run a request.
+const CALL_RANK: u8 = 0;
+
 /// A request of a caller before routing.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -68,6 +71,10 @@
     pub(crate) service: String,
     /// Its class.
     pub(crate) class: Class,
+    /// Its rank; 0 goes first.
+    pub(crate) rank: u8,
+    /// Until when its response is worth most.
+    pub(crate) due: Time,
     /// When its response is of no use any more.
     pub(crate) deadline: Deadline,
     /// The most servers that it is sent to.
@@ -105,6 +112,7 @@
 /// Routes a request of a caller and reads as much of its body as must be held.
 pub(super) async fn route(worker: &Worker, incoming: Incoming) -> Result<Routed, Refusal> {
     let now = worker.shared.clock.now();
+    let arrived = now;
     let configuration = configuration(worker, &incoming.headers, now).await?;
     let host = incoming.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| incoming.uri.authority().map(|authority| authority.as_str()));
@@ -115,8 +123,7 @@
     };
     // The deadline counts from the arrival of the request, before the wait for a configuration.
     let dialect = worker.shared.interface.dialect();
-    let deadline =
-        deadline::read_from(dialect.deadline_ms, &incoming.headers, rule.timeout, now);
+    let deadline = deadline::read_from(dialect.deadline_ms, &incoming.headers, rule.timeout, now);
     let deadline = match rule.limits {
         Some(_) => deadline,
         // An operator's timeout binds callers who would wait longer.
@@ -134,8 +141,7 @@
     }
     let length = fields::length(&incoming.headers);
     let payload = incoming.payload;
-    let upload =
-        intake::upload(rule.body_bytes, payload, length, deadline.remaining(now)).await?;
+    let upload = intake::upload(rule.body_bytes, payload, length, deadline.remaining(now)).await?;
     let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(&incoming.headers);
     if !headers.contains_key(HOST) {
@@ -154,9 +160,25 @@
     let method = incoming.method;
     let request = Request { method, target: target.to_string(), headers, upload };
     let fingerprint = keyed::fingerprint(&request);
-    let (route, class, attempts) = (rule.name.clone(), rule.class, rule.attempts);
     let is_call = dialect.parent(owner::request_id(dialect, &request.headers)).is_some();
-    Ok(Routed { route, service, class, deadline, attempts, is_call, request, fingerprint })
+    // Work that was admitted goes before new work: without its calls it would have been in vain.
+    let (rank, due) = match is_call {
+        true => (CALL_RANK, arrived + deadline.remaining(arrived)),
+        false => (rule.rank, arrived + rule.objective.min(deadline.remaining(arrived))),
+    };
+    let (route, class, attempts) = (rule.name.clone(), rule.class, rule.attempts);
+    Ok(Routed {
+        route,
+        service,
+        class,
+        rank,
+        due,
+        deadline,
+        attempts,
+        is_call,
+        request,
+        fingerprint,
+    })
 }
 
 fn too_many(wait: Duration) -> Refusal {
@@ -168,4 +190,3 @@
         ..Refusal::not_run("the rate of the caller, the route or the service is exceeded")
     }
 }
-
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -63,6 +63,12 @@
 /// The backend server fails most requests, and the entry may try another one first.
 pub const REFUSAL_SUSPECT: &str = "suspect";
 
+/// The rank of the request, 0 first, on requests to an owner.
+pub const RANK: &str = "arbutuslane-rank";
+
+/// The milliseconds for which the response is worth most, on requests to an owner.
+pub const DUE_MS: &str = "arbutuslane-due-ms";
+
 /// Marks a request that may be repeated if it fails, and that a suspect may therefore take as a trial.
 pub const REPEATABLE: &str = "arbutuslane-repeatable";
 
