Keep ejection's evidence in fleets with permits; avoid silent servers

Cause: a server that fails most requests got trials only, so that the detector behind ejection permits saw no evidence (work_permit_lost), a broken download was not continued (download_resumed), and a server that was silent for several times the usual latency was chosen again at once (silence_other_server).

Ruled out: the retry budget, which was full in each of these tests.

Refusals by busy owners are counted apart from stale ones.

Conclusion: suspicion orders servers only where no permits are granted.

--- a/crates/arbutuslane_balance/src/estimate.rs
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -64,8 +64,12 @@
     pub(crate) fn observe(&mut self, latency: Option<Duration>, success: bool, now: Time) {
         let outcome = if success { 1.0 } else { 0.0 };
         self.success += SUCCESS_WEIGHT * (outcome - self.success);
-        let Some(latency) = latency.filter(|_| success) else { return };
+        let Some(latency) = latency else { return };
         let sample = latency.as_secs_f64();
+        // A failure ends a request early, and shows only that it would have taken longer.
+        if !success && sample <= self.latency {
+            return;
+        }
         let elapsed = now.saturating_sub(self.latency_at).as_secs_f64();
         // A sample weighs at least 5%, so that a busy server's mean is not one single request.
         let keep = (-elapsed / LATENCY_SECONDS).exp().min(0.95);
--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -17,7 +17,7 @@
     Ordinary,
     /// No other attempt follows.
     Last,
-    /// No other attempt follows; the request may wait for a slot, and a suspect must take it.
+    /// The request may wait for a slot, and a suspect must take it.
     Insist,
 }
 
@@ -66,7 +66,7 @@
     /// Takes in the end of an attempt and returns how the next one is made, or nothing when the
     /// request ends with this result; charges the budget.
     ///
-    /// `others` tells whether a server is left that was not asked. What no server was asked adds no
+    /// `others` tells whether a server is left that was not tried. What no server was asked adds no
     /// work and costs no budget.
     pub fn next(
         &mut self,
@@ -80,13 +80,21 @@
             self.sent += 1;
             self.may_have_run |= outcome != Outcome::NotRun;
         }
-        if self.insisted || ending == Ending::Final || self.deadline.is_expired(now) {
+        if ending == Ending::Final || self.deadline.is_expired(now) {
+            return None;
+        }
+        if self.insisted && !matches!(ending, Ending::Asked(_)) {
             return None;
         }
         let more = others && self.asked < ASKED;
-        let effort = if self.sent + 1 >= self.limit { Effort::Last } else { Effort::Ordinary };
+        let effort = match self.sent + 1 >= self.limit {
+            _ if self.insisted => Effort::Insist,
+            true => Effort::Last,
+            false => Effort::Ordinary,
+        };
         match ending {
             Ending::Busy | Ending::Gone if more => Some(effort),
+            // The servers that turned the request away are asked once more.
             Ending::Busy => {
                 self.insisted = true;
                 Some(Effort::Insist)
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -56,6 +56,8 @@
     clock: Clock,
     /// How long nothing renews a lease before dispatch stops.
     lease: Duration,
+    /// Whether servers that fail most requests are tried last.
+    suspects: bool,
     /// Raised with every change that choices of servers depend on.
     version: AtomicU64,
     servers: RwLock<Vec<Arc<Server>>>,
@@ -159,10 +161,11 @@
 
 impl Table {
     /// Returns an empty table.
-    pub(crate) fn new(clock: Clock, lease: Duration) -> Self {
+    pub(crate) fn new(clock: Clock, lease: Duration, suspects: bool) -> Self {
         Self {
             clock,
             lease,
+            suspects,
             version: AtomicU64::new(1),
             servers: RwLock::default(),
             departed: RwLock::default(),
@@ -216,7 +219,7 @@
             incarnation: announcement.incarnation,
             address,
             admission: Arc::new(Admission::new(announcement.slots, self.clock)),
-            condition: Condition::new(self.clock),
+            condition: Condition::new(self.clock, self.suspects),
             lease: self.lease,
             renewed_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(announcement.sequence),
@@ -355,7 +358,7 @@
     /// Guards against dispatch to a server that stopped renewing.
     #[test]
     fn open_expired() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         table.announce(&announcement(1), Duration::from_millis(100)).unwrap();
         let server = table.get("s1").unwrap();
         assert!(server.open(Duration::from_millis(2_599)));
@@ -367,7 +370,7 @@
     /// Guards against a delayed renewal that brings a departed server back.
     #[test]
     fn announce_departed() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         let server = table.get("s1").unwrap();
@@ -380,7 +383,7 @@
     /// Guards against an outdated announcement that replaces a newer one.
     #[test]
     fn announce_outdated() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let now = Duration::from_secs(1);
         table.announce(&announcement(7), now).unwrap();
         assert_eq!(table.announce(&announcement(6), now), Err(Refused::Incarnation { known: 7 }));
@@ -392,7 +395,7 @@
     /// Guards against a drain that the next renewal undoes.
     #[test]
     fn drain_renewed() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let now = Duration::from_secs(1);
         table.announce(&announcement(1), now).unwrap();
         assert!(table.drain("s1"));
@@ -404,7 +407,7 @@
     /// and one that renews a lease although its sender is silent.
     #[test]
     fn announce_late() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let at = |ms| Duration::from_millis(ms);
         let send = |sequence, draining, now| {
             table.announce(&Announcement { sequence, draining, ..announcement(1) }, now).unwrap();
@@ -422,7 +425,7 @@
     /// address from the server that was started there since.
     #[test]
     fn announce_earlier_life() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let now = Duration::from_secs(1);
         table.announce(&announcement(5), now).unwrap();
         let successor = Announcement { server: "s2".to_string(), ..announcement(9) };
@@ -436,7 +439,7 @@
     /// against a late one that removes the server's next life.
     #[test]
     fn leave_unknown() {
-        let table = Table::new(Clock::start(), LEASE);
+        let table = Table::new(Clock::start(), LEASE, false);
         let now = Duration::from_secs(1);
         assert!(!table.leave("s1", Some(4), now));
         assert_eq!(table.announce(&announcement(4), now), Err(Refused::Incarnation { known: 4 }));
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -29,6 +29,9 @@
 #[derive(Debug)]
 pub(crate) struct Condition {
     clock: Clock,
+    /// Whether a server that fails most requests is tried last. Where permits are granted, such a
+    /// server is ejected instead, and keeps its work until then because the evidence comes from it.
+    suspects: bool,
     state: Mutex<State>,
 }
 
@@ -55,7 +58,7 @@
 
 impl Condition {
     /// Returns the condition of a server that has just announced itself.
-    pub(crate) fn new(clock: Clock) -> Arc<Self> {
+    pub(crate) fn new(clock: Clock, suspects: bool) -> Arc<Self> {
         let now = clock.now();
         let mut detector = Detector::new(Preference::FewFalseEjections);
         detector.set_warming(true);
@@ -68,7 +71,7 @@
             latency: [None; 3],
             next: 0,
         };
-        Arc::new(Self { clock, state: Mutex::new(state) })
+        Arc::new(Self { clock, suspects, state: Mutex::new(state) })
     }
 
     /// Sets the time in which the server takes a rising share of its load, counted from now.
@@ -133,12 +136,12 @@
     pub(crate) fn prefers(&self, repeatable: bool) -> bool {
         let now = self.clock.now();
         let streak = &mut self.lock().streak;
-        !streak.is_suspect() || (repeatable && streak.try_now(now))
+        !self.suspects || !streak.is_suspect() || (repeatable && streak.try_now(now))
     }
 
     /// Returns whether the server fails most requests.
     pub(crate) fn is_suspect(&self) -> bool {
-        self.lock().streak.is_suspect()
+        self.suspects && self.lock().streak.is_suspect()
     }
 
     /// Returns whether the server is ejected, and the share of its load that it takes in percent.
@@ -247,7 +250,7 @@
     /// Guards against a failing server that is ejected without a permit, or never claims one.
     #[test]
     fn judge_failing() {
-        let condition = Condition::new(Clock::start());
+        let condition = Condition::new(Clock::start(), false);
         // The threshold rises with the rate of requests, and these all come at once.
         for caller in 0..200 {
             let mut running = condition.begin(Class::Idempotent, false, 1, caller).unwrap();
@@ -267,7 +270,7 @@
     /// Guards against requests that callers gave up and that count against the server.
     #[test]
     fn begin_cancelled() {
-        let condition = Condition::new(Clock::start());
+        let condition = Condition::new(Clock::start(), false);
         for caller in 0..200 {
             drop(condition.begin(Class::Idempotent, false, 1, caller));
         }
--- a/crates/arbutuslane_node/src/metrics.rs
+++ b/crates/arbutuslane_node/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) retries: AtomicU64,
     /// Retries because a server had moved, left or begun to drain; they cost no budget.
     pub(crate) stale_retries: AtomicU64,
+    /// Requests that an owner turned away because its server was full or failed most requests.
+    pub(crate) turned_away: AtomicU64,
     /// Requests that this node dispatched to its backend servers.
     pub(crate) dispatched: AtomicU64,
     /// Connections that were opened for requests.
@@ -92,6 +94,7 @@
     let counters = [
         ("retries", &metrics.retries),
         ("stale_retries", &metrics.stale_retries),
+        ("turned_away", &metrics.turned_away),
         ("dispatched", &metrics.dispatched),
         ("connections_opened", &metrics.connections_opened),
         ("connections_reused", &metrics.connections_reused),
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -23,7 +23,7 @@
 use crate::configuration::Configuration;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
-use crate::settings::Settings;
+use crate::settings::{Settings, Source};
 use crate::traffic::Limiter;
 
 /// The summaries of peers' health that a node attaches to forwarded requests a second; bounds the
@@ -109,12 +109,14 @@
         let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
         let lease = Duration::from_millis(settings.lease_ms);
+        // Permits come from register groups, which only the catalogue's control instances assign.
+        let suspects = settings.source == Source::Items;
         Arc::new(Self {
             settings,
             interface,
             clock,
             incarnation,
-            servers: Table::new(clock, lease),
+            servers: Table::new(clock, lease, suspects),
             metrics: Metrics::default(),
             events,
             cluster,
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -86,7 +86,10 @@
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => ongoing.note(worker.shared.clock.now().saturating_sub(began), false),
             }
-            if matches!(refusal.choice, Choice::Stale | Choice::Shed | Choice::Suspect) {
+            if matches!(
+                refusal.choice,
+                Choice::Stale | Choice::Shed | Choice::Suspect | Choice::Silent
+            ) {
                 services::avoid(worker, service, &server);
             }
             return Err(refusal);
@@ -130,7 +133,8 @@
         return running.await;
     }
     let error = "no response in several times the usual latency";
-    Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error))
+    let refusal = Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error);
+    Err(Refusal { choice: Choice::Silent, ..refusal })
 }
 
 /// Forwards `work` to the owner of its server and gives up at its deadline.
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -183,25 +183,36 @@
     let mut attempts = Attempts::new(routed.class, limit, routed.deadline);
     let mut effort = attempts.first();
     let mut tried = Vec::new();
+    // Those of them that were asked, or may have been.
+    let mut asked = Vec::new();
     loop {
         let result = match effort {
-            Effort::Insist => attempt::send(worker, routed, &mut Vec::new(), effort).await,
+            Effort::Insist => attempt::send(worker, routed, &mut asked, effort).await,
             Effort::Ordinary | Effort::Last => {
                 attempt::send(worker, routed, &mut tried, effort).await
             }
         };
         let ending = ending(&result);
-        let next = ending.and_then(|ending| follow(worker, routed, &mut attempts, ending, &tried));
+        let next = ending.and_then(|ending| {
+            let known = if effort == Effort::Insist { &asked } else { &tried };
+            follow(worker, routed, &mut attempts, ending, known)
+        });
         let Some(next) = next else {
             if result.as_ref().map_or(true, failed) {
                 worker.shared.failures().record(id, worker.shared.clock.now());
             }
             return (finally(result, attempts.may_have_run()), tried);
         };
+        if matches!(ending, Some(Ending::Asked(_))) && effort != Effort::Insist {
+            asked.extend(tried.last().cloned());
+        }
         effort = next;
         let metrics = &worker.shared.metrics;
-        let free = matches!(ending, Some(Ending::Busy | Ending::Gone));
-        count(if free { &metrics.stale_retries } else { &metrics.retries });
+        count(match ending {
+            Some(Ending::Busy) => &metrics.turned_away,
+            Some(Ending::Gone) => &metrics.stale_retries,
+            _ => &metrics.retries,
+        });
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -39,6 +39,8 @@
     Full,
     /// The server fails most requests; it takes the request when no other server does.
     Suspect,
+    /// The server was silent for several times the usual latency.
+    Silent,
     /// No other server may be tried: the request has crashed one.
     Final,
 }
@@ -140,7 +142,7 @@
             builder.header("retry-after", seconds.to_string());
         }
         match self.choice {
-            Choice::Sound => {}
+            Choice::Sound | Choice::Silent => {}
             Choice::Stale => {
                 builder.header(header::REFUSAL, header::REFUSAL_STALE);
             }
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -100,7 +100,7 @@
         let (tag, length, received) = (self.tag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.next = Some(Box::pin(async move {
-            let answer = attempt::send(&worker, &routed, &mut tried, Effort::Last).await.ok()?;
+            let answer = attempt::send(&worker, &routed, &mut tried, Effort::Insist).await.ok()?;
             continues(&answer, &tag, received, length).then_some((answer.body, tried))
         }));
     }
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -261,8 +261,8 @@
     service.picker.report(server, &load, worker.shared.clock.now());
 }
 
-/// Chooses `server` for a while only when no other server is left, because it sheds load or the
-/// list that names it is outdated.
+/// Chooses `server` for a while only when no other server is left, because it sheds load, is silent or
+/// fails most requests, or because the list that names it is outdated.
 ///
 /// A server that refuses quickly looks idle, and would draw all requests and use up the budget.
 /// One server that left caused 186 to 223 retries in an overload before the lists were exchanged.
