Serve only after all items were taken over; log without waiting; explain a request

Ruled out: control instances; those that lost their disks say so in their answers, and nodes now do not count such an answer as complete.

The log goes to standard output through a bounded queue with a rate for each kind of line; arbutuslane explain reads it. Metrics have an address of their own.

--- a/crates/arbutuslane_balance/src/estimate.rs
+++ b/crates/arbutuslane_balance/src/estimate.rs
@@ -14,7 +14,7 @@
     pub(crate) serving: Serving,
     ramp_percent: u32,
     reported_others: f64,
-    reported_at: Time,
+    pub(crate) reported_at: Time,
     refused_at: Option<Time>,
     latency: f64,
     latency_at: Time,
--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -245,6 +245,11 @@
         self.peers[place].estimate.report(load, now);
     }
 
+    /// Returns when the owner of `server` last reported its load.
+    pub fn reported(&self, server: &str) -> Option<Time> {
+        self.find(server).map(|place| self.peers[place].estimate.reported_at)
+    }
+
     /// Takes in a change of state that membership spread.
     pub fn set_serving(&mut self, server: &str, serving: Serving) {
         let Some(place) = self.find(server) else { return };
--- a/crates/arbutuslane_cli/src/args.rs
+++ b/crates/arbutuslane_cli/src/args.rs
@@ -37,6 +37,7 @@
                 .about("Shows instances and services as the fleet sees them now")
                 .after_help("Example:\n  arbutuslane status --json"),
         )
+        .subcommand(explain())
         .subcommand(groups())
         .subcommand(timeline())
         .subcommand(
@@ -58,6 +59,27 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells what happened to a request, from the logs of all processes")
+        .arg(Arg::new("id").required(true).help("The id that the caller gave the request"))
+        .arg(
+            Arg::new("logs")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .value_hint(ValueHint::FilePath)
+                .help("Log files; standard input when none is named"),
+        )
+        .arg(
+            Arg::new("separator")
+                .long("separator")
+                .default_value(".")
+                .value_parser(value_parser!(char))
+                .help("Stands between the id of a request and the rest of the id of a call"),
+        )
+        .after_help("Example:\n  arbutuslane explain 9c41d07be2a35f68 node-1.log node-2.log")
+}
+
 fn catalogue() -> Command {
     Command::new("catalogue")
         .about("Checks, compares and changes the catalogue")
--- a/crates/arbutuslane_cli/src/dispatch.rs
+++ b/crates/arbutuslane_cli/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::exit::Code;
 use crate::settings::Settings;
 use crate::timeline::{Filter, Form};
-use crate::{args, groups, report, status, timeline, when};
+use crate::{args, explain, groups, report, status, timeline, when};
 
 /// Parses `arguments`, runs the command and returns its exit code.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -48,6 +48,13 @@
             Ok(Code::Done)
         }
         Some(("catalogue", matches)) => dispatch_catalogue(matches, json),
+        Some(("explain", matches)) => {
+            let logs = matches.get_many::<PathBuf>("logs").unwrap_or_default();
+            let logs: Vec<PathBuf> = logs.cloned().collect();
+            let id = text(matches, "id").unwrap_or_default();
+            let separator = matches.get_one::<char>("separator").copied().unwrap_or('.');
+            explain::show(&id, separator, &logs, json)
+        }
         Some(("groups", matches)) => dispatch_groups(matches, json),
         Some(("status", matches)) => block_on(status::show(settings(matches)?, json)),
         Some(("timeline", matches)) => dispatch_timeline(matches, json),
--- a/crates/arbutuslane_cli/src/lib.rs
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -1,4 +1,4 @@
-//! The `arbutuslane` command line: the catalogue, the status and the events of a fleet.
+//! The `arbutuslane` command line: the catalogue, the status, the events and the logs of a fleet.
 //!
 //! [`run`] parses the arguments, runs one command and returns its exit code, one of
 //! [`exit::Code`]. Everything that a command shows goes to standard output, as text or, with
@@ -18,6 +18,7 @@
 mod dispatch;
 pub mod error;
 pub mod exit;
+pub mod explain;
 pub mod files;
 pub mod gather;
 mod groups;
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -8,6 +8,7 @@
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
+use arbutuslane_event::output;
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
@@ -45,6 +46,7 @@
     arbutuslane_event::log::init("info,ntex_server=warn,ntex_rt=warn,ntex=warn");
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::load(&path).map_err(Error::from)?;
+    arbutuslane_event::log::name(&settings.name);
     Ok(run(settings, operators)?)
 }
 
@@ -57,8 +59,12 @@
     let events = Arc::new(Buffer::new(settings.name.clone(), EVENTS_KEPT));
     let (disk, found) =
         disk::start(settings.data.clone(), settings.first_start, Arc::clone(&events))?;
-    let listener = TcpListener::bind(&settings.listen)
-        .map_err(|source| Error::Listen { address: settings.listen.clone(), source })?;
+    let mut listeners = Vec::new();
+    for address in std::iter::once(&settings.listen).chain(&settings.metrics) {
+        let listener = TcpListener::bind(address)
+            .map_err(|source| Error::Listen { address: address.clone(), source })?;
+        listeners.push(listener);
+    }
     let copies = settings.lost_disks + 1;
     let replication = Replication::new(&settings.name, copies, found.standing, found.items);
     tracing::info!(
@@ -75,18 +81,18 @@
     let version = env!("CARGO_PKG_VERSION").to_string();
     events.record(Kind::Start { version, incarnation });
     let system = System::new("arbutuslane-control", DefaultRuntime);
-    system.block_on(serve(core, gossip, operators, listener)).map_err(Error::Serve)
+    system.block_on(serve(core, gossip, operators, listeners)).map_err(Error::Serve)
 }
 
 async fn serve(
     core: Arc<Core>,
     gossip: gossip::Exchange,
     operators: Arc<dyn Operators>,
-    listener: TcpListener,
+    listeners: Vec<TcpListener>,
 ) -> std::io::Result<()> {
     let for_workers = Arc::clone(&core);
     let stop_s = usize::try_from(core.settings.stop_ms / 1_000).unwrap_or(1).max(1);
-    let server = HttpServer::new(async move || {
+    let mut server = HttpServer::new(async move || {
         let shared = Arc::new(server::Shared {
             core: Arc::clone(&for_workers),
             gossip: gossip.clone(),
@@ -100,9 +106,11 @@
     })
     .workers(1)
     .disable_signals()
-    .shutdown_timeout(ntex::time::Seconds::checked_new(stop_s))
-    .listen(listener)?
-    .run();
+    .shutdown_timeout(ntex::time::Seconds::checked_new(stop_s));
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    let server = server.run();
     let _repairing = ntex::rt::spawn(replicate::work(Arc::clone(&core)));
     System::current().enable_signals();
     loop {
@@ -116,5 +124,6 @@
     core.events.record(Kind::Stop { in_flight: 0 });
     server.stop(true).await;
     core.events.record(Kind::Stopped { interrupted: 0 });
+    output::flush();
     Ok(())
 }
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -32,6 +32,9 @@
     /// Accepts peers and operators without a token, because strangers cannot reach the network.
     #[serde(default)]
     pub open_network: bool,
+    /// One more IP address and port where metrics are served.
+    #[serde(default)]
+    pub metrics: Option<String>,
     /// The longest time in milliseconds that a planned stop waits for requests in flight.
     #[serde(default = "default_stop_ms")]
     pub stop_ms: u64,
--- a/crates/arbutuslane_event/src/lib.rs
+++ b/crates/arbutuslane_event/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod kind;
 pub mod log;
 pub mod metric;
+pub mod output;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_event/src/log.rs
+++ b/crates/arbutuslane_event/src/log.rs
@@ -1,7 +1,7 @@
-//! The log: one line of `key=value` pairs an event, on standard error.
+//! The log: one line of `key=value` pairs an event, on standard output.
 
 use std::fmt;
-use std::io;
+use std::sync::OnceLock;
 
 use tracing::field::{Field, Visit};
 use tracing::{Level, Subscriber};
@@ -13,10 +13,14 @@
 use crate::clock;
 use crate::event::{Event, quoted};
 use crate::kind;
+use crate::output::Output;
 
 /// The target of lines that [`write`] makes; their message is already in `key=value` form.
 const EVENT_TARGET: &str = "arbutuslane::event";
 
+/// The name of this process in its log.
+static INSTANCE: OnceLock<String> = OnceLock::new();
+
 /// Starts the log of this process.
 ///
 /// `filter` selects what is written, for example `info` or `info,arbutuslane_node=debug`. An
@@ -25,7 +29,7 @@
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
     let started = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(io::stderr)
+        .with_writer(Output::standard())
         .event_format(Line)
         .try_init();
     if started.is_err() {
@@ -33,6 +37,11 @@
     }
 }
 
+/// Names the process in every line from here on; a second call has no effect.
+pub fn name(instance: &str) {
+    let _ = INSTANCE.set(instance.to_string());
+}
+
 /// Writes `event` as one line.
 pub fn write(event: &Event) {
     match event.kind.level() {
@@ -69,6 +78,9 @@
         let mut pairs = Pairs { text: String::new(), verbatim: metadata.target() == EVENT_TARGET };
         if !pairs.verbatim {
             write!(writer, " target={}", quoted(metadata.target()))?;
+            if let Some(instance) = INSTANCE.get() {
+                write!(writer, " instance={}", quoted(instance))?;
+            }
         }
         event.record(&mut pairs);
         writeln!(writer, "{}", pairs.text)
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -198,7 +198,7 @@
     if shared.stopping() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "node is stopping", "use another node");
     }
-    if shared.configuration().is_empty() {
+    if !shared.is_configured() {
         let remedy = "check that a control instance or another node is reachable";
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", remedy);
     }
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -219,7 +219,7 @@
             incarnation: announcement.incarnation,
             address,
             admission: Arc::new(Admission::new(announcement.slots, self.clock)),
-            condition: Condition::new(self.clock, self.suspects),
+            condition: Condition::new(&announcement.server, self.clock, self.suspects),
             lease: self.lease,
             renewed_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(announcement.sequence),
--- a/crates/arbutuslane_node/src/cluster/items.rs
+++ b/crates/arbutuslane_node/src/cluster/items.rs
@@ -40,14 +40,14 @@
         turn += 1;
         if now_reached != reached {
             reached = now_reached;
-            tracing::info!(event = "configuration-source", reached, known = !is_empty(&shared));
+            tracing::info!(event = "configuration-source", reached, known = shared.is_configured());
         }
         let event = match reached {
             true => shared.cluster.contact().reached(shared.clock.now()),
             false => shared.cluster.contact().failed(shared.clock.now()),
         };
         shared.record_contact(event);
-        if is_empty(&shared) {
+        if !shared.is_configured() {
             sleep(FIRST).await;
             continue;
         }
@@ -72,16 +72,12 @@
     let items = configuration.items().difference(buckets);
     peer::Answer::Items {
         instance: shared.settings.node.clone(),
-        complete: false,
+        complete: shared.has_compared(),
         items: codec::encode(&border::encode(&items)).unwrap_or_default(),
         accepted: Vec::new(),
     }
 }
 
-fn is_empty(shared: &Shared) -> bool {
-    shared.configuration().is_empty()
-}
-
 /// Compares with one control instance, or with another node when two of them do not answer; returns
 /// whether a control instance answered.
 async fn compare(shared: &Arc<Shared>, pool: &Rc<Pool>, turn: usize) -> bool {
@@ -102,7 +98,14 @@
     let buckets = shared.configuration().items().buckets().to_vec();
     let message = peer::Message::SyncItems { buckets, unaccepted: false };
     match peers::ask(shared, pool, address, &message, WAIT).await {
-        Ok(peer::Answer::Items { items, .. }) => told(shared, &items),
+        Ok(peer::Answer::Items { complete, items, .. }) => {
+            // What a process holds that lacks items itself may be used, but is not all.
+            let taken = told(shared, &items);
+            if taken && complete {
+                shared.set_compared();
+            }
+            taken && complete
+        }
         Ok(_) => false,
         Err(error) => {
             tracing::debug!(event = "compare-failed", peer = %address, error);
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::entry::{Class, Preference};
+use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Clock;
 use arbutuslane_health::detector::{Detector, Observation, Start, Suspicion};
 use arbutuslane_health::ejection::{Input, Permission, Stage, TrialResult};
@@ -28,6 +29,8 @@
 /// The health of one backend server.
 #[derive(Debug)]
 pub(crate) struct Condition {
+    /// The server, for the log.
+    server: ServerId,
     clock: Clock,
     /// Whether a server that fails most requests is tried last. Where permits are granted, such a
     /// server is ejected instead, and keeps its work until then because the evidence comes from it.
@@ -58,7 +61,7 @@
 
 impl Condition {
     /// Returns the condition of a server that has just announced itself.
-    pub(crate) fn new(clock: Clock, suspects: bool) -> Arc<Self> {
+    pub(crate) fn new(server: &str, clock: Clock, suspects: bool) -> Arc<Self> {
         let now = clock.now();
         let mut detector = Detector::new(Preference::FewFalseEjections);
         detector.set_warming(true);
@@ -71,7 +74,8 @@
             latency: [None; 3],
             next: 0,
         };
-        Arc::new(Self { clock, suspects, state: Mutex::new(state) })
+        let server = server.to_string();
+        Arc::new(Self { server, clock, suspects, state: Mutex::new(state) })
     }
 
     /// Sets the time in which the server takes a rising share of its load, counted from now.
@@ -163,7 +167,7 @@
         let now = self.condition.clock.now();
         let mut state = self.condition.lock();
         let taken = now.saturating_sub(self.start.at);
-        state.judge(self.start.class, success.then_some(taken));
+        state.judge(&self.condition, self.start.class, success.then_some(taken));
         let State { detector, baseline, stage, .. } = &mut *state;
         detector.finished(self.id, now, success, baseline);
         if !self.trial {
@@ -196,7 +200,7 @@
         let latency = self.condition.clock.now().saturating_sub(self.start.at);
         let observation = Observation { start: self.start, success: false, latency };
         let mut state = self.condition.lock();
-        state.judge(self.start.class, None);
+        state.judge(&self.condition, self.start.class, None);
         let State { detector, baseline, .. } = &mut *state;
         detector.observe(&observation, baseline);
     }
@@ -212,7 +216,7 @@
         state.detector.cancelled(self.id);
         let usual = state.latency[index(self.start.class)].unwrap_or_default() * HANGS;
         if now.saturating_sub(self.start.at) > usual.max(SHORTEST_HANG) {
-            state.judge(self.start.class, None);
+            state.judge(&self.condition, self.start.class, None);
         }
         if self.trial {
             state.stage = state.stage.step(Input::Tried(TrialResult::Cancelled), now);
@@ -222,15 +226,15 @@
 
 impl State {
     /// Takes in a success with its latency, or a failure.
-    fn judge(&mut self, class: Class, success: Option<Duration>) {
+    fn judge(&mut self, condition: &Condition, class: Class, success: Option<Duration>) {
         if let Some(taken) = success {
             let mean = &mut self.latency[index(class)];
             *mean = Some(mean.map_or(taken, |mean| (mean * (SMOOTHING - 1) + taken) / SMOOTHING));
         }
         let change = self.streak.observe(success.is_some());
-        if let Some(change) = change {
+        if let Some(change) = change.filter(|_| condition.suspects) {
             let (suspect, evidence) = (change == Change::Suspected, self.streak.evidence());
-            tracing::info!(event = "server-judged", suspect, evidence);
+            tracing::info!(event = "server-judged", server = condition.server, suspect, evidence);
         }
     }
 }
@@ -250,7 +254,7 @@
     /// Guards against a failing server that is ejected without a permit, or never claims one.
     #[test]
     fn judge_failing() {
-        let condition = Condition::new(Clock::start(), false);
+        let condition = Condition::new("s", Clock::start(), false);
         // The threshold rises with the rate of requests, and these all come at once.
         for caller in 0..200 {
             let mut running = condition.begin(Class::Idempotent, false, 1, caller).unwrap();
@@ -270,7 +274,7 @@
     /// Guards against requests that callers gave up and that count against the server.
     #[test]
     fn begin_cancelled() {
-        let condition = Condition::new(Clock::start(), false);
+        let condition = Condition::new("s", Clock::start(), false);
         for caller in 0..200 {
             drop(condition.begin(Class::Idempotent, false, 1, caller));
         }
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -10,6 +10,7 @@
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::sleep;
 
+use arbutuslane_event::output;
 use arbutuslane_event::prelude::{Draft, Kind, log};
 
 use crate::cluster;
@@ -89,6 +90,7 @@
     log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
+    log::name(&settings.node);
     Ok(run(settings, interface)?)
 }
 
@@ -144,5 +146,6 @@
     server.stop(true).await;
     // What is still in flight after the workers have ended was cut by the time limit of the stop.
     shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
+    output::flush();
     Ok(())
 }
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -26,6 +26,9 @@
     /// readiness of the node use different ones.
     #[serde(default)]
     pub readiness: Option<SocketAddr>,
+    /// One more address that answers what `admin` does, where metrics are collected elsewhere.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The file with the secret that processes of the fleet share.
     #[serde(default)]
     pub token_file: Option<PathBuf>,
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -91,6 +91,8 @@
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
     stopping: AtomicBool,
+    /// Whether this node took over all items that another process holds.
+    compared: AtomicBool,
     intake_ended: AtomicBool,
     awaited: AtomicU64,
     threads: AtomicU64,
@@ -128,6 +130,7 @@
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
             stopping: AtomicBool::new(false),
+            compared: AtomicBool::new(false),
             intake_ended: AtomicBool::new(false),
             awaited: AtomicU64::new(0),
             threads: AtomicU64::new(0),
@@ -169,6 +172,25 @@
         taken
     }
 
+    /// Notes that this node took over all items that another process holds.
+    pub(crate) fn set_compared(&self) {
+        self.compared.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the configuration in force may be used.
+    ///
+    /// A node that has just started may be told of single items before it has asked for all: with
+    /// those alone it would deny requests on every other route.
+    pub(crate) fn is_configured(&self) -> bool {
+        let known = !self.configuration().is_empty();
+        known && (self.settings.source == Source::Catalogue || self.has_compared())
+    }
+
+    /// Returns whether this node took over all items that another process holds.
+    pub(crate) fn has_compared(&self) -> bool {
+        self.compared.load(Ordering::Acquire)
+    }
+
     /// Returns the highest revision that a backend server was told.
     pub(crate) fn awaited(&self) -> Revision {
         self.awaited.load(Ordering::Relaxed)
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -9,6 +9,7 @@
 
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::ServerId;
+use arbutuslane_core::time::Time;
 use arbutuslane_limit::attempts::Effort;
 
 use super::answer::Answer;
@@ -78,6 +79,7 @@
     let mut answer = match result {
         Ok(answer) => answer,
         Err(refusal) => {
+            record(worker, routed, &server, effort, &refusal, began);
             // A server that refuses or fails quickly must not look idle for it. What did not run
             // is no failure, and would hide real ones from the comparison with peers.
             match refusal.choice {
@@ -103,6 +105,33 @@
     Ok(answer)
 }
 
+/// Logs an attempt that brought no response, with the age of what is known of the server.
+fn record(
+    worker: &Worker,
+    routed: &Routed,
+    server: &str,
+    effort: Effort,
+    refusal: &Refusal,
+    began: Time,
+) {
+    let now = worker.shared.clock.now();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let known_ms = services::age(worker, &routed.service, server, began).map(millis);
+    tracing::info!(
+        event = "attempt",
+        request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
+        service = routed.service,
+        server,
+        effort = ?effort,
+        outcome = ?refusal.outcome,
+        choice = ?refusal.choice,
+        reason = refusal.error,
+        known_ms,
+        left_ms = routed.deadline.remaining_ms(now),
+        took_ms = millis(now.saturating_sub(began))
+    );
+}
+
 /// Returns how long an attempt may be silent before another server is tried.
 ///
 /// A few times the usual latency of the route tells a hung server from a slow request; half of the
@@ -110,7 +139,7 @@
 fn patience(worker: &Worker, routed: &Routed) -> Duration {
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     let usual = worker.routes.borrow().latency(&routed.route);
-    usual.map_or(remaining / 2, |usual| (usual * SILENT).clamp(SHORTEST, remaining / 2))
+    usual.map_or(remaining / 2, |usual| (usual * SILENT).max(SHORTEST).min(remaining / 2))
 }
 
 /// Waits for an attempt; gives it up after `patience` when another server may be tried.
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -74,8 +74,8 @@
         ("peers", Purpose::Peers, settings.peers),
         ("admin", Purpose::Admin, settings.admin),
     ];
-    if let Some(address) = settings.readiness {
-        listeners.push(("readiness", Purpose::Admin, address));
+    for (name, address) in [("readiness", settings.readiness), ("metrics", settings.metrics)] {
+        listeners.extend(address.map(|address| (name, Purpose::Admin, address)));
     }
     for (name, purpose, address) in listeners {
         builder = listen(builder, shared, name, purpose, address)?;
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -98,9 +98,8 @@
     let limit = limit.remaining(arrived) / 2;
     let limit = limit.min(FIRST_CONFIGURATION);
     loop {
-        let configuration = worker.shared.configuration();
-        if !configuration.is_empty() {
-            return Ok(configuration);
+        if worker.shared.is_configured() {
+            return Ok(worker.shared.configuration());
         }
         if worker.shared.clock.now().saturating_sub(arrived) >= limit {
             return Err(Refusal::not_run("this node has no configuration yet"));
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -233,6 +233,13 @@
     Some((Choice { server: pick.server, place, trial: pick.trial, summary }, ongoing))
 }
 
+/// Returns the age at `now` of the newest report of a server's load.
+pub(crate) fn age(worker: &Worker, service: &str, server: &str, now: Time) -> Option<Duration> {
+    let mut services = worker.services.borrow_mut();
+    let reported = services.known(service)?.picker.reported(server)?;
+    Some(now.saturating_sub(reported))
+}
+
 /// Returns whether the retry budget of `service` allows another attempt.
 pub(crate) fn may_repeat(worker: &Worker, service: &str) -> bool {
     let mut services = worker.services.borrow_mut();
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -82,7 +82,7 @@
     Items {
         /// The answering instance or node.
         instance: String,
-        /// Whether it holds everything that was accepted before it started; nodes never say so.
+        /// Whether it holds everything that was accepted before it started.
         complete: bool,
         /// The items that differ, encoded.
         items: Vec<u8>,
