--- a/crates/arbutuslane_balance/src/share.rs
+++ b/crates/arbutuslane_balance/src/share.rs
@@ -13,7 +13,7 @@
 ///
 /// let weights = [("a".to_string(), 3), ("b".to_string(), 1)];
 /// let mut share = Share::new(&weights, 0);
-/// let dealt: Vec<String> = (0..4).map(|_| share.next()).collect();
+/// let dealt: Vec<String> = (0..4).map(|_| share.deal()).collect();
 /// assert_eq!(dealt.iter().filter(|service| *service == "a").count(), 3);
 /// ```
 #[derive(Debug, Clone)]
@@ -32,7 +32,7 @@
         let mut share = Self { weights: weights.to_vec(), owed: vec![0; weights.len()] };
         let sum: u64 = weights.iter().map(|(_, weight)| u64::from(*weight)).sum();
         for _ in 0..start % sum.clamp(1, STARTS) {
-            share.next();
+            share.deal();
         }
         share
     }
@@ -43,7 +43,7 @@
     }
 
     /// Returns the service for the next request, or an empty name when there are no weights.
-    pub fn next(&mut self) -> ServiceName {
+    pub fn deal(&mut self) -> ServiceName {
         let mut sum = 0;
         let mut chosen = 0;
         for (index, (_, weight)) in self.weights.iter().enumerate() {
--- a/crates/arbutuslane_balance/tests/share.rs
+++ b/crates/arbutuslane_balance/tests/share.rs
@@ -9,10 +9,10 @@
 fn next_exact() {
     fn property(weights: Vec<u8>, start: u64, stretch: u8) -> bool {
         let weights: Vec<(String, u32)> = weights
-            .iter()
+            .into_iter()
             .take(6)
             .enumerate()
-            .map(|(index, weight)| (format!("s{index}"), u32::from(*weight)))
+            .map(|(index, weight)| (format!("s{index}"), u32::from(weight)))
             .collect();
         let sum: u32 = weights.iter().map(|(_, weight)| weight).sum();
         if sum == 0 {
@@ -21,7 +21,7 @@
         let mut share = Share::new(&weights, start);
         let mut dealt = vec![0_u32; weights.len()];
         for _ in 0..stretch {
-            let service = share.next();
+            let service = share.deal();
             let index = weights.iter().position(|(name, _)| *name == service).unwrap();
             dealt[index] += 1;
         }
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -93,7 +94,7 @@
     let for_workers = Arc::clone(&core);
     let stop_s = usize::try_from(core.settings.stop_ms / 1_000).unwrap_or(1).max(1);
     let mut server = HttpServer::new(async move || {
-        let shared = Arc::new(server::Shared {
+        let shared = Rc::new(server::Shared {
             core: Arc::clone(&for_workers),
             gossip: gossip.clone(),
             operators: Arc::clone(&operators),
--- a/crates/arbutuslane_control/src/items/interface.rs
+++ b/crates/arbutuslane_control/src/items/interface.rs
@@ -23,7 +23,7 @@
 
 impl Malformed {
     /// Returns the error with what a parser reports.
-    pub fn new(reason: impl ToString) -> Self {
+    pub fn new(reason: &impl ToString) -> Self {
         Self { reason: reason.to_string() }
     }
 }
--- a/crates/arbutuslane_control/src/items/replicate.rs
+++ b/crates/arbutuslane_control/src/items/replicate.rs
@@ -50,19 +50,19 @@
 
 /// Writes `items` here and at the other instances until enough hold them; newly accepted items are
 /// told to the nodes.
-pub(super) fn spread(core: &Arc<Core>, client: &Client, items: Vec<Item>) {
+pub(super) fn spread(core: &Arc<Core>, client: &Client, items: &[Item]) {
     if items.is_empty() {
         return;
     }
     let (here, own) = (Arc::clone(core), core.settings.name.clone());
-    let (pushing, stored) = (client.clone(), items.clone());
+    let (pushing, stored) = (client.clone(), items.to_vec());
     ntex::rt::spawn(async move {
         if here.disk.store(stored.clone()).await {
             take_copies(&here, &pushing, &own, &stored);
         }
     });
     for (name, address) in core.members().control {
-        let (core, client, items) = (Arc::clone(core), client.clone(), items.clone());
+        let (core, client, items) = (Arc::clone(core), client.clone(), items.to_vec());
         ntex::rt::spawn(async move {
             store_at(&core, &client, &name, &address, &items).await;
         });
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -1,6 +1,7 @@
 //! Answers operators, nodes and the other control instances.
 
 use std::fmt::Write;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -35,7 +36,7 @@
     pub(super) client: Client,
 }
 
-type State = web::types::State<Arc<Shared>>;
+type State = web::types::State<Rc<Shared>>;
 
 /// Adds the routes.
 pub(super) fn configure(config: &mut web::ServiceConfig) {
@@ -212,7 +213,7 @@
         }
     };
     let mut accepted = core.watch_accepted();
-    replicate::spread(core, &shared.client, fresh);
+    replicate::spread(core, &shared.client, &fresh);
     let waiting = async {
         while !core.replication().are_accepted(&items) {
             if accepted.changed().await.is_err() {
--- a/crates/arbutuslane_event/src/output.rs
+++ b/crates/arbutuslane_event/src/output.rs
@@ -218,7 +218,7 @@
             // Kinds of their own, so that the rate leaves nothing out.
             taken += usize::from(output.send(format!("event=k{}\n", number / 200).into_bytes()));
         }
-        assert!(taken >= QUEUE && taken <= QUEUE + 1, "{taken} lines taken");
+        assert!((QUEUE..=QUEUE + 1).contains(&taken), "{taken} lines taken");
         drop(held);
         while !String::from_utf8_lossy(&reader.0.lock().unwrap()).contains("log-lines-dropped") {
             output.send(b"event=last\n".to_vec());
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -50,9 +50,9 @@
             (0..INSTANCES).map(|index| instance(index, Standing::Complete, Vec::new())).collect();
         let mut disks: Vec<Vec<Item>> = vec![Vec::new(); INSTANCES];
         let mut accepted = Table::default();
-        for (step, (name, version, at, reached)) in steps.iter().enumerate() {
-            let at = usize::from(*at) % INSTANCES;
-            let item = removal(*name, *version);
+        for (step, (name, version, at, reached)) in steps.into_iter().enumerate() {
+            let at = usize::from(at) % INSTANCES;
+            let item = removal(name, version);
             let stored = group[at].order(vec![item.clone()]).unwrap();
             // Each bit is an instance whose disk takes the change and whose answer arrives.
             for other in 0..INSTANCES {
@@ -67,7 +67,7 @@
                 }
             }
             // Two disks are lost, and the instances recover from the three others.
-            let lost = [step % INSTANCES, (step + 1 + usize::from(*version)) % INSTANCES];
+            let lost = [step % INSTANCES, (step + 1 + usize::from(version)) % INSTANCES];
             for index in lost {
                 disks[index].clear();
                 group[index] = instance(index, recovering(), Vec::new());
@@ -153,7 +153,7 @@
         let other = service("s", 4, source);
         assert!(first.order(vec![other.clone()]).unwrap().is_empty());
         assert!(first.take(vec![other.clone()]).is_empty());
-        assert_eq!(first.contradicting(&[other.clone()]), vec![kept.clone()]);
+        assert_eq!(first.contradicting(std::slice::from_ref(&other)), vec![kept.clone()]);
         // An instance that took the other declaration meanwhile gives it up.
         let mut behind = instance(1, Standing::Complete, Vec::new());
         behind.order(vec![other]).unwrap();
--- a/crates/arbutuslane_limit/tests/attempts.rs
+++ b/crates/arbutuslane_limit/tests/attempts.rs
@@ -38,8 +38,8 @@
         let mut budget = RetryBudget::new(100, 100, 100);
         let (mut asked, mut ran, mut steps) = (0, false, 0);
         let mut effort = attempts.first();
-        for choice in endings.iter().chain(&[3; 20]) {
-            let ending = ending(*choice);
+        for choice in endings.into_iter().chain([3; 20]) {
+            let ending = ending(choice);
             steps += 1;
             if let Ending::Asked(outcome) = ending {
                 asked += 1;
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -253,9 +253,9 @@
         while running.first().is_some_and(|(end, ..)| *end <= now) {
             let (end, ticket, due) = running.remove(0);
             if end <= due {
-                in_time += 1
+                in_time += 1;
             } else {
-                late += 1
+                late += 1;
             }
             for started in gate.finish(ticket, end).start {
                 running.push((end + service, started, dues[&started]));
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -237,10 +237,10 @@
     pub(crate) fn retry_budget(&self) -> RetryBudget {
         let Some(budget) = self.settings.retry_budget else { return RetryBudget::default() };
         let nodes = self.cluster.member().gossip.table().members().count().max(1);
-        let percent = (budget.ratio * BUDGET_USED * 100.0) as u32;
+        let percent = whole(budget.ratio * BUDGET_USED * 100.0);
         let each = f64::from(budget.slack) * BUDGET_USED / nodes as f64;
         let every = Duration::from_secs_f64(budget.window_s / each.max(1e-3));
-        RetryBudget::new(percent, 1, (each as u32).max(1)).refilled_every(every, self.clock.now())
+        RetryBudget::new(percent, 1, whole(each).max(1)).refilled_every(every, self.clock.now())
     }
 
     /// Returns the secret that processes of the fleet share.
@@ -316,6 +316,12 @@
     }
 }
 
+/// Returns the whole part of a positive number.
+fn whole(number: f64) -> u32 {
+    let number = Duration::try_from_secs_f64(number).unwrap_or_default();
+    u32::try_from(number.as_secs()).unwrap_or(u32::MAX)
+}
+
 /// Reads a secret from a file; surrounding white space is ignored.
 pub(crate) fn read_token(path: &Path) -> std::io::Result<String> {
     let token = std::fs::read_to_string(path)?.trim().to_string();
--- a/crates/arbutuslane_node/src/traffic/routes.rs
+++ b/crates/arbutuslane_node/src/traffic/routes.rs
@@ -34,7 +34,7 @@
         if !route.share.is_for(&rule.targets) {
             route.share = fresh(rule);
         }
-        route.share.next()
+        route.share.deal()
     }
 
     /// Takes in the latency of a successful response.
