Let a request wait for a busy server when the last owner asked was unreachable

Cause: a request ended refused when the last owner that it asked could not be reached, although earlier ones were only busy; its log line named the server asked before the one that answered.

Ruled out: the limit of owners asked; the same with 12.

--- a/crates/arbutuslane_cli/src/args.rs
+++ b/crates/arbutuslane_cli/src/args.rs
@@ -193,7 +193,7 @@
                 ))
                 .hide_possible_values(true)
                 .help(
-                    "Only events of this kind, for example ejection; docs/operations.md lists all",
+                    "Only events of this kind, for example ejection; docs/OPERATIONS.md lists all",
                 ),
         )
         .arg(since())
--- a/crates/arbutuslane_cli/src/report/mod.rs
+++ b/crates/arbutuslane_cli/src/report/mod.rs
@@ -165,7 +165,7 @@
         )),
         Kind::DiskFault { detail } => report.action.push(format!(
             "{instance} stopped at {time}, because its storage failed: {detail}. Replace the \
-             disk, then rebuild the instance (docs/operations.md, disk-fault)."
+             disk, then rebuild the instance (docs/OPERATIONS.md, disk-fault)."
         )),
         Kind::RequestQuarantined { fingerprint, for_s } => report.action.push(format!(
             "A request crashed servers of {service}, and the fleet refused it for {} from {time}. \
@@ -174,7 +174,7 @@
         )),
         Kind::RegistersUnavailable { shard } => report.action.push(format!(
             "Shard {shard} had no quorum at {time}, so its keyed bookings were refused as not \
-             run (docs/operations.md, registers-unavailable)."
+             run (docs/OPERATIONS.md, registers-unavailable)."
         )),
         _ => {}
     }
@@ -197,7 +197,7 @@
     }
     for (instance, whom) in &open.isolated {
         report.action.push(format!(
-            "{instance} does not hear from {whom}. Check its network (docs/operations.md, \
+            "{instance} does not hear from {whom}. Check its network (docs/OPERATIONS.md, \
              isolated)."
         ));
     }
--- a/crates/arbutuslane_cli/tests/docs.rs
+++ b/crates/arbutuslane_cli/tests/docs.rs
@@ -13,7 +13,7 @@
 /// Guards against an event that operators find nowhere, and against an alarm without a runbook.
 #[test]
 fn operations_all_kinds() {
-    let text = page("docs/operations.md");
+    let text = page("docs/OPERATIONS.md");
     for (name, level) in Kind::NAMES.iter().zip(Kind::LEVELS) {
         assert!(text.contains(&format!("| `{name}` |")), "{name} is not in the table");
         if *level == Level::Action {
@@ -22,6 +22,38 @@
     }
 }
 
+/// Guards against a line of the log that engineers find in no page.
+#[test]
+fn operations_all_lines() {
+    let text = page("docs/OPERATIONS.md");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut found = 0;
+    for part in ["crates/arbutuslane_node/src", "crates/arbutuslane_control/src/items"] {
+        for source in sources(&root.join(part)) {
+            for rest in source.split("event = \"").skip(1) {
+                let name = rest.split('"').next().unwrap_or_default();
+                found += 1;
+                assert!(text.contains(&format!("`{name}`")), "{name} is not in the table");
+            }
+        }
+    }
+    assert!(found >= 15, "{found}");
+}
+
+/// Returns the text of all source files below a folder.
+fn sources(folder: &Path) -> Vec<String> {
+    let mut texts = Vec::new();
+    for item in std::fs::read_dir(folder).unwrap() {
+        let path = item.unwrap().path();
+        if path.is_dir() {
+            texts.extend(sources(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            texts.push(std::fs::read_to_string(&path).unwrap());
+        }
+    }
+    texts
+}
+
 /// Guards against a command in the pages that the program does not accept.
 #[test]
 fn pages_commands() {
@@ -30,7 +62,7 @@
         "README.md",
         "examples/README.md",
         "docs/catalogue.md",
-        "docs/operations.md",
+        "docs/OPERATIONS.md",
         "docs/install.md",
     ] {
         let text = page(name);
--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -49,6 +49,8 @@
     /// The servers that were asked or may have been.
     sent: u32,
     may_have_run: bool,
+    /// Whether a server would still take the request when it has to.
+    is_any_busy: bool,
     insisted: bool,
 }
 
@@ -56,7 +58,16 @@
     /// Returns the attempts of a request that at most `limit` servers may run.
     pub fn new(class: Class, limit: u32, deadline: Deadline) -> Self {
         let limit = limit.max(1);
-        Self { class, limit, deadline, asked: 0, sent: 0, may_have_run: false, insisted: false }
+        Self {
+            class,
+            limit,
+            deadline,
+            asked: 0,
+            sent: 0,
+            may_have_run: false,
+            is_any_busy: false,
+            insisted: false,
+        }
     }
 
     /// Returns how the first attempt is made.
@@ -81,6 +92,7 @@
             self.sent += 1;
             self.may_have_run |= outcome != Outcome::NotRun;
         }
+        self.is_any_busy |= ending == Ending::Busy;
         if ending == Ending::Final || self.deadline.is_expired(now) {
             return None;
         }
@@ -96,11 +108,11 @@
         match ending {
             Ending::Busy | Ending::Gone if more => Some(effort),
             // The servers that turned the request away are asked once more.
-            Ending::Busy => {
+            Ending::Busy | Ending::Gone if self.is_any_busy => {
                 self.insisted = true;
                 Some(Effort::Insist)
             }
-            Ending::Gone | Ending::Final => None,
+            Ending::Busy | Ending::Gone | Ending::Final => None,
             Ending::Asked(outcome) => {
                 let attempt = retry::Attempt {
                     class: self.class,
--- a/crates/arbutuslane_limit/tests/attempts.rs
+++ b/crates/arbutuslane_limit/tests/attempts.rs
@@ -77,3 +77,15 @@
     assert_eq!(attempts.next(Ending::Busy, false, &mut budget, NOW), None);
     assert!(!attempts.may_have_run());
 }
+
+/// Guards against a request that ends refused because the last owner could not be reached, although
+/// an earlier one was only busy.
+#[test]
+fn next_gone_after_busy() {
+    let mut budget = RetryBudget::new(0, 0, 0);
+    let mut attempts = Attempts::new(Class::NonIdempotent, 2, deadline());
+    assert_eq!(attempts.next(Ending::Busy, true, &mut budget, NOW), Some(Effort::Ordinary));
+    assert_eq!(attempts.next(Ending::Gone, false, &mut budget, NOW), Some(Effort::Insist));
+    let mut attempts = Attempts::new(Class::NonIdempotent, 2, deadline());
+    assert_eq!(attempts.next(Ending::Gone, false, &mut budget, NOW), None);
+}
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -193,6 +193,10 @@
             }
         };
         let ending = ending(&result);
+        if effort == Effort::Insist {
+            // The server that was asked last is the one that answered.
+            tried.extend(asked.last().cloned());
+        }
         let next = ending.and_then(|ending| {
             let known = if effort == Effort::Insist { &asked } else { &tried };
             follow(worker, routed, &mut attempts, ending, known)
