Read bodies and refuse settings in one place; drop an unused field

Cause: three handlers of control instances had the same loop that reads a body of bounded size, two settings files the same closure that names a bad key, the replication kept a name that nothing read, and all log outputs of a process shared one count of dropped lines.

After: the loop stands once in body.rs. Behaviour is unchanged: clippy, the documentation and the tests of event, item, control and platform pass.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -12,9 +12,9 @@
 use arbutuslane_wire::{codec, header, operator};
 use ntex::client::Client;
 use ntex::http::StatusCode;
-use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
+use crate::body;
 use crate::gossip::Exchange;
 
 use super::core::Core;
@@ -95,7 +95,7 @@
     if shared.core.tokens.holder(presented.unwrap_or_default()).is_none() {
         return HttpResponse::Unauthorized().finish();
     }
-    let bytes = match read(&mut payload).await {
+    let bytes = match body::read(&mut payload, BODY_BYTES).await {
         Ok(bytes) => bytes,
         Err(status) => return HttpResponse::build(status).finish(),
     };
@@ -170,14 +170,14 @@
     shared: State,
     mut payload: web::types::Payload,
 ) -> HttpResponse {
-    let body = match read(&mut payload).await {
-        Ok(body) => body,
+    let bytes = match body::read(&mut payload, BODY_BYTES).await {
+        Ok(bytes) => bytes,
         Err(status) => {
             return refuse(status, "the body is incomplete or too large", "send it whole");
         }
     };
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-    match shared.operators.read(request.method().as_str(), target, &body) {
+    match shared.operators.read(request.method().as_str(), target, &bytes) {
         Call::Change(Ok(items)) => change(&shared, items).await,
         Call::Change(Err(error)) => {
             shared.core.counters.invalid.fetch_add(1, Ordering::Relaxed);
@@ -251,15 +251,3 @@
     let refusal = operator::Refusal { error: error.to_string(), remedy: remedy.to_string() };
     HttpResponse::build(status).json(&refusal)
 }
-
-async fn read(payload: &mut web::types::Payload) -> Result<BytesMut, StatusCode> {
-    let mut bytes = BytesMut::new();
-    while let Some(part) = payload.recv().await {
-        let part = part.map_err(|_| StatusCode::BAD_REQUEST)?;
-        if bytes.len() + part.len() > BODY_BYTES {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        bytes.extend_from_slice(&part);
-    }
-    Ok(bytes)
-}
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -57,12 +57,8 @@
     }
 
     fn check(&self, path: &str) -> Result<(), Error> {
-        let refuse = |key: &str, reason: &str, remedy: &str| Error::Value {
-            path: path.to_string(),
-            key: key.to_string(),
-            reason: reason.to_string(),
-            remedy: remedy.to_string(),
-        };
+        let refuse =
+            |key: &str, reason: &str, remedy: &str| Error::value(path, key, reason, remedy);
         if self.name.is_empty() {
             return Err(refuse("name", "empty", "give each instance a name of its own"));
         }
--- a/crates/arbutuslane_control/src/lib.rs
+++ b/crates/arbutuslane_control/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod apply;
 mod assign;
+mod body;
 mod border;
 pub mod daemon;
 pub mod engine;
--- a/crates/arbutuslane_control/src/operators.rs
+++ b/crates/arbutuslane_control/src/operators.rs
@@ -12,10 +12,10 @@
     Accepted, Conflict, GroupEpoch, GroupReset, History, Membership, NotLeader, Record, Refusal,
 };
 use ntex::http::StatusCode;
-use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 use serde::{Deserialize, Serialize};
 
+use crate::body;
 use crate::engine::{Answer, Handle, ResetRefusal};
 use crate::token::Tokens;
 use crate::watch;
@@ -310,19 +310,16 @@
 async fn body<T: for<'a> Deserialize<'a>>(
     payload: &mut web::types::Payload,
 ) -> Result<T, HttpResponse> {
-    let mut bytes = BytesMut::new();
-    while let Some(part) = payload.recv().await {
-        let Ok(part) = part else {
-            let error = "the body broke off".to_string();
-            return Err(refuse(StatusCode::BAD_REQUEST, error, "send the request again"));
+    let bytes = body::read(payload, BODY_BYTES).await.map_err(|status| {
+        let (error, remedy) = match status {
+            StatusCode::PAYLOAD_TOO_LARGE => (
+                format!("the body is larger than {BODY_BYTES} bytes"),
+                "send fewer or shorter entries",
+            ),
+            _ => ("the body broke off".to_string(), "send the request again"),
         };
-        if bytes.len() + part.len() > BODY_BYTES {
-            let error = format!("the body is larger than {BODY_BYTES} bytes");
-            let remedy = "send fewer or shorter entries";
-            return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, error, remedy));
-        }
-        bytes.extend_from_slice(&part);
-    }
+        refuse(status, error, remedy)
+    })?;
     let mut input = serde_json::Deserializer::from_slice(&bytes);
     serde_path_to_error::deserialize(&mut input).map_err(|error| {
         let text = format!("at `{}`: {}", error.path(), error.inner());
--- a/crates/arbutuslane_control/src/peers.rs
+++ b/crates/arbutuslane_control/src/peers.rs
@@ -10,6 +10,7 @@
 use ntex::util::BytesMut;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
+use crate::body;
 use crate::border::Frame;
 use crate::engine::{Handle, Report, Request};
 use crate::token::Tokens;
@@ -109,13 +110,5 @@
     if accepted.holder(presented.unwrap_or_default()).is_none() {
         return Err(StatusCode::UNAUTHORIZED);
     }
-    let mut bytes = BytesMut::new();
-    while let Some(part) = payload.recv().await {
-        let part = part.map_err(|_| StatusCode::BAD_REQUEST)?;
-        if bytes.len() + part.len() > BODY_BYTES {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        bytes.extend_from_slice(&part);
-    }
-    Ok(bytes)
+    body::read(payload, BODY_BYTES).await
 }
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -88,6 +88,18 @@
     },
 }
 
+impl Error {
+    /// Returns the error about the value of `key` in the file at `path`.
+    pub(crate) fn value(path: &str, key: &str, reason: &str, remedy: &str) -> Self {
+        Self::Value {
+            path: path.to_string(),
+            key: key.to_string(),
+            reason: reason.to_string(),
+            remedy: remedy.to_string(),
+        }
+    }
+}
+
 /// Reads a JSON file; unknown keys are refused, and the error names the bad key.
 pub(crate) fn parse_file<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
     let shown = path.display().to_string();
@@ -110,32 +122,27 @@
     }
 
     fn check(&self, path: &str) -> Result<(), Error> {
-        let refuse = |key: &str, reason: String, remedy: &str| Error::Value {
-            path: path.to_string(),
-            key: key.to_string(),
-            reason,
-            remedy: remedy.to_string(),
-        };
+        let refuse =
+            |key: &str, reason: &str, remedy: &str| Error::value(path, key, reason, remedy);
         let mut names: Vec<&String> = self.members.iter().map(|member| &member.name).collect();
         names.sort_unstable();
         names.dedup();
         if names.len() != self.members.len() {
-            let reason = "two members have the same name".to_string();
+            let reason = "two members have the same name";
             return Err(refuse("members", reason, "give each instance a name of its own"));
         }
         if self.control_token == self.peer_token {
-            let reason = "the same file as `peer_token`, which all nodes hold".to_string();
+            let reason = "the same file as `peer_token`, which all nodes hold";
             let remedy = "give the control instances a token file of their own";
             return Err(refuse("control_token", reason, remedy));
         }
         if self.shards == 0 {
-            let reason = "no shards".to_string();
-            return Err(refuse("shards", reason, "use 64, or 4096 in a large fleet"));
+            return Err(refuse("shards", "no shards", "use 64, or 4096 in a large fleet"));
         }
         for (key, address) in [("operators", &self.operators), ("peers", &self.peers)] {
             if address.parse::<std::net::SocketAddr>().is_err() {
                 let reason = format!("`{address}` is no IP address and port");
-                return Err(refuse(key, reason, "write it as 192.0.2.1:7100"));
+                return Err(refuse(key, &reason, "write it as 192.0.2.1:7100"));
             }
         }
         Ok(())
--- a/crates/arbutuslane_event/src/output.rs
+++ b/crates/arbutuslane_event/src/output.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -45,7 +45,8 @@
 #[derive(Debug)]
 pub struct Output {
     jobs: SyncSender<Job>,
-    dropped: &'static AtomicU64,
+    /// The lines that were dropped because the queue was full, and are not reported yet.
+    dropped: Arc<AtomicU64>,
     rates: Mutex<BTreeMap<String, Rate>>,
 }
 
@@ -58,15 +59,14 @@
 
 static OUTPUT: OnceLock<&'static Output> = OnceLock::new();
 
-/// The lines that were dropped because the queue was full.
-static DROPPED: AtomicU64 = AtomicU64::new(0);
-
 impl Output {
     /// Starts the thread that writes to `target`.
     pub fn start(target: impl Write + Send + 'static) -> Self {
         let (jobs, inbox) = sync_channel(QUEUE);
-        thread::spawn(move || write(&inbox, target));
-        Self { jobs, dropped: &DROPPED, rates: Mutex::default() }
+        let dropped = Arc::new(AtomicU64::new(0));
+        let reported = Arc::clone(&dropped);
+        thread::spawn(move || write(&inbox, &reported, target));
+        Self { jobs, dropped, rates: Mutex::default() }
     }
 
     /// Returns the output of this process, which writes to standard output.
@@ -131,9 +131,9 @@
     value.unwrap_or_default().trim_end()
 }
 
-fn write(inbox: &Receiver<Job>, mut target: impl Write) {
+fn write(inbox: &Receiver<Job>, dropped: &AtomicU64, mut target: impl Write) {
     while let Ok(job) = inbox.recv() {
-        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        let dropped = dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             let _ = writeln!(target, "level=warn event=log-lines-dropped count={dropped}");
         }
@@ -186,8 +186,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::sync::Arc;
-
     use super::*;
 
     /// A reader that takes nothing until it is let go.
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -27,7 +27,6 @@
 /// What one control instance knows of the items and of who holds them.
 #[derive(Debug, Clone)]
 pub struct Replication {
-    own: NodeId,
     copies: usize,
     standing: Standing,
     /// Everything that this instance was told.
@@ -49,7 +48,6 @@
     /// when `copies` instances hold it.
     pub fn new(own: &str, copies: usize, standing: Standing, items: Vec<Item>) -> Self {
         let mut replication = Self {
-            own: own.to_string(),
             copies: copies.max(1),
             standing,
             table: Table::default(),
@@ -185,9 +183,4 @@
         self.standing = Standing::Complete;
         true
     }
-
-    /// Returns the name of this instance.
-    pub fn own(&self) -> &str {
-        &self.own
-    }
 }
