Count the time that hung requests have taken in the predicted wait

Cause: a server whose slots were all held by requests that hang had no measured service time, so the predicted wait was zero and further requests queued behind them until their deadline. With a mean of earlier requests the wait was predicted from that mean alone. Ruled out: a probe of the server; its answer says nothing about the slots. Before: gate.predicted_wait with two slots held for 400 ms: 0 ms. After: 200 ms (predicted_wait_hung). Conclusion: an entry that asks such an owner is sent elsewhere at once.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -155,10 +155,10 @@
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Admission {
         let class = arrival.class;
         if !self.open {
-            return self.refuse(Reason::Closed, &arrival);
+            return self.refuse(Reason::Closed, &arrival, now);
         }
         if arrival.deadline.is_expired(now) {
-            return self.refuse(Reason::Expired, &arrival);
+            return self.refuse(Reason::Expired, &arrival, now);
         }
         // A free slot is used whatever the measured service time says: refusing here would end the
         // measurement, and a server whose mean once exceeded the deadline would never be used again.
@@ -167,9 +167,9 @@
             self.running.push(Running { ticket, class, since: now });
             return Admission::Run(ticket);
         }
-        let needed = self.predicted_wait(&arrival) + self.expected_service(class);
+        let needed = self.predicted_wait(&arrival, now) + self.expected_service(class);
         if arrival.due.saturating_sub(now) < needed {
-            return self.refuse(Reason::TooLate, &arrival);
+            return self.refuse(Reason::TooLate, &arrival, now);
         }
         let mut displaced = None;
         if self.queue.len() >= self.queue_limit {
@@ -177,7 +177,7 @@
                 Some(last) if last.arrival.rank > arrival.rank => {
                     displaced = self.queue.pop().map(|waiting| waiting.ticket);
                 }
-                _ => return self.refuse(Reason::Full, &arrival),
+                _ => return self.refuse(Reason::Full, &arrival, now),
             }
         }
         let ticket = self.take_ticket();
@@ -264,13 +264,17 @@
     }
 
     /// Returns the time that an arriving request would probably wait for a slot.
-    pub fn predicted_wait(&self, arrival: &Arrival) -> Duration {
+    ///
+    /// A request that runs for longer than the mean counts with the time that it has taken: a server
+    /// whose slots are all held by requests that hang has no mean that tells so.
+    pub fn predicted_wait(&self, arrival: &Arrival, now: Time) -> Duration {
         if self.running.len() < self.slots || self.slots == 0 {
             return Duration::ZERO;
         }
         let mut work = Duration::ZERO;
         for running in &self.running {
-            work += self.expected_service(running.class);
+            let elapsed = now.saturating_sub(running.since);
+            work += self.expected_service(running.class).max(elapsed);
         }
         let mut ahead = 0;
         for waiting in &self.queue {
@@ -298,8 +302,8 @@
         self.next_ticket
     }
 
-    fn refuse(&self, reason: Reason, arrival: &Arrival) -> Admission {
-        let wait = self.predicted_wait(arrival) + self.expected_service(arrival.class);
+    fn refuse(&self, reason: Reason, arrival: &Arrival, now: Time) -> Admission {
+        let wait = self.predicted_wait(arrival, now) + self.expected_service(arrival.class);
         Admission::Refused(Refusal { reason, retry_after: wait.max(Duration::from_millis(50)) })
     }
 
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -276,3 +276,29 @@
     assert!(in_time >= 560, "{in_time} in time of 600 that fit, {late} late, {refused} refused");
     assert!(late <= 10, "{late} late");
 }
+
+/// Guards against requests that queue behind a server whose slots are all held by requests that hang:
+/// none of them has finished, so that no measured time tells how long the wait is.
+#[test]
+fn predicted_wait_hung() {
+    let millisecond = Duration::from_millis(1);
+    let arrive = |now| {
+        let deadline = Deadline::after(now, 60_000 * millisecond);
+        Arrival::of_class(Class::Idempotent, now, deadline)
+    };
+    let mut gate = Gate::new(2, 4);
+    gate.arrive(Duration::ZERO, arrive(Duration::ZERO));
+    gate.arrive(Duration::ZERO, arrive(Duration::ZERO));
+    let now = 400 * millisecond;
+    assert_eq!(gate.predicted_wait(&arrive(now), now), 200 * millisecond);
+
+    // The same when earlier requests took 10 ms.
+    let mut gate = Gate::new(1, 4);
+    let Admission::Run(ticket) = gate.arrive(Duration::ZERO, arrive(Duration::ZERO)) else {
+        panic!("the slot is free")
+    };
+    gate.finish(ticket, 10 * millisecond);
+    gate.arrive(10 * millisecond, arrive(10 * millisecond));
+    assert_eq!(gate.predicted_wait(&arrive(now), 15 * millisecond), 10 * millisecond);
+    assert_eq!(gate.predicted_wait(&arrive(now), now), 390 * millisecond);
+}
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -89,7 +89,7 @@
 
     /// Takes a slot, or refuses a request that would wait longer than a hop to another server takes.
     pub(crate) async fn enter_now(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
-        let wait = self.lock().gate.predicted_wait(&arrival);
+        let wait = self.lock().gate.predicted_wait(&arrival, self.clock.now());
         if wait > HOP {
             return Err(Refusal { reason: Reason::Full, retry_after: wait });
         }
@@ -116,7 +116,7 @@
         match timeout_checked(limit, waiting).await {
             Ok(true) => Ok(self.permit(place.ticket)),
             Ok(false) | Err(()) => {
-                let wait = self.lock().gate.predicted_wait(&arrival);
+                let wait = self.lock().gate.predicted_wait(&arrival, self.clock.now());
                 Err(Refusal { reason: Reason::TooLate, retry_after: wait })
             }
         }
