Keep a silent attempt until another server has taken the request

Cause: an attempt that was silent for three times the usual latency was given up before the next server was asked. Ruled out: never giving up while stopping only; the same loss happens without a stop. Before: silence_others_full got 504 after 3 s. After: 200 after the 0.7 s of the slow server.

--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a request at one server.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 use ntex::http::StatusCode;
@@ -18,35 +17,85 @@
 use super::refusal::{Choice, Outcome, Refusal};
 use super::remote;
 use super::route::Routed;
-use super::services::{self, Place};
+use super::services::{self, Ongoing, Place};
+use super::silent::{Running, Sent, Silent};
 use super::worker::Worker;
 
-/// An attempt is given up after this many times the usual latency.
+/// A server is silent after this many times the usual latency.
 const SILENT: u32 = 3;
 
-/// The shortest time after which an attempt is given up.
+/// The shortest time after which a server is silent.
 const SHORTEST: Duration = Duration::from_millis(20);
 
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
-pub(crate) async fn send(
-    worker: &Worker,
-    routed: &Routed,
+pub(super) async fn send<'a>(
+    worker: &'a Worker,
+    routed: &'a Routed,
     tried: &mut Vec<ServerId>,
     effort: Effort,
-) -> Result<Answer, Refusal> {
+) -> Sent<'a> {
     let service = &routed.service;
     let chosen = services::choose(worker, service, routed.class, tried);
-    let Some((choice, mut ongoing)) = chosen else {
+    let Some((choice, ongoing)) = chosen else {
         let error = format!("no server of {service} takes work");
-        return Err(Refusal { elsewhere: false, ..Refusal::not_run(error) });
+        return Sent::Ended(Err(Refusal { elsewhere: false, ..Refusal::not_run(error) }));
     };
-    let server = choice.server;
+    let server = choice.server.clone();
     tried.push(server.clone());
     let may_change = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
     let patience = may_change.then(|| patience(worker, routed));
+    let began = worker.shared.clock.now();
+    let known = services::age(worker, service, &server, began);
+    let note = ongoing.outcome();
+    let attempt = Attempt { server: server.clone(), effort, known, began };
+    let mut running: Running<'a> = Box::pin(async move {
+        let result = run(worker, routed, choice, effort).await;
+        conclude(worker, routed, &attempt, ongoing, result)
+    });
+    let Some(patience) = patience else { return Sent::Ended(running.await) };
+    if let Ok(result) = timeout_checked(patience, running.as_mut()).await {
+        return Sent::Ended(result);
+    }
+    // Without another attempt the response may still come in time.
+    if !services::may_repeat(worker, service) || !services::has_other(worker, service, tried) {
+        return Sent::Ended(running.await);
+    }
+    let attempt = Attempt { server: server.clone(), effort, known, began };
+    record(worker, routed, &attempt, &silent());
+    services::avoid(worker, service, &server);
+    let clock = worker.shared.clock;
+    Sent::Silent(Silent { server, running, note, began, clock, ended: false })
+}
+
+/// Returns the end of an attempt whose server is silent.
+pub(super) fn silent() -> Refusal {
+    let error = "no response in several times the usual latency";
+    let refusal = Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error);
+    Refusal { choice: Choice::Silent, ..refusal }
+}
+
+/// An attempt as it is logged.
+struct Attempt {
+    server: ServerId,
+    effort: Effort,
+    /// The age of what is known of the server's load.
+    known: Option<Duration>,
+    began: Time,
+}
+
+/// Sends `routed` to the chosen server.
+async fn run(
+    worker: &Worker,
+    routed: &Routed,
+    choice: services::Choice,
+    effort: Effort,
+) -> Result<Answer, Refusal> {
+    let service = &routed.service;
+    let may_change = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
+    let server = choice.server.clone();
     let work = Work {
         service: service.clone(),
-        server: server.clone(),
+        server: choice.server,
         incarnation: match &choice.place {
             Place::Local(server) => server.incarnation,
             Place::Remote { incarnation, .. } => *incarnation,
@@ -62,38 +111,43 @@
         fingerprint: routed.fingerprint,
         request: routed.request.clone(),
     };
-    let began = worker.shared.clock.now();
-    let known = services::age(worker, service, &server, began);
-    let running = async {
-        match choice.place {
-            Place::Local(local) => {
-                let result = owner::dispatch(worker, work).await;
-                services::report(worker, service, &server, &local.report());
-                result
-            }
-            Place::Remote { owner, address, .. } => {
-                forward_in_time(worker, work, (&owner, address)).await
-            }
+    match choice.place {
+        Place::Local(local) => {
+            let result = owner::dispatch(worker, work).await;
+            services::report(worker, service, &server, &local.report());
+            result
         }
-    };
-    let result = run_patiently(worker, routed, running, patience, tried).await;
+        Place::Remote { owner, address, .. } => {
+            forward_in_time(worker, work, (&owner, address)).await
+        }
+    }
+}
+
+/// Takes in what the end of an attempt says about its server.
+fn conclude(
+    worker: &Worker,
+    routed: &Routed,
+    attempt: &Attempt,
+    mut ongoing: Ongoing,
+    result: Result<Answer, Refusal>,
+) -> Result<Answer, Refusal> {
     let mut answer = match result {
         Ok(answer) => answer,
         Err(refusal) => {
-            record(worker, routed, &server, effort, &refusal, known, began);
+            record(worker, routed, attempt, &refusal);
             // A server that refuses or fails quickly must not look idle for it. What did not run
             // is no failure, and would hide real ones from the comparison with peers.
             match refusal.choice {
                 Choice::Stale | Choice::Suspect => {}
                 Choice::Full | Choice::Shed => ongoing.refuse(),
                 _ if refusal.outcome == Outcome::NotRun => {}
-                _ => ongoing.note(worker.shared.clock.now().saturating_sub(began), false),
+                _ => {
+                    let took = worker.shared.clock.now().saturating_sub(attempt.began);
+                    ongoing.note(took, false);
+                }
             }
-            if matches!(
-                refusal.choice,
-                Choice::Stale | Choice::Shed | Choice::Suspect | Choice::Silent
-            ) {
-                services::avoid(worker, service, &server);
+            if matches!(refusal.choice, Choice::Stale | Choice::Shed | Choice::Suspect) {
+                services::avoid(worker, &routed.service, &attempt.server);
             }
             return Err(refusal);
         }
@@ -107,29 +161,21 @@
 }
 
 /// Logs an attempt that brought no response, with the age of what is known of the server.
-fn record(
-    worker: &Worker,
-    routed: &Routed,
-    server: &str,
-    effort: Effort,
-    refusal: &Refusal,
-    known: Option<Duration>,
-    began: Time,
-) {
+fn record(worker: &Worker, routed: &Routed, attempt: &Attempt, refusal: &Refusal) {
     let now = worker.shared.clock.now();
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     tracing::info!(
         event = "attempt",
         request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
         service = routed.service,
-        server,
-        effort = ?effort,
+        server = attempt.server,
+        effort = ?attempt.effort,
         outcome = ?refusal.outcome,
         choice = ?refusal.choice,
         reason = refusal.error,
-        known_ms = known.map(millis),
+        known_ms = attempt.known.map(millis),
         left_ms = routed.deadline.remaining_ms(now),
-        took_ms = millis(now.saturating_sub(began))
+        took_ms = millis(now.saturating_sub(attempt.began))
     );
 }
 
@@ -143,30 +189,6 @@
     usual.map_or(remaining / 2, |usual| (usual * SILENT).max(SHORTEST).min(remaining / 2))
 }
 
-/// Waits for an attempt; gives it up after `patience` when another server may be tried.
-async fn run_patiently(
-    worker: &Worker,
-    routed: &Routed,
-    running: impl Future<Output = Result<Answer, Refusal>>,
-    patience: Option<Duration>,
-    tried: &[ServerId],
-) -> Result<Answer, Refusal> {
-    let mut running = pin!(running);
-    let Some(patience) = patience else { return running.await };
-    if let Ok(result) = timeout_checked(patience, running.as_mut()).await {
-        return result;
-    }
-    // Without another attempt the response may still come in time.
-    if !services::may_repeat(worker, &routed.service)
-        || !services::has_other(worker, &routed.service, tried)
-    {
-        return running.await;
-    }
-    let error = "no response in several times the usual latency";
-    let refusal = Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error);
-    Err(Refusal { choice: Choice::Silent, ..refusal })
-}
-
 /// Forwards `work` to the owner of its server and gives up at its deadline.
 async fn forward_in_time(
     worker: &Worker,
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -28,6 +28,7 @@
 use super::resume;
 use super::route::{Incoming, Routed, route};
 use super::services;
+use super::silent::{self, Sent};
 use super::worker::Worker;
 
 /// Answers a request of a caller that stands alone on its connection or stream.
@@ -185,11 +186,19 @@
     let mut tried = Vec::new();
     // Those of them that were asked, or may have been.
     let mut asked = Vec::new();
+    let mut earlier = None;
     loop {
-        let result = match effort {
-            Effort::Insist => attempt::send(worker, routed, &mut asked, effort).await,
-            Effort::Ordinary | Effort::Last => {
-                attempt::send(worker, routed, &mut tried, effort).await
+        let known = if effort == Effort::Insist { &mut asked } else { &mut tried };
+        let sent = attempt::send(worker, routed, known, effort);
+        let result = match silent::send_beside(sent, &mut earlier, effort).await {
+            Sent::Ended(result) => result,
+            Sent::Silent(silent) => {
+                earlier = Some(silent);
+                Err(attempt::silent())
+            }
+            Sent::Earlier(server, answer) => {
+                tried.push(server);
+                return (Ok(answer), tried);
             }
         };
         let ending = ending(&result);
@@ -202,6 +211,13 @@
             follow(worker, routed, &mut attempts, ending, known)
         });
         let Some(next) = next else {
+            let is_open = result.as_ref().map_or(true, failed);
+            if let Some(silent) = earlier.take().filter(|_| is_open)
+                && let Some((server, answer)) = silent.answer().await
+            {
+                tried.push(server);
+                return (Ok(answer), tried);
+            }
             if result.as_ref().map_or(true, failed) {
                 worker.shared.failures().record(id, worker.shared.clock.now());
             }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod route;
 mod routes;
 mod services;
+mod silent;
 mod worker;
 
 pub(crate) use admission::Admission;
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -22,6 +22,7 @@
 use super::fields;
 use super::relay::Source;
 use super::route::Routed;
+use super::silent::Sent;
 use super::worker::Worker;
 
 /// The most times that one download is continued.
@@ -100,7 +101,8 @@
         let (tag, length, received) = (self.tag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.next = Some(Box::pin(async move {
-            let answer = attempt::send(&worker, &routed, &mut tried, Effort::Insist).await.ok()?;
+            let sent = attempt::send(&worker, &routed, &mut tried, Effort::Insist).await;
+            let Sent::Ended(Ok(answer)) = sent else { return None };
             continues(&answer, &tag, received, length).then_some((answer.body, tried))
         }));
     }
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -3,7 +3,7 @@
 //! Each traffic thread keeps its own pickers, so that a choice takes no lock. The candidates are
 //! renewed when the server lists change, and from time to time because leases end silently.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -74,11 +74,15 @@
     server: ServerId,
     class: Class,
     id: u64,
-    latency: Option<Duration>,
-    success: bool,
+    note: Note,
     refused: bool,
 }
 
+/// What came of a request: its latency at the owner, and whether it succeeded; shared with whoever may
+/// give the request up.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Note(Rc<Cell<Option<(Duration, bool)>>>);
+
 #[derive(Debug)]
 struct Service {
     picker: Picker,
@@ -167,8 +171,12 @@
 impl Ongoing {
     /// Notes what came of the request: its latency at the owner, and whether it succeeded.
     pub(crate) fn note(&mut self, latency: Duration, success: bool) {
-        self.latency = Some(latency);
-        self.success = success;
+        self.note.set(latency, success);
+    }
+
+    /// Returns where the outcome of the request is noted.
+    pub(crate) fn outcome(&self) -> Note {
+        self.note.clone()
     }
 
     /// Notes that the request was refused because the server is full.
@@ -177,20 +185,29 @@
     }
 }
 
+impl Note {
+    /// Notes what came of the request.
+    pub(crate) fn set(&self, latency: Duration, success: bool) {
+        self.0.set(Some((latency, success)));
+    }
+}
+
 impl Drop for Ongoing {
     fn drop(&mut self) {
         let mut services = self.services.borrow_mut();
         let Some(service) = services.known(&self.service) else { return };
         let now = self.clock.now();
-        service.picker.answered(&self.server, now, self.latency, self.success);
+        let (latency, success) = self.note.0.get().unzip();
+        let success = success.unwrap_or_default();
+        service.picker.answered(&self.server, now, latency, success);
         service.summarizer.ended(self.id);
         if self.refused {
             service.picker.refused(&self.server, now);
             service.summarizer.refused(&self.server, self.class, now);
         }
-        if let Some(latency) = self.latency {
+        if let Some(latency) = latency {
             let (server, class) = (&self.server, self.class);
-            service.summarizer.observe(server, class, latency, self.success, now);
+            service.summarizer.observe(server, class, latency, success, now);
         }
     }
 }
@@ -228,8 +245,7 @@
         server: pick.server.clone(),
         class,
         id,
-        latency: None,
-        success: false,
+        note: Note::default(),
         refused: false,
     };
     Some((Choice { server: pick.server, place, trial: pick.trial, summary }, ongoing))
