Admit the calls of one request together, and give each rank a share

Change: among requests of one rank the hash of the parent's id goes first, at every owner; one start in 32 goes to a waiting request of a lower rank, which keeps an eighth of the queue.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -17,7 +17,10 @@
     pub class: Class,
     /// Its rank; 0 goes first.
     pub rank: u8,
-    /// Until when its response is worth most; earlier goes first among requests of one rank.
+    /// Among requests of one rank, the lowest goes first. Requests that are of use only together, such
+    /// as the calls of one request, have the same.
+    pub precedence: u64,
+    /// Until when its response is worth most; earlier goes first among equals.
     pub due: Time,
     /// When its response is of no use any more.
     pub deadline: Deadline,
@@ -32,7 +35,16 @@
             Class::Idempotent => 1,
             Class::Download => 2,
         };
-        Self { class, rank, due: now + deadline.remaining(now), deadline }
+        Self { class, rank, precedence: 0, due: now + deadline.remaining(now), deadline }
+    }
+
+    fn order(&self) -> (u8, u64, Time) {
+        (self.rank, self.precedence, self.due)
+    }
+
+    /// Returns whether it takes the place of `other` in a full queue.
+    fn displaces(&self, other: &Self) -> bool {
+        (self.rank, self.precedence) < (other.rank, other.precedence)
     }
 }
 
@@ -96,8 +108,12 @@
 
 /// The slots and the queue of one backend server.
 ///
-/// Requests wait in the order of their rank, and among those of one rank the one that is due first
-/// goes first, so that requests with little time are not starved by those with much. A request is
+/// Requests wait in the order of their rank, and among those of one rank and precedence the one that
+/// is due first goes first, so that requests with little time are not starved by those with much.
+/// One start in 32 goes to a lower rank, which keeps an eighth of the queue, so that no kind of
+/// request is starved by a more urgent one that exceeds the slots alone.
+/// When calls exceed the slots, their precedence lets those of one request pass or fail together:
+/// a request whose calls are refused at random fails when one of them does. A request is
 /// refused on arrival when the wait predicted from the measured service times, plus one service
 /// time, ends after it is due. Refusing then costs nothing, while a late answer costs a slot that
 /// another request would have used in time.
@@ -109,6 +125,8 @@
     next_ticket: Ticket,
     running: Vec<Running>,
     queue: Vec<Waiting>,
+    /// The requests that started in a row while one of lower rank waited.
+    passed: u32,
     service: [Option<Duration>; CLASSES],
 }
 
@@ -128,12 +146,19 @@
 impl Waiting {
     /// Returns whether it goes before a request that arrives later.
     fn precedes(&self, arrival: &Arrival) -> bool {
-        (self.arrival.rank, self.arrival.due) <= (arrival.rank, arrival.due)
+        self.arrival.order() <= arrival.order()
     }
 }
 
 const CLASSES: usize = 3;
 
+/// A request of a lower rank starts after this many others have passed it: without a share of its own
+/// it would never run while calls alone exceed the slots.
+const PASSES: u32 = 31;
+
+/// The part of the queue that requests of lower ranks keep, one place in this many.
+const KEPT_PLACES: usize = 8;
+
 /// The weight of the newest service time in the mean is one in this many.
 const SMOOTHING: u32 = 16;
 
@@ -147,6 +172,7 @@
             next_ticket: 0,
             running: Vec::with_capacity(slots),
             queue: Vec::with_capacity(queue_limit),
+            passed: 0,
             service: [None; CLASSES],
         }
     }
@@ -173,12 +199,10 @@
         }
         let mut displaced = None;
         if self.queue.len() >= self.queue_limit {
-            match self.queue.last() {
-                Some(last) if last.arrival.rank > arrival.rank => {
-                    displaced = self.queue.pop().map(|waiting| waiting.ticket);
-                }
-                _ => return self.refuse(Reason::Full, &arrival, now),
-            }
+            let Some(place) = self.displaced(&arrival) else {
+                return self.refuse(Reason::Full, &arrival, now);
+            };
+            displaced = Some(self.queue.remove(place).ticket);
         }
         let ticket = self.take_ticket();
         let place = self.queue.partition_point(|other| other.precedes(&arrival));
@@ -302,6 +326,37 @@
         self.next_ticket
     }
 
+    /// Returns the place in the full queue that an arriving request takes, if there is one.
+    fn displaced(&self, arrival: &Arrival) -> Option<usize> {
+        let kept = self.queue_limit / KEPT_PLACES;
+        let lower = self.queue.partition_point(|waiting| waiting.arrival.rank <= arrival.rank);
+        let higher = self.queue.partition_point(|waiting| waiting.arrival.rank < arrival.rank);
+        if self.queue.len() - lower > kept {
+            return Some(self.queue.len() - 1);
+        }
+        if lower > higher && arrival.displaces(&self.queue[lower - 1].arrival) {
+            return Some(lower - 1);
+        }
+        // The kept places belong to the lower ranks together.
+        (higher > 0 && self.queue.len() - higher < kept).then(|| higher - 1)
+    }
+
+    /// Takes the request out of the queue that starts next: the first one, or the one of a lower rank
+    /// that is due first when enough others have passed it.
+    fn take_next(&mut self) -> Waiting {
+        let rank = self.queue[0].arrival.rank;
+        let lower = self.queue.partition_point(|waiting| waiting.arrival.rank <= rank);
+        let first_due =
+            (lower..self.queue.len()).min_by_key(|place| self.queue[*place].arrival.due);
+        let place = match first_due {
+            Some(place) if self.passed >= PASSES => place,
+            _ => 0,
+        };
+        let passes = place == 0 && first_due.is_some();
+        self.passed = if passes { self.passed + 1 } else { 0 };
+        self.queue.remove(place)
+    }
+
     fn refuse(&self, reason: Reason, arrival: &Arrival, now: Time) -> Admission {
         let wait = self.predicted_wait(arrival, now) + self.expected_service(arrival.class);
         Admission::Refused(Refusal { reason, retry_after: wait.max(Duration::from_millis(50)) })
@@ -310,7 +365,7 @@
     fn fill(&mut self, now: Time) -> Next {
         let mut next = Next { start: Vec::new(), refuse: self.expire(now) };
         while self.running.len() < self.slots && !self.queue.is_empty() {
-            let waiting = self.queue.remove(0);
+            let waiting = self.take_next();
             let class = waiting.arrival.class;
             self.running.push(Running { ticket: waiting.ticket, class, since: now });
             next.start.push(waiting.ticket);
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -106,7 +106,8 @@
         return Err(Refusal::suspect());
     }
     let Work { class, rank, due, deadline, .. } = work;
-    let arrival = Arrival { class, rank, due, deadline };
+    let precedence = precedence(worker, &work.request.headers);
+    let arrival = Arrival { class, rank, precedence, due, deadline };
     let permit = match work.insist {
         true => server.admission.enter(arrival).await,
         false => server.admission.enter_now(arrival).await,
@@ -330,6 +331,13 @@
     }
 }
 
+/// Returns the precedence of a request: the same for the calls of one request at all owners.
+fn precedence(worker: &Worker, headers: &HeaderMap) -> u64 {
+    let dialect = worker.shared.interface.dialect();
+    let parent = dialect.parent(request_id(dialect, headers));
+    parent.map_or(0, |parent| hash::of_bytes(parent.as_bytes()))
+}
+
 fn denied(refusal: gate::Refusal) -> Refusal {
     let error = match refusal.reason {
         Reason::Expired => "the deadline passed before dispatch",
