Send lookups that no sound server takes to an idle suspect

Cause: when the queues of all sound servers were full, a request was refused although servers that fail most requests were idle; such a server still answers about one request in seven. Ruled out: suspects for bookings; a failure there may have run, while a refusal may be sent again. Change: after the attempt that may wait, one more at a suspect when the request may run twice; it is not repeated, so that it costs no retry budget.

--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -18,8 +18,10 @@
     Ordinary,
     /// No other attempt follows.
     Last,
-    /// The request may wait for a slot, and a suspect must take it.
+    /// The request may wait for a slot.
     Insist,
+    /// A server that fails most requests must take the request, because no other one does.
+    Suspect,
 }
 
 /// How an attempt ended that brought no success.
@@ -28,6 +30,9 @@
     /// The owner refused the request before its server was asked; when the request has to, it may
     /// still wait for that server.
     Busy,
+    /// The owner refused the request before its server was asked, because the server fails most
+    /// requests.
+    Suspect,
     /// The owner refused the request before its server was asked, because the server has moved, left
     /// or cannot be reached.
     Gone,
@@ -49,9 +54,12 @@
     /// The servers that were asked or may have been.
     sent: u32,
     may_have_run: bool,
-    /// Whether a server would still take the request when it has to.
+    /// Whether a server would let the request wait.
     is_any_busy: bool,
-    insisted: bool,
+    /// Whether a server that fails most requests would take the request.
+    is_any_suspect: bool,
+    /// The last attempt, once it was one of those that ask a server again.
+    again: Option<Effort>,
 }
 
 impl Attempts {
@@ -66,7 +74,8 @@
             sent: 0,
             may_have_run: false,
             is_any_busy: false,
-            insisted: false,
+            is_any_suspect: false,
+            again: None,
         }
     }
 
@@ -93,39 +102,63 @@
             self.may_have_run |= outcome != Outcome::NotRun;
         }
         self.is_any_busy |= ending == Ending::Busy;
+        self.is_any_suspect |= ending == Ending::Suspect;
         if ending == Ending::Final || self.deadline.is_expired(now) {
             return None;
         }
-        if self.insisted && !matches!(ending, Ending::Asked(_)) {
+        if let Ending::Asked(outcome) = ending {
+            return self.after_asked(outcome, others, budget, now);
+        }
+        if self.again.is_none() && others && self.asked < ASKED {
+            return Some(self.ordinary());
+        }
+        self.ask_again()
+    }
+
+    /// Returns how the next attempt is made after a server was asked.
+    fn after_asked(
+        &mut self,
+        outcome: Outcome,
+        others: bool,
+        budget: &mut RetryBudget,
+        now: Time,
+    ) -> Option<Effort> {
+        // A request that no sound server took is not repeated after a suspect has failed it.
+        if !others || self.again == Some(Effort::Suspect) {
             return None;
         }
-        let more = others && self.asked < ASKED;
-        let effort = match self.sent + 1 >= self.limit {
-            _ if self.insisted => Effort::Insist,
-            true => Effort::Last,
-            false => Effort::Ordinary,
+        let attempt = retry::Attempt {
+            class: self.class,
+            outcome,
+            made: self.sent,
+            limit: self.limit,
+            response_started: false,
+            deadline: self.deadline,
         };
-        match ending {
-            Ending::Busy | Ending::Gone if more => Some(effort),
-            // The servers that turned the request away are asked once more.
-            Ending::Busy | Ending::Gone if self.is_any_busy => {
-                self.insisted = true;
-                Some(Effort::Insist)
-            }
-            Ending::Busy | Ending::Gone | Ending::Final => None,
-            Ending::Asked(outcome) => {
-                let attempt = retry::Attempt {
-                    class: self.class,
-                    outcome,
-                    made: self.sent,
-                    limit: self.limit,
-                    response_started: false,
-                    deadline: self.deadline,
-                };
-                let retry = others && retry::decide(&attempt, budget, now) == Decision::Retry;
-                retry.then_some(effort)
-            }
+        if retry::decide(&attempt, budget, now) != Decision::Retry {
+            return None;
         }
+        Some(self.again.unwrap_or_else(|| self.ordinary()))
+    }
+
+    fn ordinary(&self) -> Effort {
+        if self.sent + 1 >= self.limit { Effort::Last } else { Effort::Ordinary }
+    }
+
+    /// Asks the servers that turned the request away once more: first one where it waits, then one
+    /// that fails most requests. Work that must not run twice goes to a suspect only when there is no
+    /// other server, because its failure says nothing about whether it ran.
+    fn ask_again(&mut self) -> Option<Effort> {
+        let next = match self.again {
+            None if self.is_any_busy => Effort::Insist,
+            None if self.is_any_suspect => Effort::Suspect,
+            Some(Effort::Insist) if self.is_any_suspect && self.class != Class::NonIdempotent => {
+                Effort::Suspect
+            }
+            _ => return None,
+        };
+        self.again = Some(next);
+        Some(next)
     }
 
     /// Returns whether a server may have run the request in one of the attempts.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -105,7 +105,7 @@
         due: routed.due,
         trial: choice.trial,
         repeatable: may_change && services::may_repeat(worker, service),
-        insist: effort == Effort::Insist,
+        insist: matches!(effort, Effort::Insist | Effort::Suspect),
         summary: choice.summary.map(|summary| (worker.source, summary)),
         deadline: routed.deadline,
         fingerprint: routed.fingerprint,
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -183,59 +183,89 @@
     let limit = u32::try_from(routed.attempts).unwrap_or(u32::MAX);
     let mut attempts = Attempts::new(routed.class, limit, routed.deadline);
     let mut effort = attempts.first();
-    let mut tried = Vec::new();
-    // Those of them that were asked, or may have been.
-    let mut asked = Vec::new();
+    let mut tried = Tried::default();
     let mut earlier = None;
     loop {
-        let known = if effort == Effort::Insist { &mut asked } else { &mut tried };
-        let sent = attempt::send(worker, routed, known, effort);
+        let sent = attempt::send(worker, routed, tried.excluded(effort), effort);
         let result = match silent::send_beside(sent, &mut earlier, effort).await {
             Sent::Ended(result) => result,
             Sent::Silent(silent) => {
                 earlier = Some(silent);
                 Err(attempt::silent())
             }
-            Sent::Earlier(server, answer) => {
-                tried.push(server);
-                return (Ok(answer), tried);
-            }
+            Sent::Earlier(server, answer) => return (Ok(answer), tried.ending_with(server)),
         };
         let ending = ending(&result);
-        if effort == Effort::Insist {
-            // The server that was asked last is the one that answered.
-            tried.extend(asked.last().cloned());
-        }
         let next = ending.and_then(|ending| {
-            let known = if effort == Effort::Insist { &asked } else { &tried };
-            follow(worker, routed, &mut attempts, ending, known)
+            let excluded = tried.excluded(effort);
+            follow(worker, routed, &mut attempts, ending, excluded)
         });
+        tried.ended(effort, ending);
         let Some(next) = next else {
             let is_open = result.as_ref().map_or(true, failed);
             if let Some(silent) = earlier.take().filter(|_| is_open)
                 && let Some((server, answer)) = silent.answer().await
             {
-                tried.push(server);
-                return (Ok(answer), tried);
+                return (Ok(answer), tried.ending_with(server));
             }
-            if result.as_ref().map_or(true, failed) {
+            if is_open {
                 worker.shared.failures().record(id, worker.shared.clock.now());
             }
-            return (finally(result, attempts.may_have_run()), tried);
+            return (finally(result, attempts.may_have_run()), tried.all);
         };
-        if matches!(ending, Some(Ending::Asked(_))) && effort != Effort::Insist {
-            asked.extend(tried.last().cloned());
-        }
         effort = next;
         let metrics = &worker.shared.metrics;
         count(match ending {
-            Some(Ending::Busy) => &metrics.turned_away,
+            Some(Ending::Busy | Ending::Suspect) => &metrics.turned_away,
             Some(Ending::Gone) => &metrics.stale_retries,
             _ => &metrics.retries,
         });
     }
 }
 
+/// The servers of one request.
+#[derive(Debug, Default)]
+struct Tried {
+    /// Those that were chosen; the last one answered, if any did.
+    all: Vec<ServerId>,
+    /// Those that were asked, or may have been.
+    asked: Vec<ServerId>,
+    /// Those that a request which no other server takes is not sent to: all that are no suspects.
+    sound: Vec<ServerId>,
+}
+
+impl Tried {
+    /// Returns the servers that the next attempt is not sent to; it adds the one that it chooses.
+    fn excluded(&mut self, effort: Effort) -> &mut Vec<ServerId> {
+        match effort {
+            Effort::Ordinary | Effort::Last => &mut self.all,
+            Effort::Insist => &mut self.asked,
+            Effort::Suspect => &mut self.sound,
+        }
+    }
+
+    /// Takes in the end of an attempt.
+    fn ended(&mut self, effort: Effort, ending: Option<Ending>) {
+        let Some(server) = self.excluded(effort).last().cloned() else { return };
+        if matches!(effort, Effort::Insist | Effort::Suspect) {
+            self.all.push(server);
+            return;
+        }
+        if matches!(ending, Some(Ending::Asked(_))) {
+            self.asked.push(server.clone());
+        }
+        if ending != Some(Ending::Suspect) {
+            self.sound.push(server);
+        }
+    }
+
+    /// Returns all servers when `server` is the one that answered.
+    fn ending_with(mut self, server: ServerId) -> Vec<ServerId> {
+        self.all.push(server);
+        self.all
+    }
+}
+
 /// Returns how the next attempt is made, if there is one.
 fn follow(
     worker: &Worker,
@@ -265,7 +295,8 @@
     }
     Some(match (refusal.choice, refusal.outcome) {
         (Choice::Stale, _) => Ending::Gone,
-        (Choice::Full | Choice::Suspect, _) => Ending::Busy,
+        (Choice::Full, _) => Ending::Busy,
+        (Choice::Suspect, _) => Ending::Suspect,
         (_, Outcome::NotRun) => Ending::Asked(retry::Outcome::NotRun),
         (_, Outcome::Unknown) => Ending::Asked(retry::Outcome::Unknown),
     })
--- a/crates/arbutuslane_node/src/traffic/silent.rs
+++ b/crates/arbutuslane_node/src/traffic/silent.rs
@@ -79,7 +79,7 @@
     let Some(silent) = earlier else { return attempt.await };
     let first = select(attempt.as_mut(), silent.running.as_mut());
     let first = match effort {
-        Effort::Insist => first.await,
+        Effort::Insist | Effort::Suspect => first.await,
         Effort::Ordinary | Effort::Last => match timeout_checked(TAKEN, first).await {
             Ok(first) => first,
             Err(()) => {
