--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -62,7 +62,7 @@
     }
     let attempt = Attempt { server: server.clone(), effort, known, began };
     record(worker, routed, &attempt, &silent());
-    services::avoid(worker, service, &server);
+    services::avoid(worker, service, &server, false);
     let clock = worker.shared.clock;
     Sent::Silent(Silent { server, running, note, began, clock, ended: false })
 }
@@ -147,7 +147,8 @@
                 }
             }
             if matches!(refusal.choice, Choice::Stale | Choice::Shed | Choice::Suspect) {
-                services::avoid(worker, &routed.service, &attempt.server);
+                let gone = refusal.choice == Choice::Stale;
+                services::avoid(worker, &routed.service, &attempt.server, gone);
             }
             return Err(refusal);
         }
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services.rs
@@ -83,14 +83,34 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Note(Rc<Cell<Option<(Duration, bool)>>>);
 
+/// Which servers are not chosen besides those that were tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exclusion {
+    /// All that are avoided.
+    Avoided,
+    /// Those that are gone.
+    Gone,
+    /// None.
+    Tried,
+}
+
+/// A server that is avoided.
+#[derive(Debug)]
+struct Avoided {
+    server: ServerId,
+    until: Time,
+    /// Whether it has moved, left or cannot be reached.
+    gone: bool,
+}
+
 #[derive(Debug)]
 struct Service {
     picker: Picker,
     budget: RetryBudget,
     summarizer: Summarizer,
     next: u64,
-    /// Servers that shed load or have moved, until when they are avoided.
-    avoided: Vec<(ServerId, Time)>,
+    /// Servers that are avoided for a while.
+    avoided: Vec<Avoided>,
     places: Vec<(ServerId, Place)>,
     remotes: Arc<Vec<Remote>>,
     local_version: u64,
@@ -162,6 +182,29 @@
         (self.remotes, self.local_version, self.renewed) = (remotes, local_version, Some(now));
     }
 
+    /// Returns the servers that are not chosen.
+    fn excluded(&self, exclusion: Exclusion, tried: &[ServerId], now: Time) -> Vec<ServerId> {
+        let mut excluded = tried.to_vec();
+        for avoided in &self.avoided {
+            let counts = match exclusion {
+                Exclusion::Avoided => true,
+                Exclusion::Gone => avoided.gone,
+                Exclusion::Tried => false,
+            };
+            if counts && now < avoided.until {
+                excluded.push(avoided.server.clone());
+            }
+        }
+        excluded
+    }
+
+    /// Returns whether `server` is known to be gone.
+    fn is_gone(&self, server: &str, now: Time) -> bool {
+        self.avoided
+            .iter()
+            .any(|avoided| avoided.gone && avoided.server == server && now < avoided.until)
+    }
+
     fn place(&self, server: &str) -> Option<&Place> {
         let index = self.places.binary_search_by(|(name, _)| name.as_str().cmp(server)).ok()?;
         Some(&self.places[index].1)
@@ -224,13 +267,20 @@
     let mut services = worker.services.borrow_mut();
     let service = services.service(shared, name);
     service.renew(shared, name, now);
-    let mut excluded = tried.to_vec();
-    let avoided = service.avoided.iter().filter(|(_, end)| now < *end);
-    excluded.extend(avoided.map(|(server, _)| server.clone()));
     let mut rng = worker.rng.borrow_mut();
-    let picker = &mut service.picker;
-    let pick = picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
-    let pick = pick.or_else(|| picker.pick(&Request { class, tried }, now, &mut rng))?;
+    let mut pick = None;
+    for exclusion in [Exclusion::Avoided, Exclusion::Gone, Exclusion::Tried] {
+        // A request that others have turned away has no time to ask a server again that is gone.
+        if exclusion == Exclusion::Tried && !tried.is_empty() {
+            break;
+        }
+        let excluded = service.excluded(exclusion, tried, now);
+        pick = service.picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
+        if pick.is_some() {
+            break;
+        }
+    }
+    let pick = pick?;
     let place = service.place(&pick.server)?.clone();
     service.picker.sent(&pick.server, now);
     let id = service.next;
@@ -266,11 +316,13 @@
     service.budget.is_available()
 }
 
-/// Returns whether `service` has a server that is not in `tried`.
+/// Returns whether `service` has a server that is not in `tried` and not gone.
 pub(crate) fn has_other(worker: &Worker, service: &str, tried: &[ServerId]) -> bool {
     let mut services = worker.services.borrow_mut();
     let Some(service) = services.known(service) else { return false };
-    service.places.iter().any(|(server, _)| !tried.contains(server))
+    let now = worker.shared.clock.now();
+    let mut places = service.places.iter().map(|(server, _)| server);
+    places.any(|server| !tried.contains(server) && !service.is_gone(server, now))
 }
 
 /// Takes in the load that the owner of `server` reported.
@@ -289,16 +341,17 @@
 }
 
 /// Chooses `server` for a while only when no other server is left, because it sheds load, is silent or
-/// fails most requests, or because the list that names it is outdated.
+/// fails most requests, or because it is `gone`: the list that names it is outdated.
 ///
 /// A server that refuses quickly looks idle, and would draw all requests and use up the budget.
 /// One server that left caused 186 to 223 retries in an overload before the lists were exchanged.
-pub(crate) fn avoid(worker: &Worker, service: &str, server: &str) {
+pub(crate) fn avoid(worker: &Worker, service: &str, server: &str, gone: bool) {
     let now = worker.shared.clock.now();
     let mut services = worker.services.borrow_mut();
     let Some(service) = services.known(service) else { return };
-    service.avoided.retain(|(known, end)| known != server && now < *end);
-    service.avoided.push((server.to_string(), now + AVOIDED));
+    service.avoided.retain(|avoided| avoided.server != server && now < avoided.until);
+    let (server, until) = (server.to_string(), now + AVOIDED);
+    service.avoided.push(Avoided { server, until, gone });
 }
 
 /// Skips the servers of `owner` for a short while because it could not be reached.
