Tell why a request failed and whether it was sent on, in metrics and log

Ruled out: the text of a refusal as a label; it may hold addresses, so that labels have no bound. Now: request outcomes by route, service and one of 14 reasons, attempts by reason, histograms of queue and server time, of a control instance's writes and acceptances; the line retry-decided; route and service also on the line of a refused request. Test: metrics_reasons, which also holds the operations page against the metrics served.

--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::kind::Kind;
+use arbutuslane_event::metric::{Histograms, Text};
 use arbutuslane_item::prelude::{Item, Replication};
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::record::Standing;
@@ -57,6 +59,44 @@
     pub(super) unconfirmed: AtomicU64,
     /// Messages to nodes about accepted items that got no answer.
     pub(super) push_failures: AtomicU64,
+    timings: Timings,
+}
+
+/// How long the steps of a change take.
+#[derive(Debug)]
+struct Timings(Mutex<Histograms>);
+
+/// A step of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Writing to the disk of this instance, with the sync.
+    Store,
+    /// From the arrival of a change until enough instances hold it.
+    Accept,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        let (name, help) = ("arbutuslane_control_step_seconds", "Time of the steps of a change.");
+        Self(Mutex::new(Histograms::new(name, help, &["step"], 4)))
+    }
+}
+
+impl Counters {
+    /// Takes in the time that a step took.
+    pub(super) fn took(&self, step: Step, time: Duration) {
+        let step = match step {
+            Step::Store => "store",
+            Step::Accept => "accept",
+        };
+        let mut histograms = self.timings.0.lock().unwrap_or_else(PoisonError::into_inner);
+        histograms.record(&[step], time);
+    }
+
+    /// Appends the times of the steps.
+    pub(super) fn render_timings(&self, text: &mut Text) {
+        text.histograms(&self.timings.0.lock().unwrap_or_else(PoisonError::into_inner));
+    }
 }
 
 impl Core {
@@ -83,6 +123,14 @@
         })
     }
 
+    /// Writes items to the disk; returns whether they are on it.
+    pub(super) async fn store(&self, items: Vec<Item>) -> bool {
+        let began = Instant::now();
+        let stored = self.disk.store(items).await;
+        self.counters.took(Step::Store, began.elapsed());
+        stored
+    }
+
     /// Locks the items.
     pub(super) fn replication(&self) -> MutexGuard<'_, Replication> {
         self.replication.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/arbutuslane_control/src/items/replicate.rs
+++ b/crates/arbutuslane_control/src/items/replicate.rs
@@ -57,7 +57,7 @@
     let (here, own) = (Arc::clone(core), core.settings.name.clone());
     let (pushing, stored) = (client.clone(), items.to_vec());
     ntex::rt::spawn(async move {
-        if here.disk.store(stored.clone()).await {
+        if here.store(stored.clone()).await {
             take_copies(&here, &pushing, &own, &stored);
         }
     });
@@ -173,7 +173,7 @@
     if fresh.is_empty() {
         return true;
     }
-    let stored = core.disk.store(fresh.clone()).await;
+    let stored = core.store(fresh.clone()).await;
     if stored {
         let own = core.settings.name.clone();
         take_copies(core, client, &own, &fresh);
@@ -201,7 +201,7 @@
             continue;
         }
         let own = core.settings.name.clone();
-        if core.disk.store(again.clone()).await {
+        if core.store(again.clone()).await {
             take_copies(&core, &client, &own, &again);
         }
         let members = core.members().control;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use arbutuslane_event::metric::Text;
 use arbutuslane_item::border;
 use arbutuslane_item::prelude::Item;
 use arbutuslane_wire::peer::{Answer, Message};
@@ -17,7 +18,7 @@
 use crate::body;
 use crate::gossip::Exchange;
 
-use super::core::Core;
+use super::core::{Core, Step};
 use super::interface::{Call, Operators};
 use super::replicate;
 
@@ -83,6 +84,9 @@
         let _ = writeln!(text, "# TYPE arbutuslane_control_{name} {kind}");
         let _ = writeln!(text, "arbutuslane_control_{name} {value}");
     }
+    let mut timings = Text::default();
+    counters.render_timings(&mut timings);
+    let text = text + &timings.finish();
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(text)
 }
 
@@ -154,7 +158,7 @@
         replication.contradicting(&items)
     };
     // Written also when it is not new: an earlier write may have failed.
-    if !core.disk.store(items.clone()).await {
+    if !core.store(items.clone()).await {
         return None;
     }
     let own = core.settings.name.clone();
@@ -229,6 +233,7 @@
         core.counters.unconfirmed.fetch_add(1, Ordering::Relaxed);
         return unavailable("too few control instances hold the change yet; it may be accepted");
     }
+    core.counters.took(Step::Accept, began.elapsed());
     core.counters.accepted.fetch_add(1, Ordering::Relaxed);
     HttpResponse::Ok().content_type("application/json").body("{}")
 }
--- a/crates/arbutuslane_limit/src/budget.rs
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -101,6 +101,11 @@
         allowed
     }
 
+    /// Returns the retries or hedges that would be allowed now.
+    pub fn available(&self) -> u32 {
+        self.credit / COST
+    }
+
     /// Returns whether a retry or hedge would be allowed.
     pub fn is_available(&self) -> bool {
         self.credit >= COST
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -12,7 +12,7 @@
 
 use crate::announce::RENEWALS_PER_LEASE;
 use crate::interface::Call;
-use crate::metrics;
+use crate::metrics::{self, Fate};
 use crate::shared::Shared;
 
 /// The largest request body in bytes.
@@ -154,6 +154,7 @@
 fn leave(shared: &Shared, name: &str, incarnation: Option<u64>) -> Response {
     let server = shared.servers.get(name);
     shared.servers.leave(name, incarnation, shared.clock.now());
+    shared.metrics.announced(Fate::Left);
     if let Some(server) = server.filter(|_| shared.servers.get(name).is_none()) {
         record(shared, &server.service, name, Kind::ServerLeft { incarnation: server.incarnation });
     }
@@ -168,13 +169,15 @@
     shared.await_revision(announcement.revision);
     let before = shared.servers.get(&announcement.server);
     let was_draining = before.as_ref().is_some_and(|server| server.draining());
-    match shared.servers.announce(announcement, shared.clock.now()) {
-        Ok(false) => {}
-        Ok(true) => {
+    let taken = shared.servers.announce(announcement, shared.clock.now());
+    shared.metrics.announced(*taken.as_ref().unwrap_or(&Fate::Refused));
+    match taken {
+        Ok(Fate::New) => {
             let Announcement { incarnation, slots, .. } = *announcement;
             let kind = Kind::ServerAnnounced { incarnation, slots };
             record(shared, &announcement.service, &announcement.server, kind);
         }
+        Ok(_) => {}
         Err(refused) => {
             let remedy = "correct the announcement or raise the incarnation";
             return refuse(StatusCode::CONFLICT, &refused.to_string(), remedy);
--- a/crates/arbutuslane_node/src/announce.rs
+++ b/crates/arbutuslane_node/src/announce.rs
@@ -11,6 +11,7 @@
 use arbutuslane_wire::load::{Report, Serving};
 
 use crate::condition::Condition;
+use crate::metrics::Fate;
 use crate::traffic::Admission;
 
 /// The announcements in the time of one lease.
@@ -149,13 +150,14 @@
     }
 
     /// Takes an announcement of the same incarnation; a late one changes nothing.
-    fn take(&self, announcement: &Announcement, now: Time) {
+    fn take(&self, announcement: &Announcement, now: Time) -> bool {
         let before = self.sequence.fetch_max(announcement.sequence, Ordering::AcqRel);
         if announcement.sequence < before {
-            return;
+            return false;
         }
         self.admission.set_slots(announcement.slots);
         self.renew(now);
+        true
     }
 }
 
@@ -177,8 +179,8 @@
         self.version.load(Ordering::Acquire)
     }
 
-    /// Accepts an announcement or a renewal at `now`; returns whether the incarnation is new here.
-    pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<bool, Refused> {
+    /// Takes an announcement or a renewal at `now`; returns what became of it.
+    pub(crate) fn announce(&self, announcement: &Announcement, now: Time) -> Result<Fate, Refused> {
         let address = announcement.address.parse().map_err(|_| Refused::Address)?;
         if announcement.slots == 0 || announcement.slots > SLOTS {
             return Err(Refused::Slots);
@@ -195,12 +197,13 @@
             let known = &servers[index];
             let same = known.address == address && known.service == announcement.service;
             if known.incarnation == announcement.incarnation && same {
-                known.take(announcement, now);
+                let is_latest = known.take(announcement, now);
                 if announcement.draining && !known.draining.swap(true, Ordering::AcqRel) {
                     known.admission.close();
                     self.changed();
+                    return Ok(Fate::Draining);
                 }
-                return Ok(false);
+                return Ok(if is_latest { Fate::Renewed } else { Fate::Late });
             }
             if known.incarnation >= announcement.incarnation {
                 return Err(Refused::Incarnation { known: known.incarnation });
@@ -243,7 +246,7 @@
         servers.retain(|known| known.address != address || known.id == announcement.server);
         drop(servers);
         self.changed();
-        Ok(true)
+        Ok(Fate::New)
     }
 
     /// Stops new work for a server; returns whether it is known.
@@ -377,7 +380,7 @@
         assert!(table.leave("s1", None, now));
         assert!(!server.open(now));
         assert_eq!(table.announce(&announcement(1), now), Err(Refused::Incarnation { known: 1 }));
-        assert_eq!(table.announce(&announcement(2), now), Ok(true));
+        assert_eq!(table.announce(&announcement(2), now), Ok(Fate::New));
     }
 
     /// Guards against an outdated announcement that replaces a newer one.
@@ -443,7 +446,7 @@
         let now = Duration::from_secs(1);
         assert!(!table.leave("s1", Some(4), now));
         assert_eq!(table.announce(&announcement(4), now), Err(Refused::Incarnation { known: 4 }));
-        assert_eq!(table.announce(&announcement(5), now), Ok(true));
+        assert_eq!(table.announce(&announcement(5), now), Ok(Fate::New));
         assert!(table.leave("s1", Some(4), now));
         assert!(table.get("s1").unwrap().open(now));
     }
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -54,6 +54,8 @@
     baseline: Baseline,
     stage: Stage,
     streak: Streak,
+    /// How often the server became a suspect.
+    suspicions: u64,
     /// The mean latency of successful requests by class.
     latency: [Option<Duration>; 3],
     next: u64,
@@ -71,6 +73,7 @@
             baseline: Baseline::default(),
             stage,
             streak: Streak::default(),
+            suspicions: 0,
             latency: [None; 3],
             next: 0,
         };
@@ -148,6 +151,11 @@
         self.suspects && self.lock().streak.is_suspect()
     }
 
+    /// Returns how often the server became a suspect.
+    pub(crate) fn suspicions(&self) -> u64 {
+        self.lock().suspicions
+    }
+
     /// Returns whether the server is ejected, and the share of its load that it takes in percent.
     pub(crate) fn view(&self) -> (bool, u32) {
         let now = self.clock.now();
@@ -234,6 +242,7 @@
         let change = self.streak.observe(success.is_some());
         if let Some(change) = change.filter(|_| condition.suspects) {
             let (suspect, evidence) = (change == Change::Suspected, self.streak.evidence());
+            self.suspicions += u64::from(suspect);
             tracing::info!(event = "server-judged", server = condition.server, suspect, evidence);
         }
     }
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -163,6 +163,7 @@
 
 /// Logs an attempt that brought no response, with the age of what is known of the server.
 fn record(worker: &Worker, routed: &Routed, attempt: &Attempt, refusal: &Refusal) {
+    worker.shared.metrics.attempt_failed(&routed.service, refusal.reason());
     let now = worker.shared.clock.now();
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     tracing::info!(
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -16,7 +16,7 @@
 use arbutuslane_wire::header;
 
 use crate::cluster::keyed::{self, Begun, Finished};
-use crate::metrics::count;
+use crate::metrics::{Destination, count};
 
 use super::answer::Answer;
 use super::attempt;
@@ -49,10 +49,11 @@
     let began = worker.shared.clock.now();
     let dialect = worker.shared.interface.dialect();
     let id = owner::request_id(dialect, &incoming.headers).to_string();
-    let result = run(&worker, incoming).await;
+    let mut destination = Destination::default();
+    let result = run(&worker, incoming, &mut destination).await;
     let took = worker.shared.clock.now().saturating_sub(began);
     note_call(&worker, &id, &result);
-    record(&worker, &id, &result, took);
+    record(&worker, &id, &destination, &result, took);
     let (routed, answer, tried) = match result {
         Ok(Done::Relayed(relayed)) => *relayed,
         Ok(Done::Whole(response)) => {
@@ -75,13 +76,22 @@
 }
 
 /// Counts and logs what became of a request.
-fn record(worker: &Worker, id: &str, result: &Result<Done, Refusal>, took: Duration) {
+fn record(
+    worker: &Worker,
+    id: &str,
+    destination: &Destination,
+    result: &Result<Done, Refusal>,
+    took: Duration,
+) {
     let metrics = &worker.shared.metrics;
     let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
     match result {
         Ok(Done::Relayed(relayed)) => {
             let (routed, answer, tried) = relayed.as_ref();
             count(&metrics.answered);
+            let is_error = failed(answer);
+            let reason = if is_error { "server-error" } else { "" };
+            metrics.ended(destination, "answered", reason);
             metrics.answered_within(&routed.service, routed.class, took);
             tracing::info!(
                 event = "request",
@@ -97,6 +107,7 @@
         }
         Ok(Done::Whole(_)) => {
             count(&metrics.answered);
+            metrics.ended(destination, "replayed", "");
             tracing::info!(event = "request", request = id, outcome = "replayed", took_ms);
         }
         Err(refusal) => {
@@ -108,10 +119,14 @@
                 Outcome::NotRun => count(&metrics.not_run),
                 Outcome::Unknown => count(&metrics.unknown),
             }
+            metrics.ended(destination, outcome, refusal.reason());
+            let Destination { route, service } = destination;
             tracing::info!(
                 event = "request",
                 request = id,
                 outcome,
+                route,
+                service,
                 status = refusal.status.as_u16(),
                 reason = refusal.error,
                 took_ms
@@ -150,11 +165,17 @@
     Whole(Response),
 }
 
-async fn run(worker: &Worker, incoming: Incoming) -> Result<Done, Refusal> {
+async fn run(
+    worker: &Worker,
+    incoming: Incoming,
+    destination: &mut Destination,
+) -> Result<Done, Refusal> {
     if worker.shared.intake_ended() {
         return Err(Refusal::not_run("this node is about to stop"));
     }
     let routed = route(worker, incoming).await?;
+    let (route, service) = (routed.route.clone(), routed.service.clone());
+    *destination = Destination { route, service };
     let held = match keyed::begin(worker, &routed).await? {
         Begun::Replay(response) => return Ok(Done::Whole(response)),
         Begun::Held(held) => Some(held),
@@ -274,13 +295,35 @@
     ending: Ending,
     tried: &[ServerId],
 ) -> Option<Effort> {
-    if !routed.request.upload.replayable() {
-        return None;
-    }
+    let replayable = routed.request.upload.replayable();
     let others = services::has_other(worker, &routed.service, tried);
     let now = worker.shared.clock.now();
-    let decide = |budget: &mut RetryBudget| attempts.next(ending, others, budget, now);
-    worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, decide)
+    let decide = |budget: &mut RetryBudget| {
+        let next = match replayable {
+            true => attempts.next(ending, others, budget, now),
+            false => None,
+        };
+        (next, budget.available())
+    };
+    let (next, budget_left) =
+        worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, decide);
+    worker.shared.metrics.budget_left(&routed.service, worker.source, budget_left);
+    // What an owner turned away goes on without a charge; its lines are those of the attempts.
+    if let Ending::Asked(outcome) = ending {
+        tracing::info!(
+            event = "retry-decided",
+            request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
+            service = routed.service,
+            retried = next.is_some(),
+            outcome = ?outcome,
+            class = ?routed.class,
+            replayable,
+            others,
+            budget_left,
+            left_ms = routed.deadline.remaining_ms(now)
+        );
+    }
+    next
 }
 
 /// Returns how an attempt ended, or nothing when it brought a response to pass on.
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -20,7 +20,7 @@
 use crate::announce::Server;
 use crate::cluster::strikes::{self, Alone};
 use crate::condition::Running;
-use crate::metrics::count;
+use crate::metrics::{Stage, count};
 
 use super::answer::Answer;
 use super::client::{Connection, Echo, Failure, Reply, Request, Terms, Upload};
@@ -108,11 +108,14 @@
     let Work { class, rank, due, deadline, .. } = work;
     let precedence = precedence(worker, &work.request.headers);
     let arrival = Arrival { class, rank, precedence, due, deadline };
+    let arrived = clock.now();
     let permit = match work.insist {
         true => server.admission.enter(arrival).await,
         false => server.admission.enter_now(arrival).await,
     };
     let permit = permit.map_err(denied)?;
+    let metrics = &worker.shared.metrics;
+    metrics.stage(Stage::Queue, clock.now().saturating_sub(arrived));
     if !work.insist && !was_suspect && server.condition.is_suspect() {
         return Err(Refusal::suspect());
     }
@@ -138,6 +141,7 @@
     };
     let took = clock.now().saturating_sub(started);
     server.note_latency(took);
+    metrics.stage(Stage::Server, took);
     let id = request_id(dialect, &work.request.headers);
     tracing::info!(
         event = "dispatched",
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -130,6 +130,28 @@
         }
     }
 
+    /// Returns the reason as one of a few words, for metrics.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self.choice {
+            Choice::Stale => return "server-gone",
+            Choice::Shed => return "shed-by-server",
+            Choice::Full => return "queue-full",
+            Choice::Suspect => return "suspect",
+            Choice::Silent => return "silent",
+            Choice::Final => return "crashed-server",
+            Choice::Sound => {}
+        }
+        match (self.outcome, self.status) {
+            (_, StatusCode::TOO_MANY_REQUESTS) => "rate-limit",
+            (_, StatusCode::NOT_FOUND) => "no-route",
+            (_, StatusCode::PAYLOAD_TOO_LARGE) => "body-too-large",
+            (_, StatusCode::GATEWAY_TIMEOUT) => "deadline",
+            (_, StatusCode::BAD_GATEWAY) => "broke-off",
+            (Outcome::NotRun, StatusCode::SERVICE_UNAVAILABLE) => "unavailable",
+            _ => "rejected",
+        }
+    }
+
     /// Returns the response for a caller or an entry.
     pub(crate) fn response(&self) -> Response {
         let outcome = match self.outcome {
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -10,6 +10,7 @@
 mod leave;
 mod library;
 mod limits;
+mod metrics;
 mod outcome;
 mod overload;
 mod pipeline;
