--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -6,6 +6,7 @@
 use arbutuslane_core::time::Time;
 
 use crate::deadline::Deadline;
+use crate::service_time::{Kind, ServiceTimes};
 
 /// Identifies an admitted request at its gate.
 pub type Ticket = u64;
@@ -13,8 +14,8 @@
 /// A request that arrives at a gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Arrival {
-    /// Its class, by which service times are measured.
-    pub class: Class,
+    /// Its kind, by which service times are measured.
+    pub kind: Kind,
     /// Its rank; 0 goes first.
     pub rank: u8,
     /// Among requests of one rank, the lowest goes first. Requests that are of use only together, such
@@ -35,7 +36,13 @@
             Class::Idempotent => 1,
             Class::Download => 2,
         };
-        Self { class, rank, precedence: 0, due: now + deadline.remaining(now), deadline }
+        Self {
+            kind: Kind::from(rank),
+            rank,
+            precedence: 0,
+            due: now + deadline.remaining(now),
+            deadline,
+        }
     }
 
     fn order(&self) -> (u8, u64, Time) {
@@ -127,13 +134,13 @@
     queue: Vec<Waiting>,
     /// The requests that started in a row while one of lower rank waited.
     passed: u32,
-    service: [Option<Duration>; CLASSES],
+    service: ServiceTimes,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Running {
     ticket: Ticket,
-    class: Class,
+    kind: Kind,
     since: Time,
 }
 
@@ -150,8 +157,6 @@
     }
 }
 
-const CLASSES: usize = 3;
-
 /// A request of a lower rank starts after this many others have passed it: without a share of its own
 /// it would never run while calls alone exceed the slots.
 const PASSES: u32 = 31;
@@ -159,9 +164,6 @@
 /// The part of the queue that requests of lower ranks keep, one place in this many.
 const KEPT_PLACES: usize = 8;
 
-/// The weight of the newest service time in the mean is one in this many.
-const SMOOTHING: u32 = 16;
-
 impl Gate {
     /// Returns an open gate with `slots` slots and room for `queue_limit` waiting requests.
     pub fn new(slots: usize, queue_limit: usize) -> Self {
@@ -173,13 +175,13 @@
             running: Vec::with_capacity(slots),
             queue: Vec::with_capacity(queue_limit),
             passed: 0,
-            service: [None; CLASSES],
+            service: ServiceTimes::default(),
         }
     }
 
     /// Admits, queues or refuses a request.
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Admission {
-        let class = arrival.class;
+        let kind = arrival.kind;
         if !self.open {
             return self.refuse(Reason::Closed, &arrival, now);
         }
@@ -190,10 +192,10 @@
         // measurement, and a server whose mean once exceeded the deadline would never be used again.
         if self.running.len() < self.slots {
             let ticket = self.take_ticket();
-            self.running.push(Running { ticket, class, since: now });
+            self.running.push(Running { ticket, kind, since: now });
             return Admission::Run(ticket);
         }
-        let needed = self.predicted_wait(&arrival, now) + self.expected_service(class);
+        let needed = self.predicted_wait(&arrival, now) + self.expected_service(kind);
         if arrival.due.saturating_sub(now) < needed {
             return self.refuse(Reason::TooLate, &arrival, now);
         }
@@ -217,11 +219,7 @@
         };
         let done = self.running.swap_remove(place);
         let sample = now.saturating_sub(done.since);
-        let mean = &mut self.service[index(done.class)];
-        *mean = Some(match *mean {
-            Some(mean) => (mean * (SMOOTHING - 1) + sample) / SMOOTHING,
-            None => sample,
-        });
+        self.service.observe(done.kind, sample);
         self.fill(now)
     }
 
@@ -242,11 +240,11 @@
     /// The owner calls this on a timer (every 10 ms to 100 ms), so that a refusal does not wait for
     /// a slot to become free.
     pub fn expire(&mut self, now: Time) -> Vec<Ticket> {
-        let service = self.service;
+        let service = &self.service;
         let mut expired = Vec::new();
         self.queue.retain(|waiting| {
-            let Arrival { class, deadline, .. } = waiting.arrival;
-            let needed = service[index(class)].unwrap_or_default();
+            let Arrival { kind, deadline, .. } = waiting.arrival;
+            let needed = service.of(kind).unwrap_or_default();
             let keep = deadline.remaining(now) >= needed && !deadline.is_expired(now);
             if !keep {
                 expired.push(waiting.ticket);
@@ -298,12 +296,12 @@
         let mut work = Duration::ZERO;
         for running in &self.running {
             let elapsed = now.saturating_sub(running.since);
-            work += self.expected_service(running.class).max(elapsed);
+            work += self.service.of_or_all(running.kind).max(elapsed);
         }
         let mut ahead = 0;
         for waiting in &self.queue {
             if waiting.precedes(arrival) {
-                work += self.expected_service(waiting.arrival.class);
+                work += self.service.of_or_all(waiting.arrival.kind);
                 ahead += 1;
             }
         }
@@ -314,11 +312,9 @@
         work / requests.max(1) * (ahead + 1) / slots
     }
 
-    /// Returns the mean service time of `class`, or that of any class while it is unknown.
-    pub fn expected_service(&self, class: Class) -> Duration {
-        self.service[index(class)]
-            .or_else(|| self.service.iter().flatten().max().copied())
-            .unwrap_or_default()
+    /// Returns the mean service time of `kind`, and zero while it is unknown.
+    pub fn expected_service(&self, kind: Kind) -> Duration {
+        self.service.of(kind).unwrap_or_default()
     }
 
     fn take_ticket(&mut self) -> Ticket {
@@ -358,7 +354,7 @@
     }
 
     fn refuse(&self, reason: Reason, arrival: &Arrival, now: Time) -> Admission {
-        let wait = self.predicted_wait(arrival, now) + self.expected_service(arrival.class);
+        let wait = self.predicted_wait(arrival, now) + self.expected_service(arrival.kind);
         Admission::Refused(Refusal { reason, retry_after: wait.max(Duration::from_millis(50)) })
     }
 
@@ -366,18 +362,10 @@
         let mut next = Next { start: Vec::new(), refuse: self.expire(now) };
         while self.running.len() < self.slots && !self.queue.is_empty() {
             let waiting = self.take_next();
-            let class = waiting.arrival.class;
-            self.running.push(Running { ticket: waiting.ticket, class, since: now });
+            let kind = waiting.arrival.kind;
+            self.running.push(Running { ticket: waiting.ticket, kind, since: now });
             next.start.push(waiting.ticket);
         }
         next
     }
 }
-
-fn index(class: Class) -> usize {
-    match class {
-        Class::NonIdempotent => 0,
-        Class::Idempotent => 1,
-        Class::Download => 2,
-    }
-}
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod hedge;
 pub mod resend;
 pub mod retry;
+pub mod service_time;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -213,7 +213,7 @@
 fn arrival(rank: u8, due_ms: u64) -> Arrival {
     let deadline = Deadline::after(Duration::ZERO, Duration::from_secs(60));
     let due = Duration::from_millis(due_ms);
-    Arrival { class: Class::Idempotent, rank, precedence: 0, due, deadline }
+    Arrival { kind: u64::from(rank), rank, precedence: 0, due, deadline }
 }
 
 fn queued(gate: &mut Gate, arrival: Arrival) -> Ticket {
@@ -270,7 +270,7 @@
         }
         let due = now + objective;
         let deadline = Deadline::after(now, objective * 2);
-        let arrival = Arrival { class: Class::Idempotent, rank: 1, precedence: 0, due, deadline };
+        let arrival = Arrival { kind: 1, rank: 1, precedence: 0, due, deadline };
         match gate.arrive(now, arrival) {
             Admission::Run(ticket) => running.push((now + service, ticket, due)),
             Admission::Queued { ticket, .. } => {
@@ -308,3 +308,32 @@
     assert_eq!(gate.predicted_wait(&arrive(now), 15 * millisecond), 10 * millisecond);
     assert_eq!(gate.predicted_wait(&arrive(now), now), 390 * millisecond);
 }
+
+/// Guards against quick requests with little time that are refused whenever all slots are taken, because
+/// slow requests of another route share the server; and against a new route that is never measured.
+#[test]
+fn arrive_quick_kind() {
+    let millisecond = Duration::from_millis(1);
+    let request = |kind, due_ms: u32, now| {
+        let deadline = Deadline::after(now, millisecond * due_ms);
+        Arrival { kind, rank: 1, precedence: 0, due: now + millisecond * due_ms, deadline }
+    };
+    let (slow, quick) = (1, 2);
+    let mut gate = Gate::new(11, 22);
+    let mut now = Duration::ZERO;
+    let Admission::Run(ticket) = gate.arrive(now, request(slow, 6_000, now)) else {
+        panic!("a slot is free")
+    };
+    now += 1_200 * millisecond;
+    gate.finish(ticket, now);
+    for _ in 0..11 {
+        gate.arrive(now, request(slow, 6_000, now));
+    }
+    let Admission::Refused(refusal) = gate.arrive(now, request(slow, 1_000, now)) else {
+        panic!("a slow request does not end in 1 s")
+    };
+    assert_eq!(refusal.reason, Reason::TooLate);
+    let new = gate.arrive(now, request(quick, 1_000, now));
+    assert!(matches!(new, Admission::Queued { .. }), "{new:?}");
+    assert_eq!(gate.expected_service(quick), Duration::ZERO);
+}
--- a/crates/arbutuslane_limit/tests/load.rs
+++ b/crates/arbutuslane_limit/tests/load.rs
@@ -94,7 +94,7 @@
 fn arrival(rank: u8, precedence: u64, now: Time) -> Arrival {
     let deadline = Deadline::after(now, 3_000 * MILLISECOND);
     let due = now + deadline.remaining(now);
-    Arrival { class: Class::Idempotent, rank, precedence, due, deadline }
+    Arrival { kind: u64::from(rank), rank, precedence, due, deadline }
 }
 
 /// Plays 20 s in which calls need half as much again as there is; each request makes two calls, and
--- a/crates/arbutuslane_node/src/traffic/owner.rs
+++ b/crates/arbutuslane_node/src/traffic/owner.rs
@@ -105,9 +105,10 @@
     if !work.insist && !server.condition.prefers(work.repeatable) {
         return Err(Refusal::suspect());
     }
-    let Work { class, rank, due, deadline, .. } = work;
+    let Work { rank, due, deadline, .. } = work;
+    let (route, caller) = evidence(worker, &work.request);
     let precedence = precedence(worker, &work.request.headers);
-    let arrival = Arrival { class, rank, precedence, due, deadline };
+    let arrival = Arrival { kind: route, rank, precedence, due, deadline };
     let arrived = clock.now();
     let permit = match work.insist {
         true => server.admission.enter(arrival).await,
@@ -125,7 +126,6 @@
     if let Some((source, summary)) = &work.summary {
         server.condition.record(*source, *summary);
     }
-    let (route, caller) = evidence(worker, &work.request);
     let running = server.condition.begin(work.class, work.trial, route, caller);
     let Some(mut running) = running else {
         return Err(Refusal::stale("the server is ejected and takes trial requests only"));
