Tell nodes that items are complete only once all found ones are settled

It told nodes the few that were accepted since as complete; a node that started in that second answered 404 on all other routes (DENIED) for up to 0.7 s. Ruled out: keeping on disk what is accepted; an instance could then still lack what was accepted while it was down, and the sync would be in the way of each acknowledgement. Test: settled_after_restart.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -136,13 +136,18 @@
     let replication = shared.core.replication();
     let encode = |items: &[Item]| codec::encode(&border::encode(items)).unwrap_or_default();
     let accepted = replication.accepted().difference(buckets);
+    let complete = match unaccepted {
+        true => replication.is_complete(),
+        // A node takes over what is accepted only.
+        false => replication.is_settled(),
+    };
     let (items, accepted) = match unaccepted {
         true => (replication.table().difference(buckets), accepted),
         false => (accepted, Vec::new()),
     };
     Answer::Items {
         instance: shared.core.settings.name.clone(),
-        complete: replication.is_complete(),
+        complete,
         items: encode(&items),
         accepted: encode(&accepted),
     }
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -35,6 +35,9 @@
     accepted: Table,
     /// The items of `table` that are not, with the instances that hold them on disk.
     pending: Vec<Pending>,
+    /// The items that this instance held when it started, or when it became complete, and that it
+    /// does not know to be accepted or displaced since.
+    unsettled: Vec<Item>,
 }
 
 #[derive(Debug, Clone)]
@@ -53,9 +56,11 @@
             table: Table::default(),
             accepted: Table::default(),
             pending: Vec::new(),
+            unsettled: Vec::new(),
         };
         let items = replication.take(items);
         replication.stored(own, &items);
+        replication.unsettled = replication.pending();
         replication
     }
 
@@ -79,6 +84,16 @@
         self.standing == Standing::Complete
     }
 
+    /// Returns whether [`Replication::accepted`] has everything that was accepted before this instance
+    /// started.
+    ///
+    /// What is accepted is not on disk: after a start, the instance finds it out again from the
+    /// others, item by item. A node that takes the part for the whole denies requests on all routes
+    /// that are missing.
+    pub fn is_settled(&self) -> bool {
+        self.is_complete() && self.unsettled.is_empty()
+    }
+
     /// Takes an operator's change; returns the items that are new here and must be stored.
     ///
     /// A lower or equal version changes nothing.
@@ -142,6 +157,7 @@
             self.pending.retain(|pending| {
                 pending.item.key != item.key || pending.item.version > item.version
             });
+            self.unsettled.retain(|held| held.key != item.key || held.version > item.version);
             fresh.push(item);
         }
         fresh
@@ -181,6 +197,7 @@
             return false;
         }
         self.standing = Standing::Complete;
+        self.unsettled = self.pending();
         true
     }
 }
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -196,3 +196,32 @@
     let bare = Route { path_prefix: "x/".to_string(), ..route };
     assert!(group.order(vec![item(&bare)]).is_err());
 }
+
+/// Guards against a restarted instance that tells nodes the few items accepted since as if they were
+/// all: nodes that start then deny requests on every other route.
+#[test]
+fn settled_after_restart() {
+    let held = vec![service("a", 1, "x"), service("b", 1, "x")];
+    let mut restarted = instance(0, Standing::Complete, held.clone());
+    assert!(!restarted.is_settled());
+    let change = vec![service("a", 2, "y")];
+    restarted.take(change.clone());
+    for other in ["i0", "i1", "i2"] {
+        restarted.stored(other, &change);
+    }
+    assert!(restarted.are_accepted(&change));
+    assert!(!restarted.is_settled(), "b is not known to be accepted");
+    for other in ["i1", "i2"] {
+        restarted.stored(other, &held);
+    }
+    assert!(restarted.is_settled());
+
+    let mut recovered = instance(0, recovering(), Vec::new());
+    recovered.take(held.clone());
+    for other in ["i1", "i2", "i3"] {
+        recovered.heard(other);
+    }
+    assert!(recovered.is_complete() && !recovered.is_settled());
+    recovered.accept(held);
+    assert!(recovered.is_settled());
+}
