--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -74,8 +74,10 @@
         complete = replication.is_complete()
     );
     let incarnation = wall_ms();
-    let record = Record::new(&settings.name, incarnation, &settings.listen, &settings.domain);
-    let seeds = settings.seeds.iter().filter(|seed| **seed != settings.listen).cloned().collect();
+    let advertised = settings.advertised();
+    let record = Record::new(&settings.name, incarnation, advertised, &settings.domain);
+    let others = settings.seeds.iter().filter(|seed| *seed != advertised);
+    let seeds = others.filter(|seed| **seed != settings.listen).cloned().collect();
     let core = Core::new(settings, disk, replication, Arc::clone(&events));
     let (gossip, inbox) = gossip::prepare();
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -19,6 +19,9 @@
     pub data: PathBuf,
     /// The IP address and port for operators, nodes and the other control instances.
     pub listen: String,
+    /// The IP address and port under which others reach `listen`, where it differs.
+    #[serde(default)]
+    pub advertise: Option<String>,
     /// The addresses of instances that are asked first; this one may be among them.
     pub seeds: Vec<String>,
     /// Whether the whole fleet starts for the first time, so that an empty disk has lost nothing.
@@ -56,6 +59,11 @@
         Ok(settings)
     }
 
+    /// Returns the address under which others reach this instance.
+    pub fn advertised(&self) -> &str {
+        self.advertise.as_deref().unwrap_or(&self.listen)
+    }
+
     fn check(&self, path: &str) -> Result<(), Error> {
         let refuse =
             |key: &str, reason: &str, remedy: &str| Error::value(path, key, reason, remedy);
@@ -66,6 +74,11 @@
             let remedy = "write an IP address and port, such as 192.0.2.1:7100";
             return Err(refuse("listen", "no IP address and port", remedy));
         }
+        let advertised = self.advertised();
+        if advertised.parse::<std::net::SocketAddr>().is_err() {
+            let remedy = "write an IP address and port, such as 192.0.2.1:7100";
+            return Err(refuse("advertise", "no IP address and port", remedy));
+        }
         if self.token_file.is_none() && !self.open_network {
             let remedy = "name a file with a secret, or set `open_network` where strangers cannot \
                           reach the network";
