Keep the accepted one of two declarations under one version on disk

Cause: at a start the log was merged by the larger hash, while a running instance keeps the accepted declaration; and an instance wrote what contradicts an accepted item after it. Ruled out: writing down what is accepted; the order of the log tells it. Test: start_same_version, which failed with the merge.

--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -91,10 +91,12 @@
         items.extend(decode(&entry.payload)?);
     }
     let complete = meta.is_some_and(|meta| meta.complete) || (is_new && first_start);
+    // Of two declarations under one version the accepted one is written last.
     let mut table = Table::default();
-    for item in &items {
-        table.merge(item.clone());
+    for item in items {
+        table.settle(item);
     }
+    let items = table.items().to_vec();
     let mut writer = Writer { folder, log: Some(log), table, next, since_snapshot: 0, complete };
     writer.write_meta()?;
     let (jobs, inbox) = channel();
@@ -213,3 +215,43 @@
 fn unreadable(error: &codec::Error) -> Error {
     Error::Corrupt { file: "items".to_string(), offset: 0, reason: error.to_string() }
 }
+
+#[cfg(test)]
+mod tests {
+    use arbutuslane_item::prelude::Key;
+
+    use super::*;
+
+    /// Guards against an accepted item that is lost in a restart, because another declaration under
+    /// its version was written before and has the larger hash.
+    #[ntex::test]
+    async fn start_same_version() {
+        let item = |service: &str| {
+            let source = format!(r#"{{"service":"{service}"}}"#);
+            Item { source, ..Item::removed(Key::Route("r".to_string()), 3) }
+        };
+        let (first, accepted) = match item("x").hash() > item("y").hash() {
+            true => (item("x"), item("y")),
+            false => (item("y"), item("x")),
+        };
+        let name = format!("arbutuslane-disk-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        let events = || Events::new(arbutuslane_event::buffer::Buffer::new("c", 16));
+        let (disk, _) = start(folder.clone(), true, events()).unwrap();
+        assert!(disk.store(vec![first]).await);
+        assert!(disk.store(vec![accepted.clone()]).await);
+        drop(disk);
+        // The thread gives the folder back once nobody can send to it.
+        let mut opened = start(folder.clone(), false, events());
+        for _ in 0..200 {
+            if opened.is_ok() {
+                break;
+            }
+            ntex::time::sleep(Duration::from_millis(10)).await;
+            opened = start(folder.clone(), false, events());
+        }
+        assert_eq!(opened.unwrap().1.items, vec![accepted]);
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -162,8 +162,11 @@
         replication.take(items.clone());
         replication.contradicting(&items)
     };
-    // Written also when it is not new: an earlier write may have failed.
-    if !core.store(items.clone()).await {
+    // Written also when it is not new: an earlier write may have failed. What contradicts an accepted
+    // item must not be the last declaration on the disk.
+    let mut written = items.clone();
+    written.retain(|item| !contradicting.iter().any(|settled| settled.key == item.key));
+    if !written.is_empty() && !core.store(written).await {
         return None;
     }
     let own = core.settings.name.clone();
