Take over changed seeds and control addresses while a process runs

Until now both were ignored; a node or control instance whose settings named other machines asked the old ones until its restart. Ruled out: taking over every key; listeners, names and folders cannot change under open connections. Now: the file is read each second and on SIGHUP; seeds and control are in force at once, other keys at the next start, and a line says which. An invalid file changes nothing.

--- a/crates/arbutuslane_control/src/gossip.rs
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -65,6 +65,7 @@
 enum Event {
     Asked(wire::Message, oneshot::Sender<wire::Answer>),
     Answered(Call, Option<wire::Answer>),
+    Seeds(Vec<String>),
     Tick,
 }
 
@@ -81,6 +82,12 @@
 }
 
 impl Exchange {
+    /// Replaces the addresses at which peers are looked for while none is known.
+    pub(crate) fn set_seeds(&self, seeds: Vec<String>) {
+        // The task has ended only when the process ends.
+        let _ = self.events.send(Event::Seeds(seeds));
+    }
+
     /// Answers a request of a peer.
     pub(crate) async fn ask(&self, message: wire::Message) -> Option<wire::Answer> {
         let (reply, answer) = oneshot::channel();
@@ -156,6 +163,10 @@
             }
             let now = self.clock.now();
             let effects = match event {
+                Event::Seeds(seeds) => {
+                    self.gossip.set_seeds(seeds);
+                    Vec::new()
+                }
                 Event::Tick => {
                     self.host.publish(&mut self.gossip);
                     self.gossip.tick(now, &mut self.rng)
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -1,15 +1,15 @@
 //! Starts and stops a control instance for items.
 
 use std::net::TcpListener;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
 use arbutuslane_event::output;
+use arbutuslane_event::reload::{self, Watched};
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
@@ -76,8 +76,7 @@
     let incarnation = wall_ms();
     let advertised = settings.advertised();
     let record = Record::new(&settings.name, incarnation, advertised, &settings.domain);
-    let others = settings.seeds.iter().filter(|seed| *seed != advertised);
-    let seeds = others.filter(|seed| **seed != settings.listen).cloned().collect();
+    let seeds = settings.first_peers();
     let core = Core::new(settings, disk, replication, Arc::clone(&events));
     let (gossip, inbox) = gossip::prepare();
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
@@ -87,6 +86,18 @@
     system.block_on(serve(core, gossip, operators, listeners)).map_err(Error::Serve)
 }
 
+/// Takes over the seeds of a changed file; what else has changed is in force after the next start.
+fn look(watched: &mut Watched, path: &Path, gossip: &gossip::Exchange) {
+    let Some(change) = watched.changed() else { return };
+    match Settings::load(path) {
+        Ok(settings) => {
+            gossip.set_seeds(settings.first_peers());
+            change.record_applied(&["seeds"]);
+        }
+        Err(error) => reload::record_refused(&error),
+    }
+}
+
 async fn serve(
     core: Arc<Core>,
     gossip: gossip::Exchange,
@@ -94,6 +105,7 @@
     listeners: Vec<TcpListener>,
 ) -> std::io::Result<()> {
     let for_workers = Arc::clone(&core);
+    let reloading = gossip.clone();
     let stop_s = usize::try_from(core.settings.stop_ms / 1_000).unwrap_or(1).max(1);
     let mut server = HttpServer::new(async move || {
         let shared = Rc::new(server::Shared {
@@ -116,11 +128,24 @@
     let server = server.run();
     let _repairing = ntex::rt::spawn(replicate::work(Arc::clone(&core)));
     System::current().enable_signals();
+    let path = core.settings.path.clone();
+    let mut watched = path.clone().map(Watched::new);
+    let mut signals = Box::pin(signal());
     loop {
-        match signal().await {
-            Ok(signals) if signals.iter().all(|signal| matches!(signal, Signal::Hup)) => {}
-            Ok(_) => break,
-            Err(_) => ntex::time::sleep(Duration::from_secs(1)).await,
+        match ntex::time::timeout_checked(reload::EVERY, signals.as_mut()).await {
+            // The file may change without a signal.
+            Err(()) => {}
+            Ok(Ok(received)) if received.iter().all(|signal| matches!(signal, Signal::Hup)) => {
+                signals = Box::pin(signal());
+            }
+            Ok(Ok(_)) => break,
+            Ok(Err(_)) => {
+                ntex::time::sleep(reload::EVERY).await;
+                signals = Box::pin(signal());
+            }
+        }
+        if let (Some(watched), Some(path)) = (&mut watched, &path) {
+            look(watched, path, &reloading);
         }
     }
     core.stop();
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -38,6 +38,9 @@
     /// One more IP address and port where metrics are served.
     #[serde(default)]
     pub metrics: Option<String>,
+    /// The file that the settings were read from.
+    #[serde(skip)]
+    pub path: Option<PathBuf>,
     /// The longest time in milliseconds that a planned stop waits for requests in flight.
     #[serde(default = "default_stop_ms")]
     pub stop_ms: u64,
@@ -56,7 +59,7 @@
     pub fn load(path: &Path) -> Result<Self, Error> {
         let settings: Self = parse_file(path)?;
         settings.check(&path.display().to_string())?;
-        Ok(settings)
+        Ok(Self { path: Some(path.to_path_buf()), ..settings })
     }
 
     /// Returns the address under which others reach this instance.
@@ -64,6 +67,13 @@
         self.advertise.as_deref().unwrap_or(&self.listen)
     }
 
+    /// Returns the addresses of the other instances that are asked first.
+    pub(super) fn first_peers(&self) -> Vec<String> {
+        let own = [self.listen.as_str(), self.advertised()];
+        let others = self.seeds.iter().filter(|seed| !own.contains(&seed.as_str()));
+        others.cloned().collect()
+    }
+
     fn check(&self, path: &str) -> Result<(), Error> {
         let refuse =
             |key: &str, reason: &str, remedy: &str| Error::value(path, key, reason, remedy);
--- a/crates/arbutuslane_event/src/lib.rs
+++ b/crates/arbutuslane_event/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log;
 pub mod metric;
 pub mod output;
+pub mod reload;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_member/src/gossip.rs
+++ b/crates/arbutuslane_member/src/gossip.rs
@@ -131,6 +131,11 @@
 }
 
 impl Gossip {
+    /// Replaces the addresses at which peers are looked for while none is known.
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        self.seeds = seeds;
+    }
+
     /// Starts the process of `record`, which knows its peers by the addresses in `seeds`.
     pub fn new(now: Time, record: Record, seeds: Vec<String>) -> Self {
         let own = Arc::new(record);
--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -48,7 +48,7 @@
             next_upkeep = now + UPKEEP;
             upkeep(&shared, &pool);
         }
-        let control = &shared.settings.control;
+        let control = shared.control();
         if !from_items && !control.is_empty() && shared.cluster.contact().is_due(now) {
             if let Some(address) = control.get(fetches % control.len()).copied() {
                 let (shared, pool) = (Arc::clone(&shared), Rc::clone(&pool));
--- a/crates/arbutuslane_node/src/cluster/items.rs
+++ b/crates/arbutuslane_node/src/cluster/items.rs
@@ -128,7 +128,7 @@
         }
     }
     if control.is_empty() {
-        control.extend(&shared.settings.control);
+        control.extend(shared.control().iter());
     }
     control.sort_unstable();
     nodes.shuffle(&mut rand::rng());
--- a/crates/arbutuslane_node/src/cluster/report.rs
+++ b/crates/arbutuslane_node/src/cluster/report.rs
@@ -27,9 +27,12 @@
 pub(crate) async fn work(shared: Arc<Shared>, pool: Rc<Pool>) {
     let mut reported = None;
     let mut repeat_after = Time::ZERO;
-    let order = preference(&shared.settings.node, &shared.settings.control);
-    while !order.is_empty() {
+    loop {
         ntex::time::sleep(LOOK).await;
+        let order = preference(&shared.settings.node, &shared.control());
+        if order.is_empty() {
+            continue;
+        }
         let revision = shared.configuration().snapshot().revision;
         let votes = shared.cluster.registers.votes();
         let current = Some((revision, votes));
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -53,13 +53,7 @@
             Record::new(&settings.node, incarnation, &advertised.to_string(), &settings.domain);
         record.callers = settings.callers.to_string();
         record.release = env!("CARGO_PKG_VERSION").to_string();
-        let mut seeds = Vec::new();
-        for address in settings.seeds.iter().chain(&settings.control) {
-            if *address != advertised {
-                seeds.push(address.to_string());
-            }
-        }
-        let gossip = Gossip::new(now, record, seeds);
+        let gossip = Gossip::new(now, record, settings.first_peers());
         let rng = rng::seeded(rand::rng().random());
         let registers = Registers::new(&settings.node, incarnation);
         let member = Mutex::new(Member { gossip, rng, known: vec![Arc::default()] });
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -8,14 +8,16 @@
 use clap::{Arg, Command, value_parser};
 use ntex::rt::signals::{Signal, signal};
 use ntex::rt::{DefaultRuntime, System};
-use ntex::time::sleep;
+use ntex::time::{sleep, timeout_checked};
 
 use arbutuslane_event::output;
 use arbutuslane_event::prelude::{Draft, Kind, log};
+use arbutuslane_event::reload::{EVERY, Watched};
 
 use crate::cluster;
 use crate::configuration;
 use crate::interface::Interface;
+use crate::reload;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
 use crate::traffic::listener;
@@ -121,11 +123,23 @@
     let version = env!("CARGO_PKG_VERSION").to_string();
     let incarnation = shared.incarnation;
     shared.events.record(Draft::new(Kind::Start { version, incarnation }));
+    let mut watched = shared.settings.path.clone().map(Watched::new);
+    let mut signals = Box::pin(signal());
     loop {
-        match signal().await {
-            Ok(signals) if signals.iter().all(|signal| matches!(signal, Signal::Hup)) => {}
-            Ok(_) => break,
-            Err(_) => sleep(Duration::from_secs(1)).await,
+        match timeout_checked(EVERY, signals.as_mut()).await {
+            // The file may change without a signal.
+            Err(()) => {}
+            Ok(Ok(received)) if received.iter().all(|signal| matches!(signal, Signal::Hup)) => {
+                signals = Box::pin(signal());
+            }
+            Ok(Ok(_)) => break,
+            Ok(Err(_)) => {
+                sleep(EVERY).await;
+                signals = Box::pin(signal());
+            }
+        }
+        if let Some(watched) = &mut watched {
+            reload::look(&shared, watched);
         }
     }
     shared.stop();
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -56,6 +56,9 @@
     /// The `peers` addresses of control instances.
     #[serde(default)]
     pub control: Vec<SocketAddr>,
+    /// The file that the settings were read from.
+    #[serde(skip)]
+    pub path: Option<PathBuf>,
     /// A file with a catalogue snapshot, for tests and fleets without control instances.
     #[serde(default)]
     pub catalogue_file: Option<PathBuf>,
@@ -131,7 +134,7 @@
     pub fn read(path: &Path) -> Result<Self, Error> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| Error::Read { path: path.to_path_buf(), source })?;
-        Self::parse(&text)
+        Ok(Self { path: Some(path.to_path_buf()), ..Self::parse(&text)? })
     }
 
     /// Reads settings from JSON text; an unknown key is an error.
@@ -157,6 +160,13 @@
         Ok(settings)
     }
 
+    /// Returns the addresses at which this node asks for members first.
+    pub(crate) fn first_peers(&self) -> Vec<String> {
+        let advertised = self.advertised();
+        let known = self.seeds.iter().chain(&self.control);
+        known.filter(|address| **address != advertised).map(ToString::to_string).collect()
+    }
+
     /// Returns the address under which other nodes reach this one.
     pub fn advertised(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.peers)
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -90,6 +90,8 @@
     configuration: RwLock<Arc<Configuration>>,
     remotes: RwLock<Arc<Vec<Remote>>>,
     token: RwLock<Arc<String>>,
+    /// The addresses of control instances, which may change while the node runs.
+    control: RwLock<Arc<Vec<SocketAddr>>>,
     stopping: AtomicBool,
     /// Whether this node took over all items that another process holds.
     compared: AtomicBool,
@@ -99,6 +101,18 @@
 }
 
 impl Shared {
+    /// Returns the addresses of control instances that the settings name.
+    pub(crate) fn control(&self) -> Arc<Vec<SocketAddr>> {
+        Arc::clone(&self.control.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes over the addresses of changed settings.
+    pub(crate) fn set_addresses(&self, settings: &Settings) {
+        let control = Arc::new(settings.control.clone());
+        *self.control.write().unwrap_or_else(PoisonError::into_inner) = control;
+        self.cluster.member().gossip.set_seeds(settings.first_peers());
+    }
+
     /// Returns the state of a node that has learned nothing yet.
     pub(crate) fn new(
         settings: Settings,
@@ -113,6 +127,7 @@
         let lease = Duration::from_millis(settings.lease_ms);
         // Permits come from register groups, which only the catalogue's control instances assign.
         let suspects = settings.source == Source::Items;
+        let control = RwLock::new(Arc::new(settings.control.clone()));
         Arc::new(Self {
             settings,
             interface,
@@ -129,6 +144,7 @@
             configuration: RwLock::default(),
             remotes: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
+            control,
             stopping: AtomicBool::new(false),
             compared: AtomicBool::new(false),
             intake_ended: AtomicBool::new(false),
