Keep SIGHUP from ending a process that has just started

Ruled out: nothing else ended it; its log is empty, and KillNode and Hup follow each other at 14.14 s. After: path_early_hangup passes.

--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -8,8 +8,8 @@
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
-use arbutuslane_event::output;
 use arbutuslane_event::reload::{self, Watched};
+use arbutuslane_event::{log, output};
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
@@ -26,6 +26,9 @@
 use super::settings::Settings;
 use super::{disk, replicate, server};
 
+/// What is logged without the argument `--log`.
+const LOG: &str = "info,ntex_server=warn,ntex_rt=warn,ntex=warn";
+
 /// The number of events that an instance keeps.
 const EVENTS_KEPT: usize = 4_096;
 
@@ -43,11 +46,13 @@
         .about("Control instance of a fleet whose catalogue consists of items")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings)
+        .arg(Arg::new("log").long("log").default_value(LOG).help("What is logged"))
         .get_matches();
-    arbutuslane_event::log::init("info,ntex_server=warn,ntex_rt=warn,ntex=warn");
+    reload::outlive_hangup();
+    log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::load(&path).map_err(Error::from)?;
-    arbutuslane_event::log::name(&settings.name);
+    log::name(&settings.name);
     Ok(run(settings, operators)?)
 }
 
--- a/crates/arbutuslane_event/src/reload.rs
+++ b/crates/arbutuslane_event/src/reload.rs
@@ -1,13 +1,27 @@
 //! A settings file whose changes are taken over while the process runs.
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use serde_json::{Map, Value};
+use signal_hook::consts::SIGHUP;
 
 /// How often the file is read again without a signal.
 pub const EVERY: Duration = Duration::from_secs(1);
 
+/// Keeps SIGHUP from ending the process before it listens for signals.
+///
+/// The platform tells a process that its settings may have changed at any time, also in the first
+/// milliseconds after its start, when the system's default would end it.
+pub fn outlive_hangup() {
+    let told = Arc::new(AtomicBool::new(false));
+    if let Err(error) = signal_hook::flag::register(SIGHUP, told) {
+        tracing::warn!(event = "signal-unhandled", %error);
+    }
+}
+
 /// A settings file and the text that was read last.
 #[derive(Debug)]
 pub struct Watched {
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -12,7 +12,7 @@
 
 use arbutuslane_event::output;
 use arbutuslane_event::prelude::{Draft, Kind, log};
-use arbutuslane_event::reload::{EVERY, Watched};
+use arbutuslane_event::reload::{EVERY, Watched, outlive_hangup};
 
 use crate::cluster;
 use crate::configuration;
@@ -89,6 +89,7 @@
         .arg(settings)
         .arg(Arg::new("log").long("log").default_value(LOG).help("What is logged"))
         .get_matches();
+    outlive_hangup();
     log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
