--- a/crates/arbutuslane_limit/tests/load.rs
+++ b/crates/arbutuslane_limit/tests/load.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::deadline::Deadline;
