--- /dev/null
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -0,0 +1,118 @@
+//! One backend server and its lease.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
+use arbutuslane_core::time::Time;
+use arbutuslane_wire::announce::Announcement;
+use arbutuslane_wire::load::{Report, Serving};
+
+use crate::condition::Condition;
+use crate::traffic::Admission;
+
+/// One backend server that this node owns.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// The name of the server.
+    pub(crate) id: ServerId,
+    /// The service that it belongs to.
+    pub(crate) service: ServiceName,
+    /// The incarnation that announced itself.
+    pub(crate) incarnation: Incarnation,
+    /// Where it takes requests.
+    pub(crate) address: SocketAddr,
+    /// Admission to its slots.
+    pub(crate) admission: Arc<Admission>,
+    /// Its health as this node sees it.
+    pub(crate) condition: Arc<Condition>,
+    pub(super) lease: Duration,
+    pub(super) renewed_ms: AtomicU64,
+    /// The highest announcement of this incarnation.
+    pub(super) sequence: AtomicU64,
+    pub(super) draining: AtomicBool,
+    /// Whether the server refused a connection after its last announcement.
+    pub(super) refusing: AtomicBool,
+    /// Whether the end of the lease was reported.
+    pub(super) lost: AtomicBool,
+    pub(super) echoes: AtomicBool,
+    pub(super) latency_us: AtomicU32,
+}
+
+impl Server {
+    /// Returns whether the lease is valid at `now`.
+    pub(crate) fn leased(&self, now: Time) -> bool {
+        let renewed = Duration::from_millis(self.renewed_ms.load(Ordering::Acquire));
+        now < renewed + self.lease
+    }
+
+    /// Notes that the server refused a connection: its process is gone until it announces itself.
+    pub(crate) fn set_refusing(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the server takes no new work.
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns whether new work may be dispatched at `now`.
+    pub(crate) fn open(&self, now: Time) -> bool {
+        self.leased(now) && !self.draining() && !self.refusing.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the server echoed an exchange id.
+    pub(crate) fn echoes(&self) -> bool {
+        self.echoes.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the server echoes exchange ids.
+    pub(crate) fn set_echoes(&self) {
+        self.echoes.store(true, Ordering::Relaxed);
+    }
+
+    /// Adds a latency to the moving average, in which it weighs one eighth.
+    pub(crate) fn note_latency(&self, latency: Duration) {
+        let latest = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
+        let average = self.latency_us.load(Ordering::Relaxed);
+        let next = if average == 0 { latest } else { average - average / 8 + latest / 8 };
+        self.latency_us.store(next, Ordering::Relaxed);
+    }
+
+    /// Returns the load of the server as entries see it.
+    pub(crate) fn report(&self) -> Report {
+        let (in_flight, queued, slots) = self.admission.occupancy();
+        let (ejected, ramp_percent) = self.condition.view();
+        Report {
+            in_flight,
+            queued,
+            slots,
+            latency_us: self.latency_us.load(Ordering::Relaxed),
+            serving: match (self.draining(), ejected) {
+                (true, _) => Serving::Draining,
+                (false, true) => Serving::Ejected,
+                (false, false) => Serving::Open,
+            },
+            ramp_percent,
+        }
+    }
+
+    pub(super) fn renew(&self, now: Time) {
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.renewed_ms.fetch_max(now, Ordering::AcqRel);
+        self.refusing.store(false, Ordering::Release);
+    }
+
+    /// Takes an announcement of the same incarnation; a late one changes nothing.
+    pub(super) fn take(&self, announcement: &Announcement, now: Time) -> bool {
+        let before = self.sequence.fetch_max(announcement.sequence, Ordering::AcqRel);
+        if announcement.sequence < before {
+            return false;
+        }
+        self.admission.set_slots(announcement.slots);
+        self.renew(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -0,0 +1,144 @@
+//! The exchange with the backend server.
+
+use std::time::Duration;
+
+use ntex::http::{HeaderMap, StatusCode};
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::time::Time;
+use arbutuslane_wire::dialect::{Dialect, Exchange};
+
+use super::Work;
+use crate::announce::Server;
+use crate::metrics::count;
+use crate::traffic::client::{Connection, Echo, Failure, Reply, Request, Terms};
+use crate::traffic::refusal::{Choice, Outcome, Refusal};
+use crate::traffic::worker::{Worker, new_exchange};
+use crate::traffic::{deadline, fields};
+
+/// The longest wait for a connection to a backend server; a new one takes about 1 ms.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Sends `work` to its server on a pooled or a new connection, as its class allows.
+pub(super) async fn send(worker: &Worker, server: &Server, work: &Work) -> Result<Reply, Failure> {
+    let clock = &worker.shared.clock;
+    // A booking never depends on whether an idle connection is still open.
+    let keep = work.class != Class::NonIdempotent;
+    let dialect = worker.shared.interface.dialect();
+    let always_echoes = matches!(dialect.exchange, Exchange::OfCaller(_));
+    let mut idle = if keep && (always_echoes || server.echoes()) {
+        worker.pool.take(server.address)
+    } else {
+        None
+    };
+    loop {
+        let limit = work.deadline.remaining(clock.now());
+        let connection = match idle.take() {
+            Some(connection) => connection,
+            None => connect(worker, server, limit.min(CONNECT)).await?,
+        };
+        // Checked after the last wait, so that nothing is dispatched after the lease.
+        if !server.open(clock.now()) {
+            return Err(Failure::Left);
+        }
+        let limit = work.deadline.remaining(clock.now());
+        let reused = connection.reused();
+        count_connection(worker, &connection);
+        let echoes = always_echoes || server.echoes();
+        let terms = Terms {
+            id: exchange_id(dialect, &work.request.headers),
+            echo: if echoes { Echo::Required } else { Echo::Unknown },
+            keep,
+            ends_with_connection: dialect.ends_with_connection,
+            limit,
+        };
+        let request = request_for(dialect, work, clock.now());
+        let result = connection.exchange(request, terms).await;
+        match result {
+            Err(Failure::ClosedUnused) if reused => {}
+            Err(failure) => {
+                worker.pool.purge(server.address);
+                return Err(failure);
+            }
+            Ok(reply) => {
+                count(&worker.shared.metrics.dispatched);
+                return Ok(reply);
+            }
+        }
+    }
+}
+
+fn request_for(dialect: &Dialect, work: &Work, now: Time) -> Request {
+    let mut request = work.request.clone();
+    fields::set(&mut request.headers, dialect.deadline_ms, &deadline::encode(work.deadline, now));
+    if let Some(field) = dialect.expected_server {
+        fields::set(&mut request.headers, field, &work.server);
+    }
+    request
+}
+
+/// Returns the field and value by which the server's response is matched to the request.
+fn exchange_id(dialect: &Dialect, headers: &HeaderMap) -> (&'static str, String) {
+    match dialect.exchange {
+        Exchange::PerHop(field) => (field, format!("{:032x}", new_exchange())),
+        Exchange::OfCaller(field) => {
+            (field, fields::text(headers, field).unwrap_or_default().to_string())
+        }
+    }
+}
+
+/// Opens a connection to a server; a refused one shows that its process is gone.
+async fn connect(worker: &Worker, server: &Server, limit: Duration) -> Result<Connection, Failure> {
+    let result = worker.pool.connect(server.address, limit).await;
+    if let Err(Failure::Connect(error)) = &result
+        && error.kind() == std::io::ErrorKind::ConnectionRefused
+    {
+        server.set_refusing();
+    }
+    result
+}
+
+/// Counts an opened or reused connection.
+pub(crate) fn count_connection(worker: &Worker, connection: &Connection) {
+    let metrics = &worker.shared.metrics;
+    match connection.reused() {
+        true => count(&metrics.connections_reused),
+        false => count(&metrics.connections_opened),
+    }
+}
+
+/// Returns the refusal of a server that says itself that it did not run the request.
+///
+/// A bare 503 is no proof: a server may fail with it after it began.
+pub(super) fn shed(dialect: &Dialect, headers: &HeaderMap, status: StatusCode) -> Option<Refusal> {
+    let stated = fields::text(headers, dialect.not_run.name);
+    let stated = stated.is_some_and(|stated| dialect.not_run.value.is_none_or(|v| v == stated));
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if misdirected && dialect.expected_server.is_some() {
+        return Some(Refusal::stale("another server has this address"));
+    }
+    let refused =
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+    if !refused || !stated {
+        return None;
+    }
+    let retry_after = fields::text(headers, "retry-after").and_then(|text| text.parse().ok());
+    Some(Refusal {
+        outcome: Outcome::NotRun,
+        status,
+        retry_after: retry_after.or(Some(1)),
+        choice: Choice::Shed,
+        ..Refusal::not_run("the server refused the request and did not run it")
+    })
+}
+
+/// Returns whether a status promises callers of some dialects that the request did not run.
+pub(super) fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -0,0 +1,114 @@
+//! A request for one backend server, as an entry forwards it.
+
+use std::time::Duration;
+
+use ntex::http::{self, StatusCode};
+use ntex::util::Bytes;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
+use arbutuslane_core::time::Time;
+use arbutuslane_health::peers::Summary;
+use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_limit::gate::Arrival;
+use arbutuslane_wire::header;
+
+use super::FORWARD;
+use crate::traffic::client::{Request, Upload};
+use crate::traffic::refusal::Refusal;
+use crate::traffic::worker::Worker;
+use crate::traffic::{deadline, fields};
+
+/// A request for one backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Work {
+    /// The service of the server.
+    pub(crate) service: ServiceName,
+    /// The server that the entry chose.
+    pub(crate) server: ServerId,
+    /// The incarnation that the entry knows.
+    pub(crate) incarnation: Incarnation,
+    /// The class of the request.
+    pub(crate) class: Class,
+    /// Its rank; 0 goes first.
+    pub(crate) rank: u8,
+    /// Until when its response is worth most.
+    pub(crate) due: Time,
+    /// Whether an ejected server may run the request as a trial.
+    pub(crate) trial: bool,
+    /// Whether the entry would repeat the request elsewhere if it failed.
+    pub(crate) repeatable: bool,
+    /// Whether the request may wait for a slot, and a suspect must take it, because no other server
+    /// does.
+    pub(crate) insist: bool,
+    /// How the server's peers perform, with the entry thread that saw it.
+    pub(crate) summary: Option<(u64, Summary)>,
+    /// When the response is of no use any more.
+    pub(crate) deadline: Deadline,
+    /// Tells requests apart that crash servers.
+    pub(crate) fingerprint: u64,
+    /// The request with its end-to-end header fields.
+    pub(crate) request: Request,
+}
+
+/// Reads a request that an entry forwarded.
+pub(super) fn read(worker: &Worker, incoming: &mut http::Request) -> Result<Work, Refusal> {
+    let bad = |what: &str| {
+        let remedy = "check that all nodes run compatible releases";
+        Refusal::rejected(StatusCode::BAD_REQUEST, what, remedy)
+    };
+    let headers = incoming.headers();
+    let server = fields::text(headers, header::SERVER).ok_or_else(|| bad("no server"))?;
+    let incarnation = fields::text(headers, header::INCARNATION);
+    let incarnation = incarnation.and_then(|text| text.parse().ok());
+    let incarnation = incarnation.ok_or_else(|| bad("no incarnation"))?;
+    let class = match fields::text(headers, header::CLASS) {
+        Some("idempotent") => Class::Idempotent,
+        Some("non-idempotent") => Class::NonIdempotent,
+        Some("download") => Class::Download,
+        _ => return Err(bad("no class")),
+    };
+    let now = worker.shared.clock.now();
+    let deadline = deadline::read(headers, Duration::ZERO, now);
+    let rank = fields::text(headers, header::RANK).and_then(|text| text.parse().ok());
+    let rank = rank.unwrap_or_else(|| Arrival::of_class(class, now, deadline).rank);
+    let due = deadline::read_from(header::DUE_MS, headers, deadline.remaining(now), now);
+    let due = now + due.remaining(now);
+    let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
+    let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
+    let target = target.ok_or_else(|| bad("no path"))?.to_string();
+    let source = fields::text(headers, header::BASELINE_SOURCE);
+    let source = source.and_then(|text| u64::from_str_radix(text, 16).ok());
+    let summary = fields::text(headers, header::BASELINE).and_then(Summary::parse);
+    let summary = source.zip(summary);
+    let (server, length) = (server.to_string(), fields::length(headers));
+    let (method, headers) = (incoming.method().clone(), fields::end_to_end(headers));
+    // The entry has checked the limit of the service.
+    let upload = match incoming.take_payload() {
+        http::Payload::None => Upload::Empty,
+        payload => Upload::stream(Bytes::new(), payload, length, u64::MAX),
+    };
+    let request = Request { method, target, headers, upload };
+    let trial = incoming.headers().contains_key(header::TRIAL);
+    let repeatable = incoming.headers().contains_key(header::REPEATABLE);
+    let insist = incoming.headers().contains_key(header::INSIST);
+    let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
+    let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
+    let fingerprint = fingerprint.unwrap_or_default();
+    let service = String::new();
+    Ok(Work {
+        service,
+        server,
+        incarnation,
+        class,
+        rank,
+        due,
+        trial,
+        repeatable,
+        insist,
+        summary,
+        deadline,
+        fingerprint,
+        request,
+    })
+}
--- a/crates/arbutuslane_node/src/traffic/services.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -3,27 +3,29 @@
 //! Each traffic thread keeps its own pickers, so that a choice takes no lock. The candidates are
 //! renewed when the server lists change, and from time to time because leases end silently.
 
+mod places;
+
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuslane_balance::candidate::{Candidate, Load, Serving};
+use arbutuslane_balance::candidate::{Load, Serving};
 use arbutuslane_balance::picker::{Picker, Request};
 use arbutuslane_balance::subset::Subset;
 use arbutuslane_catalogue::entry::Class;
-use arbutuslane_core::id::{Incarnation, NodeId, ServerId, ServiceName};
+use arbutuslane_core::id::{ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_health::peers::{Summarizer, Summary};
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
 
-use crate::announce::Server;
 use crate::shared::{Remote, Shared};
 
 use super::worker::Worker;
 
+pub(crate) use places::Place;
+
 /// How often candidates are renewed although no list changed.
 const RENEWAL: Duration = Duration::from_millis(250);
 
@@ -36,22 +38,6 @@
     services: Vec<(ServiceName, Service)>,
 }
 
-/// Where a chosen server is reached.
-#[derive(Debug, Clone)]
-pub(crate) enum Place {
-    /// A server of this node.
-    Local(Arc<Server>),
-    /// A server of another node.
-    Remote {
-        /// The incarnation of the server.
-        incarnation: Incarnation,
-        /// The node that owns the server.
-        owner: NodeId,
-        /// The `peers` address of the owner.
-        address: SocketAddr,
-    },
-}
-
 /// A server that was chosen for a request.
 #[derive(Debug)]
 pub(crate) struct Choice {
@@ -167,7 +153,7 @@
         if recent && same {
             return;
         }
-        let mut places = places(shared, name, &remotes, now);
+        let mut places = places::known(shared, name, &remotes, now);
         let names: Vec<ServerId> = places.iter().map(|(server, _, _)| server.clone()).collect();
         let used = Subset::default().choose(&shared.settings.node, &names);
         if used.len() < places.len() {
@@ -362,56 +348,6 @@
     }
 }
 
-/// Returns the servers of `service` with an open lease, in ascending order of their names.
-fn places(
-    shared: &Shared,
-    service: &str,
-    remotes: &[Remote],
-    now: Time,
-) -> Vec<(ServerId, Place, Candidate)> {
-    let mut places = Vec::new();
-    for server in shared.servers.all() {
-        if server.service != service || !server.open(now) {
-            continue;
-        }
-        let candidate = Candidate {
-            server: server.id.clone(),
-            incarnation: server.incarnation,
-            owner: shared.settings.node.clone(),
-            domain: shared.settings.domain.clone(),
-            slots: server.report().slots,
-            serving: Serving::Open,
-        };
-        places.push((server.id.clone(), Place::Local(server), candidate));
-    }
-    let first = remotes.partition_point(|remote| remote.service.as_str() < service);
-    for remote in &remotes[first..] {
-        if remote.service != service {
-            break;
-        }
-        let candidate = Candidate {
-            server: remote.server.clone(),
-            incarnation: remote.incarnation,
-            owner: remote.owner.clone(),
-            domain: remote.domain.clone(),
-            slots: remote.slots,
-            serving: Serving::Open,
-        };
-        let place = Place::Remote {
-            incarnation: remote.incarnation,
-            owner: remote.owner.clone(),
-            address: remote.address,
-        };
-        places.push((remote.server.clone(), place, candidate));
-    }
-    // A server that is listed twice has moved: the higher incarnation is the later one.
-    places.sort_by(|left, right| {
-        left.0.cmp(&right.0).then(right.2.incarnation.cmp(&left.2.incarnation))
-    });
-    places.dedup_by(|later, first| later.0 == first.0);
-    places
-}
-
 fn serving(serving: load::Serving) -> Serving {
     match serving {
         load::Serving::Open => Serving::Open,
--- /dev/null
+++ b/crates/arbutuslane_node/src/traffic/services/places.rs
@@ -0,0 +1,77 @@
+//! The servers of a service and where each is reached.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arbutuslane_balance::candidate::{Candidate, Serving};
+use arbutuslane_core::id::{Incarnation, NodeId, ServerId};
+use arbutuslane_core::time::Time;
+
+use crate::announce::Server;
+use crate::shared::{Remote, Shared};
+
+/// Where a chosen server is reached.
+#[derive(Debug, Clone)]
+pub(crate) enum Place {
+    /// A server of this node.
+    Local(Arc<Server>),
+    /// A server of another node.
+    Remote {
+        /// The incarnation of the server.
+        incarnation: Incarnation,
+        /// The node that owns the server.
+        owner: NodeId,
+        /// The `peers` address of the owner.
+        address: SocketAddr,
+    },
+}
+
+/// Returns the servers of `service` with an open lease, in ascending order of their names.
+pub(super) fn known(
+    shared: &Shared,
+    service: &str,
+    remotes: &[Remote],
+    now: Time,
+) -> Vec<(ServerId, Place, Candidate)> {
+    let mut places = Vec::new();
+    for server in shared.servers.all() {
+        if server.service != service || !server.open(now) {
+            continue;
+        }
+        let candidate = Candidate {
+            server: server.id.clone(),
+            incarnation: server.incarnation,
+            owner: shared.settings.node.clone(),
+            domain: shared.settings.domain.clone(),
+            slots: server.report().slots,
+            serving: Serving::Open,
+        };
+        places.push((server.id.clone(), Place::Local(server), candidate));
+    }
+    let first = remotes.partition_point(|remote| remote.service.as_str() < service);
+    for remote in &remotes[first..] {
+        if remote.service != service {
+            break;
+        }
+        let candidate = Candidate {
+            server: remote.server.clone(),
+            incarnation: remote.incarnation,
+            owner: remote.owner.clone(),
+            domain: remote.domain.clone(),
+            slots: remote.slots,
+            serving: Serving::Open,
+        };
+        let place = Place::Remote {
+            incarnation: remote.incarnation,
+            owner: remote.owner.clone(),
+            address: remote.address,
+        };
+        places.push((remote.server.clone(), place, candidate));
+    }
+    // A server that is listed twice has moved: the higher incarnation is the later one.
+    places.sort_by(|left, right| {
+        left.0.cmp(&right.0).then(right.2.incarnation.cmp(&left.2.incarnation))
+    });
+    places.dedup_by(|later, first| later.0 == first.0);
+    places
+}
