--- a/crates/arbutuslane_node/tests/faults/process.rs
+++ b/crates/arbutuslane_node/tests/faults/process.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// Guards against a request that waits because the reader of the node's log has stopped.
+#[test]
+fn process_log_unread() {
+    /// What a pipe holds, at least; the writer waits beyond it.
+    const PIPE: usize = 60_000;
+    let mut node = Node::start_unread();
+    // Each request leaves one line of more than 200 bytes, at most 400 lines a second.
+    for number in 0..1_500 {
+        assert_eq!(node.call("GET", "/none", &[], b"").status, 404, "request {number}");
+    }
+    let mut unread = vec![0; PIPE];
+    node.child.stdout.as_mut().unwrap().read_exact(&mut unread).unwrap();
+    assert!(String::from_utf8_lossy(&unread).contains("event=request"));
+}
+
 /// Returns a memory figure of the node's process in KiB.
 fn resident(node: &Node, name: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -44,6 +44,16 @@
         Self::start_full(seeds, &[], threads, seed)
     }
 
+    /// Starts a node whose log nobody reads: the other end of its standard output stays open.
+    pub(crate) fn start_unread() -> Self {
+        let mut node = Self::start(&[]);
+        let _ = node.child.kill();
+        let _ = node.child.wait();
+        node.child = spawn_with(&node.folder.join("settings.json"), Stdio::piped());
+        node.wait_healthy();
+        node
+    }
+
     /// Starts a node with the addresses of control instances.
     pub(crate) fn start_controlled(seeds: &[SocketAddr], control: &[SocketAddr]) -> Self {
         Self::start_full(seeds, control, 2, 1)
@@ -157,8 +167,12 @@
 }
 
 fn spawn(settings: &Path) -> Child {
+    spawn_with(settings, Stdio::null())
+}
+
+fn spawn_with(settings: &Path, output: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_arbutuslane-node"));
-    command.arg(settings).stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+    command.arg(settings).stdout(output).stderr(Stdio::null()).spawn().unwrap()
 }
 
 /// Returns the address of a listener of node `number`.
