Let requests that cannot be repeated try a suspect every 4 s

Cause (found by reading): only requests that would be repeated tried a suspect. Ruled out: the interval of lookups; a booking that fails is lost. Test: try_now_not_repeatable.

--- a/crates/arbutuslane_health/src/streak.rs
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -26,9 +26,13 @@
 /// The most evidence that is kept, so that a long outage is not held against a server that is well.
 const MOST: f64 = 5.0;
 
-/// The time between two requests that try a suspect.
+/// The time between two requests that try a suspect, when they are repeated elsewhere if they fail.
 const TRIAL: Duration = Duration::from_millis(1_200);
 
+/// The same for requests that are lost if they fail. Servers fail for some seconds at a time, and one
+/// that gets no other requests would stay a suspect for good.
+const COSTLY_TRIAL: Duration = Duration::from_secs(4);
+
 /// The recent successes and failures of one server.
 #[derive(Debug, Clone, Default)]
 pub struct Streak {
@@ -53,6 +57,7 @@
         self.evidence = (self.evidence + evidence).clamp(0.0, MOST);
         if !self.suspect && self.evidence >= SUSPECT {
             self.suspect = true;
+            self.tried = None;
             return Some(Change::Suspected);
         }
         if self.suspect && self.evidence <= TRUSTED {
@@ -67,9 +72,19 @@
         self.suspect
     }
 
-    /// Returns whether a request that may be repeated should try a suspect now, and counts it.
-    pub fn try_now(&mut self, now: Time) -> bool {
-        if self.tried.is_some_and(|tried| now < tried + TRIAL) {
+    /// Returns whether a request should try a suspect now, and counts it; `repeatable` tells whether it
+    /// is sent elsewhere if it fails.
+    pub fn try_now(&mut self, now: Time, repeatable: bool) -> bool {
+        let due = match (self.tried, repeatable) {
+            (None, repeatable) => {
+                // The time counts from the first request that the suspect could have had.
+                self.tried = Some(now);
+                return repeatable;
+            }
+            (Some(tried), true) => tried + TRIAL,
+            (Some(tried), false) => tried + COSTLY_TRIAL,
+        };
+        if now < due {
             return false;
         }
         self.tried = Some(now);
--- a/crates/arbutuslane_health/tests/streak.rs
+++ b/crates/arbutuslane_health/tests/streak.rs
@@ -42,10 +42,33 @@
     }
     assert!(streak.is_suspect());
     let at = Duration::from_millis;
-    assert!(streak.try_now(at(0)));
-    assert!(!streak.try_now(at(1_100)));
-    assert!(streak.try_now(at(1_300)));
+    assert!(streak.try_now(at(0), true));
+    assert!(!streak.try_now(at(1_100), true));
+    assert!(streak.try_now(at(1_300), true));
     streak.observe(true);
     assert!(streak.is_suspect());
     assert_eq!(streak.observe(true), Some(Change::Trusted));
 }
+
+/// Guards against a server of a service without lookups that stays a suspect for good after it has
+/// failed for some seconds, and against one that many bookings try in vain meanwhile.
+#[test]
+fn try_now_not_repeatable() {
+    let at = Duration::from_millis;
+    let mut streak = Streak::default();
+    streak.observe(false);
+    assert!(streak.is_suspect());
+    let mut tried = Vec::new();
+    for ms in (0..20_000).step_by(100) {
+        if streak.try_now(at(ms), false) {
+            tried.push(ms);
+        }
+    }
+    assert_eq!(tried, [4_000, 8_000, 12_000, 16_000]);
+    // Lookups do not wait for that.
+    assert!(streak.try_now(at(20_000), true));
+    // A new suspicion starts anew.
+    streak.observe(true);
+    streak.observe(false);
+    assert!(streak.is_suspect() && !streak.try_now(at(30_000), false));
+}
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -139,11 +139,11 @@
     }
 
     /// Returns whether the server should take a request that other servers may take. A suspect takes
-    /// one now and then that would be repeated if it failed.
+    /// one now and then, more often one that would be repeated if it failed.
     pub(crate) fn prefers(&self, repeatable: bool) -> bool {
         let now = self.clock.now();
         let streak = &mut self.lock().streak;
-        !self.suspects || !streak.is_suspect() || (repeatable && streak.try_now(now))
+        !self.suspects || !streak.is_suspect() || streak.try_now(now, repeatable)
     }
 
     /// Returns whether the server fails most requests.
