--- /dev/null
+++ b/crates/arbutuslane_event/tests/reload.rs
@@ -0,0 +1,18 @@
+//! Settings that change while a process runs.
+
+use arbutuslane_event::reload::Watched;
+
+/// Guards against a change that is reported twice or under the wrong keys, and against a file that
+/// is taken for changed while it is being replaced.
+#[test]
+fn changed_keys() {
+    let path = std::env::temp_dir().join(format!("arbutuslane-reload-{}", std::process::id()));
+    std::fs::write(&path, r#"{"seeds": ["a"], "stop_ms": 1, "node": "n"}"#).unwrap();
+    let mut watched = Watched::new(path.clone());
+    assert_eq!(watched.changed(), None);
+    std::fs::write(&path, r#"{"seeds": ["b"], "node": "n", "lease_ms": 5}"#).unwrap();
+    assert_eq!(watched.changed().unwrap().keys, ["lease_ms", "seeds", "stop_ms"]);
+    assert_eq!(watched.changed(), None);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(watched.changed(), None);
+}
