Take SIGHUP from the first instruction; leave out what comes before it

The handler is set first now. What comes before the main function, while the system loads the program, no process can answer; the soak sends SIGHUP only after the first line of the log. path_early_hangup holds the time between. Ruled out: the node's code after its start; its log is empty.

--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -38,6 +38,7 @@
 ///
 /// See [`Error`].
 pub fn from_arguments(name: &'static str, operators: Arc<dyn Operators>) -> miette::Result<()> {
+    reload::outlive_hangup();
     let settings = Arg::new("settings")
         .help("The JSON file with the settings of this instance")
         .required(true)
@@ -48,7 +49,6 @@
         .arg(settings)
         .arg(Arg::new("log").long("log").default_value(LOG).help("What is logged"))
         .get_matches();
-    reload::outlive_hangup();
     log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::load(&path).map_err(Error::from)?;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -79,6 +79,7 @@
 
 /// Reads the arguments of the process and runs a node that is called in the form of `interface`.
 pub fn from_arguments(name: &'static str, interface: Arc<dyn Interface>) -> miette::Result<()> {
+    outlive_hangup();
     let settings = Arg::new("settings")
         .help("The JSON file with the settings of the node")
         .required(true)
@@ -89,7 +90,6 @@
         .arg(settings)
         .arg(Arg::new("log").long("log").default_value(LOG).help("What is logged"))
         .get_matches();
-    outlive_hangup();
     log::init(matches.get_one::<String>("log").map_or(LOG, String::as_str));
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
