Tell the retry budget only where it was asked; describe an attempt once

Found on reading the change: each of up to twelve hops of a request that owners turn away locked the metrics and allocated a key to report a budget that the hop does not use; whether an attempt may change its server was computed twice, and its description was built twice. Behaviour is the same: the metric says what was left when a request last asked, which metrics_reasons checks. Not measured: one lock and one allocation a hop.

--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -48,9 +48,10 @@
     let known = services::age(worker, service, &server, began);
     let note = ongoing.outcome();
     let attempt = Attempt { server: server.clone(), effort, known, began };
+    let concluding = attempt.clone();
     let mut running: Running<'a> = Box::pin(async move {
-        let result = run(worker, routed, choice, effort).await;
-        conclude(worker, routed, &attempt, ongoing, result)
+        let result = run(worker, routed, choice, effort, may_change).await;
+        conclude(worker, routed, &concluding, ongoing, result)
     });
     let Some(patience) = patience else { return Sent::Ended(running.await) };
     if let Ok(result) = timeout_checked(patience, running.as_mut()).await {
@@ -60,7 +61,6 @@
     if !services::may_repeat(worker, service) || !services::has_other(worker, service, tried) {
         return Sent::Ended(running.await);
     }
-    let attempt = Attempt { server: server.clone(), effort, known, began };
     record(worker, routed, &attempt, &silent());
     services::avoid(worker, service, &server, false);
     let clock = worker.shared.clock;
@@ -75,6 +75,7 @@
 }
 
 /// An attempt as it is logged.
+#[derive(Debug, Clone)]
 struct Attempt {
     server: ServerId,
     effort: Effort,
@@ -83,15 +84,15 @@
     began: Time,
 }
 
-/// Sends `routed` to the chosen server.
+/// Sends `routed` to the chosen server; `may_change` tells whether another one may be tried later.
 async fn run(
     worker: &Worker,
     routed: &Routed,
     choice: services::Choice,
     effort: Effort,
+    may_change: bool,
 ) -> Result<Answer, Refusal> {
     let service = &routed.service;
-    let may_change = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
     let server = choice.server.clone();
     let work = Work {
         service: service.clone(),
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -307,9 +307,9 @@
     };
     let (next, budget_left) =
         worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, decide);
-    worker.shared.metrics.budget_left(&routed.service, worker.source, budget_left);
     // What an owner turned away goes on without a charge; its lines are those of the attempts.
     if let Ending::Asked(outcome) = ending {
+        worker.shared.metrics.budget_left(&routed.service, worker.source, budget_left);
         tracing::info!(
             event = "retry-decided",
             request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
