--- a/crates/arbutuslane_control/src/gossip.rs
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -62,6 +62,18 @@
     pub(crate) is_control: bool,
 }
 
+impl Member<'_> {
+    /// Returns the event that tells of its standing.
+    pub(crate) fn event(&self) -> Kind {
+        let (node, incarnation) = (self.node.to_string(), self.incarnation);
+        match self.standing {
+            Standing::Alive => Kind::NodeJoined { node, incarnation },
+            Standing::Suspect => Kind::NodeSuspected { node },
+            Standing::Dead | Standing::Left => Kind::NodeDead { node },
+        }
+    }
+}
+
 enum Event {
     Asked(wire::Message, oneshot::Sender<wire::Answer>),
     Answered(Call, Option<wire::Answer>),
@@ -258,13 +270,7 @@
         if member.is_control {
             return;
         }
-        let (node, incarnation) = (member.node.to_string(), member.incarnation);
-        let kind = match member.standing {
-            Standing::Alive => Kind::NodeJoined { node, incarnation },
-            Standing::Suspect => Kind::NodeSuspected { node },
-            Standing::Dead | Standing::Left => Kind::NodeDead { node },
-        };
-        self.events.record(kind);
+        self.events.record(member.event());
     }
 
     fn note_members(&self, table: &Table) {
--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -6,11 +6,9 @@
 use std::time::{Duration, Instant};
 
 use arbutuslane_event::buffer::Buffer;
-use arbutuslane_event::kind::Kind;
 use arbutuslane_event::metric::{Histograms, Text};
 use arbutuslane_item::prelude::{Item, Replication};
 use arbutuslane_member::gossip::Gossip;
-use arbutuslane_member::record::Standing;
 use arbutuslane_member::table::Table;
 use tokio::sync::watch;
 
@@ -183,12 +181,7 @@
     }
 
     fn changed(&self, member: &Member<'_>) {
-        let (node, incarnation) = (member.node.to_string(), member.incarnation);
-        self.events.record(match member.standing {
-            Standing::Alive => Kind::NodeJoined { node, incarnation },
-            Standing::Suspect => Kind::NodeSuspected { node },
-            Standing::Dead | Standing::Left => Kind::NodeDead { node },
-        });
+        self.events.record(member.event());
     }
 
     fn note_members(&self, table: &Table) {
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -94,7 +94,7 @@
 /// Takes over the seeds of a changed file; what else has changed is in force after the next start.
 fn look(watched: &mut Watched, path: &Path, gossip: &gossip::Exchange) {
     let Some(change) = watched.changed() else { return };
-    match Settings::load(path) {
+    match Settings::parse(path, &change.text) {
         Ok(settings) => {
             gossip.set_seeds(settings.first_peers());
             change.record_applied(&["seeds"]);
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Error, parse_file};
+use crate::settings::{Error, parse_file, parse_text};
 
 /// The settings of one control instance, in JSON; unknown keys are refused.
 #[derive(Debug, Clone, Deserialize)]
@@ -57,7 +57,19 @@
     ///
     /// See [`Error`]; the message names the bad key.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let settings: Self = parse_file(path)?;
+        Self::checked(parse_file(path)?, path)
+    }
+
+    /// Reads and checks `text`, which was read from the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; the message names the bad key.
+    pub(super) fn parse(path: &Path, text: &str) -> Result<Self, Error> {
+        Self::checked(parse_text(path, text)?, path)
+    }
+
+    fn checked(settings: Self, path: &Path) -> Result<Self, Error> {
         settings.check(&path.display().to_string())?;
         Ok(Self { path: Some(path.to_path_buf()), ..settings })
     }
--- a/crates/arbutuslane_control/src/settings.rs
+++ b/crates/arbutuslane_control/src/settings.rs
@@ -103,11 +103,15 @@
 /// Reads a JSON file; unknown keys are refused, and the error names the bad key.
 pub(crate) fn parse_file<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
     let shown = path.display().to_string();
-    let text =
-        fs::read_to_string(path).map_err(|source| Error::Read { path: shown.clone(), source })?;
-    let mut input = serde_json::Deserializer::from_str(&text);
+    let text = fs::read_to_string(path).map_err(|source| Error::Read { path: shown, source })?;
+    parse_text(path, &text)
+}
+
+/// Reads the text of the JSON file at `path`, as [`parse_file`] does.
+pub(crate) fn parse_text<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, Error> {
+    let mut input = serde_json::Deserializer::from_str(text);
     serde_path_to_error::deserialize(&mut input).map_err(|error| Error::Parse {
-        path: shown,
+        path: path.display().to_string(),
         key: error.path().to_string(),
         reason: error.inner().to_string(),
     })
