Move what knows no platform names out of platform/

Its two test programs had a copy each of the process, the blocking call and the field lookup; both use the crate.

--- a/platform/tests/soak/fault.rs
+++ b/crates/arbutuslane_soak/src/fault.rs
@@ -5,13 +5,41 @@
 use arbutuslane_core::rng::{self, Rng};
 use rand::RngExt;
 
-use super::fleet::Size;
-use super::proxy::Mode;
-use super::server::Habit;
+use crate::proxy::Mode;
+
+/// How many processes a fleet has.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Nodes, each with a server beside it.
+    pub nodes: usize,
+    /// Control instances.
+    pub controls: usize,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self { nodes: 4, controls: 3 }
+    }
+}
+
+/// How a server treats requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Habit {
+    /// It answers after a few milliseconds.
+    Well,
+    /// It takes this long.
+    Slow(Duration),
+    /// It fails most requests, at once.
+    Fails,
+    /// It runs requests and never answers.
+    Hangs,
+    /// It breaks off in the middle of the body.
+    Breaks,
+}
 
 /// A link of the fleet that passes through a proxy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Link {
+pub enum Link {
     /// From callers to a node.
     Callers(usize),
     /// From other processes to a node.
@@ -24,7 +52,7 @@
 
 /// What is done to the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// A node is killed and started again later.
     KillNode(usize),
     /// A node stands still.
@@ -59,17 +87,20 @@
 
 /// A fault in its time.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Planned {
-    pub(crate) at: Duration,
-    pub(crate) lasts: Duration,
-    pub(crate) fault: Fault,
+pub struct Planned {
+    /// When it begins, since the start of the run.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What is done.
+    pub fault: Fault,
 }
 
 /// The last part of a run is free of faults, so that recovery can be checked.
-pub(crate) const QUIET_END: Duration = Duration::from_secs(6);
+pub const QUIET_END: Duration = Duration::from_secs(6);
 
 /// Returns the faults of a run in the order of their times; they come in series and overlap.
-pub(crate) fn plan(seed: u64, length: Duration, size: Size) -> Vec<Planned> {
+pub fn plan(seed: u64, length: Duration, size: Size) -> Vec<Planned> {
     let mut rng = rng::seeded(seed);
     let last = length.saturating_sub(QUIET_END);
     let mut planned = Vec::new();
--- a/platform/tests/soak/wire.rs
+++ b/crates/arbutuslane_soak/src/http.rs
@@ -6,17 +6,19 @@
 
 /// A response as it was received.
 #[derive(Debug, Clone)]
-pub(crate) struct Response {
-    pub(crate) status: u16,
+pub struct Response {
+    /// The status.
+    pub status: u16,
     /// The head in lower case.
-    pub(crate) head: String,
-    pub(crate) body: Vec<u8>,
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
     /// Whether the body has the length that the head states.
-    pub(crate) complete: bool,
+    pub complete: bool,
 }
 
 /// Reads a message up to its body; returns the head in lower case and the bytes after it.
-pub(crate) fn read_head(stream: &mut TcpStream, rest: Vec<u8>) -> Option<(String, Vec<u8>)> {
+pub fn read_head(stream: &mut TcpStream, rest: Vec<u8>) -> Option<(String, Vec<u8>)> {
     let mut bytes = rest;
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
@@ -29,7 +31,7 @@
 }
 
 /// Reads until `bytes` has `length`; returns whether it came so far.
-pub(crate) fn read_body(stream: &mut TcpStream, bytes: &mut Vec<u8>, length: usize) -> bool {
+pub fn read_body(stream: &mut TcpStream, bytes: &mut Vec<u8>, length: usize) -> bool {
     while bytes.len() < length {
         if read_more(stream, bytes).is_none() {
             return false;
@@ -46,7 +48,7 @@
 }
 
 /// Reads one response; nothing when the connection ends before its head.
-pub(crate) fn read_response(stream: &mut TcpStream) -> Option<Response> {
+pub fn read_response(stream: &mut TcpStream) -> Option<Response> {
     let (head, mut body) = read_head(stream, Vec::new())?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let length = field(&head, "content-length").and_then(|text| text.parse().ok());
@@ -84,33 +86,46 @@
     }
 }
 
-/// Sends a call on a connection of its own.
-pub(crate) fn call(
+/// Sends a request on a connection of its own; nothing when no complete response comes in time.
+pub fn call(
     address: SocketAddr,
+    method: &str,
     target: &str,
-    body: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
     limit: Duration,
 ) -> Option<Response> {
     let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
-    let method = if body.is_empty() { "GET" } else { "POST" };
-    let head = format!(
-        "{method} {target} HTTP/1.1\r\nhost: soak\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
+    let mut head = format!("{method} {target} HTTP/1.1\r\nconnection: close\r\n");
+    for (name, value) in fields {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
     stream.write_all(head.as_bytes()).ok()?;
-    stream.write_all(body.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
     read_response(&mut stream).filter(|response| response.complete)
 }
 
+/// Sends a request without other fields: a POST with a body, or a GET without.
+pub fn call_plain(
+    address: SocketAddr,
+    target: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<Response> {
+    let method = if body.is_empty() { "GET" } else { "POST" };
+    call(address, method, target, &[("host", "soak")], body.as_bytes(), limit)
+}
+
 /// Returns the value of a field in a head of lower case.
-pub(crate) fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
     lines.find(|(known, _)| *known == name).map(|(_, value)| value.trim())
 }
 
 /// Returns the body that every server answers a request with.
-pub(crate) fn body_of(id: &str, path: &str) -> Vec<u8> {
+pub fn body_of(id: &str, path: &str) -> Vec<u8> {
     let repeat = 1 + id.bytes().map(usize::from).sum::<usize>() % 400;
     format!("{id} {path};").repeat(repeat).into_bytes()
 }
--- a/platform/tests/soak/ledger.rs
+++ b/crates/arbutuslane_soak/src/ledger.rs
@@ -6,23 +6,23 @@
 use std::time::{Duration, Instant};
 
 /// The most servers that a request may be sent to, as the routes of the soak say.
-pub(crate) const MAX_ATTEMPTS: usize = 2;
+pub const MAX_ATTEMPTS: usize = 2;
 
 /// How long after its acknowledgement a change may not be in force yet, and a drain not yet kept.
 const APPLIED: Duration = Duration::from_secs(2);
 
 /// How long faults must have been over before a bound in time counts.
-pub(crate) const CALM: Duration = Duration::from_secs(3);
+pub const CALM: Duration = Duration::from_secs(3);
 
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Violation {
+pub struct Violation {
     /// The name of the rule on the users' pages.
-    pub(crate) rule: &'static str,
+    pub rule: &'static str,
     /// When, since the start of the run.
-    pub(crate) at: Duration,
+    pub at: Duration,
     /// What was seen.
-    pub(crate) seen: String,
+    pub seen: String,
 }
 
 impl fmt::Display for Violation {
@@ -33,12 +33,12 @@
 
 /// A request of a caller.
 #[derive(Debug, Clone)]
-pub(crate) struct Sent {
-    pub(crate) path: String,
-    pub(crate) idempotent: bool,
+struct Sent {
+    path: String,
+    idempotent: bool,
     /// The service of the machine where it began.
-    pub(crate) origin: &'static str,
-    pub(crate) at: Duration,
+    origin: &'static str,
+    at: Duration,
     /// The server, and when it began.
     runs: Vec<(String, Duration)>,
     refused: Option<u16>,
@@ -54,7 +54,7 @@
 
 /// The record of one run.
 #[derive(Debug)]
-pub(crate) struct Ledger {
+pub struct Ledger {
     began: Instant,
     state: Mutex<State>,
 }
@@ -71,12 +71,12 @@
 
 impl Ledger {
     /// Returns an empty record that begins now.
-    pub(crate) fn start() -> Self {
+    pub fn start() -> Self {
         Self { began: Instant::now(), state: Mutex::default() }
     }
 
     /// Returns the time since the start.
-    pub(crate) fn now(&self) -> Duration {
+    pub fn now(&self) -> Duration {
         self.began.elapsed()
     }
 
@@ -85,7 +85,7 @@
     }
 
     /// Notes a broken promise.
-    pub(crate) fn violate(&self, rule: &'static str, seen: String) {
+    pub fn violate(&self, rule: &'static str, seen: String) {
         let violation = Violation { rule, at: self.now(), seen };
         let mut state = self.lock();
         // A few of a kind tell as much as all.
@@ -95,12 +95,12 @@
     }
 
     /// Returns the broken promises.
-    pub(crate) fn violations(&self) -> Vec<Violation> {
+    pub fn violations(&self) -> Vec<Violation> {
         self.lock().violations.clone()
     }
 
     /// Notes the beginning of a fault; returns its number.
-    pub(crate) fn fault_begins(&self, what: String) -> usize {
+    pub fn fault_begins(&self, what: String) -> usize {
         let now = self.now();
         let mut state = self.lock();
         state.faults.push((what, now, None));
@@ -108,13 +108,13 @@
     }
 
     /// Notes the end of a fault.
-    pub(crate) fn fault_ends(&self, number: usize) {
+    pub fn fault_ends(&self, number: usize) {
         let now = self.now();
         self.lock().faults[number].2 = Some(now);
     }
 
     /// Returns the faults as lines, for whoever reads a failed run.
-    pub(crate) fn faults(&self) -> Vec<String> {
+    pub fn faults(&self) -> Vec<String> {
         let line = |(what, from, to): &(String, Duration, Option<Duration>)| {
             let to = to.map_or("the end".to_string(), |to| format!("{:.3} s", to.as_secs_f64()));
             format!("{:.3} s to {to}: {what}", from.as_secs_f64())
@@ -123,7 +123,7 @@
     }
 
     /// Returns whether no fault but `except` touched the time from `from` on, nor the calm before it.
-    pub(crate) fn is_calm(&self, from: Duration, except: Option<usize>) -> bool {
+    pub fn is_calm(&self, from: Duration, except: Option<usize>) -> bool {
         let since = from.saturating_sub(CALM);
         let state = self.lock();
         let mut faults = state.faults.iter().enumerate();
@@ -131,7 +131,7 @@
     }
 
     /// Notes a request that a caller is about to send.
-    pub(crate) fn sent(&self, id: &str, path: &str, idempotent: bool, origin: &'static str) {
+    pub fn sent(&self, id: &str, path: &str, idempotent: bool, origin: &'static str) {
         let at = self.now();
         let sent = Sent {
             path: path.to_string(),
@@ -145,7 +145,7 @@
     }
 
     /// Notes that a server begins a request.
-    pub(crate) fn ran(&self, id: &str, path: &str, server: &str, service: &str, origin: &str) {
+    pub fn ran(&self, id: &str, path: &str, server: &str, service: &str, origin: &str) {
         let now = self.now();
         let mut broken = Vec::new();
         {
@@ -189,12 +189,12 @@
     }
 
     /// Returns the servers that began a request.
-    pub(crate) fn runs(&self, id: &str) -> Vec<(String, Duration)> {
+    pub fn runs(&self, id: &str) -> Vec<(String, Duration)> {
         self.lock().requests.get(id).map(|sent| sent.runs.clone()).unwrap_or_default()
     }
 
     /// Notes that a caller was told that its request did not run.
-    pub(crate) fn refused(&self, id: &str, status: u16) {
+    pub fn refused(&self, id: &str, status: u16) {
         let ran = {
             let mut state = self.lock();
             let Some(sent) = state.requests.get_mut(id) else { return };
@@ -210,13 +210,13 @@
     }
 
     /// Notes whether a request was served, for the check of recovery.
-    pub(crate) fn ended(&self, served: bool) {
+    pub fn ended(&self, served: bool) {
         let now = self.now();
         self.lock().answered.push((now, served));
     }
 
     /// Returns how many requests ended since `from`, and how many of them were served.
-    pub(crate) fn served_since(&self, from: Duration) -> (usize, usize) {
+    pub fn served_since(&self, from: Duration) -> (usize, usize) {
         let state = self.lock();
         let recent: Vec<bool> = state
             .answered
@@ -228,12 +228,12 @@
     }
 
     /// Notes that an operator is about to let the moving route lead to `service`.
-    pub(crate) fn move_begins(&self, service: &'static str) {
+    pub fn move_begins(&self, service: &'static str) {
         self.lock().moves.push(Move { service, acknowledged: None });
     }
 
     /// Notes that the last move was acknowledged.
-    pub(crate) fn move_acknowledged(&self) {
+    pub fn move_acknowledged(&self) {
         let now = self.now();
         if let Some(last) = self.lock().moves.last_mut() {
             last.acknowledged = Some(now);
--- a/platform/tests/soak/process.rs
+++ b/crates/arbutuslane_soak/src/process.rs
@@ -8,8 +8,9 @@
 
 /// A process of the fleet that may be ended and started again.
 #[derive(Debug)]
-pub(crate) struct Process {
-    pub(crate) name: String,
+pub struct Process {
+    /// Its name, which its settings and logs have too.
+    pub name: String,
     program: &'static str,
     folder: PathBuf,
     child: Option<Child>,
@@ -18,7 +19,7 @@
 
 impl Process {
     /// Writes `settings` to `folder` and starts `program` with them.
-    pub(crate) fn start(
+    pub fn start(
         program: &'static str,
         folder: &Path,
         name: &str,
@@ -32,7 +33,7 @@
     }
 
     /// Starts the process unless it runs.
-    pub(crate) fn start_again(&mut self) {
+    pub fn start_again(&mut self) {
         if self.child.is_some() {
             return;
         }
@@ -55,7 +56,7 @@
 
     /// Waits for the first line of its log: before its main function a process can answer no signal,
     /// and the system ends it (seed 125, SIGHUP 3 ms after the start).
-    pub(crate) fn wait_begun(&self) {
+    pub fn wait_begun(&self) {
         for _ in 0..200 {
             if std::fs::metadata(self.log()).is_ok_and(|log| log.len() > 0) {
                 return;
@@ -65,21 +66,21 @@
     }
 
     /// Sends a signal by its name without SIG.
-    pub(crate) fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let Some(child) = &self.child else { return };
         let id = child.id().to_string();
         let _ = Command::new("kill").arg(format!("-{signal}")).arg(id).status();
     }
 
     /// Ends the process at once.
-    pub(crate) fn kill(&mut self) {
+    pub fn kill(&mut self) {
         let Some(mut child) = self.child.take() else { return };
         let _ = child.kill();
         let _ = child.wait();
     }
 
     /// Waits for the process to end by itself; returns whether it did so with success.
-    pub(crate) fn wait_stopped(&mut self, limit: Duration) -> bool {
+    pub fn wait_stopped(&mut self, limit: Duration) -> bool {
         let Some(child) = &mut self.child else { return true };
         let began = Instant::now();
         while began.elapsed() < limit {
@@ -93,7 +94,7 @@
     }
 
     /// Returns whether the process ended although nobody ended it.
-    pub(crate) fn has_ended(&mut self) -> bool {
+    pub fn has_ended(&mut self) -> bool {
         let Some(child) = &mut self.child else { return false };
         matches!(child.try_wait(), Ok(Some(_)))
     }
--- a/platform/tests/soak/proxy.rs
+++ b/crates/arbutuslane_soak/src/proxy.rs
@@ -8,7 +8,7 @@
 
 /// What the proxy does with the bytes of connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum Mode {
     /// Passes them on.
     Pass,
     /// Passes them on later.
@@ -23,8 +23,9 @@
 
 /// A proxy in front of one listener.
 #[derive(Debug, Clone)]
-pub(crate) struct Proxy {
-    pub(crate) address: SocketAddr,
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
     state: Arc<Mutex<State>>,
 }
 
@@ -40,7 +41,7 @@
 
 impl Proxy {
     /// Starts a proxy at `address` for `target`.
-    pub(crate) fn start(address: SocketAddr, target: SocketAddr) -> Self {
+    pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).unwrap();
         let state = Arc::new(Mutex::new(State { mode: Mode::Pass, target, streams: Vec::new() }));
         let proxy = Self { address, state };
@@ -57,12 +58,12 @@
     }
 
     /// Changes what is done with the bytes.
-    pub(crate) fn set(&self, mode: Mode) {
+    pub fn set(&self, mode: Mode) {
         self.state.lock().unwrap().mode = mode;
     }
 
     /// Closes all connections.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         for stream in self.state.lock().unwrap().streams.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
