--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -149,7 +149,7 @@
 
     /// Chooses a server for a request, or returns `None` when no candidate is left.
     pub fn pick(&mut self, request: &Request<'_>, now: Time, rng: &mut Rng) -> Option<Pick> {
-        if request.class != Class::NonIdempotent
+        if request.class.is_repeatable()
             && request.tried.is_empty()
             && let Some(pick) = self.pick_trial(now, rng)
         {
--- a/crates/arbutuslane_balance/tests/picker.rs
+++ b/crates/arbutuslane_balance/tests/picker.rs
@@ -31,9 +31,10 @@
 }
 
 fn class(number: u8) -> Class {
-    match number % 3 {
+    match number % 4 {
         0 => Class::Idempotent,
         1 => Class::NonIdempotent,
+        2 => Class::Upload,
         _ => Class::Download,
     }
 }
@@ -75,7 +76,9 @@
             .find(|candidate| candidate.server == pick.server)
             .map(|candidate| candidate.serving);
         let expected = if pick.is_trial { Serving::Ejected } else { Serving::Open };
-        if serving != Some(expected) || (pick.is_trial && class(number) == Class::NonIdempotent) {
+        if serving != Some(expected)
+            || (pick.is_trial && !matches!(class(number), Class::Idempotent | Class::Download))
+        {
             return false;
         }
     }
--- a/crates/arbutuslane_bench/src/service.rs
+++ b/crates/arbutuslane_bench/src/service.rs
@@ -61,7 +61,7 @@
     let shape = Shape { median, sigma, tail_share: 0.005, tail_exponent: 1.5, tail_limit: 100.0 };
     let (read_share, deadline) = match class {
         Class::Idempotent => (1.0, 2),
-        Class::NonIdempotent => (0.2, 5),
+        Class::NonIdempotent | Class::Upload => (0.2, 5),
         Class::Download => (0.0, 30),
     };
     let floor = (servers * 7).div_ceil(10);
--- a/crates/arbutuslane_catalogue/src/border.rs
+++ b/crates/arbutuslane_catalogue/src/border.rs
@@ -19,6 +19,8 @@
     NonIdempotent,
     /// See [`entry::Class::Download`].
     Download,
+    /// See [`entry::Class::Upload`].
+    Upload,
 }
 
 /// The serialized form of [`entry::Preference`].
@@ -186,6 +188,7 @@
             Class::Idempotent => Self::Idempotent,
             Class::NonIdempotent => Self::NonIdempotent,
             Class::Download => Self::Download,
+            Class::Upload => Self::Upload,
         }
     }
 }
@@ -196,6 +199,7 @@
             entry::Class::Idempotent => Self::Idempotent,
             entry::Class::NonIdempotent => Self::NonIdempotent,
             entry::Class::Download => Self::Download,
+            entry::Class::Upload => Self::Upload,
         }
     }
 }
--- a/crates/arbutuslane_catalogue/src/diff.rs
+++ b/crates/arbutuslane_catalogue/src/diff.rs
@@ -4,7 +4,7 @@
 
 use arbutuslane_core::id::ServiceName;
 
-use crate::entry::{Class, Entry, Preference, Route};
+use crate::entry::{Entry, Preference, Route};
 
 /// How one service differs between two catalogues.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -134,16 +134,6 @@
     }
 }
 
-impl fmt::Display for Class {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            Self::Idempotent => "idempotent",
-            Self::NonIdempotent => "non-idempotent",
-            Self::Download => "download",
-        })
-    }
-}
-
 impl fmt::Display for Preference {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -218,7 +208,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::entry::Limits;
+    use crate::entry::{Class, Limits};
 
     fn entry(service: &str, floor: u32) -> Entry {
         Entry {
--- a/crates/arbutuslane_catalogue/src/entry.rs
+++ b/crates/arbutuslane_catalogue/src/entry.rs
@@ -4,16 +4,7 @@
 
 use arbutuslane_core::id::ServiceName;
 
-/// How a request may be repeated or resumed when the outcome of an attempt is unknown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Class {
-    /// Running a request twice does no harm, as with lookups.
-    Idempotent,
-    /// A request runs at most once, as with bookings and holds.
-    NonIdempotent,
-    /// The response is long; after an interruption it can be resumed on another server.
-    Download,
-}
+pub use crate::class::Class;
 
 /// What ejection favours when there is little evidence that a server is unhealthy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/arbutuslane_catalogue/src/lib.rs
+++ b/crates/arbutuslane_catalogue/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod border;
 pub mod change;
 pub mod check;
+pub mod class;
 pub mod diff;
 pub mod entry;
 pub mod group;
--- a/crates/arbutuslane_health/src/detector.rs
+++ b/crates/arbutuslane_health/src/detector.rs
@@ -11,7 +11,6 @@
     log_likelihood_ratio, slowness_confidence,
 };
 use crate::peers::{Baseline, Peers};
-use crate::summary::class_index;
 
 /// A request that the owner dispatches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,7 +68,7 @@
     /// The decayed number of requests, from which the rate is derived.
     request_count: f64,
     counted_at: Time,
-    classes: [ClassState; 3],
+    classes: [ClassState; Class::COUNT],
     /// The evidence from requests of all classes.
     all_classes: Evidence,
     in_flight: Vec<InFlight>,
@@ -199,8 +198,8 @@
         self.in_flight = in_flight;
         let mut worst: Option<Suspicion> = None;
         let all_classes = self.all_classes.verdicts(self.threshold);
-        for class in [Class::Idempotent, Class::NonIdempotent, Class::Download] {
-            let state = &self.classes[class_index(class)];
+        for class in Class::ALL {
+            let state = &self.classes[class.index()];
             let (failing, slow) = state.evidence.verdicts(self.threshold);
             let mut found = Vec::new();
             if failing || (all_classes.0 && state.failure_share > 0.0) {
@@ -259,7 +258,7 @@
             return;
         }
         self.add_slowness(request, sum * slowness_confidence(peers), now);
-        let state = &mut self.classes[class_index(request.start.class)];
+        let state = &mut self.classes[request.start.class.index()];
         state.latency = state.latency.max(age.as_secs_f64().min(20.0 * state.latency));
     }
 
@@ -267,7 +266,7 @@
         self.count_request(now);
         let limit = self.threshold * SUM_LIMIT_FACTOR;
         let group = Group::of(request.start.caller, request.start.route);
-        let state = &mut self.classes[class_index(request.start.class)];
+        let state = &mut self.classes[request.start.class.index()];
         state.evidence.group_counts.add(group);
         self.all_classes.group_counts.add(group);
         let healthy = peers.map_or(MIN_HEALTHY_FAILURE_SHARE, |peers| {
@@ -307,7 +306,7 @@
         let limit = self.threshold * SUM_LIMIT_FACTOR;
         let group = Group::of(request.start.caller, request.start.route);
         for evidence in
-            [&mut self.classes[class_index(request.start.class)].evidence, &mut self.all_classes]
+            [&mut self.classes[request.start.class.index()].evidence, &mut self.all_classes]
         {
             evidence.add_slowness(ratio, group, limit, now);
         }
--- a/crates/arbutuslane_health/src/ejection.rs
+++ b/crates/arbutuslane_health/src/ejection.rs
@@ -178,8 +178,7 @@
     /// Downloads count as idempotent, because a service of downloads has no other requests for a
     /// trial.
     pub fn try_start_trial(&mut self, class: Class, now: Time) -> bool {
-        if class == Class::NonIdempotent || self.state.is_running || now < self.state.next_trial_at
-        {
+        if !class.is_repeatable() || self.state.is_running || now < self.state.next_trial_at {
             return false;
         }
         self.state.is_running = true;
@@ -383,7 +382,7 @@
         match self {
             Self::Serving(_) | Self::Awaiting(_) => Permission::Work,
             Self::Returning(state) => {
-                if class == Class::NonIdempotent && !state.accepts_non_idempotent(now) {
+                if !class.is_repeatable() && !state.accepts_non_idempotent(now) {
                     return Permission::Refused;
                 }
                 Permission::Work
--- a/crates/arbutuslane_health/src/peers.rs
+++ b/crates/arbutuslane_health/src/peers.rs
@@ -7,7 +7,6 @@
 
 pub use crate::summarizer::Summarizer;
 pub use crate::summary::Summary;
-use crate::summary::{CLASS_COUNT, class_index};
 
 /// The normal performance of a server's peers for one class of requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,7 +27,7 @@
 /// not change them. Shares are pooled, because each entry alone sees few requests per second.
 #[derive(Debug, Clone, Default)]
 pub struct Baseline {
-    classes: [ClassBaseline; CLASS_COUNT],
+    classes: [ClassBaseline; Class::COUNT],
 }
 
 #[derive(Debug, Clone, Default)]
@@ -75,7 +74,7 @@
 impl Baseline {
     /// Records a summary from the entry whose hash is `entry`.
     pub fn record(&mut self, entry: u64, summary: Summary, now: Time) {
-        let class = &mut self.classes[class_index(summary.class)];
+        let class = &mut self.classes[summary.class.index()];
         let fresh = ReceivedSummary { entry, summary, at: now };
         if let Some(known) = class.received.iter_mut().find(|known| known.entry == entry) {
             *known = fresh;
@@ -94,7 +93,7 @@
     /// The share of slow requests is the higher one of the class and of all classes together.
     /// Otherwise a class with few requests per second would hide a slowdown of the whole service.
     pub fn peers(&self, class: Class) -> Option<Peers> {
-        let merged = self.classes[class_index(class)].merged?;
+        let merged = self.classes[class.index()].merged?;
         let (mut total, mut slow) = (PRIOR_REQUESTS, PRIOR_REQUESTS * NORMAL_SLOW_SHARE);
         for class in &self.classes {
             total += class.recent;
@@ -106,7 +105,7 @@
     /// Returns whether at least two summaries of `class` have arrived since `since`, or one when
     /// only one entry sends summaries.
     pub fn is_fresh(&self, class: Class, since: Time) -> bool {
-        let received = &self.classes[class_index(class)].received;
+        let received = &self.classes[class.index()].received;
         let fresh = received.iter().filter(|received| received.at >= since).count();
         fresh >= received.len().clamp(1, 2)
     }
--- a/crates/arbutuslane_health/src/summarizer.rs
+++ b/crates/arbutuslane_health/src/summarizer.rs
@@ -8,7 +8,7 @@
 use arbutuslane_core::time::Time;
 
 use crate::histogram::Histogram;
-use crate::summary::{CLASS_COUNT, Summary, class_index};
+use crate::summary::Summary;
 
 /// Summarizes the servers of one service at an entry.
 ///
@@ -32,8 +32,8 @@
 struct ServerStats {
     id: ServerId,
     /// When the last summary of each class was sent to the server's owner.
-    summarized_at: [Option<Time>; CLASS_COUNT],
-    classes: [Option<Box<ClassStats>>; CLASS_COUNT],
+    summarized_at: [Option<Time>; Class::COUNT],
+    classes: [Option<Box<ClassStats>>; Class::COUNT],
 }
 
 #[derive(Debug, Clone)]
@@ -100,11 +100,11 @@
         let index = self.index_of(server).ok()?;
         let is_urgent = self.looks_slow(index, class, now);
         let interval = if is_urgent { MIN_URGENT_SUMMARY_INTERVAL } else { MIN_SUMMARY_INTERVAL };
-        let last = self.servers[index].summarized_at[class_index(class)];
+        let last = self.servers[index].summarized_at[class.index()];
         if last.is_some_and(|last| now.saturating_sub(last) < interval) || !allow(is_urgent) {
             return None;
         }
-        self.servers[index].summarized_at[class_index(class)] = Some(now);
+        self.servers[index].summarized_at[class.index()] = Some(now);
         self.summary(server, class, now)
     }
 
@@ -147,7 +147,7 @@
         let mut merged = Histogram::new(QUANTILE_HALF_LIFE);
         let mut recent = Recent::default();
         for other in &mut self.servers {
-            let Some(stats) = &mut other.classes[class_index(class)] else { continue };
+            let Some(stats) = &mut other.classes[class.index()] else { continue };
             if other.id == server {
                 continue;
             }
@@ -164,7 +164,7 @@
         }
         let p90 = merged.quantile(0.9);
         if let Ok(index) = self.index_of(server)
-            && let Some(stats) = &mut self.servers[index].classes[class_index(class)]
+            && let Some(stats) = &mut self.servers[index].classes[class.index()]
         {
             stats.p90 = Some(p90);
         }
@@ -194,7 +194,7 @@
     /// peers, or most recent requests took longer than that.
     fn looks_slow(&self, index: usize, class: Class, now: Time) -> bool {
         let server = &self.servers[index];
-        let Some(stats) = &server.classes[class_index(class)] else { return false };
+        let Some(stats) = &server.classes[class.index()] else { return false };
         let Some(p90) = stats.p90 else { return false };
         if stats.recent.slow > stats.recent.total / 2.0 {
             return true;
@@ -213,14 +213,14 @@
             Err(index) => {
                 let fresh = ServerStats {
                     id: server.to_string(),
-                    summarized_at: [None; CLASS_COUNT],
+                    summarized_at: [None; Class::COUNT],
                     classes: Default::default(),
                 };
                 self.servers.insert(index, fresh);
                 index
             }
         };
-        self.servers[index].classes[class_index(class)].get_or_insert_with(|| {
+        self.servers[index].classes[class.index()].get_or_insert_with(|| {
             Box::new(ClassStats {
                 latencies: Histogram::new(QUANTILE_HALF_LIFE),
                 recent: Recent::default(),
--- a/crates/arbutuslane_health/src/summary.rs
+++ b/crates/arbutuslane_health/src/summary.rs
@@ -28,7 +28,7 @@
     pub fn encode(&self) -> String {
         format!(
             "{},{:.1},{},{},{:.1},{:.4},{:.4}",
-            class_index(self.class),
+            self.class.index(),
             self.weight,
             self.median.as_micros(),
             self.p90.as_micros(),
@@ -41,12 +41,7 @@
     /// Returns the summary that `value` encodes, or `None` when it is malformed or implausible.
     pub fn parse(value: &str) -> Option<Self> {
         let mut fields = value.split(',');
-        let class = match fields.next()? {
-            "0" => Class::Idempotent,
-            "1" => Class::NonIdempotent,
-            "2" => Class::Download,
-            _ => return None,
-        };
+        let class = *Class::ALL.get(fields.next()?.parse::<usize>().ok()?)?;
         let mut number = || -> Option<f32> {
             let number: f32 = fields.next()?.parse().ok()?;
             (number.is_finite() && number >= 0.0).then_some(number)
@@ -65,14 +60,3 @@
         (fields.next().is_none() && median <= p90).then_some(summary)
     }
 }
-
-/// The number of classes.
-pub(crate) const CLASS_COUNT: usize = 3;
-
-pub(crate) fn class_index(class: Class) -> usize {
-    match class {
-        Class::Idempotent => 0,
-        Class::NonIdempotent => 1,
-        Class::Download => 2,
-    }
-}
--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -154,9 +154,7 @@
         let next = match self.second_pass {
             None if self.has_busy_server => Effort::Insist,
             None if self.has_suspect_server => Effort::Suspect,
-            Some(Effort::Insist)
-                if self.has_suspect_server && self.class != Class::NonIdempotent =>
-            {
+            Some(Effort::Insist) if self.has_suspect_server && self.class.is_repeatable() => {
                 Effort::Suspect
             }
             _ => return None,
--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -33,11 +33,7 @@
     /// response has its full value until the deadline, so requests of one class start in deadline
     /// order.
     pub fn of_class(class: Class, now: Time, deadline: Deadline) -> Self {
-        let rank = match class {
-            Class::NonIdempotent => 0,
-            Class::Idempotent => 1,
-            Class::Download => 2,
-        };
+        let rank = class.default_rank();
         Self {
             kind: Kind::from(rank),
             rank,
@@ -167,6 +163,10 @@
 /// Without a share of its own, a lower rank would never run while calls alone exceed the slots.
 const MAX_HIGHER_RANK_STARTS: u32 = 31;
 
+/// The shortest time after which a refused request may be sent again. A caller that returns sooner
+/// finds the same requests running.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// One queue position in this many is reserved for requests of lower ranks.
 const LOWER_RANK_QUEUE_DIVISOR: usize = 8;
 
@@ -188,29 +188,17 @@
     /// Admits, queues or refuses a request.
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Admission {
         let kind = arrival.kind;
-        if !self.open {
-            return self.refuse(Reason::Closed, &arrival, now);
-        }
-        if arrival.deadline.is_expired(now) {
-            return self.refuse(Reason::Expired, &arrival, now);
+        if let Some(refusal) = self.refusal(now, &arrival) {
+            return Admission::Refused(refusal);
         }
-        // A free slot is used whatever the measured service time is. Refusing here would stop the
-        // measurement, so a server whose mean once exceeded the deadline would never be used again.
         if self.running.len() < self.slots {
             let ticket = self.issue_ticket();
             self.running.push(Running { ticket, kind, since: now });
             return Admission::Run(ticket);
         }
-        let needed = self.predicted_wait(&arrival, now) + self.expected_service_time(kind);
-        if arrival.due.saturating_sub(now) < needed {
-            return self.refuse(Reason::TooLate, &arrival, now);
-        }
         let mut displaced = None;
         if self.queue.len() >= self.queue_limit {
-            let Some(index) = self.displaced_index(&arrival) else {
-                return self.refuse(Reason::Full, &arrival, now);
-            };
-            displaced = Some(self.queue.remove(index).ticket);
+            displaced = self.displaced_index(&arrival).map(|index| self.queue.remove(index).ticket);
         }
         let ticket = self.issue_ticket();
         let index = self.queue.partition_point(|other| other.precedes(&arrival));
@@ -218,6 +206,34 @@
         Admission::Queued { ticket, displaced }
     }
 
+    /// Returns why a request that arrives now would be refused, or `None` if it would get a slot or
+    /// wait for one.
+    pub fn refusal(&self, now: Time, arrival: &Arrival) -> Option<Refusal> {
+        let reason = if !self.open {
+            Reason::Closed
+        } else if arrival.deadline.is_expired(now) {
+            Reason::Expired
+        } else if self.running.len() < self.slots {
+            // A free slot is used whatever the measured service time is. Refusing here would stop
+            // the measurement, so a server whose mean once exceeded the deadline would never be
+            // used again.
+            return None;
+        } else if arrival.due.saturating_sub(now) < self.expected_time(arrival, now) {
+            Reason::TooLate
+        } else if self.queue.len() >= self.queue_limit && self.displaced_index(arrival).is_none() {
+            Reason::Full
+        } else {
+            return None;
+        };
+        let retry_after = self.expected_time(arrival, now).max(MIN_RETRY_AFTER);
+        Some(Refusal { reason, retry_after })
+    }
+
+    /// Returns the predicted time from the arrival of a request to its response.
+    fn expected_time(&self, arrival: &Arrival, now: Time) -> Duration {
+        self.predicted_wait(arrival, now) + self.expected_service_time(arrival.kind)
+    }
+
     /// Frees the slot of a running request, whatever its outcome, and fills the free slots from the
     /// queue.
     pub fn finish(&mut self, ticket: Ticket, now: Time) -> QueueChange {
@@ -366,11 +382,6 @@
         self.queue.remove(index)
     }
 
-    fn refuse(&self, reason: Reason, arrival: &Arrival, now: Time) -> Admission {
-        let wait = self.predicted_wait(arrival, now) + self.expected_service_time(arrival.kind);
-        Admission::Refused(Refusal { reason, retry_after: wait.max(Duration::from_millis(50)) })
-    }
-
     fn fill_slots(&mut self, now: Time) -> QueueChange {
         let mut change = QueueChange { start: Vec::new(), refuse: self.expire(now) };
         while self.running.len() < self.slots && !self.queue.is_empty() {
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -5,7 +5,8 @@
 //! for each caller, route and service, and a [`RetryBudget`](budget::RetryBudget) for each service.
 //! It distinguishes callers' resends from new requests with
 //! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt and
-//! [`hedge::delay`] for a late one.
+//! [`hedge::delay`] for a late one. A node has one [`Memory`](memory::Memory) for the request bodies
+//! that it holds.
 //!
 //! ```
 //! use std::time::Duration;
@@ -29,6 +30,7 @@
 pub mod deadline;
 pub mod gate;
 pub mod hedge;
+pub mod memory;
 pub mod resend;
 pub mod retry;
 pub mod service_time;
--- a/crates/arbutuslane_limit/src/retry.rs
+++ b/crates/arbutuslane_limit/src/retry.rs
@@ -74,6 +74,6 @@
     match outcome {
         Outcome::NotRun => true,
         Outcome::Crashed => false,
-        Outcome::Failed | Outcome::Unknown => class != Class::NonIdempotent,
+        Outcome::Failed | Outcome::Unknown => class.is_repeatable(),
     }
 }
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -15,16 +15,17 @@
 }
 
 fn class(number: u16) -> Class {
-    match number % 3 {
+    match number % 4 {
         0 => Class::Idempotent,
         1 => Class::NonIdempotent,
+        2 => Class::Upload,
         _ => Class::Download,
     }
 }
 
 fn rank(class: Class) -> u8 {
     match class {
-        Class::NonIdempotent => 2,
+        Class::NonIdempotent | Class::Upload => 2,
         Class::Idempotent => 1,
         Class::Download => 0,
     }
--- a/crates/arbutuslane_limit/tests/rate.rs
+++ b/crates/arbutuslane_limit/tests/rate.rs
@@ -78,9 +78,8 @@
 #[test]
 fn decide_unsafe() {
     let now = Duration::ZERO;
-    let classes = [Class::Idempotent, Class::NonIdempotent, Class::Download];
     let outcomes = [Outcome::NotRun, Outcome::Failed, Outcome::Unknown, Outcome::Crashed];
-    for class in classes {
+    for class in Class::ALL {
         for outcome in outcomes {
             for response_started in [false, true] {
                 let mut budget = RetryBudget::new(10, 5, 5);
@@ -91,7 +90,7 @@
                     && match outcome {
                         Outcome::NotRun => true,
                         Outcome::Crashed => false,
-                        _ => class != Class::NonIdempotent,
+                        _ => matches!(class, Class::Idempotent | Class::Download),
                     };
                 let retried = retry::decide(&attempt, &mut budget, now) == Decision::Retry;
                 assert_eq!(retried, is_allowed, "{class:?} {outcome:?} {response_started}");
@@ -127,6 +126,7 @@
     let p90 = Some(Duration::from_millis(50));
     assert_eq!(hedge::delay(Class::NonIdempotent, p90), None);
     assert_eq!(hedge::delay(Class::Download, p90), None);
+    assert_eq!(hedge::delay(Class::Upload, p90), None);
     assert_eq!(hedge::delay(Class::Idempotent, p90), Some(Duration::from_millis(100)));
     assert_eq!(hedge::delay(Class::Idempotent, None), None);
 }
--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::hash;
 use arbutuslane_record::message::{Kind, Request, Response as Reply, StoredResponse};
 use arbutuslane_record::prelude::{Coordinator, Decision, Group, Key, key};
@@ -56,7 +55,7 @@
     routed: &RoutedRequest,
 ) -> Result<KeyClaim, Refusal> {
     let field = routed.request.headers.get(header::IDEMPOTENCY_KEY);
-    let Some(key_text) = field.filter(|_| routed.class == Class::NonIdempotent) else {
+    let Some(key_text) = field.filter(|_| !routed.class.is_repeatable()) else {
         return Ok(KeyClaim::Free);
     };
     let key = key::of(&routed.service, &String::from_utf8_lossy(key_text.as_bytes()));
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -58,7 +58,7 @@
     /// How often the server became a suspect.
     suspicions: u64,
     /// The moving mean latency of successful requests by class.
-    mean_latency: [Option<Duration>; 3],
+    mean_latency: [Option<Duration>; Class::COUNT],
     next_id: u64,
 }
 
@@ -75,7 +75,7 @@
             stage,
             streak: Streak::default(),
             suspicions: 0,
-            mean_latency: [None; 3],
+            mean_latency: [None; Class::COUNT],
             next_id: 0,
         };
         let server = server.to_string();
@@ -224,7 +224,7 @@
         let mut state = self.health.lock();
         state.detector.cancelled(self.id);
         let hang_time =
-            state.mean_latency[index(self.start.class)].unwrap_or_default() * HANG_LATENCY_FACTOR;
+            state.mean_latency[self.start.class.index()].unwrap_or_default() * HANG_LATENCY_FACTOR;
         if now.saturating_sub(self.start.at) > hang_time.max(MIN_HANG_TIME) {
             state.record_outcome(&self.health, self.start.class, None);
         }
@@ -238,7 +238,7 @@
     /// Records a success with its latency, or a failure when `success` is `None`.
     fn record_outcome(&mut self, health: &ServerHealth, class: Class, success: Option<Duration>) {
         if let Some(latency) = success {
-            let mean = &mut self.mean_latency[index(class)];
+            let mean = &mut self.mean_latency[class.index()];
             *mean = Some(mean.map_or(latency, |mean| {
                 (mean * (LATENCY_SMOOTHING - 1) + latency) / LATENCY_SMOOTHING
             }));
@@ -252,14 +252,6 @@
     }
 }
 
-fn index(class: Class) -> usize {
-    match class {
-        Class::NonIdempotent => 0,
-        Class::Idempotent => 1,
-        Class::Download => 2,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -155,7 +155,7 @@
                     targets: vec![(entry.service.clone(), 1)],
                     timeout: entry.limits.deadline,
                     objective: entry.limits.deadline,
-                    rank: default_rank(route.class.unwrap_or(entry.class)),
+                    rank: route.class.unwrap_or(entry.class).default_rank(),
                     attempts: retry::DEFAULT_MAX_ATTEMPTS as usize,
                     body_bytes: entry.limits.body_bytes,
                     limits: Some(entry.limits.clone()),
@@ -196,15 +196,6 @@
     }
 }
 
-/// Returns the rank of a route in a catalogue, which states no ranks: bookings are served first.
-fn default_rank(class: Class) -> u8 {
-    match class {
-        Class::NonIdempotent => 0,
-        Class::Idempotent => 1,
-        Class::Download => 2,
-    }
-}
-
 /// Reads a catalogue snapshot from a JSON file.
 pub(crate) fn read(path: &Path) -> Result<Configuration, String> {
     let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
--- a/crates/arbutuslane_node/src/metrics/mod.rs
+++ b/crates/arbutuslane_node/src/metrics/mod.rs
@@ -151,12 +151,7 @@
 impl Metrics {
     /// Records the time to the response head of an answered request.
     pub(crate) fn record_response_time(&self, service: &str, class: Class, latency: Duration) {
-        let class = match class {
-            Class::Idempotent => "idempotent",
-            Class::NonIdempotent => "non-idempotent",
-            Class::Download => "download",
-        };
-        self.labelled.lock().latencies.record(&[service, class], latency);
+        self.labelled.lock().latencies.record(&[service, class.name()], latency);
     }
 
     /// Records the time that a request spent in a stage.
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -45,7 +45,7 @@
     headers.insert(HeaderName::from_static(header::TOKEN), token);
     let host = HeaderValue::from_str(&address.to_string()).map_err(|error| error.to_string())?;
     headers.insert(HOST, host);
-    let upload = Upload::Buffered(body);
+    let upload = Upload::from(body);
     let request =
         traffic::Request { method: Method::POST, target: path.to_string(), headers, upload };
     let exchange = async {
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -150,7 +150,7 @@
     let stop_start = shared.clock.now();
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
-    let limit = Duration::from_millis(shared.settings.stop_ms);
+    let limit = shared.settings.stop_limit();
     let delay = if shared.settings.withdraw_on_stop { WITHDRAWN_STOP_DELAY } else { STOP_DELAY };
     sleep(delay.min(limit)).await;
     shared.end_intake();
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -2,9 +2,25 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use serde::Deserialize;
 
+/// The number of bytes in a megabyte of the settings.
+const BYTES_PER_MEGABYTE: usize = 1 << 20;
+
+/// The number of heartbeat intervals in a lease.
+const LEASE_HEARTBEATS: u32 = 4;
+
+/// How late a heartbeat may be after a delay in the network.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(2);
+
+/// The part of the grace time in which a node closes its listeners and writes its last log lines.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// The part of the memory that holds request bodies: one in this many.
+const BODY_MEMORY_DIVISOR: usize = 4;
+
 /// The settings of one node.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,9 +55,14 @@
     /// The service whose backend server runs beside this node and sends requests through it.
     #[serde(default)]
     pub origin_service: Option<String>,
-    /// The time in milliseconds after the last renewal for which the lease of a server is valid.
+    /// The time in milliseconds after the last renewal for which the lease of a server is valid,
+    /// where `heartbeat_s` is not set.
     #[serde(default = "default_lease_ms")]
     pub lease_ms: u64,
+    /// The time in seconds between two heartbeats of a server; the lease is derived from it where
+    /// it is set.
+    #[serde(default)]
+    pub heartbeat_s: Option<f64>,
     /// Whether a stopping node withdraws its servers, because they cannot announce themselves to
     /// another node.
     #[serde(default)]
@@ -70,9 +91,17 @@
     /// The seed of the random choice of servers, for tests; a random one when absent.
     #[serde(default)]
     pub seed: Option<u64>,
-    /// The longest time in milliseconds that a planned stop waits for requests in flight.
+    /// The memory of the machine that this process may use, in megabytes. A quarter of it holds
+    /// request bodies.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
+    /// The longest time in milliseconds that a planned stop waits for requests in flight, where
+    /// `grace_s` is not set.
     #[serde(default = "default_stop_ms")]
     pub stop_ms: u64,
+    /// The time in seconds from the signal to stop until the process is killed.
+    #[serde(default)]
+    pub grace_s: Option<f64>,
 }
 
 /// The source of a node's configuration.
@@ -94,7 +123,7 @@
     /// The allowed repeats as a share of first requests.
     pub ratio: f64,
     /// The repeats per window that are allowed beyond the share.
-    pub slack: u32,
+    pub slack: f64,
     /// The length of the window in seconds.
     pub window_s: f64,
 }
@@ -158,6 +187,14 @@
                           reach the network";
             return Err(Error::Value { key: "token_file", reason });
         }
+        for (key, value) in [("grace_s", settings.grace_s), ("heartbeat_s", settings.heartbeat_s)] {
+            if value.is_some_and(|value| seconds(value).is_none_or(|time| time.is_zero())) {
+                return Err(Error::Value { key, reason: "must be a positive number of seconds" });
+            }
+        }
+        if settings.memory_mb == 0 {
+            return Err(Error::Value { key: "memory_mb", reason: "must be at least 1" });
+        }
         if settings.traffic_threads == 0 {
             return Err(Error::Value { key: "traffic_threads", reason: "must be at least 1" });
         }
@@ -171,12 +208,44 @@
         addresses.filter(|address| **address != advertised).map(ToString::to_string).collect()
     }
 
+    /// Returns how long the lease of a server is valid after its last renewal.
+    ///
+    /// A lease outlasts several lost heartbeats and one that is late, since no other node can take
+    /// over a server whose node is the only one that reaches it.
+    pub(crate) fn lease(&self) -> Duration {
+        self.heartbeat_s
+            .and_then(seconds)
+            .map_or(Duration::from_millis(self.lease_ms), |interval| {
+                interval * LEASE_HEARTBEATS + MAX_HEARTBEAT_DELAY
+            })
+    }
+
+    /// Returns how long a planned stop waits for requests in flight.
+    pub(crate) fn stop_limit(&self) -> Duration {
+        let grace = self.grace_s.and_then(seconds);
+        grace.map_or(Duration::from_millis(self.stop_ms), |grace| grace.saturating_sub(STOP_MARGIN))
+    }
+
+    /// Returns the number of bytes of request bodies that the node may hold.
+    ///
+    /// A body that is sent on is copied into the buffers of its connection, and bytes that the
+    /// system has received but this process has not read count as well, so that a quarter of the
+    /// memory for bodies leaves as much for those and half for all else.
+    pub(crate) fn body_bytes(&self) -> usize {
+        (self.memory_mb as usize) * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR
+    }
+
     /// Returns the address under which other nodes reach this one.
     pub fn advertised(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.peers)
     }
 }
 
+/// Returns a setting in seconds, or `None` if it is no time.
+fn seconds(value: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(value).ok()
+}
+
 fn default_traffic_threads() -> usize {
     2
 }
@@ -185,6 +254,10 @@
     2_500
 }
 
+fn default_memory_mb() -> u32 {
+    256
+}
+
 fn default_stop_ms() -> u64 {
     60_000
 }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -16,6 +16,7 @@
 use arbutuslane_item::prelude::Item;
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::RetryBudget;
+use arbutuslane_limit::memory::Memory;
 use arbutuslane_limit::resend::RecentFailures;
 
 use crate::announce::ServerTable;
@@ -83,6 +84,8 @@
     pub(crate) metrics: Metrics,
     /// Membership and register replicas.
     pub(crate) cluster: Cluster,
+    /// The memory for the request bodies that this node holds as an entry and as an owner.
+    pub(crate) body_memory: Arc<Memory>,
     /// The rate limiter of this node as an entry.
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
@@ -126,10 +129,11 @@
         let events = Buffer::new(settings.node.clone(), MAX_EVENTS);
         let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
-        let lease = Duration::from_millis(settings.lease_ms);
+        let lease = settings.lease();
         // Permits come from register groups, which only the catalogue's control instances assign.
         let tries_suspects_last = settings.source == Source::Items;
         let control = RwLock::new(Arc::new(settings.control.clone()));
+        let body_memory = Memory::new(settings.body_bytes());
         Arc::new(Self {
             settings,
             interface,
@@ -139,6 +143,7 @@
             metrics: Metrics::default(),
             events,
             cluster,
+            body_memory,
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES_PER_SECOND, SUMMARY_BURST, clock.now())),
             failures: Mutex::default(),
@@ -258,7 +263,7 @@
         let Some(budget) = self.settings.retry_budget else { return RetryBudget::default() };
         let nodes = self.cluster.membership().gossip.table().members().count().max(1);
         let percent = integer_part(budget.ratio * BUDGET_SHARE * 100.0);
-        let slack_per_node = f64::from(budget.slack) * BUDGET_SHARE / nodes as f64;
+        let slack_per_node = budget.slack * BUDGET_SHARE / nodes as f64;
         let interval = Duration::from_secs_f64(budget.window_s / slack_per_node.max(1e-3));
         RetryBudget::new(percent, 1, integer_part(slack_per_node).max(1))
             .with_refill_interval(interval, self.clock.now())
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -90,11 +90,22 @@
     /// Acquires a slot, or refuses the request if its predicted wait is longer than forwarding it
     /// to another server takes.
     pub(crate) async fn enter_now(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
-        let wait = self.lock().gate.predicted_wait(&arrival, self.clock.now());
-        if wait > FORWARDING_TIME {
-            return Err(Refusal { reason: Reason::Full, retry_after: wait });
+        match self.refusal(&arrival, false) {
+            Some(refusal) => Err(refusal),
+            None => self.enter(arrival).await,
         }
-        self.enter(arrival).await
+    }
+
+    /// Returns why a request would be refused now, or `None` if it would be admitted. With
+    /// `may_wait`, a request that would have to wait for a slot counts as admitted.
+    pub(crate) fn refusal(&self, arrival: &Arrival, may_wait: bool) -> Option<Refusal> {
+        let now = self.clock.now();
+        let gate = &self.lock().gate;
+        let wait = gate.predicted_wait(arrival, now);
+        if !may_wait && wait > FORWARDING_TIME {
+            return Some(Refusal { reason: Reason::Full, retry_after: wait });
+        }
+        gate.refusal(now, arrival)
     }
 
     /// Waits for a slot until the deadline of the request at the latest.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -6,7 +6,6 @@
 use ntex::http::StatusCode;
 use ntex::time::timeout_checked;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::attempts::Effort;
@@ -45,7 +44,7 @@
     };
     let server = selected.server.clone();
     tried.push(server.clone());
-    let may_switch = routed.class != Class::NonIdempotent && effort == Effort::Ordinary;
+    let may_switch = routed.class.is_repeatable() && effort == Effort::Ordinary;
     let silence_timeout = may_switch.then(|| silence_timeout(worker, routed));
     let started_at = worker.shared.clock.now();
     let load_age = services::load_age(worker, service, &server, started_at);
@@ -120,6 +119,7 @@
         is_trial: selected.is_trial,
         retryable: may_switch && services::has_retry_budget(worker, service),
         must_accept: matches!(effort, Effort::Insist | Effort::Suspect),
+        is_offered: false,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
         deadline: routed.deadline,
         fingerprint: routed.fingerprint,
--- a/crates/arbutuslane_node/src/traffic/client/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/client/mod.rs
@@ -5,11 +5,13 @@
 
 mod body;
 mod connection;
+mod held;
 mod pool;
 mod upload;
 
 pub(crate) use body::Body;
 pub(crate) use connection::{Connection, Echo, ExchangeOptions, ReceivedResponse, Request};
+pub(crate) use held::HeldBody;
 pub(crate) use pool::Pool;
 pub(crate) use upload::Upload;
 
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -8,15 +8,15 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use ntex::http::Payload;
 
-use super::Failure;
+use super::{Failure, HeldBody};
 
 /// The body of a request.
 #[derive(Debug, Clone)]
 pub(crate) enum Upload {
     /// No body.
     Empty,
-    /// A buffered body, which can be sent again.
-    Buffered(ntex::util::Bytes),
+    /// A body that is held in memory and can be sent again.
+    Held(Rc<HeldBody>),
     /// A body that is streamed from the caller and can be sent only once.
     Stream(Rc<StreamedBody>),
 }
@@ -25,7 +25,9 @@
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
     /// The bytes that were received before streaming started.
-    prefix: ntex::util::Bytes,
+    prefix: HeldBody,
+    /// The number of segments of the prefix that were sent.
+    sent_segments: Cell<usize>,
     payload: RefCell<Payload>,
     length: Option<u64>,
     limit: u64,
@@ -48,8 +50,10 @@
 /// A body while it is sent.
 #[derive(Debug)]
 pub(crate) enum OutgoingBody {
-    /// The unsent rest of a buffered body.
-    Buffered(Option<Bytes>),
+    /// A body held in memory, and the index of the segment that is sent next.
+    Held(Rc<HeldBody>, usize),
+    /// No body.
+    Empty,
     /// A body that is streamed from the caller.
     Stream(Rc<StreamedBody>),
 }
@@ -58,13 +62,14 @@
     /// Returns a body whose `prefix` was received and whose rest is streamed; sending it fails above
     /// `limit` bytes.
     pub(crate) fn stream(
-        prefix: ntex::util::Bytes,
+        prefix: HeldBody,
         payload: Payload,
         length: Option<u64>,
         limit: u64,
     ) -> Self {
         Self::Stream(Rc::new(StreamedBody {
             prefix,
+            sent_segments: Cell::new(0),
             payload: RefCell::new(payload),
             length,
             limit,
@@ -74,20 +79,29 @@
         }))
     }
 
+    /// Returns the number of bytes of the body; `None` if the sender has not stated it.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match self {
+            Self::Empty => Some(0),
+            Self::Held(body) => Some(body.len() as u64),
+            Self::Stream(stream) => stream.length,
+        }
+    }
+
     /// Returns whether the body can still be sent from its first byte.
     pub(crate) fn is_replayable(&self) -> bool {
         match self {
-            Self::Empty | Self::Buffered(_) => true,
+            Self::Empty | Self::Held(_) => true,
             Self::Stream(stream) => !stream.has_started.get(),
         }
     }
 
-    /// Returns the part of the body that was received before it was sent.
+    /// Returns the start of the body, as far as it was received before it is sent.
     pub(crate) fn buffered_prefix(&self) -> &[u8] {
         match self {
             Self::Empty => &[],
-            Self::Buffered(bytes) => bytes,
-            Self::Stream(stream) => &stream.prefix,
+            Self::Held(body) => body.first_segment(),
+            Self::Stream(stream) => stream.prefix.first_segment(),
         }
     }
 
@@ -103,23 +117,31 @@
     /// Returns the body for sending.
     pub(super) fn outgoing(&self) -> OutgoingBody {
         match self {
-            Self::Empty => OutgoingBody::Buffered(None),
-            Self::Buffered(bytes) => OutgoingBody::Buffered(Some(Bytes::copy_from_slice(bytes))),
+            Self::Empty => OutgoingBody::Empty,
+            Self::Held(body) => OutgoingBody::Held(Rc::clone(body), 0),
             Self::Stream(stream) => OutgoingBody::Stream(Rc::clone(stream)),
         }
     }
 }
 
+impl From<ntex::util::Bytes> for Upload {
+    fn from(bytes: ntex::util::Bytes) -> Self {
+        Self::Held(Rc::new(HeldBody::from(bytes)))
+    }
+}
+
 impl StreamedBody {
     /// Polls for the next bytes; fails if the body exceeds its limit or differs from its stated
     /// length.
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
-        let has_started = self.has_started.replace(true);
+        self.has_started.set(true);
+        if let Some(segment) = self.prefix.segment(self.sent_segments.get()) {
+            self.sent_segments.update(|sent| sent + 1);
+            self.sent.update(|sent| sent + segment.len() as u64);
+            return Poll::Ready(Some(Ok(Bytes::copy_from_slice(segment))));
+        }
         loop {
-            let next = match has_started || self.prefix.is_empty() {
-                true => ready!(self.payload.borrow_mut().poll_recv(cx)),
-                false => Some(Ok(self.prefix.clone())),
-            };
+            let next = ready!(self.payload.borrow_mut().poll_recv(cx));
             let sent = self.sent.get();
             return Poll::Ready(match next {
                 Some(Ok(chunk)) if chunk.is_empty() => continue,
@@ -151,23 +173,28 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, UploadError>>> {
         match &mut *self {
-            Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Empty => Poll::Ready(None),
+            Self::Held(body, next) => {
+                let segment = body.segment(*next).map(Bytes::copy_from_slice);
+                *next += 1;
+                Poll::Ready(segment.map(|segment| Ok(Frame::data(segment))))
+            }
             Self::Stream(stream) => stream.poll(cx).map(|next| next.map(|r| r.map(Frame::data))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Empty => true,
+            Self::Held(body, next) => body.segment(*next).is_none(),
             Self::Stream(stream) => stream.length == Some(0),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Empty => SizeHint::with_exact(0),
+            Self::Held(body, _) => SizeHint::with_exact(body.len() as u64),
             Self::Stream(stream) => stream.length.map(SizeHint::with_exact).unwrap_or_default(),
         }
     }
--- a/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
+++ b/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
@@ -19,8 +19,6 @@
 use ntex::io::IoRef;
 use ntex::time::sleep;
 
-use arbutuslane_catalogue::entry::Class;
-
 use super::entry;
 use super::route::IncomingRequest;
 use super::worker::Worker;
@@ -178,7 +176,7 @@
     for (index, mut incoming) in requests.into_iter().enumerate().take(MAX_EARLY_REQUESTS) {
         let host = incoming.headers.get("host").and_then(|host| host.to_str().ok());
         let rule = configuration.route(host, incoming.uri.path());
-        if rule.is_none_or(|rule| rule.class == Class::NonIdempotent) {
+        if rule.is_none_or(|rule| !rule.class.is_repeatable()) {
             break;
         }
         incoming.caller = caller;
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -1,62 +1,88 @@
-//! Reads the request bodies of callers.
+//! Reads the request bodies of callers and of other nodes.
 
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ntex::http::{Payload, StatusCode};
 use ntex::time::timeout_checked;
-use ntex::util::{Bytes, BytesMut};
+
+use arbutuslane_limit::memory::Memory;
 
 use crate::cluster::keyed;
 
-use super::client::Upload;
+use super::client::{HeldBody, Upload};
 use super::refusal::Refusal;
 
-/// The maximum size in bytes of a request body that is buffered so that it can be sent again.
-const MAX_BUFFERED_BYTES: u64 = 64 << 10;
+/// What a request body may be.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Bounds {
+    /// The maximum size in bytes.
+    pub(super) limit: u64,
+    /// The size that the sender stated, if it did.
+    pub(super) length: Option<u64>,
+    /// The time in which the body has to arrive.
+    pub(super) time: Duration,
+}
+
+/// Why a body was not read.
+enum ReadError {
+    TooLarge,
+    /// The sender closed the connection, sent too few bytes or framed them wrongly.
+    Incomplete,
+}
 
-/// Buffers a small body so that it can be sent again. Streams any other body after its first bytes,
-/// which the fingerprint covers.
+/// Holds a body in `memory`, so that a slow sender occupies no slot of a server and the body can be
+/// sent again. Streams the rest of the body when the memory is used up.
+///
+/// # Errors
+///
+/// Refuses a body that is larger than its limit, differs from its stated length or does not arrive
+/// in time.
 pub(super) async fn read_upload(
-    limit: u64,
-    mut payload: Payload,
-    length: Option<u64>,
-    remaining: Duration,
+    memory: &Arc<Memory>,
+    payload: Payload,
+    bounds: Bounds,
 ) -> Result<Upload, Refusal> {
-    if length.is_some_and(|length| length > limit) {
-        return Err(body_too_large(limit));
+    if bounds.length.is_some_and(|length| length > bounds.limit) {
+        return Err(body_too_large(bounds.limit));
     }
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    let is_buffered = length.is_some_and(|length| length <= MAX_BUFFERED_BYTES);
-    let min_bytes = if is_buffered { usize::MAX } else { keyed::FINGERPRINT_BODY_BYTES };
-    let reading = read_start(&mut payload, min_bytes);
-    let Ok(Ok((prefix, has_ended))) = timeout_checked(remaining, reading).await else {
-        return Err(incomplete_body());
-    };
-    if prefix.len() as u64 > limit {
-        return Err(body_too_large(limit));
-    }
-    if !has_ended {
-        return Ok(Upload::stream(prefix, payload, length, limit));
-    }
-    match length.is_none_or(|length| length == prefix.len() as u64) {
-        true => Ok(Upload::Buffered(prefix)),
-        false => Err(incomplete_body()),
+    match timeout_checked(bounds.time, hold(memory, payload, bounds)).await {
+        Ok(Ok(upload)) => Ok(upload),
+        Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
+        Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
+        Err(()) => Err(late_body()),
     }
 }
 
-/// Reads a body until it ends or `min_bytes` bytes have arrived; returns the bytes and whether the
-/// body has ended.
-async fn read_start(payload: &mut Payload, min_bytes: usize) -> Result<(Bytes, bool), ()> {
-    let mut prefix = BytesMut::new();
-    while prefix.len() < min_bytes {
-        match payload.recv().await {
-            Some(chunk) => prefix.extend_from_slice(&chunk.map_err(|_| ())?),
-            None => return Ok((prefix.freeze(), true)),
+/// Reads a body until it ends or the memory is used up. The bytes that the fingerprint covers are
+/// read in any case.
+async fn hold(
+    memory: &Arc<Memory>,
+    mut payload: Payload,
+    bounds: Bounds,
+) -> Result<Upload, ReadError> {
+    let mut body = HeldBody::new(memory);
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| ReadError::Incomplete)?;
+        if (body.len() + chunk.len()) as u64 > bounds.limit {
+            return Err(ReadError::TooLarge);
+        }
+        if body.push(&chunk) {
+            continue;
+        }
+        body.push_unreserved(&chunk);
+        if body.len() >= keyed::FINGERPRINT_BODY_BYTES {
+            return Ok(Upload::stream(body, payload, bounds.length, bounds.limit));
         }
     }
-    Ok((prefix.freeze(), false))
+    match bounds.length.is_none_or(|length| length == body.len() as u64) {
+        true => Ok(Upload::Held(Rc::new(body))),
+        false => Err(ReadError::Incomplete),
+    }
 }
 
 fn body_too_large(limit: u64) -> Refusal {
@@ -66,6 +92,12 @@
 }
 
 fn incomplete_body() -> Refusal {
-    let remedy = "send the complete body within the deadline";
+    let remedy = "send as many bytes as the request states, in valid chunks";
     Refusal::rejected(StatusCode::BAD_REQUEST, "request body is incomplete", remedy)
 }
+
+fn late_body() -> Refusal {
+    let remedy = "send the complete body within the deadline";
+    let error = "request body did not arrive within the deadline";
+    Refusal::rejected(StatusCode::REQUEST_TIMEOUT, error, remedy)
+}
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -64,7 +64,7 @@
 pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
     let settings = &shared.settings;
     let stop_timeout =
-        Seconds::checked_new(usize::try_from(settings.stop_ms / 1_000).unwrap_or(60));
+        Seconds::checked_new(usize::try_from(settings.stop_limit().as_secs()).unwrap_or(60));
     let mut builder = build()
         .workers(settings.traffic_threads)
         .backlog(ACCEPT_BACKLOG)
@@ -189,6 +189,9 @@
                     remedy,
                 );
             }
+            if request.path().starts_with(owner::OFFER) {
+                return owner::handle_offer(&worker, &request);
+            }
             if request.path().starts_with(owner::FORWARD) {
                 return owner::handle(worker, request).await;
             }
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -4,7 +4,6 @@
 
 use ntex::http::{HeaderMap, StatusCode};
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::time::Time;
 use arbutuslane_wire::dialect::{Dialect, ResponseMatching};
 
@@ -30,7 +29,7 @@
     let clock = &worker.shared.clock;
     // A booking uses a new connection, so that it never depends on whether an idle one is still
     // open.
-    let keep_alive = server_request.class != Class::NonIdempotent;
+    let keep_alive = server_request.class.is_repeatable();
     let dialect = worker.shared.interface.dialect();
     let always_echoes = matches!(dialect.response_matching, ResponseMatching::EndToEnd(_));
     let mut idle = if keep_alive && (always_echoes || server.echoes_ids()) {
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -29,65 +29,105 @@
 pub(crate) use exchange::count_connection;
 use exchange::{implies_not_run, send, shed_refusal};
 pub(crate) use work::ServerRequest;
-use work::parse_request;
+use work::{parse_request, receive_request};
 
 /// The path prefix of forwarded requests.
 pub(crate) const FORWARD: &str = "/v1/forward";
 
+/// The path prefix of offers: heads of requests whose bodies follow if the offer is accepted.
+pub(crate) const OFFER: &str = "/v1/offer";
+
+/// Responds to an offer of a request: whether its server would admit the request.
+///
+/// A refused body would have crossed the links of two machines for nothing, and a refusal that is
+/// sent before the body was read may be lost with the connection.
+pub(crate) fn handle_offer(worker: &Worker, incoming: &http::Request) -> Response {
+    let result = parse_request(worker, incoming).and_then(|server_request| {
+        let (server, arrival) = check(worker, &server_request)?;
+        match server.admission.refusal(&arrival, server_request.must_accept) {
+            Some(refusal) => Err(admission_refusal(refusal)),
+            None => Ok(()),
+        }
+    });
+    let response = match result {
+        Ok(()) => Response::new(StatusCode::NO_CONTENT),
+        Err(refusal) => refusal.response(),
+    };
+    with_load(worker, incoming.headers(), response)
+}
+
+/// Adds the exchange id and the load of the server to a response to an entry.
+fn with_load(worker: &Worker, request: &HeaderMap, mut response: Response) -> Response {
+    let headers = response.headers_mut();
+    if let Some(exchange) = fields::text(request, header::EXCHANGE) {
+        fields::set(headers, header::EXCHANGE, exchange);
+    }
+    let server = fields::text(request, header::SERVER).unwrap_or_default();
+    if let Some(server) = worker.shared.servers.get(server) {
+        fields::set(headers, header::LOAD, &server.report().encode());
+    }
+    response
+}
+
 /// Responds to a request that an entry forwarded.
 pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
-    let exchange = fields::text(incoming.headers(), header::EXCHANGE).map(str::to_string);
-    let server = fields::text(incoming.headers(), header::SERVER).unwrap_or_default().to_string();
     let io = incoming.io().cloned();
-    let result = match parse_request(&worker, &mut incoming) {
+    let result = match receive_request(&worker, &mut incoming).await {
         Ok(server_request) => dispatch(&worker, server_request).await,
         Err(refusal) => Err(refusal),
     };
-    let load = worker.shared.servers.get(&server).map(|server| server.report().encode());
     let latency = result.as_ref().ok().map(|response| response.latency.as_micros().to_string());
-    let mut response = match result {
+    let response = match result {
         Ok(response) => Relay::respond(&worker.shared, response, io, in_flight, None),
         Err(refusal) => refusal.response(),
     };
-    let headers = response.headers_mut();
-    if let Some(exchange) = exchange {
-        fields::set(headers, header::EXCHANGE, &exchange);
-    }
-    if let Some(load) = load {
-        fields::set(headers, header::LOAD, &load);
-    }
+    let mut response = with_load(&worker, incoming.headers(), response);
     if let Some(latency) = latency {
-        fields::set(headers, header::LATENCY_US, &latency);
+        fields::set(response.headers_mut(), header::LATENCY_US, &latency);
     }
     response
 }
 
+/// Makes the checks that come before the queue of the server; returns the server and the request as
+/// it arrives at the queue.
+fn check(
+    worker: &Worker,
+    server_request: &ServerRequest,
+) -> Result<(Arc<Server>, Arrival), Refusal> {
+    let server = find_server(worker, server_request)?;
+    strikes::requires_claim(worker, server_request.fingerprint)?;
+    // The trial of a suspect server was decided with the offer.
+    let must_accept = server_request.must_accept || server_request.is_offered;
+    if !must_accept && !server.health.should_accept(server_request.retryable) {
+        return Err(Refusal::suspect());
+    }
+    let (kind, _) = evidence_sources(worker, &server_request.request);
+    let precedence = precedence(worker, &server_request.request.headers);
+    let ServerRequest { rank, due, deadline, .. } = *server_request;
+    Ok((server, Arrival { kind, rank, precedence, due, deadline }))
+}
+
 /// Dispatches a request to its server, which this node owns.
 pub(crate) async fn dispatch(
     worker: &Worker,
     server_request: ServerRequest,
 ) -> Result<ServerResponse, Refusal> {
     let clock = &worker.shared.clock;
-    let server = find_server(worker, &server_request)?;
-    strikes::requires_claim(worker, server_request.fingerprint)?;
+    let (server, arrival) = check(worker, &server_request)?;
     let was_suspect = server.health.is_suspect();
-    if !server_request.must_accept && !server.health.should_accept(server_request.retryable) {
-        return Err(Refusal::suspect());
-    }
-    let ServerRequest { rank, due, deadline, .. } = server_request;
     let (route, caller) = evidence_sources(worker, &server_request.request);
-    let precedence = precedence(worker, &server_request.request.headers);
-    let arrival = Arrival { kind: route, rank, precedence, due, deadline };
+    let deadline = server_request.deadline;
     let arrived_at = clock.now();
-    let permit = match server_request.must_accept {
+    let may_wait = server_request.must_accept || server_request.is_offered;
+    let permit = match may_wait {
         true => server.admission.enter(arrival).await,
         false => server.admission.enter_now(arrival).await,
     };
     let permit = permit.map_err(admission_refusal)?;
     let metrics = &worker.shared.metrics;
     metrics.record_stage(Stage::Queue, clock.now().saturating_sub(arrived_at));
-    if !server_request.must_accept && !was_suspect && server.health.is_suspect() {
+    if !may_wait && !was_suspect && server.health.is_suspect() {
         return Err(Refusal::suspect());
     }
     // Checked after the queue, because another run of the request may have crashed a server
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use ntex::http::{self, StatusCode};
-use ntex::util::Bytes;
 
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
@@ -13,8 +12,9 @@
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_wire::header;
 
-use super::FORWARD;
+use super::{FORWARD, OFFER};
 use crate::traffic::client::{Request, Upload};
+use crate::traffic::intake::{self, Bounds};
 use crate::traffic::refusal::Refusal;
 use crate::traffic::worker::Worker;
 use crate::traffic::{deadline, fields};
@@ -41,6 +41,8 @@
     /// Whether the request may wait for a slot, and a server that fails most requests must accept
     /// it, because no other server accepts it.
     pub(crate) must_accept: bool,
+    /// Whether the owner has accepted an offer of the request, so that its body was sent.
+    pub(crate) is_offered: bool,
     /// The id of the entry thread and its summary of how the server's peers perform.
     pub(crate) summary: Option<(u64, Summary)>,
     /// The time after which the response is useless.
@@ -51,10 +53,29 @@
     pub(crate) request: Request,
 }
 
-/// Parses a request that an entry forwarded.
-pub(super) fn parse_request(
+/// Receives a request that an entry forwarded.
+///
+/// The whole body is received before the request enters the queue of its server, so that a slow
+/// link does not occupy a slot.
+pub(super) async fn receive_request(
     worker: &Worker,
     incoming: &mut http::Request,
+) -> Result<ServerRequest, Refusal> {
+    let mut server_request = parse_request(worker, incoming)?;
+    let length = fields::content_length(incoming.headers());
+    // The entry has already enforced the body limit of the service.
+    let time = server_request.deadline.remaining(worker.shared.clock.now());
+    let bounds = Bounds { limit: u64::MAX, length, time };
+    let payload = incoming.take_payload();
+    server_request.request.upload =
+        intake::read_upload(&worker.shared.body_memory, payload, bounds).await?;
+    Ok(server_request)
+}
+
+/// Parses the head of a request that an entry forwards or offers.
+pub(super) fn parse_request(
+    worker: &Worker,
+    incoming: &http::Request,
 ) -> Result<ServerRequest, Refusal> {
     let bad_request = |message: &str| {
         let remedy = "check that all nodes run compatible releases";
@@ -67,12 +88,8 @@
     let incarnation = incarnation.and_then(|text| text.parse().ok());
     let incarnation = incarnation
         .ok_or_else(|| bad_request("the incarnation header field is missing or invalid"))?;
-    let class = match fields::text(headers, header::CLASS) {
-        Some("idempotent") => Class::Idempotent,
-        Some("non-idempotent") => Class::NonIdempotent,
-        Some("download") => Class::Download,
-        _ => return Err(bad_request("the class header field is missing or invalid")),
-    };
+    let class = fields::text(headers, header::CLASS).and_then(Class::from_name);
+    let class = class.ok_or_else(|| bad_request("the class header field is missing or invalid"))?;
     let now = worker.shared.clock.now();
     let deadline = deadline::read(headers, Duration::ZERO, now);
     let rank = fields::text(headers, header::RANK).and_then(|text| text.parse().ok());
@@ -80,7 +97,8 @@
     let due = deadline::read_from(header::DUE_MS, headers, deadline.remaining(now), now);
     let due = now + due.remaining(now);
     let target = incoming.uri().path_and_query().map_or("/", |target| target.as_str());
-    let target = target.strip_prefix(FORWARD).filter(|target| target.starts_with('/'));
+    let target = target.strip_prefix(FORWARD).or_else(|| target.strip_prefix(OFFER));
+    let target = target.filter(|target| target.starts_with('/'));
     let target = target
         .ok_or_else(|| bad_request("the path is not that of a forwarded request"))?
         .to_string();
@@ -88,17 +106,13 @@
     let source = source.and_then(|text| u64::from_str_radix(text, 16).ok());
     let summary = fields::text(headers, header::BASELINE).and_then(Summary::parse);
     let summary = source.zip(summary);
-    let (server, length) = (server.to_string(), fields::content_length(headers));
+    let server = server.to_string();
     let (method, headers) = (incoming.method().clone(), fields::end_to_end(headers));
-    // The entry has already enforced the body limit of the service.
-    let upload = match incoming.take_payload() {
-        http::Payload::None => Upload::Empty,
-        payload => Upload::stream(Bytes::new(), payload, length, u64::MAX),
-    };
-    let request = Request { method, target, headers, upload };
+    let request = Request { method, target, headers, upload: Upload::Empty };
     let is_trial = incoming.headers().contains_key(header::TRIAL);
     let retryable = incoming.headers().contains_key(header::REPEATABLE);
     let must_accept = incoming.headers().contains_key(header::MUST_ACCEPT);
+    let is_offered = incoming.headers().contains_key(header::OFFERED);
     let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
     let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
     let fingerprint = fingerprint.unwrap_or_default();
@@ -113,6 +127,7 @@
         is_trial,
         retryable,
         must_accept,
+        is_offered,
         summary,
         deadline,
         fingerprint,
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -5,12 +5,11 @@
 
 use ntex::http::StatusCode;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_wire::{header, load, operator};
 
 use super::answer::ServerResponse;
-use super::client::{Echo, ExchangeOptions, Failure, ReceivedResponse};
-use super::owner::{FORWARD, ServerRequest, count_connection};
+use super::client::{Echo, ExchangeOptions, Failure, ReceivedResponse, Request, Upload};
+use super::owner::{FORWARD, OFFER, ServerRequest, count_connection};
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::worker::Worker;
 use super::{deadline, fields, services};
@@ -19,6 +18,10 @@
 /// after it, which is faster than waiting for the retransmission of a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The size from which a body is offered before it is sent. A smaller one crosses a link of a few
+/// megabits per second in about the time that an offer takes.
+const MIN_OFFERED_BYTES: u64 = 16 << 10;
+
 /// The maximum size of a refusal in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
@@ -28,24 +31,18 @@
     server_request: ServerRequest,
     owner_address: (&str, SocketAddr),
 ) -> Result<ServerResponse, Refusal> {
-    let (owner, address) = owner_address;
-    let (service, server) = (server_request.service.clone(), server_request.server.clone());
-    let method = server_request.request.method.clone();
-    let received = match send(worker, server_request, address).await {
-        Ok(received) => received,
-        Err(failure) => {
-            tracing::debug!(event = "forward-failed", server, %failure);
-            worker.pool.purge(address);
-            if !failure.sent() {
-                services::mark_owner_unreachable(worker, owner);
-            }
-            return Err(Refusal::from_failure(&failure));
-        }
-    };
-    let load = fields::text(&received.headers, header::LOAD).and_then(load::Report::parse);
-    if let Some(report) = load {
-        services::record_load(worker, &service, &server, &report);
+    let (_, address) = owner_address;
+    let mut server_request = server_request;
+    if is_worth_offer(&server_request.request.upload) {
+        server_request.is_offered = offer(worker, &server_request, owner_address).await?;
     }
+    let method = server_request.request.method.clone();
+    let target = format!("{FORWARD}{}", server_request.request.target);
+    // A connection on which an offer was accepted a moment ago is open.
+    let reuses = server_request.class.is_repeatable() || server_request.is_offered;
+    let sent = send(worker, &server_request, target, reuses, address).await;
+    let received = record_sent(worker, &server_request, owner_address, sent)
+        .map_err(|failure| Refusal::from_failure(&failure))?;
     match fields::text(&received.headers, header::OUTCOME) {
         Some(header::OUTCOME_ANSWERED) => {
             let latency = fields::text(&received.headers, header::LATENCY_US);
@@ -58,55 +55,104 @@
     }
 }
 
-/// Sends a request with the header fields for its owner. Uses a new connection if the pooled one
-/// was closed before the first byte was sent.
-async fn send(
+/// Returns whether a body is long enough to ask the owner first whether it would admit the request.
+fn is_worth_offer(upload: &Upload) -> bool {
+    upload.length().is_none_or(|length| length >= MIN_OFFERED_BYTES)
+}
+
+/// Offers a request to the owner of its server. Returns whether the owner accepted the offer; an
+/// owner of an earlier release does not know offers.
+///
+/// # Errors
+///
+/// Returns the owner's refusal of the request, which has not run.
+async fn offer(
     worker: &Worker,
-    server_request: ServerRequest,
-    address: SocketAddr,
-) -> Result<ReceivedResponse, Failure> {
-    let clock = &worker.shared.clock;
-    let ServerRequest {
-        server,
-        incarnation,
-        class,
-        rank,
-        due,
-        deadline,
-        mut request,
-        is_trial,
-        summary,
-        retryable,
-        must_accept,
-        ..
-    } = server_request;
-    let fingerprint = format!("{:016x}", server_request.fingerprint);
-    fields::set(&mut request.headers, header::FINGERPRINT, &fingerprint);
-    request.target = format!("{FORWARD}{}", request.target);
-    let class_name = match class {
-        Class::Idempotent => "idempotent",
-        Class::NonIdempotent => "non-idempotent",
-        Class::Download => "download",
-    };
-    fields::set(&mut request.headers, header::TOKEN, &worker.shared.token());
-    fields::set(&mut request.headers, header::SERVER, &server);
-    fields::set(&mut request.headers, header::INCARNATION, &incarnation.to_string());
-    fields::set(&mut request.headers, header::CLASS, class_name);
-    if let Some((source, summary)) = summary {
-        fields::set(&mut request.headers, header::BASELINE, &summary.encode());
-        fields::set(&mut request.headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
+    server_request: &ServerRequest,
+    owner_address: (&str, SocketAddr),
+) -> Result<bool, Refusal> {
+    let mut head = server_request.clone();
+    head.request.upload = Upload::Empty;
+    let target = format!("{OFFER}{}", head.request.target);
+    let sent = send(worker, &head, target, true, owner_address.1).await;
+    // No server has received anything, whatever happened to the offer.
+    let received = record_sent(worker, server_request, owner_address, sent)
+        .map_err(|failure| Refusal::stale(failure.to_string()))?;
+    if received.status == StatusCode::NO_CONTENT {
+        return Ok(true);
     }
-    fields::set(&mut request.headers, header::RANK, &rank.to_string());
-    if retryable {
-        fields::set(&mut request.headers, header::REPEATABLE, "1");
+    match fields::text(&received.headers, header::OUTCOME) {
+        Some(_) => Err(read_refusal(received, Outcome::NotRun).await),
+        None => Ok(false),
+    }
+}
+
+/// Records what an exchange with an owner says about the owner and about the load of the server.
+fn record_sent(
+    worker: &Worker,
+    server_request: &ServerRequest,
+    owner_address: (&str, SocketAddr),
+    sent: Result<ReceivedResponse, Failure>,
+) -> Result<ReceivedResponse, Failure> {
+    let ServerRequest { service, server, .. } = server_request;
+    let (owner, address) = owner_address;
+    match &sent {
+        Ok(received) => {
+            let load = fields::text(&received.headers, header::LOAD).and_then(load::Report::parse);
+            if let Some(report) = load {
+                services::record_load(worker, service, server, &report);
+            }
+        }
+        Err(failure) => {
+            tracing::debug!(event = "forward-failed", server, %failure);
+            worker.pool.purge(address);
+            if !failure.sent() {
+                services::mark_owner_unreachable(worker, owner);
+            }
+        }
     }
-    if must_accept {
-        fields::set(&mut request.headers, header::MUST_ACCEPT, "1");
+    sent
+}
+
+/// Returns the request with the header fields for its owner.
+fn to_owner(worker: &Worker, server_request: &ServerRequest, target: String) -> Request {
+    let mut request = Request { target, ..server_request.request.clone() };
+    let headers = &mut request.headers;
+    fields::set(headers, header::FINGERPRINT, &format!("{:016x}", server_request.fingerprint));
+    fields::set(headers, header::TOKEN, &worker.shared.token());
+    fields::set(headers, header::SERVER, &server_request.server);
+    fields::set(headers, header::INCARNATION, &server_request.incarnation.to_string());
+    fields::set(headers, header::CLASS, server_request.class.name());
+    if let Some((source, summary)) = &server_request.summary {
+        fields::set(headers, header::BASELINE, &summary.encode());
+        fields::set(headers, header::BASELINE_SOURCE, &format!("{source:016x}"));
     }
-    if is_trial {
-        fields::set(&mut request.headers, header::TRIAL, "1");
+    fields::set(headers, header::RANK, &server_request.rank.to_string());
+    for (name, is_set) in [
+        (header::REPEATABLE, server_request.retryable),
+        (header::MUST_ACCEPT, server_request.must_accept),
+        (header::TRIAL, server_request.is_trial),
+        (header::OFFERED, server_request.is_offered),
+    ] {
+        if is_set {
+            fields::set(headers, name, "1");
+        }
     }
-    let keep_alive = class != Class::NonIdempotent;
+    request
+}
+
+/// Sends a request to an owner, on a pooled connection if `keep_alive` is set. Uses a new connection
+/// if the pooled one was closed before the first byte was sent.
+async fn send(
+    worker: &Worker,
+    server_request: &ServerRequest,
+    target: String,
+    keep_alive: bool,
+    address: SocketAddr,
+) -> Result<ReceivedResponse, Failure> {
+    let clock = &worker.shared.clock;
+    let ServerRequest { due, deadline, .. } = *server_request;
+    let request = to_owner(worker, server_request, target);
     let mut idle = if keep_alive { worker.pool.take(address) } else { None };
     loop {
         let wait = deadline.remaining(clock.now());
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -140,8 +140,8 @@
     }
     let length = fields::content_length(&incoming.headers);
     let payload = incoming.payload;
-    let upload =
-        intake::read_upload(rule.body_bytes, payload, length, deadline.remaining(now)).await?;
+    let bounds = intake::Bounds { limit: rule.body_bytes, length, time: deadline.remaining(now) };
+    let upload = intake::read_upload(&worker.shared.body_memory, payload, bounds).await?;
     let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(&incoming.headers);
     if !headers.contains_key(HOST) {
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -24,7 +24,7 @@
 /// The incarnation of that server.
 pub const INCARNATION: &str = "arbutuslane-incarnation";
 
-/// The class of the request: `idempotent`, `non-idempotent` or `download`.
+/// The class of the request: `idempotent`, `non-idempotent`, `download` or `upload`.
 pub const CLASS: &str = "arbutuslane-class";
 
 /// The load of a backend server, on responses from its owner; see [`crate::load::Report`].
@@ -36,6 +36,9 @@
 /// Marks a request that an ejected server may run as a trial.
 pub const TRIAL: &str = "arbutuslane-trial";
 
+/// Marks a forwarded request whose offer the owner has accepted.
+pub const OFFERED: &str = "arbutuslane-offered";
+
 /// The secret shared by the processes of the fleet.
 pub const TOKEN: &str = "arbutuslane-token";
 
