--- a/crates/arbutuslane_node/src/traffic/client/pool.rs
+++ b/crates/arbutuslane_node/src/traffic/client/pool.rs
@@ -45,9 +45,21 @@
 
     /// Returns an idle connection to `address` that is still open, or `None`.
     pub(crate) fn take(self: &Rc<Self>, address: SocketAddr) -> Option<Connection> {
+        self.take_recent(address, MAX_IDLE_TIME)
+    }
+
+    /// Returns an idle connection to `address` that is still open and has been idle for at most
+    /// `max_idle`, or `None`.
+    pub(crate) fn take_recent(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        max_idle: Duration,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let index = idle.binary_search_by_key(&address, |(known, _)| *known).ok()?;
-        while let Some(mut entry) = idle[index].1.pop() {
+        // The connection that was used last is at the end.
+        while let Some(mut entry) = idle[index].1.pop_if(|entry| entry.since.elapsed() <= max_idle)
+        {
             if entry.since.elapsed() > entry.limit || !entry.driver.is_idle(&entry.sender) {
                 continue;
             }
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -17,6 +17,14 @@
 use crate::traffic::worker::{Worker, new_exchange_id};
 use crate::traffic::{deadline, fields};
 
+/// The longest idle time of a connection that a request which may be repeated reuses. The pool
+/// closes connections earlier where the server states a shorter time.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// The longest idle time of a connection that a request which runs at most once reuses. Servers
+/// state their idle timeouts in whole seconds, and some close or forget a connection well before.
+const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(200);
+
 /// The connect timeout for a backend server; a connection usually takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -27,13 +35,16 @@
     server_request: &ServerRequest,
 ) -> Result<ReceivedResponse, Failure> {
     let clock = &worker.shared.clock;
-    // A booking uses a new connection, so that it never depends on whether an idle one is still
-    // open.
-    let keep_alive = server_request.class.is_repeatable();
+    // A request that runs at most once is lost if the server has dropped the connection. It uses
+    // only one that the server has just responded on.
+    let max_idle = match server_request.class.is_repeatable() {
+        true => MAX_IDLE,
+        false => MAX_IDLE_UNREPEATABLE,
+    };
     let dialect = worker.shared.interface.dialect();
     let always_echoes = matches!(dialect.response_matching, ResponseMatching::EndToEnd(_));
-    let mut idle = if keep_alive && (always_echoes || server.echoes_ids()) {
-        worker.pool.take(server.address)
+    let mut idle = if always_echoes || server.echoes_ids() {
+        worker.pool.take_recent(server.address, max_idle)
     } else {
         None
     };
@@ -55,7 +66,7 @@
         let options = ExchangeOptions {
             id: exchange_id(dialect, &server_request.request.headers),
             echo: if echoes_ids { Echo::Required } else { Echo::Unknown },
-            keep_alive,
+            keep_alive: true,
             allows_close_delimited: dialect.allows_close_delimited,
             limit,
         };
