Test uploads on sockets, drain refused bodies, learn from broken reuse

Cause: with the memory for bodies used up, an owner refused a streamed upload and closed the connection with unread bytes; the reset overtook the refusal, and an upload that had not run ended as 502 unknown (upload_memory failed with 'error writing a body to connection'). Changed: the rest of a refused body is read, at most 1 MiB or for 1 s, before the refusal is sent. Requests that run at most once use new connections for 30 s after a reused one broke.

--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod memory;
 pub mod resend;
 pub mod retry;
+pub mod reuse;
 pub mod service_time;
 
 /// The names that most users of this crate need.
--- /dev/null
+++ b/crates/arbutuslane_limit/tests/bodies.rs
@@ -0,0 +1,64 @@
+//! The memory for request bodies, and the reuse of connections by requests that run at most once.
+
+use std::time::Duration;
+
+use arbutuslane_catalogue::entry::Class;
+use arbutuslane_limit::memory::{Memory, Reservation};
+use arbutuslane_limit::reuse::Reuse;
+use quickcheck::{Gen, QuickCheck};
+
+/// Guards against held bodies above the limit, and against memory that is not released.
+fn limit_kept(steps: Vec<(u8, u16)>) -> bool {
+    const LIMIT: usize = 100_000;
+    let memory = Memory::new(LIMIT);
+    let mut held: Vec<(Reservation, usize)> = Vec::new();
+    for (body, bytes) in steps {
+        let body = usize::from(body % 16);
+        let bytes = usize::from(bytes);
+        if body >= held.len() {
+            held.push((memory.reserve(), 0));
+            continue;
+        }
+        if bytes % 7 == 0 {
+            held.swap_remove(body);
+            continue;
+        }
+        let before: usize = held.iter().map(|(_, bytes)| bytes).sum();
+        let has_grown = held[body].0.grow(bytes);
+        if has_grown != (before + bytes <= LIMIT) {
+            return false;
+        }
+        held[body].1 += if has_grown { bytes } else { 0 };
+        let expected: usize = held.iter().map(|(_, bytes)| bytes).sum();
+        if memory.used() != expected {
+            return false;
+        }
+    }
+    drop(held);
+    memory.used() == 0
+}
+
+#[test]
+fn memory_limit() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 31))
+        .tests(200)
+        .quickcheck(limit_kept as fn(Vec<(u8, u16)>) -> bool);
+}
+
+/// Guards against a booking on a connection that may have been forgotten, and against bookings that
+/// use new connections for good after one broke.
+#[test]
+fn reuse_broken() {
+    let mut reuse = Reuse::default();
+    let now = Duration::from_secs(100);
+    for class in Class::ALL {
+        let max_idle = reuse.max_idle(class, now).unwrap();
+        assert_eq!(max_idle < Duration::from_secs(1), !class.is_repeatable(), "{class}");
+    }
+    reuse.record_broken(now);
+    for class in Class::ALL {
+        assert_eq!(reuse.max_idle(class, now).is_some(), class.is_repeatable(), "{class}");
+    }
+    assert!(reuse.max_idle(Class::Upload, now + Duration::from_secs(60)).is_some());
+}
--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -138,6 +138,7 @@
             end_reported: AtomicBool::new(false),
             echoes_ids: AtomicBool::new(false),
             latency_us: AtomicU32::new(0),
+            reuse: Default::default(),
         });
         server.renew(now);
         if announcement.draining {
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -1,12 +1,14 @@
 //! One backend server and its lease.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
 use arbutuslane_core::time::Time;
+use arbutuslane_limit::reuse::Reuse;
 use arbutuslane_wire::announce::Announcement;
 use arbutuslane_wire::load::{Report, Serving};
 
@@ -39,6 +41,7 @@
     pub(super) end_reported: AtomicBool,
     pub(super) echoes_ids: AtomicBool,
     pub(super) latency_us: AtomicU32,
+    pub(super) reuse: Mutex<Reuse>,
 }
 
 impl Server {
@@ -74,6 +77,21 @@
         self.echoes_ids.store(true, Ordering::Relaxed);
     }
 
+    /// Returns how long a connection to the server may have been idle that a request of `class`
+    /// reuses, or `None` if the request needs a new connection.
+    pub(crate) fn max_idle(&self, class: Class, now: Time) -> Option<Duration> {
+        self.lock_reuse().max_idle(class, now)
+    }
+
+    /// Records that a reused connection to the server broke.
+    pub(crate) fn record_broken_reuse(&self, now: Time) {
+        self.lock_reuse().record_broken(now);
+    }
+
+    fn lock_reuse(&self) -> MutexGuard<'_, Reuse> {
+        self.reuse.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds a latency to the moving average, in which it has a weight of one eighth.
     pub(crate) fn record_latency(&self, latency: Duration) {
         let latest = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
--- a/crates/arbutuslane_node/src/metrics/mod.rs
+++ b/crates/arbutuslane_node/src/metrics/mod.rs
@@ -42,6 +42,12 @@
     pub(crate) resumed: AtomicU64,
     /// Requests whose caller disconnected before the response was complete.
     pub(crate) cancelled: AtomicU64,
+    /// Offers that this node refused as an owner, so that no body was sent.
+    pub(crate) offers_refused: AtomicU64,
+    /// Bytes of the bodies of forwarded requests that this node refused after it had received them.
+    pub(crate) refused_body_bytes: AtomicU64,
+    /// Request bodies that were streamed, because the memory for bodies was used up.
+    pub(crate) streamed_bodies: AtomicU64,
     /// Requests of callers and peers in flight.
     pub(crate) in_flight: AtomicI64,
     labelled: Labelled,
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -35,6 +35,9 @@
         ("truncated_bodies", &metrics.truncated),
         ("resumed_downloads", &metrics.resumed),
         ("cancelled", &metrics.cancelled),
+        ("offers_refused", &metrics.offers_refused),
+        ("refused_body_bytes", &metrics.refused_body_bytes),
+        ("streamed_bodies", &metrics.streamed_bodies),
     ];
     for (name, counter) in counters {
         let value = counter.load(Ordering::Relaxed);
@@ -48,6 +51,8 @@
         ("configuration_items", shared.configuration().items().items().len() as u64),
         ("remote_servers", shared.remote_servers().len() as u64),
         ("control_unreachable", u64::from(shared.cluster.control_contact().is_unreachable())),
+        ("held_body_bytes", shared.body_memory.used() as u64),
+        ("held_body_bytes_limit", shared.body_memory.limit() as u64),
         ("stopping", u64::from(shared.is_stopping())),
     ];
     for (name, value) in gauges {
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -8,6 +8,8 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use ntex::http::Payload;
 
+use crate::traffic::intake;
+
 use super::{Failure, HeldBody};
 
 /// The body of a request.
@@ -105,6 +107,16 @@
         }
     }
 
+    /// Reads the rest of a body that is streamed, because its request is refused.
+    pub(crate) async fn discard_rest(&self) {
+        let Self::Stream(stream) = self else { return };
+        if stream.error.get().is_some() {
+            return;
+        }
+        let mut payload = stream.payload.take();
+        intake::discard(&mut payload).await;
+    }
+
     /// Returns the failure of an exchange that was caused by its request body.
     pub(super) fn failure(&self) -> Option<Failure> {
         let Self::Stream(stream) = self else { return None };
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -22,6 +22,7 @@
 use super::answer::ServerResponse;
 use super::attempt;
 use super::fields;
+use super::intake;
 use super::owner;
 use super::protocol;
 use super::refusal::{Outcome, Refusal, RefusalCause};
@@ -177,13 +178,20 @@
 /// route and service.
 async fn process_request(
     worker: &Worker,
-    incoming: IncomingRequest,
+    mut incoming: IncomingRequest,
     destination: &mut Destination,
 ) -> Result<FinalResponse, Refusal> {
-    if worker.shared.has_intake_ended() {
-        return Err(Refusal::not_run("this node is about to stop"));
-    }
-    let routed = route(worker, incoming).await?;
+    let routed = match worker.shared.has_intake_ended() {
+        true => Err(Refusal::not_run("this node is about to stop")),
+        false => route(worker, &mut incoming).await,
+    };
+    let routed = match routed {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            intake::discard(&mut incoming.payload).await;
+            return Err(refusal);
+        }
+    };
     let (route, service) = (routed.route.clone(), routed.service.clone());
     *destination = Destination { route, service };
     let claim = match keyed::claim_key(worker, &routed).await? {
@@ -192,6 +200,9 @@
         KeyClaim::Free => None,
     };
     let (result, tried) = run_attempts(worker, &routed).await;
+    if result.is_err() {
+        routed.request.upload.discard_rest().await;
+    }
     let Some(claim) = claim else {
         return result.map(|response| FinalResponse::Relayed(Box::new((routed, response, tried))));
     };
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -10,10 +10,18 @@
 use arbutuslane_limit::memory::Memory;
 
 use crate::cluster::keyed;
+use crate::metrics::count;
+use crate::shared::Shared;
 
 use super::client::{HeldBody, Upload};
 use super::refusal::Refusal;
 
+/// The most bytes of a body that are read although its request has been refused.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
+/// The longest time in which a body is read although its request has been refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What a request body may be.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Bounds {
@@ -32,7 +40,7 @@
     Incomplete,
 }
 
-/// Holds a body in `memory`, so that a slow sender occupies no slot of a server and the body can be
+/// Holds a body in the memory of the node, so that a slow sender occupies no slot of a server and the body can be
 /// sent again. Streams the rest of the body when the memory is used up.
 ///
 /// # Errors
@@ -40,7 +48,7 @@
 /// Refuses a body that is larger than its limit, differs from its stated length or does not arrive
 /// in time.
 pub(super) async fn read_upload(
-    memory: &Arc<Memory>,
+    shared: &Shared,
     payload: Payload,
     bounds: Bounds,
 ) -> Result<Upload, Refusal> {
@@ -50,14 +58,35 @@
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    match timeout_checked(bounds.time, hold(memory, payload, bounds)).await {
-        Ok(Ok(upload)) => Ok(upload),
+    match timeout_checked(bounds.time, hold(&shared.body_memory, payload, bounds)).await {
+        Ok(Ok(upload)) => {
+            if matches!(upload, Upload::Stream(_)) {
+                count(&shared.metrics.streamed_bodies);
+            }
+            Ok(upload)
+        }
         Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
         Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
         Err(()) => Err(late_body()),
     }
 }
 
+/// Reads the rest of a body whose request is refused.
+///
+/// A connection that is closed with unread bytes is reset, and the sender may then lose the refusal.
+pub(super) async fn discard(payload: &mut Payload) {
+    let reading = async {
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES
+            && let Some(Ok(chunk)) = payload.recv().await
+        {
+            discarded += chunk.len();
+        }
+    };
+    // After the limits, the refusal is sent as it is.
+    let _ = timeout_checked(DISCARD_TIMEOUT, reading).await;
+}
+
 /// Reads a body until it ends or the memory is used up. The bytes that the fingerprint covers are
 /// read in any case.
 async fn hold(
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -17,14 +17,6 @@
 use crate::traffic::worker::{Worker, new_exchange_id};
 use crate::traffic::{deadline, fields};
 
-/// The longest idle time of a connection that a request which may be repeated reuses. The pool
-/// closes connections earlier where the server states a shorter time.
-const MAX_IDLE: Duration = Duration::from_secs(20);
-
-/// The longest idle time of a connection that a request which runs at most once reuses. Servers
-/// state their idle timeouts in whole seconds, and some close or forget a connection well before.
-const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(200);
-
 /// The connect timeout for a backend server; a connection usually takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -35,19 +27,12 @@
     server_request: &ServerRequest,
 ) -> Result<ReceivedResponse, Failure> {
     let clock = &worker.shared.clock;
-    // A request that runs at most once is lost if the server has dropped the connection. It uses
-    // only one that the server has just responded on.
-    let max_idle = match server_request.class.is_repeatable() {
-        true => MAX_IDLE,
-        false => MAX_IDLE_UNREPEATABLE,
-    };
     let dialect = worker.shared.interface.dialect();
     let always_echoes = matches!(dialect.response_matching, ResponseMatching::EndToEnd(_));
-    let mut idle = if always_echoes || server.echoes_ids() {
-        worker.pool.take_recent(server.address, max_idle)
-    } else {
-        None
-    };
+    let max_idle = server.max_idle(server_request.class, clock.now());
+    let mut idle = max_idle
+        .filter(|_| always_echoes || server.echoes_ids())
+        .and_then(|max_idle| worker.pool.take_recent(server.address, max_idle));
     loop {
         let limit = server_request.deadline.remaining(clock.now());
         let connection = match idle.take() {
@@ -75,6 +60,9 @@
         match result {
             Err(Failure::ClosedUnused) if is_reused => {}
             Err(failure) => {
+                if is_reused && matches!(failure, Failure::Closed(_) | Failure::WrongExchange) {
+                    server.record_broken_reuse(clock.now());
+                }
                 worker.pool.purge(server.address);
                 return Err(failure);
             }
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
@@ -51,7 +52,10 @@
     });
     let response = match result {
         Ok(()) => Response::new(StatusCode::NO_CONTENT),
-        Err(refusal) => refusal.response(),
+        Err(refusal) => {
+            count(&worker.shared.metrics.offers_refused);
+            refusal.response()
+        }
     };
     with_load(worker, incoming.headers(), response)
 }
@@ -74,7 +78,7 @@
     let in_flight = InFlight::begin(&worker.shared);
     let io = incoming.io().cloned();
     let result = match receive_request(&worker, &mut incoming).await {
-        Ok(server_request) => dispatch(&worker, server_request).await,
+        Ok(server_request) => run(&worker, server_request).await,
         Err(refusal) => Err(refusal),
     };
     let latency = result.as_ref().ok().map(|response| response.latency.as_micros().to_string());
@@ -89,6 +93,18 @@
     response
 }
 
+/// Dispatches a forwarded request, and reads the rest of its body if it is refused.
+async fn run(worker: &Worker, server_request: ServerRequest) -> Result<ServerResponse, Refusal> {
+    let upload = server_request.request.upload.clone();
+    let result = dispatch(worker, server_request).await;
+    if result.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
+        let bytes = upload.length().unwrap_or_default();
+        worker.shared.metrics.refused_body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        upload.discard_rest().await;
+    }
+    result
+}
+
 /// Makes the checks that come before the queue of the server; returns the server and the request as
 /// it arrives at the queue.
 fn check(
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -67,8 +67,7 @@
     let time = server_request.deadline.remaining(worker.shared.clock.now());
     let bounds = Bounds { limit: u64::MAX, length, time };
     let payload = incoming.take_payload();
-    server_request.request.upload =
-        intake::read_upload(&worker.shared.body_memory, payload, bounds).await?;
+    server_request.request.upload = intake::read_upload(&worker.shared, payload, bounds).await?;
     Ok(server_request)
 }
 
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -106,9 +106,11 @@
 }
 
 /// Routes a caller's request and buffers as much of its body as is needed.
+///
+/// Takes the body of `incoming` unless it refuses the request before.
 pub(super) async fn route(
     worker: &Worker,
-    incoming: IncomingRequest,
+    incoming: &mut IncomingRequest,
 ) -> Result<RoutedRequest, Refusal> {
     let now = worker.shared.clock.now();
     let arrived_at = now;
@@ -139,9 +141,9 @@
         limiter.take(&service, limits, &rule.prefix, caller, now).map_err(rate_limit_refusal)?;
     }
     let length = fields::content_length(&incoming.headers);
-    let payload = incoming.payload;
+    let payload = std::mem::take(&mut incoming.payload);
     let bounds = intake::Bounds { limit: rule.body_bytes, length, time: deadline.remaining(now) };
-    let upload = intake::read_upload(&worker.shared.body_memory, payload, bounds).await?;
+    let upload = intake::read_upload(&worker.shared, payload, bounds).await?;
     let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(&incoming.headers);
     if !headers.contains_key(HOST) {
@@ -157,7 +159,7 @@
     {
         fields::set(&mut headers, field, service);
     }
-    let method = incoming.method;
+    let method = incoming.method.clone();
     let request = Request { method, target: target.to_string(), headers, upload };
     let fingerprint = keyed::fingerprint(&request);
     let is_call = dialect.parent_id(owner::request_id(dialect, &request.headers)).is_some();
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -21,3 +21,4 @@
 mod stop_fleet;
 mod strikes;
 mod support;
+mod uploads;
--- a/crates/arbutuslane_node/tests/faults/response.rs
+++ b/crates/arbutuslane_node/tests/faults/response.rs
@@ -150,7 +150,6 @@
     let server = Server::start(&node, "bookings", "s1", |received, stream| {
         write(stream, &received.build_ok_response("booked"))
     });
-    // Below and above the 64 KiB up to which the entry buffers a body.
     for length in [1_000, 500_000] {
         let full_request = encode_request("POST", "/bookings", &[], &vec![b'b'; length]);
         let mut stream = open_connection(node.caller_address);
