Go on after a full disk, and read the items on it at a start

Cause: a control instance for items that started on a full disk ended, because it could not write its metadata; each write on a full disk was an event of its own. Changed: the log of a full disk is opened stopped, with its content; the writer is a module of its own over a folder that tests replace by the fake; an index is used up by a successful write only; events disk-fault and disk-regained mark the changes, metric disk_writable the state.

--- a/crates/arbutuslane_cli/src/report/mod.rs
+++ b/crates/arbutuslane_cli/src/report/mod.rs
@@ -177,8 +177,8 @@
              this as a defect."
         )),
         Kind::DiskFault { detail } => report.action.push(format!(
-            "{instance} stopped at {time}, because its storage failed: {detail}. Replace the \
-             disk, then rebuild the instance (docs/OPERATIONS.md, disk-fault)."
+            "The storage of {instance} failed at {time}: {detail}. Free space on a full disk; \
+             replace a broken one, then rebuild the instance (docs/OPERATIONS.md, disk-fault)."
         )),
         Kind::RequestQuarantined { fingerprint, for_s } => report.action.push(format!(
             "A request crashed servers of {service}, and the fleet refused it for {} from {time}. \
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -1,37 +1,27 @@
 //! Persists items in the data folder, on a thread of its own.
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use arbutuslane_event::kind::Kind;
-use arbutuslane_item::prelude::{Item, Table};
-use arbutuslane_item::{border, replication::Standing};
+use arbutuslane_item::prelude::Item;
 use arbutuslane_storage::prelude::*;
-use arbutuslane_wire::codec;
-use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::store::open_disk;
 
 use super::core::Events;
-
-/// The number of log entries after which a snapshot replaces the log; bounds the restart time.
-const ENTRIES_BEFORE_SNAPSHOT: u64 = 4_096;
+use super::writer::{Folder, Recovered, Writer};
 
 /// The time between two attempts to reopen a disk that failed.
 const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The metadata stored beside the items.
-#[derive(Debug, Serialize, Deserialize)]
-struct Meta {
-    /// Whether the instance holds every change accepted before it started.
-    complete: bool,
-}
-
 /// A write request to the disk thread; the reply says whether the write is durable.
-pub(super) struct Job {
+struct Job {
     items: Vec<Item>,
     /// Whether to record that this instance holds every accepted change.
     complete: bool,
@@ -42,15 +32,15 @@
 #[derive(Clone)]
 pub(super) struct DiskHandle {
     jobs: Sender<Job>,
-}
-
-/// The state read from the data folder at the start.
-pub(super) struct Recovered {
-    pub(super) items: Vec<Item>,
-    pub(super) standing: Standing,
+    is_writable: Arc<AtomicBool>,
 }
 
 impl DiskHandle {
+    /// Returns whether the disk takes writes.
+    pub(super) fn is_writable(&self) -> bool {
+        self.is_writable.load(Ordering::Relaxed)
+    }
+
     /// Writes items; returns whether they are durable.
     pub(super) async fn store(&self, items: Vec<Item>) -> bool {
         self.submit(items, false).await
@@ -78,149 +68,71 @@
     first_start: bool,
     events: Events,
 ) -> Result<(DiskHandle, Recovered), Error> {
-    let (log, recovered) = Log::open(open_disk(&folder)?, log::DEFAULT_SEGMENT_BYTES)?;
-    let next_index = recovered.entries.last().map_or(0, |entry| entry.index);
-    let next_index =
-        next_index.max(recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)) + 1;
-    let is_new = recovered.meta.is_none() && recovered.entries.is_empty();
-    let meta: Option<Meta> = match &recovered.meta {
-        Some(bytes) => Some(codec::decode(bytes).map_err(|error| codec_error(&error))?),
-        None => None,
-    };
-    let mut items = Vec::new();
-    if let Some(snapshot) = &recovered.snapshot {
-        items.extend(decode(&snapshot.payload)?);
-    }
-    for entry in &recovered.entries {
-        items.extend(decode(&entry.payload)?);
-    }
-    let complete = meta.is_some_and(|meta| meta.complete) || (is_new && first_start);
-    // When two declarations have the same version, the accepted one is written last and so wins.
-    let mut table = Table::default();
-    for item in items {
-        table.merge_accepted(item);
-    }
-    let items = table.items().to_vec();
-    let mut writer =
-        Writer { folder, log: Some(log), table, next_index, entries_since_snapshot: 0, complete };
-    writer.write_meta()?;
+    let folder = DataFolder(folder);
+    let (writer, recovered) = Writer::open(folder, first_start)?;
+    let is_writable = Arc::new(AtomicBool::new(writer.is_writable()));
     let (jobs, inbox) = channel();
-    thread::spawn(move || writer.run(&inbox, &events));
-    let standing = match complete {
-        true => Standing::Complete,
-        false => Standing::Recovering { sources: Vec::new() },
-    };
-    Ok((DiskHandle { jobs }, Recovered { items, standing }))
+    let shared = Arc::clone(&is_writable);
+    thread::spawn(move || run(writer, &inbox, &events, &shared));
+    Ok((DiskHandle { jobs, is_writable }, recovered))
 }
 
-/// The state of the disk thread.
-struct Writer {
-    folder: PathBuf,
-    /// `None` after a disk fault, until the log is reopened.
-    log: Option<Log<disk::Real>>,
-    table: Table,
-    next_index: u64,
-    entries_since_snapshot: u64,
-    complete: bool,
-}
-
-impl Writer {
-    fn run(&mut self, inbox: &Receiver<Job>, events: &Events) {
-        let mut last_attempt_at = Instant::now();
-        loop {
-            let mut jobs = match inbox.recv_timeout(REOPEN_INTERVAL) {
-                Ok(job) => vec![job],
-                Err(RecvTimeoutError::Timeout) => Vec::new(),
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            // All queued jobs share one sync.
-            jobs.extend(inbox.try_iter());
-            if self.log.is_none() && last_attempt_at.elapsed() >= REOPEN_INTERVAL {
-                last_attempt_at = Instant::now();
-                self.reopen();
-            }
-            if jobs.is_empty() {
-                continue;
-            }
-            let written = self.write(&jobs);
-            if let Err(error) = &written {
-                self.log = None;
-                events.record(Kind::DiskFault { detail: error.to_string() });
-            }
-            for job in jobs {
-                // The sender of the job may no longer wait for the reply.
-                let _ = job.reply.send(written.is_ok());
-            }
-        }
-    }
-
-    fn write(&mut self, jobs: &[Job]) -> Result<(), Error> {
-        let mut items = Vec::new();
-        for job in jobs {
-            items.extend(job.items.iter().cloned());
-            for item in &job.items {
-                self.table.merge_accepted(item.clone());
-            }
+/// Serves write requests until all handles are dropped.
+fn run(
+    mut writer: Writer<DataFolder>,
+    inbox: &Receiver<Job>,
+    events: &Events,
+    is_writable: &AtomicBool,
+) {
+    let mut last_attempt_at = Instant::now();
+    loop {
+        let mut jobs = match inbox.recv_timeout(REOPEN_INTERVAL) {
+            Ok(job) => vec![job],
+            Err(RecvTimeoutError::Timeout) => Vec::new(),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        // All queued jobs share one sync.
+        jobs.extend(inbox.try_iter());
+        if !writer.is_writable() && last_attempt_at.elapsed() >= REOPEN_INTERVAL {
+            last_attempt_at = Instant::now();
+            writer.reopen();
         }
-        let becomes_complete = !self.complete && jobs.iter().any(|job| job.complete);
-        self.complete |= becomes_complete;
-        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
-        let mut batch = Batch::default();
-        if becomes_complete {
-            batch.meta = Some(encode(&Meta { complete: true })?);
+        let is_durable = jobs.is_empty() || write(&mut writer, &jobs, events);
+        if writer.is_writable() && !is_writable.swap(true, Ordering::Relaxed) {
+            events.record(Kind::DiskRegained { items: writer.item_count() });
         }
-        if !items.is_empty() {
-            let payload = encode(&border::encode(&items))?;
-            batch.entries.push(Entry { index: self.next_index, term: 1, payload });
-            self.next_index += 1;
-            self.entries_since_snapshot += 1;
+        if !writer.is_writable() {
+            is_writable.store(false, Ordering::Relaxed);
         }
-        log.append(&batch)?;
-        if self.entries_since_snapshot >= ENTRIES_BEFORE_SNAPSHOT {
-            self.save_snapshot()?;
+        for job in jobs {
+            // The sender of the job may no longer wait for the reply.
+            let _ = job.reply.send(is_durable);
         }
-        Ok(())
-    }
-
-    fn write_meta(&mut self) -> Result<(), Error> {
-        let meta = encode(&Meta { complete: self.complete })?;
-        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
-        log.append(&Batch { meta: Some(meta), entries: Vec::new() })
-    }
-
-    fn save_snapshot(&mut self) -> Result<(), Error> {
-        let payload = encode(&border::encode(self.table.items()))?;
-        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
-        log.save_snapshot(&Snapshot { index: self.next_index - 1, term: 1, payload }, false)?;
-        self.entries_since_snapshot = 0;
-        Ok(())
     }
+}
 
-    /// Opens the log again after a fault and writes all items, because the content of the disk
-    /// after the fault is unknown.
-    fn reopen(&mut self) {
-        let opened =
-            open_disk(&self.folder).and_then(|disk| Log::open(disk, log::DEFAULT_SEGMENT_BYTES));
-        let Ok((log, _)) = opened else { return };
-        self.log = Some(log);
-        if self.write_meta().and_then(|()| self.save_snapshot()).is_err() {
-            self.log = None;
-            return;
-        }
-        tracing::info!(event = "disk-regained", items = self.table.items().len());
+/// Writes the items of `jobs`; returns whether they are durable. Records the first failure after a
+/// time without one.
+fn write(writer: &mut Writer<DataFolder>, jobs: &[Job], events: &Events) -> bool {
+    let was_writable = writer.is_writable();
+    let items: Vec<Item> = jobs.iter().flat_map(|job| job.items.iter().cloned()).collect();
+    let Err(error) = writer.write(&items, jobs.iter().any(|job| job.complete)) else { return true };
+    if was_writable {
+        events.record(Kind::DiskFault { detail: error.to_string() });
     }
+    false
 }
 
-fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
-    codec::encode(value).map_err(|error| codec_error(&error))
-}
+/// The data folder in the file system.
+#[derive(Debug)]
+struct DataFolder(PathBuf);
 
-fn decode(bytes: &[u8]) -> Result<Vec<Item>, Error> {
-    codec::decode(bytes).map(border::decode).map_err(|error| codec_error(&error))
-}
+impl Folder for DataFolder {
+    type Disk = disk::Real;
 
-fn codec_error(error: &codec::Error) -> Error {
-    Error::Corrupt { file: "items".to_string(), offset: 0, reason: error.to_string() }
+    fn open(&self) -> Result<disk::Real, Error> {
+        open_disk(&self.0)
+    }
 }
 
 #[cfg(test)]
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -11,3 +11,4 @@
 mod replicate;
 mod server;
 pub mod settings;
+mod writer;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -80,6 +80,7 @@
         ("complete", "gauge", u64::from(complete)),
         ("control_members", "gauge", members.control.len() as u64 + 1),
         ("nodes", "gauge", members.nodes.len() as u64),
+        ("disk_writable", "gauge", u64::from(core.disk.is_writable())),
     ] {
         let _ = writeln!(text, "# TYPE arbutuslane_control_{name} {kind}");
         let _ = writeln!(text, "arbutuslane_control_{name} {value}");
--- a/crates/arbutuslane_event/src/kind.rs
+++ b/crates/arbutuslane_event/src/kind.rs
@@ -272,11 +272,17 @@
         /// The shard.
         shard: u32,
     }
-    /// Storage failed, and the instance stopped.
+    /// Storage failed. An instance that stores a catalogue stops; one that stores items goes on
+    /// without storing anything.
     DiskFault = "disk-fault", Action {
         /// What failed.
         detail: String,
     }
+    /// The storage of an instance takes writes again.
+    DiskRegained = "disk-regained", Routine {
+        /// The number of items that were written again.
+        items: u64,
+    }
 }
 
 /// Defines an enum without fields, with one table of names for its display form and its parser.
--- a/crates/arbutuslane_storage/src/error.rs
+++ b/crates/arbutuslane_storage/src/error.rs
@@ -64,6 +64,11 @@
         Self::Io { operation, file: file.to_string(), source }
     }
 
+    /// Returns whether the operation failed because the disk is full.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if source.kind() == io::ErrorKind::StorageFull)
+    }
+
     pub(crate) fn corrupt(file: &str, offset: usize, reason: impl Into<String>) -> Self {
         Self::Corrupt { file: file.to_string(), offset: offset as u64, reason: reason.into() }
     }
--- a/crates/arbutuslane_storage/src/fake.rs
+++ b/crates/arbutuslane_storage/src/fake.rs
@@ -27,6 +27,7 @@
     syncs_until_failure: Option<u32>,
     writes_until_failure: Option<u32>,
     syncs: u64,
+    is_full: bool,
 }
 
 /// An in-memory disk whose clones share their content.
@@ -48,6 +49,7 @@
             syncs_until_failure: None,
             writes_until_failure: None,
             syncs: 0,
+            is_full: false,
         };
         Self { state: Arc::new(Mutex::new(state)) }
     }
@@ -102,6 +104,12 @@
         self.lock().writes_until_failure = Some(count);
     }
 
+    /// Makes every write fail after some of its bytes, as a full disk does, until `is_full` is false
+    /// again.
+    pub fn set_full(&self, is_full: bool) {
+        self.lock().is_full = is_full;
+    }
+
     /// Flips one bit of the byte at `position`, as device decay can do even to synced data.
     pub fn flip(&self, name: &str, position: usize) {
         let mut state = self.lock();
@@ -181,6 +189,11 @@
             state.files[file].bytes.extend_from_slice(&bytes[..bytes.len() / 2]);
             return Err(io::Error::other("injected write failure"));
         }
+        if state.is_full {
+            let written = state.rng.random_range(0..=bytes.len() / 2);
+            state.files[file].bytes.extend_from_slice(&bytes[..written]);
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         state.files[file].bytes.extend_from_slice(bytes);
         Ok(())
     }
@@ -188,6 +201,9 @@
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         let mut state = self.lock();
         let file = state.file_index(name)?;
+        if state.is_full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         state.files[file].bytes.truncate(usize::try_from(length).unwrap_or(usize::MAX));
         Ok(())
     }
--- a/crates/arbutuslane_storage/src/log.rs
+++ b/crates/arbutuslane_storage/src/log.rs
@@ -81,6 +81,9 @@
 impl<D: Disk> Log<D> {
     /// Opens the log, truncates a torn tail and returns the recovered content.
     ///
+    /// On a full disk the log is opened stopped: its content is there, but every write fails with
+    /// [`Error::Stopped`] until the folder is opened again.
+    ///
     /// # Errors
     ///
     /// [`Error::Corrupt`] when synced data is unreadable, and [`Error::Version`] when another
@@ -94,13 +97,13 @@
             active_bytes: state.active_bytes,
             next_batch: state.next_batch,
             meta: state.recovered.meta.clone(),
-            is_stopped: false,
+            is_stopped: state.is_full,
         };
         if log.segments.is_empty() {
-            log.start_segment(false)?;
+            log.start_first_segment(false)?;
         }
         if state.conflicts_with_snapshot {
-            log.start_segment(true)?;
+            log.start_first_segment(true)?;
         }
         Ok((log, state.recovered))
     }
@@ -196,6 +199,20 @@
         self.disk.sync(&name).map_err(|error| Error::io("sync", &name, error))
     }
 
+    /// Starts a segment while the log is opened; a full disk stops the log instead.
+    fn start_first_segment(&mut self, discard_entries: bool) -> Result<(), Error> {
+        if self.is_stopped {
+            return Ok(());
+        }
+        match self.start_segment(discard_entries) {
+            Err(error) if error.is_full() => {
+                self.is_stopped = true;
+                Ok(())
+            }
+            result => result,
+        }
+    }
+
     /// Starts a segment that repeats the metadata, so that older segments can be removed.
     fn start_segment(&mut self, discard_entries: bool) -> Result<(), Error> {
         let (sequence, last_index) = match self.segments.last() {
--- a/crates/arbutuslane_storage/src/recovery.rs
+++ b/crates/arbutuslane_storage/src/recovery.rs
@@ -21,6 +21,8 @@
     /// it saved a snapshot from the leader and before it wrote the record that discards the older
     /// entries.
     pub(crate) conflicts_with_snapshot: bool,
+    /// Whether the disk is full, so that the unacknowledged tail is still there.
+    pub(crate) is_full: bool,
 }
 
 /// Reads the folder and truncates the unacknowledged tail.
@@ -95,7 +97,10 @@
                 if !is_last || highest_later.is_some_and(|batch| batch > state.next_batch) {
                     return Err(Error::corrupt(name, offset, reason));
                 }
-                truncate(disk, name, batch_start)?;
+                match truncate(disk, name, batch_start) {
+                    Err(error) if error.is_full() => state.is_full = true,
+                    result => result?,
+                }
                 state.recovered.truncated_bytes += (bytes.len() - batch_start) as u64;
                 break;
             }
