Use nine tenths of the fleet's retry budget, and charge calls of repeated requests

Changed: a forwarded request says that it is a repeat; the owner beside which it runs charges its calls to the budget of the called service. Ruled out: a larger saved credit, whose sum over nodes would exceed the slack.

--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -163,6 +163,11 @@
         Some(next)
     }
 
+    /// Returns whether the request was sent to a server, or may have been.
+    pub fn is_repeat(&self) -> bool {
+        self.sent > 0
+    }
+
     /// Returns whether a server may have run the request in one of the attempts.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/arbutuslane_limit/src/budget.rs
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -33,17 +33,39 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
-    percent: u32,
-    max_credit: u32,
-    credit: u32,
+    /// The credit that a first request earns.
+    percent: f64,
+    max_credit: f64,
+    /// Negative after repeats that were charged although there was no credit for them.
+    credit: f64,
     /// The interval in which one retry is earned without requests.
     refill_interval: Option<Duration>,
     /// The time up to which credit earned by time has been added.
     refilled_at: Time,
 }
 
+/// A limit on the repeats that one service gets from all nodes together: in any `window`, a share
+/// `ratio` of the first requests in it and `slack` more.
+///
+/// Each node keeps to its part by itself, so that the limit holds while nodes cannot talk to each
+/// other. Repeats that a node does not send itself, such as the calls of a request that is run again,
+/// are [charged](RetryBudget::charge) to its budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetLimit {
+    /// The allowed repeats as a share of first requests.
+    pub ratio: f64,
+    /// The repeats in each window that are allowed beyond the share.
+    pub slack: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+/// The part of a [`FleetLimit`] that nodes use. The rest covers repeats that are charged too late to
+/// prevent others, and nodes that know of fewer nodes than there are.
+const USED_SHARE: f64 = 0.9;
+
 /// The credit that one retry costs; a first request earns `percent` credits.
-const CREDIT_PER_RETRY: u32 = 100;
+const CREDIT_PER_RETRY: f64 = 100.0;
 
 impl Default for RetryBudget {
     /// Returns the fleet's budget: 10% of first requests, one retry at the start, at most 5 saved.
@@ -59,8 +81,9 @@
     /// Returns a budget of `percent` of first requests, with `reserve` retries at the start and at
     /// most `max_saved` retries saved.
     pub fn new(percent: u32, reserve: u32, max_saved: u32) -> Self {
-        let max_credit = max_saved.saturating_mul(CREDIT_PER_RETRY);
-        let credit = reserve.saturating_mul(CREDIT_PER_RETRY).min(max_credit);
+        let max_credit = f64::from(max_saved) * CREDIT_PER_RETRY;
+        let credit = (f64::from(reserve) * CREDIT_PER_RETRY).min(max_credit);
+        let percent = f64::from(percent);
         Self { percent, max_credit, credit, refill_interval: None, refilled_at: Time::ZERO }
     }
 
@@ -75,23 +98,27 @@
     /// Adds the credit earned by time up to `now`.
     pub fn refill(&mut self, now: Time) {
         let Some(interval) = self.refill_interval else { return };
-        let unit = interval / CREDIT_PER_RETRY;
-        let earned = now.saturating_sub(self.refilled_at).as_nanos() / unit.as_nanos().max(1);
-        let earned = u32::try_from(earned).unwrap_or(u32::MAX).min(self.max_credit);
-        if earned == 0 {
-            return;
-        }
-        self.credit = self.credit.saturating_add(earned).min(self.max_credit);
+        let elapsed = now.saturating_sub(self.refilled_at);
+        self.add(elapsed.as_secs_f64() / interval.as_secs_f64() * CREDIT_PER_RETRY);
         self.refilled_at = now;
     }
 
     /// Adds the credit for a request that arrived from a caller.
     pub fn earn(&mut self, origin: Origin) {
         if origin == Origin::First {
-            self.credit = self.credit.saturating_add(self.percent).min(self.max_credit);
+            self.add(self.percent);
         }
     }
 
+    /// Charges a repeat that was sent without asking this budget; later ones wait until it is earned.
+    pub fn charge(&mut self) {
+        self.credit -= CREDIT_PER_RETRY;
+    }
+
+    fn add(&mut self, credit: f64) {
+        self.credit = (self.credit + credit).min(self.max_credit);
+    }
+
     /// Spends one retry or hedge and returns whether the budget allowed it.
     #[must_use]
     pub fn spend(&mut self) -> bool {
@@ -104,7 +131,8 @@
 
     /// Returns the number of retries or hedges that are allowed now.
     pub fn available(&self) -> u32 {
-        self.credit / CREDIT_PER_RETRY
+        let retries = Duration::try_from_secs_f64(self.credit / CREDIT_PER_RETRY);
+        u32::try_from(retries.unwrap_or_default().as_secs()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a retry or hedge is allowed now.
@@ -114,6 +142,31 @@
 
     /// Restores the credit of a retry that was charged but not sent.
     pub fn refund(&mut self) {
-        self.credit = self.credit.saturating_add(CREDIT_PER_RETRY).min(self.max_credit);
+        self.add(CREDIT_PER_RETRY);
+    }
+}
+
+impl FleetLimit {
+    /// Returns the budget of one of `nodes` nodes. It starts empty, so that nodes which restart do
+    /// not get their part of the slack again.
+    pub fn budget(&self, nodes: usize, now: Time) -> RetryBudget {
+        let mut budget = RetryBudget::new(0, 0, 0);
+        budget.refilled_at = now;
+        self.update(&mut budget, nodes);
+        budget
+    }
+
+    /// Changes `budget` to that of one of `nodes` nodes.
+    pub fn update(&self, budget: &mut RetryBudget, nodes: usize) {
+        let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+        let slack = self.slack * USED_SHARE / f64::from(nodes);
+        // What may be saved up counts in every window, and so does what is earned in it. A node
+        // cannot send a part of a retry, so it may save at least one.
+        let saved = (slack / 2.0).max(1.0);
+        let interval = self.window.as_secs_f64() / (slack - saved).max(1e-3);
+        budget.percent = self.ratio * USED_SHARE * CREDIT_PER_RETRY;
+        budget.max_credit = saved * CREDIT_PER_RETRY;
+        budget.credit = budget.credit.min(budget.max_credit);
+        budget.refill_interval = Duration::try_from_secs_f64(interval).ok();
     }
 }
--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod interface;
 mod metrics;
 mod peers;
+mod recent_ids;
 mod reload;
 pub mod run;
 pub mod settings;
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -1,6 +1,5 @@
 //! The state that the threads of a node share.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +14,7 @@
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_item::prelude::Item;
 use arbutuslane_limit::bucket::Bucket;
-use arbutuslane_limit::budget::RetryBudget;
+use arbutuslane_limit::budget::{FleetLimit, RetryBudget};
 use arbutuslane_limit::memory::Memory;
 use arbutuslane_limit::resend::RecentFailures;
 
@@ -24,6 +23,7 @@
 use crate::configuration::Configuration;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
+use crate::recent_ids::RecentIds;
 use crate::settings::{Settings, Source};
 use crate::traffic::Limiter;
 
@@ -38,14 +38,6 @@
 /// The most events that a node holds in memory for `/v1/events`.
 const MAX_EVENTS: usize = 4_096;
 
-/// The share of the fleet's retry budget that nodes spend. The rest covers repeats that nodes
-/// cannot see: calls that are sent again because the request that makes them is itself repeated.
-const BUDGET_SHARE: f64 = 0.5;
-
-/// The most requests with failed calls that a node remembers. A server runs only a few requests at
-/// a time.
-const MAX_FAILED_CALLS: usize = 128;
-
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RemoteServer {
@@ -90,8 +82,12 @@
     pub(crate) limiter: Limiter,
     summaries: Mutex<Bucket>,
     failures: Mutex<RecentFailures>,
-    /// The ids of running requests whose calls failed, the newest last.
-    failed_calls: Mutex<VecDeque<String>>,
+    /// The running requests whose calls failed.
+    pub(crate) failed_calls: RecentIds,
+    /// The running requests that were sent to another server before, and whose calls are therefore
+    /// repeats as well.
+    pub(crate) repeated_runs: RecentIds,
+    retry_limit: Option<FleetLimit>,
     configuration: RwLock<Arc<Configuration>>,
     remote_servers: RwLock<Arc<Vec<RemoteServer>>>,
     token: RwLock<Arc<String>>,
@@ -133,6 +129,11 @@
         // Permits come from register groups, which only the catalogue's control instances assign.
         let tries_suspects_last = settings.source == Source::Items;
         let control = RwLock::new(Arc::new(settings.control.clone()));
+        let retry_limit = settings.retry_budget.map(|budget| FleetLimit {
+            ratio: budget.ratio,
+            slack: budget.slack,
+            window: Duration::try_from_secs_f64(budget.window_s).unwrap_or_default(),
+        });
         let body_memory = Memory::new(settings.body_bytes());
         Arc::new(Self {
             settings,
@@ -147,7 +148,9 @@
             limiter: Limiter::default(),
             summaries: Mutex::new(Bucket::new(SUMMARIES_PER_SECOND, SUMMARY_BURST, clock.now())),
             failures: Mutex::default(),
-            failed_calls: Mutex::default(),
+            failed_calls: RecentIds::default(),
+            repeated_runs: RecentIds::default(),
+            retry_limit,
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -256,17 +259,20 @@
 
     /// Returns the retry budget of one service at this node.
     ///
-    /// Every node allows the same share of first requests. The fixed number of retries that the
-    /// fleet may send beyond the share is divided among the nodes; each node may save up at least
-    /// one retry.
     pub(crate) fn retry_budget(&self) -> RetryBudget {
-        let Some(budget) = self.settings.retry_budget else { return RetryBudget::default() };
-        let nodes = self.cluster.membership().gossip.table().members().count().max(1);
-        let percent = integer_part(budget.ratio * BUDGET_SHARE * 100.0);
-        let slack_per_node = budget.slack * BUDGET_SHARE / nodes as f64;
-        let interval = Duration::from_secs_f64(budget.window_s / slack_per_node.max(1e-3));
-        RetryBudget::new(percent, 1, integer_part(slack_per_node).max(1))
-            .with_refill_interval(interval, self.clock.now())
+        let Some(limit) = &self.retry_limit else { return RetryBudget::default() };
+        limit.budget(self.member_count(), self.clock.now())
+    }
+
+    /// Adapts the retry budget of a service to the number of members.
+    pub(crate) fn update_retry_budget(&self, budget: &mut RetryBudget) {
+        if let Some(limit) = &self.retry_limit {
+            limit.update(budget, self.member_count());
+        }
+    }
+
+    fn member_count(&self) -> usize {
+        self.cluster.membership().gossip.table().members().count()
     }
 
     /// Returns the secret that processes of the fleet share.
@@ -305,21 +311,6 @@
             .take_with_reserve(reserve, now)
     }
 
-    /// Records that a call of the running request `id` failed.
-    pub(crate) fn record_failed_call(&self, id: &str) {
-        let mut calls = self.failed_calls.lock().unwrap_or_else(PoisonError::into_inner);
-        if calls.len() >= MAX_FAILED_CALLS {
-            calls.pop_front();
-        }
-        calls.push_back(id.to_string());
-    }
-
-    /// Returns whether a call of the request `id` failed.
-    pub(crate) fn has_failed_call(&self, id: &str) -> bool {
-        let calls = self.failed_calls.lock().unwrap_or_else(PoisonError::into_inner);
-        calls.iter().any(|known| known == id)
-    }
-
     /// Locks the table of requests that failed recently.
     pub(crate) fn failures(&self) -> MutexGuard<'_, RecentFailures> {
         self.failures.lock().unwrap_or_else(PoisonError::into_inner)
@@ -346,12 +337,6 @@
     }
 }
 
-/// Returns the integer part of a number; a negative number gives 0.
-fn integer_part(number: f64) -> u32 {
-    let number = Duration::try_from_secs_f64(number).unwrap_or_default();
-    u32::try_from(number.as_secs()).unwrap_or(u32::MAX)
-}
-
 /// Reads a secret from a file; surrounding white space is ignored.
 pub(crate) fn read_token(path: &Path) -> std::io::Result<String> {
     let token = std::fs::read_to_string(path)?.trim().to_string();
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -26,13 +26,22 @@
 /// The minimum time without a response after which a server counts as silent.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// How an attempt is made.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptPlan {
+    pub(super) effort: Effort,
+    /// Whether the request was sent to another server before.
+    pub(super) is_repeat: bool,
+}
+
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
 pub(super) async fn send<'a>(
     worker: &'a Worker,
     routed: &'a RoutedRequest,
     tried: &mut Vec<ServerId>,
-    effort: Effort,
+    plan: AttemptPlan,
 ) -> SendResult<'a> {
+    let AttemptPlan { effort, .. } = plan;
     let service = &routed.service;
     let chosen = services::select_server(worker, service, routed.class, tried);
     let Some((selected, attempt_guard)) = chosen else {
@@ -52,7 +61,7 @@
     let attempt = AttemptLog { server: server.clone(), effort, load_age, started_at };
     let attempt_log = attempt.clone();
     let mut running: AttemptFuture<'a> = Box::pin(async move {
-        let result = run_on_server(worker, routed, selected, effort, may_switch).await;
+        let result = run_on_server(worker, routed, selected, plan, may_switch).await;
         record_result(worker, routed, &attempt_log, attempt_guard, result)
     });
     let Some(silence_timeout) = silence_timeout else { return SendResult::Ended(running.await) };
@@ -101,7 +110,7 @@
     worker: &Worker,
     routed: &RoutedRequest,
     selected: services::SelectedServer,
-    effort: Effort,
+    AttemptPlan { effort, is_repeat }: AttemptPlan,
     may_switch: bool,
 ) -> Result<ServerResponse, Refusal> {
     let service = &routed.service;
@@ -120,6 +129,7 @@
         retryable: may_switch && services::has_retry_budget(worker, service),
         must_accept: matches!(effort, Effort::Insist | Effort::Suspect),
         is_offered: false,
+        is_repeat,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
         deadline: routed.deadline,
         fingerprint: routed.fingerprint,
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -20,7 +20,7 @@
 use crate::metrics::{Destination, count};
 
 use super::answer::ServerResponse;
-use super::attempt;
+use super::attempt::{self, AttemptPlan};
 use super::fields;
 use super::intake;
 use super::owner;
@@ -152,7 +152,7 @@
         Err(_) => true,
     };
     if is_failure {
-        worker.shared.record_failed_call(parent);
+        worker.shared.failed_calls.add(parent);
     }
 }
 
@@ -220,14 +220,17 @@
     worker: &Worker,
     routed: &RoutedRequest,
 ) -> (Result<ServerResponse, Refusal>, Vec<ServerId>) {
+    let shared = &worker.shared;
     let id = resend_id(routed);
     let origin = worker.shared.failures().origin(id, worker.shared.clock.now());
     // The request that made a call has already earned retry budget; retries of the call are charged
-    // to the budget like any others.
-    let earn = |budget: &mut RetryBudget| {
-        if !routed.is_call {
-            budget.earn(origin);
-        }
+    // to the budget like any others, and so is the call itself if that request is a repeat.
+    let is_repeat =
+        routed.parent.as_ref().is_some_and(|parent| shared.repeated_runs.contains(parent));
+    let earn = |budget: &mut RetryBudget| match routed.parent {
+        None => budget.earn(origin),
+        Some(_) if is_repeat => budget.charge(),
+        Some(_) => {}
     };
     worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
     let max_attempts = u32::try_from(routed.attempts).unwrap_or(u32::MAX);
@@ -236,7 +239,8 @@
     let mut tried = TriedServers::default();
     let mut silent_attempt = None;
     loop {
-        let sent = attempt::send(worker, routed, tried.exclusions(effort), effort);
+        let plan = AttemptPlan { effort, is_repeat: attempts.is_repeat() };
+        let sent = attempt::send(worker, routed, tried.exclusions(effort), plan);
         let result = match silent::send_alongside(sent, &mut silent_attempt, effort).await {
             SendResult::Ended(result) => result,
             SendResult::Silent(silent) => {
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -166,6 +166,10 @@
     if let Some(claim) = &mut claim {
         claim.dispatch();
     }
+    if server_request.is_repeat {
+        let id = request_id(worker.shared.interface.dialect(), &server_request.request.headers);
+        worker.shared.repeated_runs.add(id);
+    }
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
@@ -193,7 +197,7 @@
         status = received.status.as_u16(),
         suspect = was_suspect,
         insisted = server_request.must_accept,
-        call_failed = received.status.is_server_error() && worker.shared.has_failed_call(id),
+        call_failed = received.status.is_server_error() && worker.shared.failed_calls.contains(id),
         took_ms = millis(latency)
     );
     if received.echoed {
@@ -217,7 +221,7 @@
         strikes::clear_strikes(worker, &server.service, server_request.fingerprint);
         claim.release();
     }
-    match received.status.is_server_error() && worker.shared.has_failed_call(id) {
+    match received.status.is_server_error() && worker.shared.failed_calls.contains(id) {
         true => running.cancel(),
         false => running.finish(!received.status.is_server_error()),
     }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -133,6 +133,7 @@
         (header::MUST_ACCEPT, server_request.must_accept),
         (header::TRIAL, server_request.is_trial),
         (header::OFFERED, server_request.is_offered),
+        (header::REPEATED, server_request.is_repeat),
     ] {
         if is_set {
             fields::set(headers, name, "1");
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -16,7 +16,7 @@
 use crate::metrics::count;
 
 use super::answer::{ResponseStream, ServerResponse};
-use super::attempt;
+use super::attempt::{self, AttemptPlan};
 use super::client::Failure;
 use super::entry;
 use super::fields;
@@ -106,7 +106,8 @@
         let (etag, length, received) = (self.etag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.continuation = Some(Box::pin(async move {
-            let sent = attempt::send(&worker, &routed, &mut tried, Effort::Insist).await;
+            let plan = AttemptPlan { effort: Effort::Insist, is_repeat: true };
+            let sent = attempt::send(&worker, &routed, &mut tried, plan).await;
             let SendResult::Ended(Ok(response)) = sent else { return None };
             is_continuation(&response, &etag, received, length).then_some((response.body, tried))
         }));
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -76,8 +76,8 @@
     pub(crate) deadline: Deadline,
     /// The maximum number of servers that receive the request.
     pub(crate) attempts: usize,
-    /// Whether a backend server sent the request while it ran another one.
-    pub(crate) is_call: bool,
+    /// The id of the request that a backend server ran when it sent this one as a call.
+    pub(crate) parent: Option<String>,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
     /// Identifies requests with the same content.
@@ -162,10 +162,11 @@
     let method = incoming.method.clone();
     let request = Request { method, target: target.to_string(), headers, upload };
     let fingerprint = keyed::fingerprint(&request);
-    let is_call = dialect.parent_id(owner::request_id(dialect, &request.headers)).is_some();
+    let parent = dialect.parent_id(owner::request_id(dialect, &request.headers));
+    let parent = parent.map(str::to_string);
     // Calls of an admitted request go before new requests, because the work on that request is
     // wasted if its calls fail.
-    let (rank, due) = match is_call {
+    let (rank, due) = match parent.is_some() {
         true => (CALL_RANK, arrived_at + deadline.remaining(arrived_at)),
         false => (rule.rank, arrived_at + rule.objective.min(deadline.remaining(arrived_at))),
     };
@@ -178,7 +179,7 @@
         due,
         deadline,
         attempts,
-        is_call,
+        parent,
         request,
         fingerprint,
     })
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -39,6 +39,9 @@
 /// Marks a forwarded request whose offer the owner has accepted.
 pub const OFFERED: &str = "arbutuslane-offered";
 
+/// Marks a forwarded request that was sent to another server before.
+pub const REPEATED: &str = "arbutuslane-repeated";
+
 /// The secret shared by the processes of the fleet.
 pub const TOKEN: &str = "arbutuslane-token";
 
