Ask fewer owners, wait where the wait is shortest, and keep recovered items off the links

After a restart of all control instances each of the five pushed every item to every node (330 routes: 20 MB between zones). Changed: a refusal states the wait: a full owner its predicted one, so that the request waits where it is shortest; a suspect one the time to its next trial, before which it is not asked again. A free slot in the own domain is preferred up to four times. Items that were on a disk at the start are not pushed. Failed try, taken back: treating a server as suspect while one of its requests runs for over three times the mean, and judging cancelled requests by four times the mean without the lower limit of 400 ms.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -49,7 +49,7 @@
 
 impl Default for Weights {
     fn default() -> Self {
-        Self { latency_limit: 1.2, success_floor: 0.25, report_half_life: 1.0, remote_penalty: 2.0 }
+        Self { latency_limit: 1.2, success_floor: 0.25, report_half_life: 1.0, remote_penalty: 4.0 }
     }
 }
 
@@ -198,6 +198,13 @@
         Some(self.pick_of(chosen, false))
     }
 
+    /// Returns the server with this name, or `None` when it is no open candidate.
+    pub fn pick_named(&self, server: &str) -> Option<Pick> {
+        let index = self.find(server)?;
+        let is_open = self.peers[index].estimate.serving == Serving::Open;
+        is_open.then(|| self.pick_of(index, false))
+    }
+
     /// Fills `eligible` with the indexes of the open servers that are not in `tried` and for which
     /// `is_allowed` returns true.
     fn select(
--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -7,7 +7,7 @@
 
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::metric::{Histograms, Text};
-use arbutuslane_item::prelude::{Item, Replication};
+use arbutuslane_item::prelude::{Item, Replication, Table as ItemTable};
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::table::Table;
 use tokio::sync::watch;
@@ -31,6 +31,8 @@
     pub(super) disk: DiskHandle,
     pub(super) events: Events,
     pub(super) counters: Counters,
+    /// The items that were on the disk at the start.
+    recovered: ItemTable,
     replication: Mutex<Replication>,
     members: Mutex<Members>,
     /// Counts publications of accepted items; requests that wait for acceptance watch it.
@@ -115,6 +117,7 @@
             disk,
             events,
             counters: Counters::default(),
+            recovered: replication.table().clone(),
             replication: Mutex::new(replication),
             members: Mutex::default(),
             accepted_batches: watch::Sender::new(0),
@@ -135,6 +138,15 @@
         self.replication.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the items that nodes may not have yet.
+    ///
+    /// After a restart, every instance settles anew that the items on its disk are accepted. Nodes
+    /// had them before; those that have restarted as well fetch all items before they serve.
+    pub(super) fn to_push(&self, mut items: Vec<Item>) -> Vec<Item> {
+        items.retain(|item| !self.recovered.covers(item));
+        items
+    }
+
     /// Returns the members that gossip considers alive.
     pub(super) fn members(&self) -> Members {
         self.members.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/arbutuslane_control/src/items/replicate.rs
+++ b/crates/arbutuslane_control/src/items/replicate.rs
@@ -100,7 +100,7 @@
 fn record_copies(core: &Arc<Core>, client: &Client, instance: &str, items: &[Item]) {
     let accepted = core.replication().record_stored(instance, items);
     core.publish_accepted(&accepted);
-    push_accepted(core, client, &accepted, true);
+    push_accepted(core, client, accepted, true);
 }
 
 /// Records items that another instance reports as accepted, and writes the new ones to the disk.
@@ -114,7 +114,7 @@
     let new_items = core.replication().accept(items);
     core.publish_accepted(&new_items);
     if push_to_nodes {
-        push_accepted(core, client, &new_items, false);
+        push_accepted(core, client, new_items.clone(), false);
     }
     if new_items.is_empty() {
         return;
@@ -124,11 +124,12 @@
 }
 
 /// Sends accepted items to nodes and, with `to_control`, to the other control instances.
-fn push_accepted(core: &Arc<Core>, client: &Client, items: &[Item], to_control: bool) {
+fn push_accepted(core: &Arc<Core>, client: &Client, items: Vec<Item>, to_control: bool) {
+    let items = core.to_push(items);
     if items.is_empty() {
         return;
     }
-    let Ok(bytes) = codec::encode(&border::encode(items)) else { return };
+    let Ok(bytes) = codec::encode(&border::encode(&items)) else { return };
     let members = core.members();
     let mut targets: Vec<String> = members.nodes.into_values().take(MAX_PUSHED_NODES).collect();
     if to_control {
--- a/crates/arbutuslane_health/src/streak.rs
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -76,23 +76,28 @@
         self.is_suspect
     }
 
-    /// Returns whether a request should be sent to a suspect server as a trial now, and records the
-    /// trial. `repeatable` is whether the request is sent to another server if it fails.
-    pub fn try_start_trial(&mut self, now: Time, repeatable: bool) -> bool {
-        let due = match (self.last_trial_at, repeatable) {
-            (None, repeatable) => {
-                // The interval is counted from the first request that the server could have had.
+    /// Starts a trial of a suspect server with a request, if one is due. `repeatable` is whether the
+    /// request is sent to another server if it fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until a trial with such a request is due.
+    pub fn try_start_trial(&mut self, now: Time, repeatable: bool) -> Result<(), Duration> {
+        let interval = if repeatable { TRIAL_INTERVAL } else { UNREPEATABLE_TRIAL_INTERVAL };
+        let due = match self.last_trial_at {
+            Some(last_trial_at) => last_trial_at + interval,
+            None if repeatable => now,
+            // The interval is counted from the first request that the server could have had.
+            None => {
                 self.last_trial_at = Some(now);
-                return repeatable;
+                now + interval
             }
-            (Some(last_trial_at), true) => last_trial_at + TRIAL_INTERVAL,
-            (Some(last_trial_at), false) => last_trial_at + UNREPEATABLE_TRIAL_INTERVAL,
         };
         if now < due {
-            return false;
+            return Err(due - now);
         }
         self.last_trial_at = Some(now);
-        true
+        Ok(())
     }
 
     /// Returns the evidence against the server.
--- a/crates/arbutuslane_health/tests/streak.rs
+++ b/crates/arbutuslane_health/tests/streak.rs
@@ -43,9 +43,9 @@
     }
     assert!(streak.is_suspect());
     let at = Duration::from_millis;
-    assert!(streak.try_start_trial(at(0), true));
-    assert!(!streak.try_start_trial(at(1_100), true));
-    assert!(streak.try_start_trial(at(1_300), true));
+    assert!(streak.try_start_trial(at(0), true).is_ok());
+    assert!(streak.try_start_trial(at(1_100), true).is_err());
+    assert!(streak.try_start_trial(at(1_300), true).is_ok());
     streak.observe(true);
     assert!(streak.is_suspect());
     assert_eq!(streak.observe(true), Some(Change::Trusted));
@@ -61,15 +61,15 @@
     assert!(streak.is_suspect());
     let mut tried = Vec::new();
     for ms in (0..20_000).step_by(100) {
-        if streak.try_start_trial(at(ms), false) {
+        if streak.try_start_trial(at(ms), false).is_ok() {
             tried.push(ms);
         }
     }
     assert_eq!(tried, [4_000, 8_000, 12_000, 16_000]);
     // A lookup does not wait for the longer interval.
-    assert!(streak.try_start_trial(at(20_000), true));
+    assert!(streak.try_start_trial(at(20_000), true).is_ok());
     // A new suspicion starts a new interval.
     streak.observe(true);
     streak.observe(false);
-    assert!(streak.is_suspect() && !streak.try_start_trial(at(30_000), false));
+    assert!(streak.is_suspect() && streak.try_start_trial(at(30_000), false).is_err());
 }
--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -24,6 +24,16 @@
     Suspect,
 }
 
+/// The servers of a service that a request has not been sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Untried {
+    /// Whether there is one.
+    pub any: bool,
+    /// Whether there is one whose owner has not said a moment ago that it fails most requests. An
+    /// owner that has said so is not asked again before it takes a request as a trial.
+    pub trusted: bool,
+}
+
 /// How an unsuccessful attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -87,12 +97,12 @@
     /// Records the end of an attempt and returns how the next one is made, or `None` when the
     /// request ends with this result.
     ///
-    /// `has_untried_server` is whether an untried server is left. Only an attempt after one that
+    /// Only an attempt after one that
     /// was sent to a server is charged to the budget: a refused attempt adds no work to any server.
     pub fn next_effort(
         &mut self,
         failure: AttemptFailure,
-        has_untried_server: bool,
+        untried: Untried,
         budget: &mut RetryBudget,
         now: Time,
     ) -> Option<Effort> {
@@ -102,15 +112,15 @@
             self.may_have_run |= outcome != Outcome::NotRun;
         }
         self.has_busy_server |= failure == AttemptFailure::Busy;
-        self.has_suspect_server |= failure == AttemptFailure::Suspect;
+        self.has_suspect_server |=
+            failure == AttemptFailure::Suspect || (untried.any && !untried.trusted);
         if failure == AttemptFailure::Final || self.deadline.is_expired(now) {
             return None;
         }
         if let AttemptFailure::Sent(outcome) = failure {
-            return self.after_sent(outcome, has_untried_server, budget, now);
+            return self.after_sent(outcome, untried.any, budget, now);
         }
-        if self.second_pass.is_none() && has_untried_server && self.owners_tried < MAX_OWNERS_TRIED
-        {
+        if self.second_pass.is_none() && untried.trusted && self.owners_tried < MAX_OWNERS_TRIED {
             return Some(self.ordinary_effort());
         }
         self.second_pass_effort()
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -38,7 +38,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::attempts::{AttemptFailure, Attempts, Effort};
+    pub use crate::attempts::{AttemptFailure, Attempts, Effort, Untried};
     pub use crate::bucket::Bucket;
     pub use crate::budget::{Origin, RetryBudget};
     pub use crate::deadline::Deadline;
--- a/crates/arbutuslane_limit/tests/attempts.rs
+++ b/crates/arbutuslane_limit/tests/attempts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::entry::Class;
-use arbutuslane_limit::attempts::{AttemptFailure, Attempts, Effort};
+use arbutuslane_limit::attempts::{AttemptFailure, Attempts, Effort, Untried};
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::retry::Outcome;
@@ -11,6 +11,12 @@
 
 const NOW: Duration = Duration::ZERO;
 
+const OTHERS: Untried = Untried { any: true, trusted: true };
+
+const SUSPECTS: Untried = Untried { any: true, trusted: false };
+
+const NONE: Untried = Untried { any: false, trusted: false };
+
 fn deadline() -> Deadline {
     Deadline::after(NOW, Duration::from_secs(5))
 }
@@ -49,7 +55,7 @@
                 }
                 ran |= outcome != Outcome::NotRun;
             }
-            let Some(next) = attempts.next_effort(failure, true, &mut budget, NOW) else { break };
+            let Some(next) = attempts.next_effort(failure, OTHERS, &mut budget, NOW) else { break };
             // An attempt that may wait is followed by another such attempt only if it reached a
             // server, or, for idempotent requests, by one at a suspect server. No attempt follows
             // the latter.
@@ -86,18 +92,18 @@
     let mut budget = RetryBudget::new(0, 0, 0);
     assert_eq!(attempts.first_effort(), Effort::Last);
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Busy, true, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Busy, OTHERS, &mut budget, NOW),
         Some(Effort::Last)
     );
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Unavailable, true, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Unavailable, OTHERS, &mut budget, NOW),
         Some(Effort::Last)
     );
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Busy, false, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Busy, NONE, &mut budget, NOW),
         Some(Effort::Insist)
     );
-    assert_eq!(attempts.next_effort(AttemptFailure::Busy, false, &mut budget, NOW), None);
+    assert_eq!(attempts.next_effort(AttemptFailure::Busy, NONE, &mut budget, NOW), None);
     assert!(!attempts.may_have_run());
 }
 
@@ -108,15 +114,15 @@
     let mut budget = RetryBudget::new(0, 0, 0);
     let mut attempts = Attempts::new(Class::NonIdempotent, 2, deadline());
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Busy, true, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Busy, OTHERS, &mut budget, NOW),
         Some(Effort::Ordinary)
     );
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Unavailable, false, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Unavailable, NONE, &mut budget, NOW),
         Some(Effort::Insist)
     );
     let mut attempts = Attempts::new(Class::NonIdempotent, 2, deadline());
-    assert_eq!(attempts.next_effort(AttemptFailure::Unavailable, false, &mut budget, NOW), None);
+    assert_eq!(attempts.next_effort(AttemptFailure::Unavailable, NONE, &mut budget, NOW), None);
 }
 
 /// Guards against a lookup that is refused while a server that fails most requests is idle, and
@@ -127,36 +133,53 @@
     let mut budget = RetryBudget::new(0, 0, 0);
     let mut attempts = Attempts::new(Class::Idempotent, 2, deadline());
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Suspect, true, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Suspect, OTHERS, &mut budget, NOW),
         Some(Effort::Ordinary)
     );
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Busy, false, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Busy, NONE, &mut budget, NOW),
         Some(Effort::Insist)
     );
     assert_eq!(
-        attempts.next_effort(AttemptFailure::Busy, true, &mut budget, NOW),
+        attempts.next_effort(AttemptFailure::Busy, OTHERS, &mut budget, NOW),
         Some(Effort::Suspect)
     );
     let failed = AttemptFailure::Sent(Outcome::Failed);
-    assert_eq!(attempts.clone().next_effort(failed, true, &mut budget, NOW), None);
-    assert_eq!(attempts.next_effort(AttemptFailure::Busy, true, &mut budget, NOW), None);
+    assert_eq!(attempts.clone().next_effort(failed, OTHERS, &mut budget, NOW), None);
+    assert_eq!(attempts.next_effort(AttemptFailure::Busy, OTHERS, &mut budget, NOW), None);
 
     let mut booking = Attempts::new(Class::NonIdempotent, 2, deadline());
     assert_eq!(
-        booking.next_effort(AttemptFailure::Suspect, true, &mut budget, NOW),
+        booking.next_effort(AttemptFailure::Suspect, OTHERS, &mut budget, NOW),
         Some(Effort::Ordinary)
     );
     assert_eq!(
-        booking.next_effort(AttemptFailure::Busy, false, &mut budget, NOW),
+        booking.next_effort(AttemptFailure::Busy, NONE, &mut budget, NOW),
         Some(Effort::Insist)
     );
-    assert_eq!(booking.next_effort(AttemptFailure::Busy, true, &mut budget, NOW), None);
+    assert_eq!(booking.next_effort(AttemptFailure::Busy, OTHERS, &mut budget, NOW), None);
 
     // No other server is left.
     let mut booking = Attempts::new(Class::NonIdempotent, 2, deadline());
     assert_eq!(
-        booking.next_effort(AttemptFailure::Suspect, false, &mut budget, NOW),
+        booking.next_effort(AttemptFailure::Suspect, NONE, &mut budget, NOW),
         Some(Effort::Suspect)
     );
 }
+
+/// Guards against asking owners again that have just said that their servers fail most requests,
+/// and against a request that is refused although such a server could take it.
+#[test]
+fn next_only_suspects_left() {
+    let mut budget = RetryBudget::new(0, 0, 0);
+    let mut lookup = Attempts::new(Class::Idempotent, 2, deadline());
+    let next = lookup.next_effort(AttemptFailure::Busy, SUSPECTS, &mut budget, NOW);
+    assert_eq!(next, Some(Effort::Insist));
+    let next = lookup.next_effort(AttemptFailure::Busy, SUSPECTS, &mut budget, NOW);
+    assert_eq!(next, Some(Effort::Suspect));
+    for class in [Class::NonIdempotent, Class::Upload] {
+        let mut booking = Attempts::new(class, 2, deadline());
+        let next = booking.next_effort(AttemptFailure::Suspect, SUSPECTS, &mut budget, NOW);
+        assert_eq!(next, Some(Effort::Suspect));
+    }
+}
--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -139,12 +139,19 @@
         }
     }
 
-    /// Returns whether the server should accept a request that other servers could run. A suspect
-    /// server accepts one occasionally, and more often one that would be repeated if it failed.
-    pub(crate) fn should_accept(&self, repeatable: bool) -> bool {
+    /// Accepts a request that other servers could run. A suspect server accepts one occasionally, and
+    /// more often one that would be repeated if it failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the server may accept such a request.
+    pub(crate) fn try_accept(&self, repeatable: bool) -> Result<(), Duration> {
         let now = self.clock.now();
         let streak = &mut self.lock().streak;
-        !self.tries_suspects_last || !streak.is_suspect() || streak.try_start_trial(now, repeatable)
+        match self.tries_suspects_last && streak.is_suspect() {
+            true => streak.try_start_trial(now, repeatable),
+            false => Ok(()),
+        }
     }
 
     /// Returns whether the server fails most requests.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -16,7 +16,7 @@
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::remote;
 use super::route::RoutedRequest;
-use super::services::{self, AttemptGuard, ServerLocation};
+use super::services::{self, AttemptGuard, Avoidance, ServerLocation};
 use super::silent::{AttemptFuture, SendResult, SilentAttempt};
 use super::worker::Worker;
 
@@ -27,9 +27,11 @@
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// How an attempt is made.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct AttemptPlan {
     pub(super) effort: Effort,
+    /// The server to use, if one is known to be better than the others.
+    pub(super) server: Option<ServerId>,
     /// Whether the request was sent to another server before.
     pub(super) is_repeat: bool,
 }
@@ -41,9 +43,10 @@
     tried: &mut Vec<ServerId>,
     plan: AttemptPlan,
 ) -> SendResult<'a> {
-    let AttemptPlan { effort, .. } = plan;
+    let effort = plan.effort;
     let service = &routed.service;
-    let chosen = services::select_server(worker, service, routed.class, tried);
+    let chosen =
+        services::select_server(worker, service, routed.class, tried, plan.server.as_ref());
     let Some((selected, attempt_guard)) = chosen else {
         let error = format!("no server of {service} accepts requests");
         return SendResult::Ended(Err(Refusal {
@@ -70,12 +73,12 @@
     }
     // The response may still arrive in time, and no other attempt can be made.
     if !services::has_retry_budget(worker, service)
-        || !services::has_untried_server(worker, service, tried)
+        || !services::untried(worker, service, tried).any
     {
         return SendResult::Ended(running.await);
     }
     log_failure(worker, routed, &attempt, &silence_refusal());
-    services::avoid_server(worker, service, &server, false);
+    services::avoid_server(worker, service, &server, Avoidance::Overloaded);
     let clock = worker.shared.clock;
     SendResult::Silent(SilentAttempt {
         server,
@@ -110,7 +113,7 @@
     worker: &Worker,
     routed: &RoutedRequest,
     selected: services::SelectedServer,
-    AttemptPlan { effort, is_repeat }: AttemptPlan,
+    AttemptPlan { effort, is_repeat, .. }: AttemptPlan,
     may_switch: bool,
 ) -> Result<ServerResponse, Refusal> {
     let service = &routed.service;
@@ -171,12 +174,14 @@
                     attempt_guard.record(latency, false);
                 }
             }
-            if matches!(
-                refusal.cause,
-                RefusalCause::Stale | RefusalCause::Shed | RefusalCause::Suspect
-            ) {
-                let is_gone = refusal.cause == RefusalCause::Stale;
-                services::avoid_server(worker, &routed.service, &attempt.server, is_gone);
+            let avoidance = match refusal.cause {
+                RefusalCause::Stale => Some(Avoidance::Gone),
+                RefusalCause::Shed => Some(Avoidance::Overloaded),
+                RefusalCause::Suspect => Some(Avoidance::Suspect(refusal.wait.unwrap_or_default())),
+                _ => None,
+            };
+            if let Some(avoidance) = avoidance {
+                services::avoid_server(worker, &routed.service, &attempt.server, avoidance);
             }
             return Err(refusal);
         }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -239,7 +239,8 @@
     let mut tried = TriedServers::default();
     let mut silent_attempt = None;
     loop {
-        let plan = AttemptPlan { effort, is_repeat: attempts.is_repeat() };
+        let server = tried.shortest_wait(effort);
+        let plan = AttemptPlan { effort, server, is_repeat: attempts.is_repeat() };
         let sent = attempt::send(worker, routed, tried.exclusions(effort), plan);
         let result = match silent::send_alongside(sent, &mut silent_attempt, effort).await {
             SendResult::Ended(result) => result,
@@ -255,6 +256,7 @@
             next_effort(worker, routed, &mut attempts, failure, exclusions)
         });
         tried.record_failure(effort, failure);
+        tried.record_wait(failure, &result);
         let Some(next) = next else {
             let is_unsuccessful = result.as_ref().map_or(true, is_failure);
             if let Some(silent) = silent_attempt.take().filter(|_| is_unsuccessful)
@@ -288,6 +290,8 @@
     /// Servers whose owner did not refuse the request because they fail most requests; attempts
     /// with [`Effort::Suspect`] exclude them.
     not_suspect: Vec<ServerId>,
+    /// The busy servers, each with the predicted time until it has a slot for the request.
+    waits: Vec<(Duration, ServerId)>,
 }
 
 impl TriedServers {
@@ -316,6 +320,26 @@
         }
     }
 
+    /// Records how long the request would have to wait at the last server.
+    fn record_wait(
+        &mut self,
+        failure: Option<AttemptFailure>,
+        result: &Result<ServerResponse, Refusal>,
+    ) {
+        if failure == Some(AttemptFailure::Busy)
+            && let Err(Refusal { wait: Some(wait), .. }) = result
+            && let Some(server) = self.all.last()
+        {
+            self.waits.push((*wait, server.clone()));
+        }
+    }
+
+    /// Returns the server at which a request that may wait for a slot waits for the shortest time.
+    fn shortest_wait(&self, effort: Effort) -> Option<ServerId> {
+        let waits = self.waits.iter().filter(|_| effort == Effort::Insist);
+        waits.min_by_key(|(wait, _)| *wait).map(|(_, server)| server.clone())
+    }
+
     /// Returns all servers, with `server`, which responded, as the last one.
     fn with_last(mut self, server: ServerId) -> Vec<ServerId> {
         self.all.push(server);
@@ -332,7 +356,7 @@
     tried: &[ServerId],
 ) -> Option<Effort> {
     let replayable = routed.request.upload.is_replayable();
-    let others = services::has_untried_server(worker, &routed.service, tried);
+    let others = services::untried(worker, &routed.service, tried);
     let now = worker.shared.clock.now();
     let decide = |budget: &mut RetryBudget| {
         let next = match replayable {
@@ -354,7 +378,7 @@
             outcome = ?outcome,
             class = ?routed.class,
             replayable,
-            others,
+            others = others.any,
             budget_left,
             left_ms = routed.deadline.remaining_ms(now)
         );
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -115,8 +115,8 @@
     strikes::requires_claim(worker, server_request.fingerprint)?;
     // The trial of a suspect server was decided with the offer.
     let must_accept = server_request.must_accept || server_request.is_offered;
-    if !must_accept && !server.health.should_accept(server_request.retryable) {
-        return Err(Refusal::suspect());
+    if !must_accept {
+        server.health.try_accept(server_request.retryable).map_err(Refusal::suspect)?;
     }
     let (kind, _) = evidence_sources(worker, &server_request.request);
     let precedence = precedence(worker, &server_request.request.headers);
@@ -143,8 +143,8 @@
     let permit = permit.map_err(admission_refusal)?;
     let metrics = &worker.shared.metrics;
     metrics.record_stage(Stage::Queue, clock.now().saturating_sub(arrived_at));
-    if !may_wait && !was_suspect && server.health.is_suspect() {
-        return Err(Refusal::suspect());
+    if !may_wait && !was_suspect {
+        server.health.try_accept(server_request.retryable).map_err(Refusal::suspect)?;
     }
     // Checked after the queue, because another run of the request may have crashed a server
     // meanwhile.
@@ -299,7 +299,8 @@
     };
     let seconds = u32::try_from(refusal.retry_after.as_secs()).unwrap_or(u32::MAX);
     let retry_after = Some(seconds.saturating_add(1).min(60));
-    Refusal { cause: RefusalCause::Full, retry_after, ..Refusal::not_run(error) }
+    let wait = Some(refusal.retry_after);
+    Refusal { cause: RefusalCause::Full, retry_after, wait, ..Refusal::not_run(error) }
 }
 
 /// Returns the id that the caller gave its request, or an empty string.
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -1,5 +1,7 @@
 //! Responses that the fleet itself generates instead of a backend server.
 
+use std::time::Duration;
+
 use ntex::http::{Response, StatusCode};
 
 use arbutuslane_wire::{header, operator};
@@ -23,6 +25,9 @@
     pub(crate) try_other_server: bool,
     /// The cause of the refusal.
     pub(crate) cause: RefusalCause,
+    /// The predicted time until the server could take the request: until a slot is free, or until a
+    /// suspect server is tried again.
+    pub(crate) wait: Option<Duration>,
 }
 
 /// What a refusal says about the selected server.
@@ -65,6 +70,7 @@
             retry_after: Some(1),
             try_other_server: true,
             cause: RefusalCause::Sound,
+            wait: None,
         }
     }
 
@@ -75,8 +81,11 @@
 
     /// Returns a refusal of a request at a server that fails most requests; another server should
     /// run it.
-    pub(crate) fn suspect() -> Self {
-        Self { cause: RefusalCause::Suspect, ..Self::not_run("the server fails most requests") }
+    ///
+    /// The server is tried again after `wait`.
+    pub(crate) fn suspect(wait: Duration) -> Self {
+        let refusal = Self::not_run("the server fails most requests");
+        Self { cause: RefusalCause::Suspect, wait: Some(wait), ..refusal }
     }
 
     /// Returns a refusal of a request that did not run and that no server would accept.
@@ -89,6 +98,7 @@
             retry_after: None,
             try_other_server: false,
             cause: RefusalCause::Sound,
+            wait: None,
         }
     }
 
@@ -102,6 +112,7 @@
             retry_after: Some(1),
             try_other_server: true,
             cause: RefusalCause::Sound,
+            wait: None,
         }
     }
 
@@ -164,6 +175,9 @@
         if let Some(seconds) = self.retry_after {
             builder.header("retry-after", seconds.to_string());
         }
+        if let Some(wait) = self.wait {
+            builder.header(header::WAIT_MS, wait.as_millis().to_string());
+        }
         match self.cause {
             RefusalCause::Sound | RefusalCause::Silent => {}
             RefusalCause::Stale => {
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -191,6 +191,8 @@
         _ => RefusalCause::Sound,
     };
     let try_other_server = cause != RefusalCause::Final;
+    let wait = fields::text(&received.headers, header::WAIT_MS);
+    let wait = wait.and_then(|text| text.parse().ok()).map(Duration::from_millis);
     let retry_after = fields::text(&received.headers, "retry-after");
     let retry_after = retry_after.and_then(|text| text.parse().ok());
     let body = received.body.collect(MAX_REFUSAL_BYTES).await.unwrap_or_default();
@@ -200,7 +202,8 @@
     };
     match outcome {
         Outcome::NotRun => {
-            Refusal { status, retry_after, cause, try_other_server, ..Refusal::not_run(error) }
+            let refusal = Refusal { cause, try_other_server, wait, ..Refusal::not_run(error) };
+            Refusal { status, retry_after, ..refusal }
         }
         // A response without the outcome header field does not prove that the request was answered.
         Outcome::Unknown if status.is_success() => Refusal::unknown(
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -17,6 +17,7 @@
 use arbutuslane_core::id::{ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_health::peers::{Summarizer, Summary};
+use arbutuslane_limit::attempts::Untried;
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
 
@@ -32,6 +33,10 @@
 /// How long a server that shed load or has moved is avoided; server lists are exchanged within 1 s.
 const AVOID_DURATION: Duration = Duration::from_secs(1);
 
+/// The longest time for which a server that fails most requests is avoided without asking its owner
+/// again. Servers fail for some seconds, and one that has recovered should not stay unused for long.
+const MAX_SUSPECT_DURATION: Duration = Duration::from_secs(2);
+
 /// The services to which a thread has sent requests, in ascending order of their names.
 #[derive(Debug, Default)]
 pub(crate) struct Services {
@@ -84,8 +89,18 @@
 struct AvoidedServer {
     server: ServerId,
     until: Time,
-    /// Whether the server has moved, left or cannot be reached.
-    is_gone: bool,
+    reason: Avoidance,
+}
+
+/// Why a server is avoided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Avoidance {
+    /// It has moved, left or cannot be reached.
+    Gone,
+    /// It fails most requests, and is tried again after this time.
+    Suspect(Duration),
+    /// It sheds load or is silent.
+    Overloaded,
 }
 
 #[derive(Debug)]
@@ -182,7 +197,7 @@
         for avoided in &self.avoided {
             let is_excluded = match exclusion {
                 Exclusion::Avoided => true,
-                Exclusion::Gone => avoided.is_gone,
+                Exclusion::Gone => avoided.reason == Avoidance::Gone,
                 Exclusion::Tried => false,
             };
             if is_excluded && now < avoided.until {
@@ -192,11 +207,10 @@
         excluded
     }
 
-    /// Returns whether `server` has moved, left or cannot be reached.
-    fn is_gone(&self, server: &str, now: Time) -> bool {
-        self.avoided
-            .iter()
-            .any(|avoided| avoided.is_gone && avoided.server == server && now < avoided.until)
+    /// Returns why `server` is avoided at `now`, or `None` if it is not.
+    fn avoidance(&self, server: &str, now: Time) -> Option<Avoidance> {
+        let avoided = self.avoided.iter().find(|avoided| avoided.server == server)?;
+        (now < avoided.until).then_some(avoided.reason)
     }
 
     fn location(&self, server: &str) -> Option<&ServerLocation> {
@@ -250,11 +264,13 @@
 }
 
 /// Selects a server of `service` that is not in `tried` and counts an attempt at it as in flight.
+/// Selects `wanted` if the service still has that server.
 pub(crate) fn select_server(
     worker: &Worker,
     name: &str,
     class: Class,
     tried: &[ServerId],
+    wanted: Option<&ServerId>,
 ) -> Option<(SelectedServer, AttemptGuard)> {
     let shared = &worker.shared;
     let now = shared.clock.now();
@@ -262,17 +278,18 @@
     let service = services.service(shared, name);
     service.refresh_candidates(shared, name, now);
     let mut rng = worker.rng.borrow_mut();
-    let mut pick = None;
+    let wanted = wanted.filter(|wanted| service.location(wanted).is_some());
+    let mut pick = wanted.and_then(|wanted| service.picker.pick_named(wanted));
     for exclusion in [Exclusion::Avoided, Exclusion::Gone, Exclusion::Tried] {
+        if pick.is_some() {
+            break;
+        }
         // A request that other servers refused has no time left for a server that is gone.
         if exclusion == Exclusion::Tried && !tried.is_empty() {
             break;
         }
         let excluded = service.excluded(exclusion, tried, now);
         pick = service.picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
-        if pick.is_some() {
-            break;
-        }
     }
     let pick = pick?;
     let location = service.location(&pick.server)?.clone();
@@ -318,13 +335,23 @@
     service.budget.is_available()
 }
 
-/// Returns whether `service` has a server that is neither in `tried` nor gone.
-pub(crate) fn has_untried_server(worker: &Worker, service: &str, tried: &[ServerId]) -> bool {
+/// Returns which servers of `service` are neither in `tried` nor gone.
+pub(crate) fn untried(worker: &Worker, service: &str, tried: &[ServerId]) -> Untried {
+    let mut untried = Untried { any: false, trusted: false };
     let mut services = worker.services.borrow_mut();
-    let Some(service) = services.get_mut(service) else { return false };
+    let Some(service) = services.get_mut(service) else { return untried };
     let now = worker.shared.clock.now();
-    let mut locations = service.locations.iter().map(|(server, _)| server);
-    locations.any(|server| !tried.contains(server) && !service.is_gone(server, now))
+    for (server, _) in &service.locations {
+        if tried.contains(server) {
+            continue;
+        }
+        match service.avoidance(server, now) {
+            Some(Avoidance::Gone) => continue,
+            Some(Avoidance::Suspect(_)) => untried.any = true,
+            Some(Avoidance::Overloaded) | None => return Untried { any: true, trusted: true },
+        }
+    }
+    untried
 }
 
 /// Records the load that the owner of `server` reported.
@@ -342,20 +369,22 @@
     service.picker.report(server, &load, worker.shared.clock.now());
 }
 
-/// Avoids `server` for a while: it is selected only if no other server is left. The server sheds
-/// load, is silent or fails most requests, or it has gone (`is_gone`), because the server list that names it
-/// is outdated.
+/// Avoids `server` for a while: it is selected only if no other server is left.
 ///
 /// A server that refuses quickly looks idle, and would attract all requests and use up the retry
 /// budget. One server that had left caused 186 to 223 retries in an overload before the lists were
 /// exchanged.
-pub(crate) fn avoid_server(worker: &Worker, service: &str, server: &str, is_gone: bool) {
+pub(crate) fn avoid_server(worker: &Worker, service: &str, server: &str, reason: Avoidance) {
     let now = worker.shared.clock.now();
     let mut services = worker.services.borrow_mut();
     let Some(service) = services.get_mut(service) else { return };
     service.avoided.retain(|avoided| avoided.server != server && now < avoided.until);
-    let (server, until) = (server.to_string(), now + AVOID_DURATION);
-    service.avoided.push(AvoidedServer { server, until, is_gone });
+    let duration = match reason {
+        Avoidance::Suspect(wait) => wait.min(MAX_SUSPECT_DURATION),
+        Avoidance::Gone | Avoidance::Overloaded => AVOID_DURATION,
+    };
+    let (server, until) = (server.to_string(), now + duration);
+    service.avoided.push(AvoidedServer { server, until, reason });
 }
 
 /// Avoids the servers of `owner` for a short while because the owner could not be reached.
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -63,6 +63,9 @@
 /// The backend server itself sheds load.
 pub const REFUSAL_SHED: &str = "shed";
 
+/// The predicted milliseconds until the server could take the request, on refusals by an owner.
+pub const WAIT_MS: &str = "arbutuslane-wait-ms";
+
 /// The owner's queue for the backend server cannot accept the request.
 pub const REFUSAL_FULL: &str = "full";
 
