Keep the limit on repeats at the owners of the servers

Changed: a forwarded repeat is admitted or refused where it arrives, at the owner of the server, whose part is that of one of 23 to 132 servers, not of 240 entries; an entry asks three owners at most, and returns the server's own failure if none admits the repeat. Calls of repeats are charged there too.

--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -11,6 +11,10 @@
 /// but waiting at a full server takes hundreds of milliseconds.
 const MAX_OWNERS_TRIED: u32 = 12;
 
+/// The most owners that are asked to admit a repeat. Each keeps a part of the limit, and one may have
+/// used up its part while others have not.
+const MAX_REPEAT_REFUSALS: u32 = 3;
+
 /// How an attempt is made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effort {
@@ -43,6 +47,9 @@
     /// The owner refused the request without sending it to the server, because the server fails
     /// most requests.
     Suspect,
+    /// The owner refused the repeated request without sending it to the server, because the fleet
+    /// repeats too many requests.
+    RepeatLimit,
     /// The request was not sent to the server, because the server has moved, left or cannot be
     /// reached.
     Unavailable,
@@ -64,6 +71,8 @@
     /// The number of attempts in which the request was sent to a server, or may have been.
     sent: u32,
     may_have_run: bool,
+    /// The number of owners that refused the request as one repeat too many.
+    repeat_refusals: u32,
     /// Whether a busy server was found at which the request may wait.
     has_busy_server: bool,
     /// Whether a server was found that fails most requests but may accept this one.
@@ -83,6 +92,7 @@
             owners_tried: 0,
             sent: 0,
             may_have_run: false,
+            repeat_refusals: 0,
             has_busy_server: false,
             has_suspect_server: false,
             second_pass: None,
@@ -120,6 +130,12 @@
         if let AttemptFailure::Sent(outcome) = failure {
             return self.after_sent(outcome, untried.any, budget, now);
         }
+        if failure == AttemptFailure::RepeatLimit {
+            self.repeat_refusals += 1;
+            if self.repeat_refusals >= MAX_REPEAT_REFUSALS {
+                return None;
+            }
+        }
         if self.second_pass.is_none() && untried.trusted && self.owners_tried < MAX_OWNERS_TRIED {
             return Some(self.ordinary_effort());
         }
--- a/crates/arbutuslane_limit/src/budget.rs
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -47,9 +47,9 @@
 /// A limit on the repeats that one service gets from all nodes together: in any `window`, a share
 /// `ratio` of the first requests in it and `slack` more.
 ///
-/// Each node keeps to its part by itself, so that the limit holds while nodes cannot talk to each
-/// other. Repeats that a node does not send itself, such as the calls of a request that is run again,
-/// are [charged](RetryBudget::charge) to its budget.
+/// The limit is divided among the owners of the servers. Each keeps to its part by itself, so that it
+/// holds while nodes cannot talk to each other. Repeats that were not asked for, such as the calls of
+/// a request that is run again, are [charged](RetryBudget::charge) as well.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetLimit {
     /// The allowed repeats as a share of first requests.
@@ -60,8 +60,8 @@
     pub window: Duration,
 }
 
-/// The part of a [`FleetLimit`] that nodes use. The rest covers repeats that are charged too late to
-/// prevent others, and nodes that know of fewer nodes than there are.
+/// The part of a [`FleetLimit`] that owners use. The rest covers repeats that are charged too late to
+/// prevent others, and owners that know of fewer servers than there are.
 const USED_SHARE: f64 = 0.9;
 
 /// The credit that one retry costs; a first request earns `percent` credits.
@@ -87,6 +87,13 @@
         Self { percent, max_credit, credit, refill_interval: None, refilled_at: Time::ZERO }
     }
 
+    /// Returns a budget that allows every retry, because the owners of the servers limit them.
+    pub fn unlimited() -> Self {
+        let credit = f64::INFINITY;
+        let (percent, refill_interval) = (0.0, None);
+        Self { percent, max_credit: credit, credit, refill_interval, refilled_at: Time::ZERO }
+    }
+
     /// Returns the budget changed to earn one retry per `interval`, also without requests.
     #[must_use]
     pub fn with_refill_interval(mut self, interval: Duration, now: Time) -> Self {
@@ -129,10 +136,13 @@
         allowed
     }
 
-    /// Returns the number of retries or hedges that are allowed now.
-    pub fn available(&self) -> u32 {
+    /// Returns the number of retries or hedges that are allowed now, or `None` if it is not limited.
+    pub fn available(&self) -> Option<u32> {
+        if self.credit.is_infinite() {
+            return None;
+        }
         let retries = Duration::try_from_secs_f64(self.credit / CREDIT_PER_RETRY);
-        u32::try_from(retries.unwrap_or_default().as_secs()).unwrap_or(u32::MAX)
+        Some(u32::try_from(retries.unwrap_or_default().as_secs()).unwrap_or(u32::MAX))
     }
 
     /// Returns whether a retry or hedge is allowed now.
@@ -147,21 +157,21 @@
 }
 
 impl FleetLimit {
-    /// Returns the budget of one of `nodes` nodes. It starts empty, so that nodes which restart do
+    /// Returns the budget of one of `parts` owners. It starts empty, so that owners which restart do
     /// not get their part of the slack again.
-    pub fn budget(&self, nodes: usize, now: Time) -> RetryBudget {
+    pub fn budget(&self, parts: usize, now: Time) -> RetryBudget {
         let mut budget = RetryBudget::new(0, 0, 0);
         budget.refilled_at = now;
-        self.update(&mut budget, nodes);
+        self.update(&mut budget, parts);
         budget
     }
 
-    /// Changes `budget` to that of one of `nodes` nodes.
-    pub fn update(&self, budget: &mut RetryBudget, nodes: usize) {
-        let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
-        let slack = self.slack * USED_SHARE / f64::from(nodes);
-        // What may be saved up counts in every window, and so does what is earned in it. A node
-        // cannot send a part of a retry, so it may save at least one.
+    /// Changes `budget` to that of one of `parts` owners.
+    pub fn update(&self, budget: &mut RetryBudget, parts: usize) {
+        let parts = u32::try_from(parts.max(1)).unwrap_or(u32::MAX);
+        let slack = self.slack * USED_SHARE / f64::from(parts);
+        // What may be saved up counts in every window, and so does what is earned in it. An owner
+        // cannot admit a part of a retry, so it may save at least one.
         let saved = (slack / 2.0).max(1.0);
         let interval = self.window.as_secs_f64() / (slack - saved).max(1e-3);
         budget.percent = self.ratio * USED_SHARE * CREDIT_PER_RETRY;
--- a/crates/arbutuslane_limit/tests/attempts.rs
+++ b/crates/arbutuslane_limit/tests/attempts.rs
@@ -22,7 +22,7 @@
 }
 
 fn failure(choice: u8) -> AttemptFailure {
-    match choice % 8 {
+    match choice % 9 {
         0 => AttemptFailure::Busy,
         1 => AttemptFailure::Unavailable,
         2 => AttemptFailure::Sent(Outcome::NotRun),
@@ -30,6 +30,7 @@
         4 => AttemptFailure::Sent(Outcome::Unknown),
         5 => AttemptFailure::Sent(Outcome::Crashed),
         6 => AttemptFailure::Suspect,
+        7 => AttemptFailure::RepeatLimit,
         _ => AttemptFailure::Final,
     }
 }
@@ -183,3 +184,18 @@
         assert_eq!(next, Some(Effort::Suspect));
     }
 }
+
+/// Guards against a repeat that asks one owner after another although the fleet repeats too much, and
+/// against one that is given up although only one owner has used up its part of the limit.
+#[test]
+fn next_repeat_limit() {
+    let mut budget = RetryBudget::unlimited();
+    let mut lookup = Attempts::new(Class::Idempotent, 3, deadline());
+    let failed = AttemptFailure::Sent(Outcome::Failed);
+    let next = lookup.next_effort(failed, OTHERS, &mut budget, NOW);
+    assert_eq!((next, lookup.is_repeat()), (Some(Effort::Ordinary), true));
+    for expected in [Some(Effort::Ordinary), Some(Effort::Ordinary), None] {
+        let next = lookup.next_effort(AttemptFailure::RepeatLimit, OTHERS, &mut budget, NOW);
+        assert_eq!(next, expected);
+    }
+}
--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -224,6 +224,12 @@
         Some(Arc::clone(&servers[index]))
     }
 
+    /// Returns the number of servers of `service`.
+    pub(crate) fn count(&self, service: &str) -> usize {
+        let servers = self.servers.read().unwrap_or_else(PoisonError::into_inner);
+        servers.iter().filter(|server| server.service == service).count()
+    }
+
     /// Returns all servers.
     pub(crate) fn all(&self) -> Vec<Arc<Server>> {
         self.servers.read().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -25,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::recent_ids::RecentIds;
 use crate::settings::{Settings, Source};
-use crate::traffic::Limiter;
+use crate::traffic::{Limiter, Repeats};
 
 /// The most summaries of peers' health that a node attaches to forwarded requests per second, which
 /// bounds the bytes that summaries add.
@@ -87,7 +87,8 @@
     /// The running requests that were sent to another server before, and whose calls are therefore
     /// repeats as well.
     pub(crate) repeated_runs: RecentIds,
-    retry_limit: Option<FleetLimit>,
+    /// The limit on repeated requests to the servers of this node.
+    pub(crate) repeats: Repeats,
     configuration: RwLock<Arc<Configuration>>,
     remote_servers: RwLock<Arc<Vec<RemoteServer>>>,
     token: RwLock<Arc<String>>,
@@ -150,7 +151,7 @@
             failures: Mutex::default(),
             failed_calls: RecentIds::default(),
             repeated_runs: RecentIds::default(),
-            retry_limit,
+            repeats: Repeats::new(retry_limit),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -257,22 +258,20 @@
         }
     }
 
-    /// Returns the retry budget of one service at this node.
+    /// Returns the retry budget of one service at this node as an entry.
     ///
     pub(crate) fn retry_budget(&self) -> RetryBudget {
-        let Some(limit) = &self.retry_limit else { return RetryBudget::default() };
-        limit.budget(self.member_count(), self.clock.now())
-    }
-
-    /// Adapts the retry budget of a service to the number of members.
-    pub(crate) fn update_retry_budget(&self, budget: &mut RetryBudget) {
-        if let Some(limit) = &self.retry_limit {
-            limit.update(budget, self.member_count());
+        match self.settings.retry_budget {
+            Some(_) => RetryBudget::unlimited(),
+            None => RetryBudget::default(),
         }
     }
 
-    fn member_count(&self) -> usize {
-        self.cluster.membership().gossip.table().members().count()
+    /// Returns the number of servers of `service` in the fleet.
+    pub(crate) fn server_count(&self, service: &str) -> usize {
+        let remote_servers = self.remote_servers();
+        let remote = remote_servers.iter().filter(|server| server.service == service).count();
+        remote + self.servers.count(service)
     }
 
     /// Returns the secret that processes of the fleet share.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::answer::ServerResponse;
 use super::entry::is_failure;
-use super::owner::{self, ServerRequest};
+use super::owner::{self, Repeat, ServerRequest};
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::remote;
 use super::route::RoutedRequest;
@@ -32,8 +32,8 @@
     pub(super) effort: Effort,
     /// The server to use, if one is known to be better than the others.
     pub(super) server: Option<ServerId>,
-    /// Whether the request was sent to another server before.
-    pub(super) is_repeat: bool,
+    /// Whether the attempt counts as a repeat.
+    pub(super) repeat: Repeat,
 }
 
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
@@ -113,7 +113,7 @@
     worker: &Worker,
     routed: &RoutedRequest,
     selected: services::SelectedServer,
-    AttemptPlan { effort, is_repeat, .. }: AttemptPlan,
+    AttemptPlan { effort, repeat, .. }: AttemptPlan,
     may_switch: bool,
 ) -> Result<ServerResponse, Refusal> {
     let service = &routed.service;
@@ -132,7 +132,7 @@
         retryable: may_switch && services::has_retry_budget(worker, service),
         must_accept: matches!(effort, Effort::Insist | Effort::Suspect),
         is_offered: false,
-        is_repeat,
+        repeat,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
         deadline: routed.deadline,
         fingerprint: routed.fingerprint,
@@ -166,7 +166,7 @@
             // request that did not run is not counted as a failure, because that would hide real
             // failures from the comparison with the server's peers.
             match refusal.cause {
-                RefusalCause::Stale | RefusalCause::Suspect => {}
+                RefusalCause::Stale | RefusalCause::Suspect | RefusalCause::RepeatLimit => {}
                 RefusalCause::Full | RefusalCause::Shed => attempt_guard.record_refusal(),
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => {
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -23,7 +23,7 @@
 use super::attempt::{self, AttemptPlan};
 use super::fields;
 use super::intake;
-use super::owner;
+use super::owner::{self, Repeat};
 use super::protocol;
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::relay::{InFlight, Relay};
@@ -223,24 +223,27 @@
     let shared = &worker.shared;
     let id = resend_id(routed);
     let origin = worker.shared.failures().origin(id, worker.shared.clock.now());
-    // The request that made a call has already earned retry budget; retries of the call are charged
-    // to the budget like any others, and so is the call itself if that request is a repeat.
-    let is_repeat =
+    // The request that made a call has already earned retry budget.
+    if routed.parent.is_none() {
+        let earn = |budget: &mut RetryBudget| budget.earn(origin);
+        worker.services.borrow_mut().with_budget(shared, &routed.service, earn);
+    }
+    let is_repeated =
         routed.parent.as_ref().is_some_and(|parent| shared.repeated_runs.contains(parent));
-    let earn = |budget: &mut RetryBudget| match routed.parent {
-        None => budget.earn(origin),
-        Some(_) if is_repeat => budget.charge(),
-        Some(_) => {}
-    };
-    worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, earn);
+    let first_send = if is_repeated { Repeat::Consequence } else { Repeat::First };
     let max_attempts = u32::try_from(routed.attempts).unwrap_or(u32::MAX);
     let mut attempts = Attempts::new(routed.class, max_attempts, routed.deadline);
     let mut effort = attempts.first_effort();
     let mut tried = TriedServers::default();
     let mut silent_attempt = None;
+    let mut earlier_response = None;
     loop {
         let server = tried.shortest_wait(effort);
-        let plan = AttemptPlan { effort, server, is_repeat: attempts.is_repeat() };
+        let repeat = match attempts.is_repeat() {
+            true => Repeat::Retry,
+            false => first_send,
+        };
+        let plan = AttemptPlan { effort, server, repeat };
         let sent = attempt::send(worker, routed, tried.exclusions(effort), plan);
         let result = match silent::send_alongside(sent, &mut silent_attempt, effort).await {
             SendResult::Ended(result) => result,
@@ -267,12 +270,22 @@
             if is_unsuccessful {
                 worker.shared.failures().record(id, worker.shared.clock.now());
             }
-            return (final_result(result, attempts.may_have_run()), tried.all);
+            // A server's own response says more than the refusal of a later attempt.
+            let result = match (result, earlier_response) {
+                (Err(_), Some(response)) => Ok(response),
+                (result, _) => final_result(result, attempts.may_have_run()),
+            };
+            return (result, tried.all);
         };
+        if let Ok(response) = result {
+            earlier_response = Some(response);
+        }
         effort = next;
         let metrics = &worker.shared.metrics;
         count(match failure {
-            Some(AttemptFailure::Busy | AttemptFailure::Suspect) => &metrics.rejected_by_owner,
+            Some(AttemptFailure::Busy | AttemptFailure::Suspect | AttemptFailure::RepeatLimit) => {
+                &metrics.rejected_by_owner
+            }
             Some(AttemptFailure::Unavailable) => &metrics.stale_retries,
             _ => &metrics.retries,
         });
@@ -369,7 +382,10 @@
         worker.services.borrow_mut().with_budget(&worker.shared, &routed.service, decide);
     // A refusal before dispatch costs no budget, and has its own log line with `event=attempt`.
     if let AttemptFailure::Sent(outcome) = failure {
-        worker.shared.metrics.record_retry_budget(&routed.service, worker.thread_id, budget_left);
+        if let Some(budget_left) = budget_left {
+            let metrics = &worker.shared.metrics;
+            metrics.record_retry_budget(&routed.service, worker.thread_id, budget_left);
+        }
         tracing::info!(
             event = "retry-decided",
             request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
@@ -400,6 +416,7 @@
         (RefusalCause::Stale, _) => AttemptFailure::Unavailable,
         (RefusalCause::Full, _) => AttemptFailure::Busy,
         (RefusalCause::Suspect, _) => AttemptFailure::Suspect,
+        (RefusalCause::RepeatLimit, _) => AttemptFailure::RepeatLimit,
         (_, Outcome::NotRun) => AttemptFailure::Sent(retry::Outcome::NotRun),
         (_, Outcome::Unknown) => AttemptFailure::Sent(retry::Outcome::Unknown),
     })
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -32,6 +32,7 @@
 pub(crate) use answer::ServerResponse;
 pub(crate) use client::{Echo, ExchangeOptions, Failure, Pool, Request, Upload};
 pub(crate) use limiter::Limiter;
+pub(crate) use owner::Repeats;
 pub(crate) use refusal::{Outcome, Refusal, RefusalCause};
 pub(crate) use route::RoutedRequest;
 pub(crate) use worker::Worker;
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The stages of a request on the owner node: lease check, admission and dispatch to the server.
 
 mod exchange;
+mod repeats;
 mod work;
 
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 
 pub(crate) use exchange::count_connection;
 use exchange::{implies_not_run, send, shed_refusal};
+pub(crate) use repeats::{Repeat, Repeats};
 pub(crate) use work::ServerRequest;
 use work::{parse_request, receive_request};
 
@@ -113,6 +115,12 @@
 ) -> Result<(Arc<Server>, Arrival), Refusal> {
     let server = find_server(worker, server_request)?;
     strikes::requires_claim(worker, server_request.fingerprint)?;
+    let servers = || worker.shared.server_count(&server.service);
+    if server_request.repeat == Repeat::Retry
+        && !worker.shared.repeats.admits(&server.service, servers, worker.shared.clock.now())
+    {
+        return Err(Refusal::repeat_limit());
+    }
     // The trial of a suspect server was decided with the offer.
     let must_accept = server_request.must_accept || server_request.is_offered;
     if !must_accept {
@@ -166,10 +174,7 @@
     if let Some(claim) = &mut claim {
         claim.dispatch();
     }
-    if server_request.is_repeat {
-        let id = request_id(worker.shared.interface.dialect(), &server_request.request.headers);
-        worker.shared.repeated_runs.add(id);
-    }
+    count_repeat(worker, &server.service, &server_request);
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
@@ -231,6 +236,19 @@
     })
 }
 
+/// Counts a request that is sent to its server, and remembers a repeat, whose calls are repeats too.
+fn count_repeat(worker: &Worker, service: &str, server_request: &ServerRequest) {
+    let shared = &worker.shared;
+    let dialect = shared.interface.dialect();
+    let id = request_id(dialect, &server_request.request.headers);
+    let is_call = dialect.parent_id(id).is_some();
+    let servers = || shared.server_count(service);
+    shared.repeats.count(service, servers, (server_request.repeat, is_call), shared.clock.now());
+    if server_request.repeat != Repeat::First {
+        shared.repeated_runs.add(id);
+    }
+}
+
 /// Returns the refusal for a failed exchange; records a strike against the request if it crashed
 /// the server.
 async fn exchange_refusal(
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -12,7 +12,7 @@
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_wire::header;
 
-use super::{FORWARD, OFFER};
+use super::{FORWARD, OFFER, Repeat};
 use crate::traffic::client::{Request, Upload};
 use crate::traffic::intake::{self, Bounds};
 use crate::traffic::refusal::Refusal;
@@ -43,8 +43,8 @@
     pub(crate) must_accept: bool,
     /// Whether the owner has accepted an offer of the request, so that its body was sent.
     pub(crate) is_offered: bool,
-    /// Whether the request was sent to another server before.
-    pub(crate) is_repeat: bool,
+    /// Whether the request counts as a repeat.
+    pub(crate) repeat: Repeat,
     /// The id of the entry thread and its summary of how the server's peers perform.
     pub(crate) summary: Option<(u64, Summary)>,
     /// The time after which the response is useless.
@@ -113,7 +113,11 @@
     let is_trial = incoming.headers().contains_key(header::TRIAL);
     let retryable = incoming.headers().contains_key(header::REPEATABLE);
     let must_accept = incoming.headers().contains_key(header::MUST_ACCEPT);
-    let is_repeat = incoming.headers().contains_key(header::REPEATED);
+    let repeat = match fields::text(incoming.headers(), header::REPEATED) {
+        Some(header::REPEATED_RETRY) => Repeat::Retry,
+        Some(_) => Repeat::Consequence,
+        None => Repeat::First,
+    };
     let is_offered = incoming.headers().contains_key(header::OFFERED);
     let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
     let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
@@ -130,7 +134,7 @@
         retryable,
         must_accept,
         is_offered,
-        is_repeat,
+        repeat,
         summary,
         deadline,
         fingerprint,
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -44,6 +44,8 @@
     Full,
     /// The server fails most requests. It accepts the request only if no other server does.
     Suspect,
+    /// The fleet repeats too many requests to the service. The request was sent before.
+    RepeatLimit,
     /// The server sent no response for several times the usual latency.
     Silent,
     /// No other server may be tried, because the request has crashed one.
@@ -88,6 +90,12 @@
         Self { cause: RefusalCause::Suspect, wait: Some(wait), ..refusal }
     }
 
+    /// Returns a refusal of a repeated request beyond the limit on repeats.
+    pub(crate) fn repeat_limit() -> Self {
+        let refusal = Self::not_run("the fleet repeats too many requests to the service");
+        Self { cause: RefusalCause::RepeatLimit, ..refusal }
+    }
+
     /// Returns a refusal of a request that did not run and that no server would accept.
     pub(crate) fn rejected(status: StatusCode, error: &str, remedy: &'static str) -> Self {
         Self {
@@ -149,6 +157,7 @@
             RefusalCause::Shed => return "shed-by-server",
             RefusalCause::Full => return "queue-full",
             RefusalCause::Suspect => return "suspect",
+            RefusalCause::RepeatLimit => return "repeat-limit",
             RefusalCause::Silent => return "silent",
             RefusalCause::Final => return "crashed-server",
             RefusalCause::Sound => {}
@@ -192,6 +201,9 @@
             RefusalCause::Suspect => {
                 builder.header(header::REFUSAL, header::REFUSAL_SUSPECT);
             }
+            RefusalCause::RepeatLimit => {
+                builder.header(header::REFUSAL, header::REFUSAL_REPEAT_LIMIT);
+            }
             RefusalCause::Final => {
                 builder.header(header::REFUSAL, header::REFUSAL_FINAL);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -9,7 +9,7 @@
 
 use super::answer::ServerResponse;
 use super::client::{Echo, ExchangeOptions, Failure, ReceivedResponse, Request, Upload};
-use super::owner::{FORWARD, OFFER, ServerRequest, count_connection};
+use super::owner::{FORWARD, OFFER, Repeat, ServerRequest, count_connection};
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::worker::Worker;
 use super::{deadline, fields, services};
@@ -133,12 +133,18 @@
         (header::MUST_ACCEPT, server_request.must_accept),
         (header::TRIAL, server_request.is_trial),
         (header::OFFERED, server_request.is_offered),
-        (header::REPEATED, server_request.is_repeat),
     ] {
         if is_set {
             fields::set(headers, name, "1");
         }
     }
+    match server_request.repeat {
+        Repeat::First => {}
+        Repeat::Retry => fields::set(headers, header::REPEATED, header::REPEATED_RETRY),
+        Repeat::Consequence => {
+            fields::set(headers, header::REPEATED, header::REPEATED_CONSEQUENCE);
+        }
+    }
     request
 }
 
@@ -185,6 +191,7 @@
     let cause = match fields::text(&received.headers, header::REFUSAL) {
         Some(header::REFUSAL_STALE) => RefusalCause::Stale,
         Some(header::REFUSAL_SHED) => RefusalCause::Shed,
+        Some(header::REFUSAL_REPEAT_LIMIT) => RefusalCause::RepeatLimit,
         Some(header::REFUSAL_FULL) => RefusalCause::Full,
         Some(header::REFUSAL_SUSPECT) => RefusalCause::Suspect,
         Some(header::REFUSAL_FINAL) => RefusalCause::Final,
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -20,6 +20,7 @@
 use super::client::Failure;
 use super::entry;
 use super::fields;
+use super::owner::Repeat;
 use super::relay::BodySource;
 use super::route::RoutedRequest;
 use super::silent::SendResult;
@@ -106,7 +107,8 @@
         let (etag, length, received) = (self.etag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.continuation = Some(Box::pin(async move {
-            let plan = AttemptPlan { effort: Effort::Insist, server: None, is_repeat: true };
+            let plan =
+                AttemptPlan { effort: Effort::Insist, server: None, repeat: Repeat::Consequence };
             let sent = attempt::send(&worker, &routed, &mut tried, plan).await;
             let SendResult::Ended(Ok(response)) = sent else { return None };
             is_continuation(&response, &etag, received, length).then_some((response.body, tried))
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -172,7 +172,6 @@
         if is_recent && is_unchanged {
             return;
         }
-        shared.update_retry_budget(&mut self.budget);
         let mut locations = places::open_servers(shared, name, &remote_servers, now);
         let names: Vec<ServerId> = locations.iter().map(|(server, _, _)| server.clone()).collect();
         let subset = Subset::default().choose(&shared.settings.node, &names);
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -39,9 +39,15 @@
 /// Marks a forwarded request whose offer the owner has accepted.
 pub const OFFERED: &str = "arbutuslane-offered";
 
-/// Marks a forwarded request that was sent to another server before.
+/// Marks a forwarded request that adds to the repeats of its service.
 pub const REPEATED: &str = "arbutuslane-repeated";
 
+/// The request was sent to another server before, and may be refused as one repeat too many.
+pub const REPEATED_RETRY: &str = "retry";
+
+/// The request was caused by an admitted repeat.
+pub const REPEATED_CONSEQUENCE: &str = "consequence";
+
 /// The secret shared by the processes of the fleet.
 pub const TOKEN: &str = "arbutuslane-token";
 
@@ -60,6 +66,9 @@
 /// The entry chose the server from an outdated list.
 pub const REFUSAL_STALE: &str = "stale";
 
+/// The fleet repeats too many requests to the service.
+pub const REFUSAL_REPEAT_LIMIT: &str = "repeat-limit";
+
 /// The backend server itself sheds load.
 pub const REFUSAL_SHED: &str = "shed";
 
