Ask few owners while none has a free slot, and measure silence where it is judged

Changed: an entry asks three owners while fewer than one in twelve accepted at once (Acceptance), then waits at the one with the shortest wait; the mean latency of a route includes the links.

--- a/crates/arbutuslane_limit/src/attempts.rs
+++ b/crates/arbutuslane_limit/src/attempts.rs
@@ -9,7 +9,7 @@
 
 /// The most owners to which a request is sent while owners refuse it. A refusal takes about 2 ms,
 /// but waiting at a full server takes hundreds of milliseconds.
-const MAX_OWNERS_TRIED: u32 = 12;
+pub(crate) const MAX_OWNERS_TRIED: u32 = 12;
 
 /// The most owners that are asked to admit a repeat. Each keeps a part of the limit, and one may have
 /// used up its part while others have not.
@@ -66,6 +66,8 @@
     /// The most servers that the request may be sent to.
     limit: u32,
     deadline: Deadline,
+    /// The most owners that are asked before the request waits.
+    max_owners: u32,
     /// The number of attempts so far, each at one owner.
     owners_tried: u32,
     /// The number of attempts in which the request was sent to a server, or may have been.
@@ -89,6 +91,7 @@
             class,
             limit,
             deadline,
+            max_owners: MAX_OWNERS_TRIED,
             owners_tried: 0,
             sent: 0,
             may_have_run: false,
@@ -99,6 +102,13 @@
         }
     }
 
+    /// Returns the state changed to ask at most `owners` owners before the request waits.
+    #[must_use]
+    pub fn with_max_owners(mut self, owners: u32) -> Self {
+        self.max_owners = owners.min(MAX_OWNERS_TRIED);
+        self
+    }
+
     /// Returns how the first attempt is made.
     pub fn first_effort(&self) -> Effort {
         if self.limit == 1 { Effort::Last } else { Effort::Ordinary }
@@ -136,7 +146,7 @@
                 return None;
             }
         }
-        if self.second_pass.is_none() && untried.trusted && self.owners_tried < MAX_OWNERS_TRIED {
+        if self.second_pass.is_none() && untried.trusted && self.owners_tried < self.max_owners {
             return Some(self.ordinary_effort());
         }
         self.second_pass_effort()
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -24,6 +24,7 @@
 //! assert_eq!(next.start.len(), 1);
 //! ```
 
+pub mod acceptance;
 pub mod attempts;
 pub mod bucket;
 pub mod budget;
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -158,6 +158,14 @@
     mut attempt_guard: AttemptGuard,
     result: Result<ServerResponse, Refusal>,
 ) -> Result<ServerResponse, Refusal> {
+    let accepted = match &result {
+        Ok(_) => Some(true),
+        Err(refusal) => (refusal.cause == RefusalCause::Full).then_some(false),
+    };
+    if let Some(accepted) = accepted.filter(|_| !matches!(attempt.effort, Effort::Insist)) {
+        services::record_acceptance(worker, &routed.service, accepted);
+    }
+    let elapsed = worker.shared.clock.now().saturating_sub(attempt.started_at);
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -170,8 +178,7 @@
                 RefusalCause::Full | RefusalCause::Shed => attempt_guard.record_refusal(),
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => {
-                    let latency = worker.shared.clock.now().saturating_sub(attempt.started_at);
-                    attempt_guard.record(latency, false);
+                    attempt_guard.record(elapsed, false);
                 }
             }
             let avoidance = match refusal.cause {
@@ -188,7 +195,8 @@
     };
     attempt_guard.record(response.latency, !is_failure(&response));
     if !is_failure(&response) {
-        worker.routes.borrow_mut().record_latency(&routed.route, response.latency);
+        // The silence of a server is measured here as well, with the time on the links.
+        worker.routes.borrow_mut().record_latency(&routed.route, elapsed);
     }
     response.body.attach_guard(attempt_guard);
     Ok(response)
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -232,7 +232,8 @@
         routed.parent.as_ref().is_some_and(|parent| shared.repeated_runs.contains(parent));
     let first_send = if is_repeated { Repeat::Consequence } else { Repeat::First };
     let max_attempts = u32::try_from(routed.attempts).unwrap_or(u32::MAX);
-    let mut attempts = Attempts::new(routed.class, max_attempts, routed.deadline);
+    let mut attempts = Attempts::new(routed.class, max_attempts, routed.deadline)
+        .with_max_owners(services::max_owners(worker, &routed.service));
     let mut effort = attempts.first_effort();
     let mut tried = TriedServers::default();
     let mut silent_attempt = None;
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -17,6 +17,7 @@
 use arbutuslane_core::id::{ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_health::peers::{Summarizer, Summary};
+use arbutuslane_limit::acceptance::Acceptance;
 use arbutuslane_limit::attempts::Untried;
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
@@ -107,6 +108,7 @@
 struct ServiceState {
     picker: Picker,
     budget: RetryBudget,
+    acceptance: Acceptance,
     summarizer: Summarizer,
     next_id: u64,
     avoided: Vec<AvoidedServer>,
@@ -137,6 +139,7 @@
                 let state = ServiceState {
                     picker: Picker::new(shared.settings.domain.clone()),
                     budget: shared.retry_budget(),
+                    acceptance: Acceptance::default(),
                     summarizer: Summarizer::default(),
                     next_id: 0,
                     avoided: Vec::new(),
@@ -326,6 +329,18 @@
     Some(now.saturating_sub(reported))
 }
 
+/// Records whether an owner of a server of `service` accepted a request at once.
+pub(crate) fn record_acceptance(worker: &Worker, service: &str, accepted: bool) {
+    if let Some(service) = worker.services.borrow_mut().get_mut(service) {
+        service.acceptance.record(accepted);
+    }
+}
+
+/// Returns how many owners a request to `service` asks before it waits.
+pub(crate) fn max_owners(worker: &Worker, service: &str) -> u32 {
+    worker.services.borrow_mut().service(&worker.shared, service).acceptance.max_owners()
+}
+
 /// Returns whether the retry budget of `service` allows another attempt.
 pub(crate) fn has_retry_budget(worker: &Worker, service: &str) -> bool {
     let mut services = worker.services.borrow_mut();
