Wait for signals in one place, and test the owner's part of the limit on repeats

No change of behaviour: the loop over SIGTERM, SIGHUP and the settings file stood in the node and in the control instance for items; it is now signal::wait_for_stop.

--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -9,12 +9,11 @@
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
 use arbutuslane_event::reload::{self, WatchedFile};
-use arbutuslane_event::{log, output};
+use arbutuslane_event::{log, output, signal};
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
 use ntex::client::Client;
-use ntex::rt::signals::{Signal, signal};
 use ntex::rt::{DefaultRuntime, System};
 use ntex::web::{self, App, HttpServer};
 
@@ -140,27 +139,14 @@
     }
     let server = server.run();
     let _repair_task = ntex::rt::spawn(replicate::run_repair(Arc::clone(&core)));
-    System::current().enable_signals();
     let path = core.settings.path.clone();
     let mut watched = path.clone().map(WatchedFile::new);
-    let mut signals = Box::pin(signal());
-    loop {
-        match ntex::time::timeout_checked(reload::RELOAD_INTERVAL, signals.as_mut()).await {
-            // Without a signal, the file is still checked for changes at this interval.
-            Err(()) => {}
-            Ok(Ok(received)) if received.iter().all(|signal| matches!(signal, Signal::Hup)) => {
-                signals = Box::pin(signal());
-            }
-            Ok(Ok(_)) => break,
-            Ok(Err(_)) => {
-                ntex::time::sleep(reload::RELOAD_INTERVAL).await;
-                signals = Box::pin(signal());
-            }
-        }
+    signal::wait_for_stop(|| {
         if let (Some(watched), Some(path)) = (&mut watched, &path) {
             reload_settings(watched, path, &reload_gossip);
         }
-    }
+    })
+    .await;
     core.stop();
     core.events.record(Kind::Stop { in_flight: 0 });
     server.stop(true).await;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use clap::{Arg, Command, value_parser};
-use ntex::rt::signals::{Signal, signal};
 use ntex::rt::{DefaultRuntime, System};
-use ntex::time::{sleep, timeout_checked};
+use ntex::time::sleep;
 
-use arbutuslane_event::output;
 use arbutuslane_event::prelude::{Draft, Kind, log};
-use arbutuslane_event::reload::{RELOAD_INTERVAL, WatchedFile, install_sighup_handler};
+use arbutuslane_event::reload::{WatchedFile, install_sighup_handler};
+use arbutuslane_event::{output, signal};
 
 use crate::cluster;
 use crate::configuration;
@@ -123,29 +122,16 @@
 /// Serves the listeners until a signal to stop, then lets requests in flight finish.
 async fn serve(shared: Arc<Shared>) -> Result<(), Error> {
     let server = listener::start(&shared)?;
-    System::current().enable_signals();
     let version = env!("CARGO_PKG_VERSION").to_string();
     let incarnation = shared.incarnation;
     shared.events.record(Draft::new(Kind::Start { version, incarnation }));
     let mut watched = shared.settings.path.clone().map(WatchedFile::new);
-    let mut signals = Box::pin(signal());
-    loop {
-        match timeout_checked(RELOAD_INTERVAL, signals.as_mut()).await {
-            // The file may change without a signal.
-            Err(()) => {}
-            Ok(Ok(received)) if received.iter().all(|signal| matches!(signal, Signal::Hup)) => {
-                signals = Box::pin(signal());
-            }
-            Ok(Ok(_)) => break,
-            Ok(Err(_)) => {
-                sleep(RELOAD_INTERVAL).await;
-                signals = Box::pin(signal());
-            }
-        }
+    signal::wait_for_stop(|| {
         if let Some(watched) = &mut watched {
             reload::reload_if_changed(&shared, watched);
         }
-    }
+    })
+    .await;
     shared.stop();
     let stop_start = shared.clock.now();
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
--- a/crates/arbutuslane_node/src/traffic/owner/repeats.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/repeats.rs
@@ -100,3 +100,33 @@
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SERVICE: &str = "bookings";
+
+    /// Guards against retries beyond the part of one owner, against calls of servers that raise the
+    /// limit, and against calls of repeated requests that are not counted.
+    #[test]
+    fn admits_part() {
+        let window = Duration::from_secs(10);
+        let repeats = Repeats::new(Some(FleetLimit { ratio: 0.2, slack: 0.0, window }));
+        let servers = || 10;
+        let now = Duration::from_secs(1);
+        let count = |repeat, is_call| repeats.count(SERVICE, servers, (repeat, is_call), now);
+        assert!(!repeats.admits(SERVICE, servers, now));
+        for _ in 0..50 {
+            count(Repeat::First, true);
+        }
+        assert!(!repeats.admits(SERVICE, servers, now));
+        for _ in 0..6 {
+            count(Repeat::First, false);
+        }
+        assert!(repeats.admits(SERVICE, servers, now));
+        count(Repeat::Consequence, true);
+        assert!(!repeats.admits(SERVICE, servers, now));
+        assert!(Repeats::new(None).admits(SERVICE, servers, now));
+    }
+}
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -73,14 +73,7 @@
     /// Starts a node that holds request bodies in a quarter of `memory_mb` megabytes.
     pub(crate) fn start_with_memory(seeds: &[SocketAddr], memory_mb: u32) -> Self {
         let mut node = Self::start(seeds);
-        let _ = node.child.kill();
-        let _ = node.child.wait();
-        let path = node.directory.join("settings.json");
-        let text = std::fs::read_to_string(&path).unwrap();
-        let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
-        settings["memory_mb"] = memory_mb.into();
-        std::fs::write(&path, settings.to_string()).unwrap();
-        node.child = spawn_node(&path);
+        node.restart_with(|settings| settings["memory_mb"] = memory_mb.into());
         node.wait_healthy();
         node
     }
@@ -131,14 +124,9 @@
     /// connections of callers.
     pub(crate) fn start_without_catalogue(seeds: &[SocketAddr]) -> Self {
         let mut node = Self::start(seeds);
-        let _ = node.child.kill();
-        let _ = node.child.wait();
-        let path = node.directory.join("settings.json");
-        let text = std::fs::read_to_string(&path).unwrap();
-        let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
-        settings.as_object_mut().unwrap().remove("catalogue_file");
-        std::fs::write(&path, settings.to_string()).unwrap();
-        node.child = spawn_node(&path);
+        node.restart_with(|settings| {
+            settings.as_object_mut().unwrap().remove("catalogue_file");
+        });
         wait_until(|| std::net::TcpStream::connect(node.caller_address).is_ok());
         node
     }
@@ -148,6 +136,18 @@
         CATALOGUE
     }
 
+    /// Kills the node and starts it with changed settings.
+    fn restart_with(&mut self, change: impl FnOnce(&mut serde_json::Value)) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let path = self.directory.join("settings.json");
+        let text = std::fs::read_to_string(&path).unwrap();
+        let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+        change(&mut settings);
+        std::fs::write(&path, settings.to_string()).unwrap();
+        self.child = spawn_node(&path);
+    }
+
     /// Kills the node and starts it again with the same settings.
     pub(crate) fn kill_and_restart(&mut self) {
         let _ = self.child.kill();
