--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 mod routes;
 mod services;
 mod silent;
+mod tried;
 mod worker;
 
 pub(crate) use admission::Admission;
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -3,6 +3,7 @@
 //! Each traffic thread has its own pickers, so that a selection takes no lock. The candidates are
 //! refreshed when the server lists change, and periodically because leases expire without an event.
 
+mod avoidance;
 mod places;
 
 use std::cell::{Cell, RefCell};
@@ -26,18 +27,14 @@
 
 use super::worker::Worker;
 
+pub(crate) use avoidance::Avoidance;
 pub(crate) use places::ServerLocation;
 
+use avoidance::{AvoidedServers, Exclusion};
+
 /// How often candidates are refreshed if no server list has changed.
 const CANDIDATE_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long a server that shed load or has moved is avoided; server lists are exchanged within 1 s.
-const AVOID_DURATION: Duration = Duration::from_secs(1);
-
-/// The longest time for which a server that fails most requests is avoided without asking its owner
-/// again. Servers fail for some seconds, and one that has recovered should not stay unused for long.
-const MAX_SUSPECT_DURATION: Duration = Duration::from_secs(2);
-
 /// The services to which a thread has sent requests, in ascending order of their names.
 #[derive(Debug, Default)]
 pub(crate) struct Services {
@@ -74,36 +71,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OutcomeCell(Rc<Cell<Option<(Duration, bool)>>>);
 
-/// Which avoided servers a selection excludes, besides the servers that were already tried.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Exclusion {
-    /// All avoided servers.
-    Avoided,
-    /// The avoided servers that are gone.
-    Gone,
-    /// No avoided servers.
-    Tried,
-}
-
-/// A server that is avoided for a while.
-#[derive(Debug)]
-struct AvoidedServer {
-    server: ServerId,
-    until: Time,
-    reason: Avoidance,
-}
-
-/// Why a server is avoided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Avoidance {
-    /// It has moved, left or cannot be reached.
-    Gone,
-    /// It fails most requests, and is tried again after this time.
-    Suspect(Duration),
-    /// It sheds load or is silent.
-    Overloaded,
-}
-
 #[derive(Debug)]
 struct ServiceState {
     picker: Picker,
@@ -111,7 +78,7 @@
     acceptance: Acceptance,
     summarizer: Summarizer,
     next_id: u64,
-    avoided: Vec<AvoidedServer>,
+    avoided: AvoidedServers,
     locations: Vec<(ServerId, ServerLocation)>,
     remote_servers: Arc<Vec<RemoteServer>>,
     local_version: u64,
@@ -142,7 +109,7 @@
                     acceptance: Acceptance::default(),
                     summarizer: Summarizer::default(),
                     next_id: 0,
-                    avoided: Vec::new(),
+                    avoided: AvoidedServers::default(),
                     locations: Vec::new(),
                     remote_servers: Arc::default(),
                     local_version: 0,
@@ -193,28 +160,6 @@
             (remote_servers, local_version, Some(now));
     }
 
-    /// Returns the servers that a selection must not use.
-    fn excluded(&self, exclusion: Exclusion, tried: &[ServerId], now: Time) -> Vec<ServerId> {
-        let mut excluded = tried.to_vec();
-        for avoided in &self.avoided {
-            let is_excluded = match exclusion {
-                Exclusion::Avoided => true,
-                Exclusion::Gone => avoided.reason == Avoidance::Gone,
-                Exclusion::Tried => false,
-            };
-            if is_excluded && now < avoided.until {
-                excluded.push(avoided.server.clone());
-            }
-        }
-        excluded
-    }
-
-    /// Returns why `server` is avoided at `now`, or `None` if it is not.
-    fn avoidance(&self, server: &str, now: Time) -> Option<Avoidance> {
-        let avoided = self.avoided.iter().find(|avoided| avoided.server == server)?;
-        (now < avoided.until).then_some(avoided.reason)
-    }
-
     fn location(&self, server: &str) -> Option<&ServerLocation> {
         let index = self.locations.binary_search_by(|(name, _)| name.as_str().cmp(server)).ok()?;
         Some(&self.locations[index].1)
@@ -290,7 +235,7 @@
         if exclusion == Exclusion::Tried && !tried.is_empty() {
             break;
         }
-        let excluded = service.excluded(exclusion, tried, now);
+        let excluded = service.avoided.excluded(exclusion, tried, now);
         pick = service.picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
     }
     let pick = pick?;
@@ -359,7 +304,7 @@
         if tried.contains(server) {
             continue;
         }
-        match service.avoidance(server, now) {
+        match service.avoided.reason(server, now) {
             Some(Avoidance::Gone) => continue,
             Some(Avoidance::Suspect(_)) => untried.any = true,
             Some(Avoidance::Overloaded) | None => return Untried { any: true, trusted: true },
@@ -392,13 +337,7 @@
     let now = worker.shared.clock.now();
     let mut services = worker.services.borrow_mut();
     let Some(service) = services.get_mut(service) else { return };
-    service.avoided.retain(|avoided| avoided.server != server && now < avoided.until);
-    let duration = match reason {
-        Avoidance::Suspect(wait) => wait.min(MAX_SUSPECT_DURATION),
-        Avoidance::Gone | Avoidance::Overloaded => AVOID_DURATION,
-    };
-    let (server, until) = (server.to_string(), now + duration);
-    service.avoided.push(AvoidedServer { server, until, reason });
+    service.avoided.add(server, reason, now);
 }
 
 /// Avoids the servers of `owner` for a short while because the owner could not be reached.
