--- a/crates/arbutuslane_soak/src/http.rs
+++ b/crates/arbutuslane_soak/src/http.rs
@@ -134,3 +134,10 @@
     let repeat = 1 + id.bytes().map(usize::from).sum::<usize>() % 400;
     format!("{id} {path};").repeat(repeat).into_bytes()
 }
+
+/// Returns the body of the upload `id`: some tens to some hundreds of kilobytes, so that it needs more
+/// than one buffer on its way.
+pub fn upload_body(id: &str) -> Vec<u8> {
+    let length = 40_000 + id.bytes().map(usize::from).sum::<usize>() % 400 * 500;
+    id.bytes().cycle().take(length).collect()
+}
