Check the limits and times in a node's settings

parse_bounds: negative or zero times and limits are refused by name of the key; a slack of 25.29, with which the small twin of the large site did not start, is taken. No other change of behaviour.

--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -192,6 +192,13 @@
                 return Err(Error::Value { key, reason: "must be a positive number of seconds" });
             }
         }
+        if let Some(Budget { ratio, slack, window_s }) = settings.retry_budget
+            && !(ratio >= 0.0 && slack >= 0.0 && seconds(window_s).is_some_and(|t| !t.is_zero()))
+        {
+            let reason =
+                "`ratio` and `slack` must not be negative, and `window_s` must be positive";
+            return Err(Error::Value { key: "retry_budget", reason });
+        }
         if settings.memory_mb == 0 {
             return Err(Error::Value { key: "memory_mb", reason: "must be at least 1" });
         }
@@ -285,6 +292,33 @@
         assert!(error.contains("seeds[1]"), "{error}");
     }
 
+    /// Guards against times and limits that are no times or limits, and against a bound that a
+    /// deployment states as a fraction and a node refuses.
+    #[test]
+    fn parse_bounds() {
+        let with = |field: &str| {
+            let text = COMPLETE.replace("\"node\"", &format!("{field}, \"node\""));
+            Settings::parse(&text)
+        };
+        for (key, field) in [
+            ("grace_s", r#""grace_s": 0"#),
+            ("heartbeat_s", r#""heartbeat_s": -1.5"#),
+            ("memory_mb", r#""memory_mb": 0"#),
+            ("retry_budget", r#""retry_budget": {"ratio": -0.1, "slack": 1, "window_s": 10}"#),
+            ("retry_budget", r#""retry_budget": {"ratio": 0.1, "slack": 1, "window_s": 0}"#),
+        ] {
+            let error = with(field).unwrap_err().to_string();
+            assert!(error.contains(key), "{field}: {error}");
+        }
+        let budget = r#""retry_budget": {"ratio": 0.2, "slack": 25.29, "window_s": 10}"#;
+        assert!(with(budget).is_ok());
+        let settings = with(r#""grace_s": 10, "heartbeat_s": 1.5, "memory_mb": 160"#).unwrap();
+        assert_eq!(settings.stop_limit(), Duration::from_millis(9_600));
+        assert_eq!(settings.lease(), Duration::from_secs(8));
+        assert_eq!(settings.body_bytes(), 40 << 20);
+        assert_eq!(Settings::parse(COMPLETE).unwrap().lease(), Duration::from_millis(2_500));
+    }
+
     /// Guards against a node without traffic threads, which would accept callers and never respond,
     /// and a node that accepts peers without a token by mistake.
     #[test]
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -19,7 +19,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The size from which a body is offered before it is sent. A smaller one crosses a link of a few
-/// megabits per second in about the time that an offer takes.
+/// megabits per second in some tens of milliseconds, which is not worth a second round trip.
 const MIN_OFFERED_BYTES: u64 = 16 << 10;
 
 /// The maximum size of a refusal in bytes.
