--- a/crates/arbutuslane_storage/src/fake.rs
+++ b/crates/arbutuslane_storage/src/fake.rs
@@ -9,11 +9,25 @@
 
 use crate::disk::Disk;
 
+/// The unit in bytes that a torn write is written or lost in.
+const SECTOR_BYTES: usize = 64;
+
 #[derive(Debug, Clone, Default)]
 struct FileContent {
     bytes: Vec<u8>,
     /// The bytes that remain after a power loss.
     synced: Vec<u8>,
+    /// The changes of `bytes` since the last sync.
+    unsynced: Vec<Change>,
+}
+
+/// A change of a file's content.
+#[derive(Debug, Clone)]
+enum Change {
+    /// Bytes written at a position.
+    Write { position: usize, bytes: Vec<u8> },
+    /// A new length.
+    Truncate { length: usize },
 }
 
 #[derive(Debug)]
@@ -54,40 +68,24 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Simulates a power loss, in which unsynced names may be lost and unsynced bytes may be lost,
-    /// truncated or corrupted.
+    /// Simulates a power loss. Every unsynced name change of a file and every unsynced change of its
+    /// content is kept or lost independently, and a write may also be torn or corrupted.
     pub fn crash(&self) {
         let mut state = self.lock();
-        let state = &mut *state;
         state.syncs_until_failure = None;
         state.writes_until_failure = None;
-        // An operating system may write the changes of a folder in any order. This disk keeps
-        // either all or none of the unsynced changes, and both cases occur.
-        if state.rng.random_bool(0.5) {
-            state.names = state.synced_names.clone();
-        }
-        state.synced_names = state.names.clone();
-        for content in &mut state.files {
-            // 0 loses the unsynced bytes, 1 truncates them, 2 flips one bit of them, 3 keeps them.
-            // A file that is shorter than its synced content keeps its length only with 1.
-            let fault = state.rng.random_range(0..4u8);
-            if fault == 0 || content.bytes.len() < content.synced.len() {
-                if fault != 1 {
-                    content.bytes.clone_from(&content.synced);
+        // A quarter of the power losses lose all unsynced changes.
+        let loses_all = state.rng.random_bool(0.25);
+        state.crash_names(loses_all);
+        let State { files, rng, .. } = &mut *state;
+        for content in files {
+            let changes = std::mem::take(&mut content.unsynced);
+            if !loses_all {
+                for change in changes {
+                    change.crash(&mut content.synced, rng);
                 }
-                content.synced.clone_from(&content.bytes);
-                continue;
-            }
-            let synced = content.synced.len();
-            if fault == 1 && content.bytes.len() > synced {
-                let length = state.rng.random_range(synced..=content.bytes.len());
-                content.bytes.truncate(length);
             }
-            if fault == 2 && content.bytes.len() > synced {
-                let position = state.rng.random_range(synced..content.bytes.len());
-                content.bytes[position] ^= 1 << state.rng.random_range(0..8u8);
-            }
-            content.synced.clone_from(&content.bytes);
+            content.bytes.clone_from(&content.synced);
         }
     }
 
@@ -142,7 +140,84 @@
     }
 }
 
+impl FileContent {
+    /// Appends `bytes`.
+    fn append(&mut self, bytes: &[u8]) {
+        self.unsynced.push(Change::Write { position: self.bytes.len(), bytes: bytes.to_vec() });
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Shortens the content to `length` bytes.
+    fn truncate(&mut self, length: usize) {
+        self.unsynced.push(Change::Truncate { length });
+        self.bytes.truncate(length);
+    }
+
+    /// Makes the content durable.
+    fn sync(&mut self) {
+        self.unsynced.clear();
+        self.synced.clone_from(&self.bytes);
+    }
+}
+
+impl Change {
+    /// Applies what a power loss leaves of this change to `content`.
+    fn crash(self, content: &mut Vec<u8>, rng: &mut Rng) {
+        let (position, bytes) = match self {
+            Self::Write { position, bytes } => (position, bytes),
+            Self::Truncate { length } => {
+                if rng.random_bool(0.5) {
+                    content.truncate(length);
+                }
+                return;
+            }
+        };
+        // 0 loses the write, 1 keeps it, 2 keeps its start, 3 keeps some sectors of it, 4 flips one bit.
+        let fault = rng.random_range(0..5u8);
+        if fault == 0 || bytes.is_empty() {
+            return;
+        }
+        let kept_length = match fault {
+            2 => rng.random_range(0..bytes.len()),
+            _ => bytes.len(),
+        };
+        // The file has its new length even where the bytes before this write are lost.
+        if content.len() < position + kept_length {
+            content.resize(position + kept_length, 0);
+        }
+        for (number, sector) in bytes[..kept_length].chunks(SECTOR_BYTES).enumerate() {
+            if fault == 3 && rng.random_bool(0.5) {
+                continue;
+            }
+            let start = position + number * SECTOR_BYTES;
+            content[start..start + sector.len()].copy_from_slice(sector);
+        }
+        if fault == 4 {
+            let flipped = position + rng.random_range(0..bytes.len());
+            content[flipped] ^= 1 << rng.random_range(0..8u8);
+        }
+    }
+}
+
 impl State {
+    /// Keeps or loses the unsynced name changes of each file.
+    fn crash_names(&mut self, loses_all: bool) {
+        let mut names = BTreeMap::new();
+        for file in 0..self.files.len() {
+            let name_in = |names: &BTreeMap<String, usize>| {
+                let mut found = names.iter().filter(|(_, position)| **position == file);
+                found.next().map(|(name, _)| name.clone())
+            };
+            let (current, synced) = (name_in(&self.names), name_in(&self.synced_names));
+            let is_lost = loses_all || self.rng.random_bool(0.5);
+            let Some(name) = (if is_lost { synced } else { current }) else { continue };
+            // A file that was renamed over another one has a higher position, and replaces it.
+            names.insert(name, file);
+        }
+        self.names = names.clone();
+        self.synced_names = names;
+    }
+
     /// Returns the position of the file `name` in `files`.
     fn file_index(&self, name: &str) -> io::Result<usize> {
         self.names.get(name).copied().ok_or_else(|| io::ErrorKind::NotFound.into())
@@ -186,15 +261,15 @@
             }
         };
         if State::takes_failure(&mut state.writes_until_failure) {
-            state.files[file].bytes.extend_from_slice(&bytes[..bytes.len() / 2]);
+            state.files[file].append(&bytes[..bytes.len() / 2]);
             return Err(io::Error::other("injected write failure"));
         }
         if state.is_full {
             let written = state.rng.random_range(0..=bytes.len() / 2);
-            state.files[file].bytes.extend_from_slice(&bytes[..written]);
+            state.files[file].append(&bytes[..written]);
             return Err(io::ErrorKind::StorageFull.into());
         }
-        state.files[file].bytes.extend_from_slice(bytes);
+        state.files[file].append(bytes);
         Ok(())
     }
 
@@ -204,7 +279,7 @@
         if state.is_full {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        state.files[file].bytes.truncate(usize::try_from(length).unwrap_or(usize::MAX));
+        state.files[file].truncate(usize::try_from(length).unwrap_or(usize::MAX));
         Ok(())
     }
 
@@ -214,8 +289,7 @@
         if State::takes_failure(&mut state.syncs_until_failure) {
             return Err(io::Error::other("injected sync failure"));
         }
-        let content = &mut state.files[file];
-        content.synced.clone_from(&content.bytes);
+        state.files[file].sync();
         state.syncs += 1;
         Ok(())
     }
--- a/crates/arbutuslane_storage/src/log.rs
+++ b/crates/arbutuslane_storage/src/log.rs
@@ -239,6 +239,7 @@
         while self.segments.len() > 1 && self.segments[0].last_index <= index {
             let name = segment_name(self.segments[0].sequence);
             self.disk.remove(&name).map_err(|error| Error::io("remove", &name, error))?;
+            self.disk.sync_folder().map_err(|error| Error::io("sync", ".", error))?;
             self.segments.remove(0);
         }
         Ok(())
