--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -7,6 +7,7 @@
 
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::metric::{Histograms, Text};
+use arbutuslane_item::item::MAX_LISTED_ITEMS;
 use arbutuslane_item::prelude::{Item, Replication, Table as ItemTable};
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::table::Table;
@@ -162,13 +163,18 @@
         if items.is_empty() {
             return;
         }
-        for item in items {
-            tracing::info!(
-                event = "item-accepted",
-                item = ?item.key,
-                version = item.version,
-                removed = item.content.is_none()
-            );
+        if items.len() > MAX_LISTED_ITEMS {
+            let newest_version = items.iter().map(|item| item.version).max();
+            tracing::info!(event = "items-accepted", items = items.len(), newest_version);
+        } else {
+            for item in items {
+                tracing::info!(
+                    event = "item-accepted",
+                    item = ?item.key,
+                    version = item.version,
+                    removed = item.content.is_none()
+                );
+            }
         }
         self.accepted_batches.send_modify(|count| *count += 1);
     }
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -70,8 +70,16 @@
 /// See [`Error`]; the data folder and the listener are opened before anything is served.
 pub fn run(settings: Settings, operators: Arc<dyn OperatorFormat>) -> Result<(), Error> {
     let events = Arc::new(Buffer::new(settings.name.clone(), MAX_EVENTS));
-    let (disk, recovered) =
-        disk::start(settings.data.clone(), settings.first_start, Arc::clone(&events))?;
+    let opened = disk::start(settings.data.clone(), settings.first_start, Arc::clone(&events));
+    let (disk, recovered) = match opened {
+        Ok(opened) => opened,
+        Err(error) => {
+            // The report on standard error is not part of the log, which is what is collected.
+            tracing::error!(event = "start-failed", %error);
+            output::flush();
+            return Err(error.into());
+        }
+    };
     let mut listeners = Vec::new();
     for address in std::iter::once(&settings.listen).chain(&settings.metrics) {
         let listener = TcpListener::bind(address)
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -61,6 +61,12 @@
     /// served until it takes writes again.
     pub(super) fn open(folder: F, first_start: bool) -> Result<(Self, Recovered), Error> {
         let (log, recovered) = Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES)?;
+        tracing::info!(
+            event = "log-opened",
+            entries = recovered.entries.len(),
+            snapshot_index = recovered.snapshot.as_ref().map(|snapshot| snapshot.index),
+            truncated_bytes = recovered.truncated_bytes
+        );
         let next_index = recovered.entries.last().map_or(0, |entry| entry.index);
         let next_index =
             next_index.max(recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)) + 1;
--- a/crates/arbutuslane_item/src/item.rs
+++ b/crates/arbutuslane_item/src/item.rs
@@ -6,6 +6,9 @@
 use arbutuslane_core::hash;
 use arbutuslane_core::id::ServiceName;
 
+/// The most items of one batch that the log lists one by one; of a larger batch it tells the count.
+pub const MAX_LISTED_ITEMS: usize = 32;
+
 /// The version of an item; the highest version of each key is in force.
 pub type Version = u64;
 
--- a/crates/arbutuslane_node/src/cluster/items.rs
+++ b/crates/arbutuslane_node/src/cluster/items.rs
@@ -31,6 +31,31 @@
 /// The longest wait for the response of one peer.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The result of a comparison with one process.
+#[derive(Debug, PartialEq, Eq)]
+enum ComparisonOutcome {
+    /// The process has all items; `adopted` of them were new here.
+    Complete { adopted: usize },
+    /// The process may lack accepted items; `adopted` of those that it has were new here.
+    Incomplete { adopted: usize },
+    /// The response could not be decoded.
+    Unreadable,
+    /// There was no response.
+    Failed { error: String },
+}
+
+impl ComparisonOutcome {
+    /// Returns the label of the outcome in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Complete { .. } => "complete",
+            Self::Incomplete { .. } => "incomplete",
+            Self::Unreadable => "unreadable",
+            Self::Failed { .. } => "failed",
+        }
+    }
+}
+
 /// Compares the items in force with those of other processes until this one ends.
 pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
     // Whether a control instance gave all items in the last comparison.
@@ -66,12 +91,11 @@
     }
 }
 
-/// Puts encoded items from another process into force; returns whether they could be decoded.
-pub(crate) fn adopt_encoded(shared: &Shared, bytes: &[u8]) -> bool {
-    let Ok(items) = codec::decode::<Vec<border::Item>>(bytes) else { return false };
-    let items: Vec<Item> = border::decode(items);
-    shared.adopt_items(items);
-    true
+/// Puts encoded items from another process into force; returns the number of those that were new, or
+/// `None` when they cannot be decoded.
+pub(crate) fn adopt_encoded(shared: &Shared, bytes: &[u8]) -> Option<usize> {
+    let items: Vec<Item> = border::decode(codec::decode(bytes).ok()?);
+    Some(shared.adopt_items(items))
 }
 
 /// Returns the items of this node in the buckets whose hashes differ from `peer_hashes`, the bucket
@@ -110,24 +134,34 @@
 /// Compares the items with those of the process at `address`; returns whether that process reported
 /// its items as complete and this node adopted those that differ.
 async fn compare_with(shared: &Arc<Shared>, pool: &Rc<Pool>, address: SocketAddr) -> bool {
+    let started_at = shared.clock.now();
     let buckets = shared.configuration().items().buckets().to_vec();
     let message = peer::Message::SyncItems { buckets, unaccepted: false };
-    match peers::send(shared, pool, address, &message, COMPARE_TIMEOUT).await {
+    let answer = peers::send(shared, pool, address, &message, COMPARE_TIMEOUT).await;
+    let (outcome, bytes) = match answer {
         Ok(peer::Answer::Items { complete, items, .. }) => {
             // The items of an incomplete peer are valid, but it may lack some that were accepted
             // before it started.
-            let adopted = adopt_encoded(shared, &items);
-            if adopted && complete {
-                shared.set_has_all_items();
-            }
-            adopted && complete
-        }
-        Ok(_) => false,
-        Err(error) => {
-            tracing::debug!(event = "compare-failed", peer = %address, error);
-            false
+            let outcome = match (adopt_encoded(shared, &items), complete) {
+                (Some(adopted), true) => ComparisonOutcome::Complete { adopted },
+                (Some(adopted), false) => ComparisonOutcome::Incomplete { adopted },
+                (None, _) => ComparisonOutcome::Unreadable,
+            };
+            (outcome, items.len())
         }
+        Ok(_) => (ComparisonOutcome::Unreadable, 0),
+        Err(error) => (ComparisonOutcome::Failed { error }, 0),
+    };
+    shared.metrics.count_comparison(outcome.name(), bytes);
+    if outcome != (ComparisonOutcome::Complete { adopted: 0 }) {
+        let took_ms = shared.clock.now().saturating_sub(started_at).as_millis();
+        tracing::info!(event = "compared", peer = %address, ?outcome, bytes, took_ms);
+    }
+    let is_complete = matches!(outcome, ComparisonOutcome::Complete { .. });
+    if is_complete {
+        shared.set_has_all_items();
     }
+    is_complete
 }
 
 /// Returns the known control instances in a fixed order, or the configured ones when none is known,
--- a/crates/arbutuslane_node/src/metrics/mod.rs
+++ b/crates/arbutuslane_node/src/metrics/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) refused_body_bytes: AtomicU64,
     /// Request bodies that were streamed, because the memory for bodies was used up.
     pub(crate) streamed_bodies: AtomicU64,
+    /// Bytes of configuration items received in comparisons with other processes.
+    pub(crate) compared_bytes: AtomicU64,
     /// Requests of callers and peers in flight.
     pub(crate) in_flight: AtomicI64,
     labelled: Labelled,
@@ -69,6 +71,8 @@
     attempts: Counters,
     /// The announcements of servers, by result.
     announcements: Counters,
+    /// The comparisons of configuration items with other processes, by result.
+    comparisons: Counters,
     /// The retries that the budget allowed at the last decision, by service and traffic thread.
     budgets: BTreeMap<(ServiceName, u64), u32>,
 }
@@ -143,8 +147,14 @@
             &["fate"],
             MAX_LABEL_SETS,
         );
+        let comparisons = Counters::new(
+            "arbutuslane_comparisons_total",
+            "Comparisons of configuration items with other processes, by result.",
+            &["outcome"],
+            MAX_LABEL_SETS,
+        );
         let budgets = BTreeMap::new();
-        Self { latencies, stages, outcomes, attempts, announcements, budgets }
+        Self { latencies, stages, outcomes, attempts, announcements, comparisons, budgets }
     }
 }
 
@@ -193,6 +203,12 @@
         self.labelled.lock().announcements.add(&[result], 1);
     }
 
+    /// Counts a comparison of configuration items and the bytes of items that it brought.
+    pub(crate) fn count_comparison(&self, outcome: &'static str, bytes: usize) {
+        self.labelled.lock().comparisons.add(&[outcome], 1);
+        self.compared_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Records the retries that the budget of a traffic thread allows now.
     pub(crate) fn record_retry_budget(&self, service: &str, thread: u64, retries: u32) {
         let mut families = self.labelled.lock();
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -38,6 +38,7 @@
         ("offers_refused", &metrics.offers_refused),
         ("refused_body_bytes", &metrics.refused_body_bytes),
         ("streamed_bodies", &metrics.streamed_bodies),
+        ("compared_bytes", &metrics.compared_bytes),
     ];
     for (name, counter) in counters {
         let value = counter.load(Ordering::Relaxed);
@@ -69,6 +70,7 @@
     text.counters(&families.outcomes);
     text.counters(&families.attempts);
     text.counters(&families.announcements);
+    text.counters(&families.comparisons);
     let mut budgets: BTreeMap<&str, u64> = BTreeMap::new();
     for ((service, _), retries) in &families.budgets {
         *budgets.entry(service).or_default() += u64::from(*retries);
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -142,8 +142,8 @@
         peer::Message::SyncItems { buckets, .. } => cluster::items::difference(shared, &buckets),
         peer::Message::AcceptedItems { items } => {
             match cluster::items::adopt_encoded(shared, &items) {
-                true => peer::Answer::Done,
-                false => peer::Answer::Unsupported,
+                Some(_) => peer::Answer::Done,
+                None => peer::Answer::Unsupported,
             }
         }
         peer::Message::InForce { .. } | peer::Message::StoreItems { .. } => {
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -12,7 +12,8 @@
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
-use arbutuslane_item::prelude::Item;
+use arbutuslane_item::item::MAX_LISTED_ITEMS;
+use arbutuslane_item::prelude::{Item, Key, Version};
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::{FleetLimit, RetryBudget};
 use arbutuslane_limit::memory::Memory;
@@ -184,19 +185,19 @@
     pub(crate) fn adopt_items(&self, items: Vec<Item>) -> usize {
         let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
         let mut table = current.items().clone();
-        let mut adopted = 0;
+        let mut adopted = Vec::new();
         for item in items {
-            let (name, version) = (format!("{:?}", item.key), item.version);
-            if !table.merge(item) {
-                continue;
+            let (key, version) = (item.key.clone(), item.version);
+            if table.merge(item) {
+                adopted.push((key, version));
             }
-            adopted += 1;
-            tracing::info!(event = "item-in-force", item = name, version);
         }
-        if adopted > 0 {
+        if !adopted.is_empty() {
             *current = Arc::new(table.into());
         }
-        adopted
+        drop(current);
+        log_items_in_force(&adopted);
+        adopted.len()
     }
 
     /// Records that this node has adopted all items of another process.
@@ -344,3 +345,14 @@
         false => Ok(token),
     }
 }
+
+fn log_items_in_force(adopted: &[(Key, Version)]) {
+    if adopted.len() > MAX_LISTED_ITEMS {
+        let newest_version = adopted.iter().map(|(_, version)| *version).max();
+        tracing::info!(event = "items-in-force", items = adopted.len(), newest_version);
+        return;
+    }
+    for (key, version) in adopted {
+        tracing::info!(event = "item-in-force", item = ?key, version);
+    }
+}
