--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -127,7 +127,7 @@
     }
 
     /// Writes items to the disk and records the duration; returns whether the write succeeded.
-    pub(super) async fn store(&self, items: Vec<Item>) -> bool {
+    pub(super) async fn store(&self, items: Vec<Arc<Item>>) -> bool {
         let started_at = Instant::now();
         let stored = self.disk.store(items).await;
         self.counters.record_step(Step::Store, started_at.elapsed());
@@ -143,7 +143,7 @@
     ///
     /// After a restart, every instance settles anew that the items on its disk are accepted. Nodes
     /// had them before; those that have restarted as well fetch all items before they serve.
-    pub(super) fn to_push(&self, mut items: Vec<Item>) -> Vec<Item> {
+    pub(super) fn to_push(&self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
         items.retain(|item| !self.recovered.covers(item));
         items
     }
@@ -159,7 +159,7 @@
     }
 
     /// Logs accepted items and notifies the requests that wait for them.
-    pub(super) fn publish_accepted(&self, items: &[Item]) {
+    pub(super) fn publish_accepted(&self, items: &[Arc<Item>]) {
         if items.is_empty() {
             return;
         }
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -90,7 +90,7 @@
     let replication = Replication::new(&settings.name, copies, recovered.standing, recovered.items);
     tracing::info!(
         event = "items-found",
-        items = replication.table().items().len(),
+        items = replication.table().len(),
         complete = replication.is_complete()
     );
     let incarnation = wall_ms();
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -22,7 +22,7 @@
 
 /// A write request to the disk thread; the reply says whether the write is durable.
 struct Job {
-    items: Vec<Item>,
+    items: Vec<Arc<Item>>,
     /// Whether to record that this instance holds every accepted change.
     complete: bool,
     reply: oneshot::Sender<bool>,
@@ -42,7 +42,7 @@
     }
 
     /// Writes items; returns whether they are durable.
-    pub(super) async fn store(&self, items: Vec<Item>) -> bool {
+    pub(super) async fn store(&self, items: Vec<Arc<Item>>) -> bool {
         self.submit(items, false).await
     }
 
@@ -52,7 +52,7 @@
         self.submit(Vec::new(), true).await
     }
 
-    async fn submit(&self, items: Vec<Item>, complete: bool) -> bool {
+    async fn submit(&self, items: Vec<Arc<Item>>, complete: bool) -> bool {
         let (reply, result) = oneshot::channel();
         if self.jobs.send(Job { items, complete, reply }).is_err() {
             return false;
@@ -115,7 +115,7 @@
 /// time without one.
 fn write(writer: &mut Writer<DataFolder>, jobs: &[Job], events: &Events) -> bool {
     let was_writable = writer.is_writable();
-    let items: Vec<Item> = jobs.iter().flat_map(|job| job.items.iter().cloned()).collect();
+    let items: Vec<Arc<Item>> = jobs.iter().flat_map(|job| job.items.iter().cloned()).collect();
     let Err(error) = writer.write(&items, jobs.iter().any(|job| job.complete)) else { return true };
     if was_writable {
         events.record(Kind::DiskFault { detail: error.to_string() });
@@ -147,7 +147,7 @@
     async fn start_same_version() {
         let item = |service: &str| {
             let source = format!(r#"{{"service":"{service}"}}"#);
-            Item { source, ..Item::removal(Key::Route("r".to_string()), 3) }
+            Arc::new(Item { source, ..Item::removal(Key::Route("r".to_string()), 3) })
         };
         let (first, accepted) = match item("x").hash() > item("y").hash() {
             true => (item("x"), item("y")),
--- a/crates/arbutuslane_control/src/items/replicate.rs
+++ b/crates/arbutuslane_control/src/items/replicate.rs
@@ -7,22 +7,19 @@
 
 use arbutuslane_item::border;
 use arbutuslane_item::prelude::Item;
+use arbutuslane_item::transfer::MAX_HASHES;
 use arbutuslane_wire::peer::{Answer, Message};
 use arbutuslane_wire::{codec, header};
-use futures_util::StreamExt;
 use futures_util::future::join_all;
-use futures_util::stream::FuturesUnordered;
 use ntex::client::Client;
 use ntex::time::{Millis, sleep};
 
+use super::compare;
 use super::core::Core;
 
 /// The timeout of a request to one peer. It covers several round trips and syncs of a slow disk.
 const PEER_TIMEOUT: Millis = Millis(1_000);
 
-/// The longest time that [`fetch_missing_items`] waits for the other instances.
-const COMPARE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// The largest accepted response of a peer.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -37,8 +34,12 @@
 /// that they lack.
 const MAX_PUSHED_NODES: usize = 128;
 
+/// The largest number of items that are pushed to nodes; of more items the nodes get the hashes and
+/// fetch them in parts, because the whole may take longer than a request on the link of a node.
+const MAX_PUSHED_ITEMS: usize = 32;
+
 /// Sends `message` to a peer and returns its response, or `None` when the request fails.
-async fn send_request(
+pub(super) async fn send_request(
     core: &Core,
     client: &Client,
     address: &str,
@@ -57,7 +58,7 @@
 
 /// Starts writing `items` to the disk of this instance and of every other one. When enough
 /// instances have stored an item, it is accepted and pushed to the nodes.
-pub(super) fn replicate_items(core: &Arc<Core>, client: &Client, items: &[Item]) {
+pub(super) fn replicate_items(core: &Arc<Core>, client: &Client, items: &[Arc<Item>]) {
     if items.is_empty() {
         return;
     }
@@ -82,7 +83,7 @@
     client: &Client,
     name: &str,
     address: &str,
-    items: &[Item],
+    items: &[Arc<Item>],
 ) {
     let Ok(bytes) = codec::encode(&border::encode(items)) else { return };
     let answer = send_request(core, client, address, &Message::StoreItems { items: bytes }).await;
@@ -97,7 +98,12 @@
 }
 
 /// Counts the copies stored by `instance` and pushes the items that they make accepted.
-fn record_copies(core: &Arc<Core>, client: &Client, instance: &str, items: &[Item]) {
+pub(super) fn record_copies(
+    core: &Arc<Core>,
+    client: &Client,
+    instance: &str,
+    items: &[Arc<Item>],
+) {
     let accepted = core.replication().record_stored(instance, items);
     core.publish_accepted(&accepted);
     push_accepted(core, client, accepted, true);
@@ -108,7 +114,7 @@
 pub(super) fn record_accepted(
     core: &Arc<Core>,
     client: &Client,
-    items: Vec<Item>,
+    items: Vec<Arc<Item>>,
     push_to_nodes: bool,
 ) {
     let new_items = core.replication().accept(items);
@@ -123,106 +129,67 @@
     ntex::rt::spawn(async move { disk.store(new_items).await });
 }
 
-/// Sends accepted items to nodes and, with `to_control`, to the other control instances.
-fn push_accepted(core: &Arc<Core>, client: &Client, items: Vec<Item>, to_control: bool) {
+/// Sends accepted items to nodes and, with `to_control`, to the other control instances. Nodes get
+/// only the hashes of many items.
+fn push_accepted(core: &Arc<Core>, client: &Client, items: Vec<Arc<Item>>, to_control: bool) {
     let items = core.to_push(items);
     if items.is_empty() {
         return;
     }
     let Ok(bytes) = codec::encode(&border::encode(&items)) else { return };
+    let whole = Message::AcceptedItems { items: bytes };
+    let to_nodes = match items.len() > MAX_PUSHED_ITEMS {
+        true => announcement(&items),
+        false => whole.clone(),
+    };
     let members = core.members();
-    let mut targets: Vec<String> = members.nodes.into_values().take(MAX_PUSHED_NODES).collect();
-    if to_control {
-        targets.extend(members.control.into_values());
+    for address in members.nodes.into_values().take(MAX_PUSHED_NODES) {
+        push(core, client, address, to_nodes.clone());
     }
-    for address in targets {
-        let (core, client) = (Arc::clone(core), client.clone());
-        let message = Message::AcceptedItems { items: bytes.clone() };
-        ntex::rt::spawn(async move {
-            if send_request(&core, &client, &address, &message).await.is_none() {
-                core.counters.push_failures.fetch_add(1, Ordering::Relaxed);
-                tracing::debug!(event = "push-failed", peer = address);
-            }
-        });
+    if to_control {
+        for address in members.control.into_values() {
+            push(core, client, address, whole.clone());
+        }
     }
 }
 
-/// Fetches and stores the items of the other instances that this one lacks. Returns how many
-/// instances that hold every accepted change took part, including this one.
-pub(super) async fn fetch_missing_items(core: &Arc<Core>, client: &Client) -> usize {
-    let buckets = core.replication().table().buckets().to_vec();
-    let message = Message::SyncItems { buckets, unaccepted: true };
-    let own_complete = usize::from(core.replication().is_complete());
-    let needed = core.replication().copies();
-    let mut responses = FuturesUnordered::new();
-    for address in core.members().control.into_values() {
-        let (core, client, message) = (Arc::clone(core), client.clone(), message.clone());
-        responses.push(async move { send_request(&core, &client, &address, &message).await });
-    }
-    let mut complete = own_complete;
-    let deadline = sleep(COMPARE_TIMEOUT);
-    let mut deadline = std::pin::pin!(deadline);
-    loop {
-        let next = futures_util::future::select(responses.next(), deadline.as_mut()).await;
-        let futures_util::future::Either::Left((Some(answer), _)) = next else { return complete };
-        let Some(Answer::Items { instance, complete: peer_complete, items, accepted }) = answer
-        else {
-            continue;
-        };
-        let (Ok(items), Ok(accepted)) = (codec::decode(&items), codec::decode(&accepted)) else {
-            continue;
-        };
-        let items = border::decode(items);
-        let stored = store_received(core, client, items, border::decode(accepted)).await;
-        if !peer_complete || !stored {
-            continue;
-        }
-        complete += 1;
-        if core.replication().record_complete_source(&instance) {
-            core.disk.record_complete().await;
-            tracing::info!(event = "recovered", instances = needed);
-        }
-        if complete >= needed && own_complete == 1 {
-            return complete;
-        }
-    }
+fn announcement(items: &[Arc<Item>]) -> Message {
+    let hashes = match items.len() > MAX_HASHES {
+        true => Vec::new(),
+        false => items.iter().map(|item| item.hash()).collect(),
+    };
+    Message::AnnounceItems { hashes }
 }
 
-/// Merges the items of another instance; returns whether the new ones are durable here.
-async fn store_received(
-    core: &Arc<Core>,
-    client: &Client,
-    items: Vec<Item>,
-    accepted: Vec<Item>,
-) -> bool {
-    let new_items = core.replication().merge_items(items);
-    record_accepted(core, client, accepted, true);
-    if new_items.is_empty() {
-        return true;
-    }
-    let stored = core.store(new_items.clone()).await;
-    if stored {
-        let own_name = core.settings.name.clone();
-        record_copies(core, client, &own_name, &new_items);
-    }
-    stored
+/// Sends a message without waiting for the response.
+fn push(core: &Arc<Core>, client: &Client, address: String, message: Message) {
+    let (core, client) = (Arc::clone(core), client.clone());
+    ntex::rt::spawn(async move {
+        if send_request(&core, &client, &address, &message).await.is_none() {
+            core.counters.push_failures.fetch_add(1, Ordering::Relaxed);
+            tracing::debug!(event = "push-failed", peer = address);
+        }
+    });
 }
 
 /// Runs repair rounds, which make up for lost messages, until a planned stop begins.
 pub(super) async fn run_repair(core: Arc<Core>) {
     let client = Client::new().await;
     let mut round = 0_u32;
-    let mut previously_pending: Vec<Item> = Vec::new();
+    let mut previously_pending: Vec<Arc<Item>> = Vec::new();
     while !core.is_stopping() {
         sleep(REPAIR_INTERVAL).await;
         round = round.wrapping_add(1);
         if !core.replication().is_complete() || round.is_multiple_of(ROUNDS_PER_COMPARE) {
-            fetch_missing_items(&core, &client).await;
+            compare::fetch_missing_items(&core, &client).await;
         }
         // An item is sent again only if it was already pending in the previous round.
         let pending = core.replication().pending();
-        let overdue: Vec<Item> =
-            pending.iter().filter(|item| previously_pending.contains(item)).cloned().collect();
+        let was_pending = |item: &&Arc<Item>| {
+            let found = previously_pending.binary_search_by(|known| known.key.cmp(&item.key));
+            found.is_ok_and(|index| previously_pending[index] == **item)
+        };
+        let overdue: Vec<Arc<Item>> = pending.iter().filter(was_pending).cloned().collect();
         previously_pending = pending;
         if overdue.is_empty() {
             continue;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -18,6 +18,7 @@
 use crate::body;
 use crate::gossip::GossipHandle;
 
+use super::compare;
 use super::core::{Core, Step};
 use super::interface::{OperatorFormat, OperatorRequest};
 use super::replicate;
@@ -62,8 +63,8 @@
     let (held, accepted, pending, complete) = {
         let replication = core.replication();
         (
-            replication.table().items().len(),
-            replication.accepted().items().len(),
+            replication.table().len(),
+            replication.accepted().len(),
             replication.pending().len(),
             replication.is_complete(),
         )
@@ -112,7 +113,12 @@
             Some(answer) => Answer::Gossip(answer),
             None => return HttpResponse::GatewayTimeout().finish(),
         },
-        Message::SyncItems { buckets, unaccepted } => missing_items(&shared, &buckets, unaccepted),
+        Message::SyncItems { buckets, unaccepted, max_items } => {
+            compare::missing_items(&shared.core, &buckets, unaccepted, max_items)
+        }
+        Message::FetchItems { hashes, unaccepted } => {
+            compare::requested_items(&shared.core, &hashes, unaccepted)
+        }
         Message::StoreItems { items } => match store_from_peer(&shared, &items).await {
             Some(answer) => answer,
             None => return HttpResponse::ServiceUnavailable().finish(),
@@ -132,30 +138,6 @@
     }
 }
 
-/// Returns the items that the requester lacks according to the hashes of its buckets. With
-/// `unaccepted`, which control instances set, these include items that are not accepted yet.
-fn missing_items(shared: &Shared, buckets: &[u64], unaccepted: bool) -> Answer {
-    let replication = shared.core.replication();
-    let encode = |items: &[Item]| codec::encode(&border::encode(items)).unwrap_or_default();
-    let accepted = replication.accepted().difference(buckets);
-    let complete = match unaccepted {
-        true => replication.is_complete(),
-        // A node applies only accepted items. After a restart or the loss of its disk, this
-        // instance may not know all of them yet.
-        false => replication.knows_all_accepted(),
-    };
-    let (items, accepted) = match unaccepted {
-        true => (replication.table().difference(buckets), accepted),
-        false => (accepted, Vec::new()),
-    };
-    Answer::Items {
-        instance: shared.core.settings.name.clone(),
-        complete,
-        items: encode(&items),
-        accepted: encode(&accepted),
-    }
-}
-
 /// Writes items of another instance to the disk; returns `None` when the write fails.
 async fn store_from_peer(shared: &Shared, items: &[u8]) -> Option<Answer> {
     let items = border::decode(codec::decode(items).ok()?);
@@ -212,6 +194,7 @@
 
 async fn handle_change(shared: &Shared, items: Vec<Item>) -> HttpResponse {
     let started_at = Instant::now();
+    let items: Vec<Arc<Item>> = items.into_iter().map(Arc::new).collect();
     let core = &shared.core;
     if core.is_stopping() || !core.replication().is_complete() {
         return unavailable("this instance does not hold all accepted changes yet");
@@ -219,7 +202,7 @@
     let mut submitted = core.replication().submit_change(items.clone());
     if submitted.is_err() {
         // This instance may lag behind; the others may hold the items that the change refers to.
-        let complete = replicate::fetch_missing_items(core, &shared.client).await;
+        let complete = compare::fetch_missing_items(core, &shared.client).await;
         if complete < core.replication().copies() {
             return unavailable("too few control instances respond to check the change");
         }
@@ -259,7 +242,7 @@
 
 async fn read_items(shared: &Shared) -> HttpResponse {
     let core = &shared.core;
-    let complete = replicate::fetch_missing_items(core, &shared.client).await;
+    let complete = compare::fetch_missing_items(core, &shared.client).await;
     if complete < core.replication().copies() {
         return unavailable("too few control instances respond to read the newest items");
     }
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -1,5 +1,7 @@
 //! Writes items to the log and the snapshots of a data folder, and goes on after a fault.
 
+use std::sync::Arc;
+
 use arbutuslane_item::prelude::{Item, Table};
 use arbutuslane_item::{border, replication::Standing};
 use arbutuslane_storage::prelude::*;
@@ -25,7 +27,7 @@
 /// The state read from the data folder at the start.
 #[derive(Debug)]
 pub(super) struct Recovered {
-    pub(super) items: Vec<Item>,
+    pub(super) items: Vec<Arc<Item>>,
     pub(super) standing: Standing,
 }
 
@@ -86,9 +88,9 @@
         // When two declarations have the same version, the accepted one is written last and so wins.
         let mut table = Table::default();
         for item in items {
-            table.merge_accepted(item);
+            table.merge_accepted(vec![item]);
         }
-        let items = table.items().to_vec();
+        let items = table.items().cloned().collect();
         let mut writer =
             Self { folder, log: Some(log), table, next_index, entries_since_snapshot: 0, complete };
         match writer.write_meta() {
@@ -109,7 +111,7 @@
 
     /// Returns the number of items that are or will be written.
     pub(super) fn item_count(&self) -> u64 {
-        self.table.items().len() as u64
+        self.table.len() as u64
     }
 
     /// Makes `items` durable and, with `becomes_complete`, that this instance holds every accepted
@@ -119,10 +121,12 @@
     ///
     /// After an error the items may be on the disk or not, and nothing is written before
     /// [`reopen`](Writer::reopen).
-    pub(super) fn write(&mut self, items: &[Item], becomes_complete: bool) -> Result<(), Error> {
-        for item in items {
-            self.table.merge_accepted(item.clone());
-        }
+    pub(super) fn write(
+        &mut self,
+        items: &[Arc<Item>],
+        becomes_complete: bool,
+    ) -> Result<(), Error> {
+        self.table.merge_accepted(items.to_vec());
         let becomes_complete = !self.complete && becomes_complete;
         self.complete |= becomes_complete;
         let result = self.append(items, becomes_complete);
@@ -145,7 +149,7 @@
         }
     }
 
-    fn append(&mut self, items: &[Item], becomes_complete: bool) -> Result<(), Error> {
+    fn append(&mut self, items: &[Arc<Item>], becomes_complete: bool) -> Result<(), Error> {
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
         let mut batch = Batch::default();
         if becomes_complete {
@@ -186,7 +190,7 @@
     codec::encode(value).map_err(|error| codec_error(&error))
 }
 
-fn decode(bytes: &[u8]) -> Result<Vec<Item>, Error> {
+fn decode(bytes: &[u8]) -> Result<Vec<Arc<Item>>, Error> {
     codec::decode(bytes).map(border::decode).map_err(|error| codec_error(&error))
 }
 
@@ -210,8 +214,9 @@
         }
     }
 
-    fn item(route: u32, version: u64) -> Item {
-        Item { source: "{}".to_string(), ..Item::removal(Key::Route(format!("r{route}")), version) }
+    fn item(route: u32, version: u64) -> Arc<Item> {
+        let removal = Item::removal(Key::Route(format!("r{route}")), version);
+        Arc::new(Item { source: "{}".to_string(), ..removal })
     }
 
     /// Guards against an item that was reported as durable on a disk that was full at any moment
@@ -245,7 +250,7 @@
                     _ => {
                         let item = item(rng.random_range(0..8), version);
                         if writer.write(std::slice::from_ref(&item), false).is_ok() {
-                            durable.merge_accepted(item);
+                            durable.merge_accepted(vec![item]);
                         }
                     }
                 }
--- a/crates/arbutuslane_item/src/border.rs
+++ b/crates/arbutuslane_item/src/border.rs
@@ -1,5 +1,6 @@
 //! The serialized form of items, in messages between processes and on disk.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use arbutuslane_catalogue::border::Class;
@@ -124,13 +125,13 @@
 }
 
 /// Converts items to their serialized form.
-pub fn encode(items: &[item::Item]) -> Vec<Item> {
-    items.iter().map(Item::from).collect()
+pub fn encode<'a>(items: impl IntoIterator<Item = &'a Arc<item::Item>>) -> Vec<Item> {
+    items.into_iter().map(|item| Item::from(item.as_ref())).collect()
 }
 
 /// Converts items from their serialized form.
-pub fn decode(items: Vec<Item>) -> Vec<item::Item> {
-    items.into_iter().map(Into::into).collect()
+pub fn decode(items: Vec<Item>) -> Vec<Arc<item::Item>> {
+    items.into_iter().map(|item| Arc::new(item.into())).collect()
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/arbutuslane_item/src/check.rs
+++ b/crates/arbutuslane_item/src/check.rs
@@ -1,7 +1,11 @@
 //! Validation of changes.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuslane_core::id::ServiceName;
+
 use crate::item::{Content, Item, Key, Route};
 use crate::table::Table;
 
@@ -51,12 +55,13 @@
 }
 
 /// Checks `items` as a change to `table`; the items may refer to each other.
-pub fn check_items(table: &Table, items: &[Item]) -> Result<(), Error> {
+pub fn check_items(table: &Table, items: &[Arc<Item>]) -> Result<(), Error> {
+    let submitted = newest_services(items);
     for item in items {
         let (Key::Route(name), Some(route)) = (&item.key, item.route()) else { continue };
         check_route(name, route)?;
         for target in &route.targets {
-            if !is_declared(table, items, &target.service) {
+            if !is_declared(table, &submitted, &target.service) {
                 let (route, service) = (name.clone(), target.service.clone());
                 return Err(Error::UnknownService { route, service });
             }
@@ -82,12 +87,26 @@
     Ok(())
 }
 
-fn is_declared(table: &Table, items: &[Item], service: &str) -> bool {
-    let key = Key::Service(service.to_string());
+/// Returns the newest version of each service in `items`.
+fn newest_services(items: &[Arc<Item>]) -> BTreeMap<&ServiceName, &Item> {
+    let mut services: BTreeMap<&ServiceName, &Item> = BTreeMap::new();
+    for item in items {
+        let Key::Service(name) = &item.key else { continue };
+        if services.get(name).is_none_or(|known| known.version <= item.version) {
+            services.insert(name, item);
+        }
+    }
+    services
+}
+
+fn is_declared(
+    table: &Table,
+    submitted: &BTreeMap<&ServiceName, &Item>,
+    service: &ServiceName,
+) -> bool {
     let declares_service = |item: &Item| matches!(item.content, Some(Content::Service(_)));
-    let stored = table.get(&key);
-    let submitted = items.iter().filter(|item| item.key == key).max_by_key(|item| item.version);
-    match (stored, submitted) {
+    let stored = table.get(&Key::Service(service.clone()));
+    match (stored, submitted.get(service)) {
         (Some(stored), Some(submitted)) if submitted.version > stored.version => {
             declares_service(submitted)
         }
--- a/crates/arbutuslane_item/src/lib.rs
+++ b/crates/arbutuslane_item/src/lib.rs
@@ -3,9 +3,10 @@
 //! For each name the highest version is in force, whether it sets the item or removes it. Tables of
 //! items converge to the same content in whatever order items are merged, so no leader or log has to
 //! order the changes: a change is accepted when enough control instances have it on their disks.
-//! [`Table`](table::Table) merges items, [`check`] validates changes, and
+//! [`Table`](table::Table) merges items, [`check`] validates changes,
 //! [`Replication`](replication::Replication) decides when a change is accepted and when an
-//! instance that lost its disk has recovered.
+//! instance that lost its disk has recovered, and [`Pull`](transfer::Pull) decides in which parts a
+//! process fetches the items that it lacks.
 //!
 //! ```
 //! use arbutuslane_item::prelude::*;
@@ -21,6 +22,7 @@
 pub mod item;
 pub mod replication;
 pub mod table;
+pub mod transfer;
 
 /// Re-exports the commonly used types of this crate.
 pub mod prelude {
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -6,10 +6,12 @@
 //! An instance with an empty disk is [`Standing::Recovering`] until the same number of complete
 //! instances have sent it all their items: for each accepted change, at least one of them has it.
 
+use std::sync::Arc;
+
 use arbutuslane_core::id::NodeId;
 
 use crate::check;
-use crate::item::Item;
+use crate::item::{Item, Key};
 use crate::table::Table;
 
 /// Whether an instance has every change that was accepted before it started.
@@ -35,17 +37,17 @@
     table: Table,
     /// The items that are known to be accepted.
     accepted: Table,
-    /// The items of `table` that are not known to be accepted.
+    /// The items of `table` that are not known to be accepted, in ascending order of their keys.
     pending: Vec<PendingItem>,
     /// The items that this instance had when it started or became complete, and that it does not know
-    /// to be accepted or replaced since.
-    unconfirmed: Vec<Item>,
+    /// to be accepted or replaced since, in ascending order of their keys.
+    unconfirmed: Vec<Arc<Item>>,
 }
 
 /// An item that is not known to be accepted.
 #[derive(Debug, Clone)]
 struct PendingItem {
-    item: Item,
+    item: Arc<Item>,
     /// The instances that have the item on disk.
     holders: Vec<NodeId>,
 }
@@ -53,7 +55,7 @@
 impl Replication {
     /// Returns the state of the instance `own`, which has read `items` from its disk; a change is
     /// accepted when `copies` instances have it on disk.
-    pub fn new(own: &str, copies: usize, standing: Standing, items: Vec<Item>) -> Self {
+    pub fn new(own: &str, copies: usize, standing: Standing, items: Vec<Arc<Item>>) -> Self {
         let mut replication = Self {
             copies: copies.max(1),
             standing,
@@ -106,86 +108,85 @@
     /// # Errors
     ///
     /// See [`check::Error`]; an invalid change is refused as a whole.
-    pub fn submit_change(&mut self, items: Vec<Item>) -> Result<Vec<Item>, check::Error> {
+    pub fn submit_change(&mut self, items: Vec<Arc<Item>>) -> Result<Vec<Arc<Item>>, check::Error> {
         check::check_items(&self.table, &items)?;
         let new_items = items.into_iter().filter(|item| !self.table.covers(item)).collect();
         Ok(self.merge_items(new_items))
     }
 
-    /// Merges items from another instance; returns those that are new here and must be stored.
-    pub fn merge_items(&mut self, items: Vec<Item>) -> Vec<Item> {
-        let mut new_items = Vec::new();
-        for item in items {
-            let accepted_item = self.accepted.get(&item.key);
-            if accepted_item.is_some_and(|accepted| accepted.version >= item.version) {
-                continue;
-            }
-            if !self.table.merge(item.clone()) {
-                continue;
-            }
-            self.pending.retain(|pending| pending.item.key != item.key);
-            self.pending.push(PendingItem { item: item.clone(), holders: Vec::new() });
-            new_items.push(item);
+    /// Merges items from another instance; returns those that are new here and must be stored, in
+    /// ascending order of their keys.
+    pub fn merge_items(&mut self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
+        items.retain(|item| !self.accepted.covers(item));
+        let new_items = self.table.merge_all(items);
+        if new_items.is_empty() {
+            return new_items;
         }
+        self.pending.retain(|pending| find(&new_items, &pending.item.key).is_none());
+        let added = new_items.iter().cloned();
+        self.pending.extend(added.map(|item| PendingItem { item, holders: Vec::new() }));
+        self.pending.sort_by(|left, right| left.item.key.cmp(&right.item.key));
         new_items
     }
 
     /// Records that `instance` has `items`, or newer versions of them, on its disk; returns the items
     /// that became accepted.
-    pub fn record_stored(&mut self, instance: &str, items: &[Item]) -> Vec<Item> {
+    pub fn record_stored(&mut self, instance: &str, items: &[Arc<Item>]) -> Vec<Arc<Item>> {
         let mut accepted = Vec::new();
         for item in items {
-            let known = self.pending.iter_mut().find(|pending| pending.item == *item);
-            let Some(pending) = known else { continue };
+            let found = self.pending.binary_search_by(|pending| pending.item.key.cmp(&item.key));
+            let Ok(index) = found else { continue };
+            let pending = &mut self.pending[index];
+            if pending.item != *item {
+                continue;
+            }
             if !pending.holders.iter().any(|holder| holder == instance) {
                 pending.holders.push(instance.to_string());
             }
             if pending.holders.len() >= self.copies {
-                accepted.push(item.clone());
+                accepted.push(Arc::clone(item));
             }
         }
         self.accept(accepted)
     }
 
     /// Merges items that are known to be accepted; returns those that this instance did not know to be
-    /// accepted.
+    /// accepted, in ascending order of their keys.
     ///
     /// An accepted declaration replaces another declaration of the same version that is not accepted.
-    pub fn accept(&mut self, items: Vec<Item>) -> Vec<Item> {
-        let mut new_items = Vec::new();
-        for item in items {
-            if self.accepted.covers(&item) {
-                continue;
-            }
-            self.accepted.merge(item.clone());
-            self.table.merge_accepted(item.clone());
-            self.pending.retain(|pending| {
-                pending.item.key != item.key || pending.item.version > item.version
-            });
-            self.unconfirmed.retain(|held| held.key != item.key || held.version > item.version);
-            new_items.push(item);
+    pub fn accept(&mut self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
+        items.retain(|item| !self.accepted.covers(item));
+        let new_items = self.accepted.merge_all(items);
+        if new_items.is_empty() {
+            return new_items;
         }
+        self.table.merge_accepted(new_items.clone());
+        let is_newer = |held: &Item| {
+            find(&new_items, &held.key).is_none_or(|accepted| held.version > accepted.version)
+        };
+        self.pending.retain(|pending| is_newer(&pending.item));
+        self.unconfirmed.retain(|held| is_newer(held));
         new_items
     }
 
     /// Returns whether `items`, or newer versions of them, are accepted.
-    pub fn are_accepted(&self, items: &[Item]) -> bool {
+    pub fn are_accepted(&self, items: &[Arc<Item>]) -> bool {
         items.iter().all(|item| self.accepted.covers(item))
     }
 
-    /// Returns the items that are not known to be accepted.
-    pub fn pending(&self) -> Vec<Item> {
-        self.pending.iter().map(|pending| pending.item.clone()).collect()
+    /// Returns the items that are not known to be accepted, in ascending order of their keys.
+    pub fn pending(&self) -> Vec<Arc<Item>> {
+        self.pending.iter().map(|pending| Arc::clone(&pending.item)).collect()
     }
 
     /// Returns the accepted items that conflict with `items`: different declarations of the same
     /// version, or newer versions.
-    pub fn conflicting_items(&self, items: &[Item]) -> Vec<Item> {
+    pub fn conflicting_items(&self, items: &[Arc<Item>]) -> Vec<Arc<Item>> {
         let mut conflicting = Vec::new();
         for item in items {
             let Some(held) = self.accepted.get(&item.key) else { continue };
             if held.version >= item.version && held != item {
-                conflicting.push(held.clone());
+                conflicting.push(Arc::clone(held));
             }
         }
         conflicting
@@ -206,3 +207,8 @@
         true
     }
 }
+
+/// Returns the item with `key` in `items`, which are in ascending order of their keys.
+fn find<'a>(items: &'a [Arc<Item>], key: &Key) -> Option<&'a Arc<Item>> {
+    items.binary_search_by(|item| item.key.cmp(key)).ok().map(|index| &items[index])
+}
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -1,5 +1,7 @@
 //! Tests acceptance and recovery with random sequences of changes and lost disks.
 
+use std::sync::Arc;
+
 use arbutuslane_item::prelude::*;
 use arbutuslane_item::replication::Standing;
 use quickcheck::{Gen, QuickCheck};
@@ -7,11 +9,11 @@
 const COPIES: usize = 3;
 const INSTANCES: usize = 5;
 
-fn removal(name: u8, version: u8) -> Item {
-    Item::removal(Key::Route(format!("r{}", name % 4)), u64::from(version))
+fn removal(name: u8, version: u8) -> Arc<Item> {
+    Arc::new(Item::removal(Key::Route(format!("r{}", name % 4)), u64::from(version)))
 }
 
-fn instance(index: usize, standing: Standing, items: Vec<Item>) -> Replication {
+fn instance(index: usize, standing: Standing, items: Vec<Arc<Item>>) -> Replication {
     Replication::new(&format!("c{index}"), COPIES, standing, items)
 }
 
@@ -25,16 +27,14 @@
     fn property(mut items: Vec<(u8, u8)>, rotation: usize) -> bool {
         let mut one = Table::default();
         for (name, version) in &items {
-            one.merge(removal(*name, *version));
+            one.merge_all(vec![removal(*name, *version)]);
         }
         let middle = rotation % items.len().max(1);
         items.rotate_left(middle);
         items.reverse();
         let mut other = Table::default();
-        for (name, version) in &items {
-            other.merge(removal(*name, *version));
-        }
-        one.items() == other.items() && one.digest() == other.digest()
+        other.merge_all(items.iter().map(|(name, version)| removal(*name, *version)).collect());
+        one.items().eq(other.items()) && one.digest() == other.digest()
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(40, 7))
@@ -48,7 +48,7 @@
     fn property(steps: Vec<(u8, u8, u8, u8)>) -> bool {
         let mut group: Vec<Replication> =
             (0..INSTANCES).map(|index| instance(index, Standing::Complete, Vec::new())).collect();
-        let mut disks: Vec<Vec<Item>> = vec![Vec::new(); INSTANCES];
+        let mut disks: Vec<Vec<Arc<Item>>> = vec![Vec::new(); INSTANCES];
         let mut accepted = Table::default();
         for (step, (name, version, at, reached)) in steps.into_iter().enumerate() {
             let at = usize::from(at) % INSTANCES;
@@ -62,9 +62,7 @@
                 group[other].merge_items(stored.clone());
                 disks[other].extend(stored.clone());
                 let name = format!("c{other}");
-                for item in group[at].record_stored(&name, &stored) {
-                    accepted.merge(item);
-                }
+                accepted.merge_all(group[at].record_stored(&name, &stored));
             }
             // Two instances lose their disks and recover from the three others.
             let lost = [step % INSTANCES, (step + 1 + usize::from(version)) % INSTANCES];
@@ -77,8 +75,8 @@
                     if !group[source].is_complete() {
                         continue;
                     }
-                    let items = group[source].table().items().to_vec();
-                    let accepted_items = group[source].accepted().items().to_vec();
+                    let items = group[source].table().items().cloned().collect();
+                    let accepted_items = group[source].accepted().items().cloned().collect();
                     let new_items = group[index].merge_items(items);
                     disks[index].extend(new_items);
                     group[index].accept(accepted_items);
@@ -132,14 +130,14 @@
     assert!(first.pending().is_empty());
 }
 
-fn service(name: &str, version: u64, source: &str) -> Item {
+fn service(name: &str, version: u64, source: &str) -> Arc<Item> {
     let content = Content::Service(Service { health_path: "/h".to_string(), connections: 5 });
-    Item {
+    Arc::new(Item {
         key: Key::Service(name.to_string()),
         version,
         content: Some(content),
         source: source.to_string(),
-    }
+    })
 }
 
 /// Guards against different content with the same version that replaces the accepted item.
@@ -180,11 +178,13 @@
         attempts: 2,
         targets: vec![Target { service: "s".to_string(), weight: 1 }],
     };
-    let item = |route: &Route| Item {
-        key: Key::Route("r".to_string()),
-        version: 1,
-        content: Some(Content::Route(route.clone())),
-        source: String::new(),
+    let item = |route: &Route| {
+        Arc::new(Item {
+            key: Key::Route("r".to_string()),
+            version: 1,
+            content: Some(Content::Route(route.clone())),
+            source: String::new(),
+        })
     };
     let mut group = instance(0, Standing::Complete, Vec::new());
     assert!(group.submit_change(vec![item(&route)]).is_err());
--- /dev/null
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -0,0 +1,165 @@
+//! Keeps the items in force up to date: adopts items that control instances push, fetches those that
+//! they announce, and repairs gaps by comparison.
+
+mod announced;
+mod exchange;
+mod serve;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuslane_core::time::Time;
+use arbutuslane_item::border;
+use arbutuslane_item::transfer::Pull;
+use arbutuslane_wire::codec;
+use ntex::time::sleep;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use crate::shared::Shared;
+use crate::traffic::Pool;
+
+pub(crate) use announced::Announced;
+pub(crate) use serve::{differing_items, requested_items};
+
+/// The mean time between two comparisons with a control instance while the fleet has at most
+/// [`FEW_NODES`] nodes.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// The number of nodes above which each node compares less often, so that the control instances
+/// serve about 300 comparisons a second at most.
+const FEW_NODES: usize = 200;
+
+/// The time between two comparisons of a node that has no configuration yet.
+const STARTUP_COMPARE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The state of the task that keeps the items up to date.
+struct Updater {
+    shared: Arc<Shared>,
+    pool: Rc<Pool>,
+    /// The items that other processes have and this node lacks.
+    pull: Pull,
+    /// Each comparison goes to the next control instance, because a minority of the instances may
+    /// lack items that the others have accepted.
+    comparison_number: usize,
+    /// Whether a control instance gave all items in the last comparison.
+    got_all_items: bool,
+}
+
+/// Compares the items in force with those of other processes until this one ends.
+pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
+    // The start is random, so that nodes use different instances; its range only needs to be well
+    // above the number of instances.
+    let comparison_number = rand::rng().random_range(0..1_000);
+    let pull = Pull::default();
+    let mut updater = Updater { shared, pool, pull, comparison_number, got_all_items: true };
+    loop {
+        updater.compare().await;
+        updater.wait().await;
+    }
+}
+
+/// Puts encoded items from another process into force; returns the number of those that were new, or
+/// `None` when they cannot be decoded.
+pub(crate) fn adopt_encoded(shared: &Shared, bytes: &[u8]) -> Option<usize> {
+    Some(shared.adopt_items(border::decode(codec::decode(bytes).ok()?)))
+}
+
+impl Updater {
+    /// Compares with a control instance, with a second one when the first does not give all items,
+    /// and with another node when neither does.
+    async fn compare(&mut self) {
+        let (control, nodes) = peer_addresses(&self.shared);
+        let mut got_all_items = false;
+        for address in self.rotated(&control).into_iter().take(2) {
+            got_all_items = self.compare_with(address).await;
+            if got_all_items {
+                break;
+            }
+        }
+        self.comparison_number += 1;
+        if !got_all_items && let Some(address) = nodes.first() {
+            self.compare_with(*address).await;
+        }
+        self.record_contact(got_all_items);
+    }
+
+    /// Returns the addresses, beginning with the one whose turn it is.
+    fn rotated(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut rotated = addresses.to_vec();
+        rotated.rotate_left(self.comparison_number % addresses.len().max(1));
+        rotated
+    }
+
+    fn record_contact(&mut self, got_all_items: bool) {
+        if got_all_items != self.got_all_items {
+            self.got_all_items = got_all_items;
+            tracing::info!(
+                event = "configuration-source",
+                reached = got_all_items,
+                known = self.shared.is_configured()
+            );
+        }
+        let now = self.shared.clock.now();
+        let event = match got_all_items {
+            true => self.shared.cluster.control_contact().record_success(now),
+            false => self.shared.cluster.control_contact().record_failure(now),
+        };
+        self.shared.record_contact(event);
+    }
+
+    /// Waits until the next comparison is due, and fetches items that are announced meanwhile.
+    async fn wait(&mut self) {
+        if !self.shared.is_configured() {
+            return sleep(STARTUP_COMPARE_INTERVAL).await;
+        }
+        let due = self.shared.clock.now() + self.next_interval();
+        loop {
+            let left = due.saturating_sub(self.shared.clock.now());
+            if left == Time::ZERO {
+                return;
+            }
+            let announced = self.shared.announced.wait();
+            let Ok(hashes) = ntex::time::timeout_checked(left, announced).await else { return };
+            if hashes.is_empty() {
+                return;
+            }
+            self.pull.want(self.shared.configuration().items(), &hashes);
+            let (control, _) = peer_addresses(&self.shared);
+            self.fetch(&self.rotated(&control)).await;
+        }
+    }
+
+    /// Returns the time until the next comparison.
+    fn next_interval(&self) -> Duration {
+        let nodes = self.shared.cluster.membership().gossip.table().members().count();
+        let jitter = rand::rng().random_range(0.8..1.2);
+        let slowdown = (nodes as f64 / FEW_NODES as f64).max(1.0);
+        COMPARE_INTERVAL.mul_f64(jitter * slowdown)
+    }
+}
+
+/// Returns the known control instances in a fixed order, or the configured ones when none is known,
+/// and the nodes in random order.
+fn peer_addresses(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let (mut control, mut nodes) = (Vec::new(), Vec::new());
+    for known in shared.cluster.membership().gossip.table().members() {
+        let Ok(address) = known.record.peers.parse() else { continue };
+        if known.record.node == shared.settings.node {
+            continue;
+        }
+        // A control instance has no listener for callers.
+        match known.record.callers.is_empty() {
+            true => control.push(address),
+            false => nodes.push(address),
+        }
+    }
+    if control.is_empty() {
+        control.extend(shared.control().iter());
+    }
+    control.sort_unstable();
+    nodes.shuffle(&mut rand::rng());
+    (control, nodes)
+}
--- a/crates/arbutuslane_node/src/metrics/mod.rs
+++ b/crates/arbutuslane_node/src/metrics/mod.rs
@@ -48,8 +48,8 @@
     pub(crate) refused_body_bytes: AtomicU64,
     /// Request bodies that were streamed, because the memory for bodies was used up.
     pub(crate) streamed_bodies: AtomicU64,
-    /// Bytes of configuration items received in comparisons with other processes.
-    pub(crate) compared_bytes: AtomicU64,
+    /// Configuration items that were fetched from other processes.
+    pub(crate) fetched_items: AtomicU64,
     /// Requests of callers and peers in flight.
     pub(crate) in_flight: AtomicI64,
     labelled: Labelled,
@@ -203,10 +203,9 @@
         self.labelled.lock().announcements.add(&[result], 1);
     }
 
-    /// Counts a comparison of configuration items and the bytes of items that it brought.
-    pub(crate) fn count_comparison(&self, outcome: &'static str, bytes: usize) {
+    /// Counts a comparison of configuration items.
+    pub(crate) fn count_comparison(&self, outcome: &'static str) {
         self.labelled.lock().comparisons.add(&[outcome], 1);
-        self.compared_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     /// Records the retries that the budget of a traffic thread allows now.
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -38,7 +38,7 @@
         ("offers_refused", &metrics.offers_refused),
         ("refused_body_bytes", &metrics.refused_body_bytes),
         ("streamed_bodies", &metrics.streamed_bodies),
-        ("compared_bytes", &metrics.compared_bytes),
+        ("fetched_items", &metrics.fetched_items),
     ];
     for (name, counter) in counters {
         let value = counter.load(Ordering::Relaxed);
@@ -49,7 +49,7 @@
         ("in_flight", metrics.in_flight.load(Ordering::Relaxed).unsigned_abs()),
         ("configuration_revision", shared.configuration().revision()),
         ("awaited_revision", shared.awaited_revision()),
-        ("configuration_items", shared.configuration().items().items().len() as u64),
+        ("configuration_items", shared.configuration().items().len() as u64),
         ("remote_servers", shared.remote_servers().len() as u64),
         ("control_unreachable", u64::from(shared.cluster.control_contact().is_unreachable())),
         ("held_body_bytes", shared.body_memory.used() as u64),
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -139,7 +139,16 @@
             shared.cluster.strikes.lock().clear(fingerprint);
             peer::Answer::Done
         }
-        peer::Message::SyncItems { buckets, .. } => cluster::items::difference(shared, &buckets),
+        peer::Message::SyncItems { buckets, max_items, .. } => {
+            cluster::items::differing_items(shared, &buckets, max_items)
+        }
+        peer::Message::FetchItems { hashes, .. } => {
+            cluster::items::requested_items(shared, &hashes)
+        }
+        peer::Message::AnnounceItems { hashes } => {
+            shared.announced.add(hashes);
+            peer::Answer::Done
+        }
         peer::Message::AcceptedItems { items } => {
             match cluster::items::adopt_encoded(shared, &items) {
                 Some(_) => peer::Answer::Done,
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -13,7 +13,7 @@
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
-use arbutuslane_item::prelude::{Item, Key, Version};
+use arbutuslane_item::prelude::Item;
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::{FleetLimit, RetryBudget};
 use arbutuslane_limit::memory::Memory;
@@ -21,6 +21,7 @@
 
 use crate::announce::ServerTable;
 use crate::cluster::Cluster;
+use crate::cluster::items::Announced;
 use crate::configuration::Configuration;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
@@ -90,6 +91,8 @@
     pub(crate) repeated_runs: RecentIds,
     /// The limit on repeated requests to the servers of this node.
     pub(crate) repeats: Repeats,
+    /// The accepted items that control instances announced.
+    pub(crate) announced: Announced,
     configuration: RwLock<Arc<Configuration>>,
     remote_servers: RwLock<Arc<Vec<RemoteServer>>>,
     token: RwLock<Arc<String>>,
@@ -153,6 +156,7 @@
             failed_calls: RecentIds::default(),
             repeated_runs: RecentIds::default(),
             repeats: Repeats::new(retry_limit),
+            announced: Announced::default(),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -182,16 +186,10 @@
     }
 
     /// Puts the items into force that are newer than those in force; returns their number.
-    pub(crate) fn adopt_items(&self, items: Vec<Item>) -> usize {
+    pub(crate) fn adopt_items(&self, items: Vec<Arc<Item>>) -> usize {
         let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
         let mut table = current.items().clone();
-        let mut adopted = Vec::new();
-        for item in items {
-            let (key, version) = (item.key.clone(), item.version);
-            if table.merge(item) {
-                adopted.push((key, version));
-            }
-        }
+        let adopted = table.merge_all(items);
         if !adopted.is_empty() {
             *current = Arc::new(table.into());
         }
@@ -346,13 +344,13 @@
     }
 }
 
-fn log_items_in_force(adopted: &[(Key, Version)]) {
+fn log_items_in_force(adopted: &[Arc<Item>]) {
     if adopted.len() > MAX_LISTED_ITEMS {
-        let newest_version = adopted.iter().map(|(_, version)| *version).max();
+        let newest_version = adopted.iter().map(|item| item.version).max();
         tracing::info!(event = "items-in-force", items = adopted.len(), newest_version);
         return;
     }
-    for (key, version) in adopted {
-        tracing::info!(event = "item-in-force", item = ?key, version);
+    for item in adopted {
+        tracing::info!(event = "item-in-force", item = ?item.key, version = item.version);
     }
 }
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -50,6 +50,22 @@
         buckets: Vec<u64>,
         /// Whether the response should include items that are not known to be accepted.
         unaccepted: bool,
+        /// The largest number of items in the response; of more items it contains the hashes.
+        /// `None`, which earlier releases send, stands for no limit.
+        #[serde(default)]
+        max_items: Option<usize>,
+    },
+    /// Requests the catalogue items that have these hashes.
+    FetchItems {
+        /// The hashes of the items.
+        hashes: Vec<u64>,
+        /// Whether the response should include items that are not known to be accepted.
+        unaccepted: bool,
+    },
+    /// Announces accepted catalogue items, which the receiver fetches if it lacks them.
+    AnnounceItems {
+        /// The hashes of the items; empty when they are too many for one message.
+        hashes: Vec<u64>,
     },
     /// Requests that a control instance store catalogue items on its disk.
     StoreItems {
@@ -88,7 +104,18 @@
         items: Vec<u8>,
         /// The differing items that are known to be accepted, encoded.
         accepted: Vec<u8>,
+        /// The hashes of the items that differ, when `items` would exceed the requested number.
+        #[serde(default)]
+        hashes: Vec<u64>,
+        /// Whether more items differ than `hashes` names.
+        #[serde(default)]
+        more: bool,
+        /// Those of the hashes whose items are known to be accepted.
+        #[serde(default)]
+        accepted_hashes: Vec<u64>,
     },
+    /// The response to [`Message::FetchItems`]: the items that the receiver has, encoded.
+    Fetched(Vec<u8>),
     /// The response to [`Message::StoreItems`]: the receiver has stored the items, or newer
     /// versions of them, on its disk.
     Stored {
