--- a/crates/arbutuslane_node/src/cluster/items/exchange.rs
+++ b/crates/arbutuslane_node/src/cluster/items/exchange.rs
@@ -20,11 +20,13 @@
 
 /// The result of a comparison with one process.
 #[derive(Debug, PartialEq, Eq)]
-enum Outcome {
+pub(super) enum Outcome {
     /// The process has all items, and now so does this node; `fetched` of them were missing here.
     Complete { fetched: usize },
-    /// Some items are still missing, or the process may lack accepted items itself.
-    Incomplete { fetched: usize, missing: usize },
+    /// The process has all items, and some of them are still missing here.
+    Behind { fetched: usize, missing: usize },
+    /// The process may lack accepted items itself.
+    Incomplete { fetched: usize },
     /// The response could not be decoded.
     Unreadable,
     /// There was no response.
@@ -36,17 +38,27 @@
     fn name(&self) -> &'static str {
         match self {
             Self::Complete { .. } => "complete",
+            Self::Behind { .. } => "behind",
             Self::Incomplete { .. } => "incomplete",
             Self::Unreadable => "unreadable",
             Self::Failed { .. } => "failed",
         }
     }
+
+    /// Returns whether this node has all items of a process that has all.
+    pub(super) fn is_complete(&self) -> bool {
+        matches!(self, Self::Complete { .. })
+    }
+
+    /// Returns whether the process has all items.
+    pub(super) fn has_complete_peer(&self) -> bool {
+        matches!(self, Self::Complete { .. } | Self::Behind { .. })
+    }
 }
 
 impl Updater {
-    /// Compares the items with those of the process at `address`, and fetches those that differ;
-    /// returns whether this node now has all items of a process that has all.
-    pub(super) async fn compare_with(&mut self, address: SocketAddr) -> bool {
+    /// Compares the items with those of the process at `address`, and fetches those that differ.
+    pub(super) async fn compare_with(&mut self, address: SocketAddr) -> Outcome {
         let started_at = self.shared.clock.now();
         let outcome = self.exchange_with(address).await;
         self.shared.metrics.count_comparison(outcome.name());
@@ -54,11 +66,10 @@
             let took_ms = self.shared.clock.now().saturating_sub(started_at).as_millis();
             tracing::info!(event = "compared", peer = %address, ?outcome, took_ms);
         }
-        let is_complete = matches!(outcome, Outcome::Complete { .. });
-        if is_complete {
+        if outcome.is_complete() {
             self.shared.set_has_all_items();
         }
-        is_complete
+        outcome
     }
 
     async fn exchange_with(&mut self, address: SocketAddr) -> Outcome {
@@ -89,9 +100,12 @@
             if more && parts.fetched > 0 && parts.is_whole {
                 continue;
             }
-            return match is_complete && parts.is_whole && !more {
+            if !is_complete {
+                return Outcome::Incomplete { fetched };
+            }
+            return match parts.is_whole && !more {
                 true => Outcome::Complete { fetched },
-                false => Outcome::Incomplete { fetched, missing: self.pull.missing_count() },
+                false => Outcome::Behind { fetched, missing: self.pull.missing_count() },
             };
         }
     }
--- a/crates/arbutuslane_node/src/cluster/items/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -4,6 +4,7 @@
 mod announced;
 mod exchange;
 mod serve;
+mod sources;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +22,8 @@
 use crate::shared::Shared;
 use crate::traffic::Pool;
 
+use sources::Sources;
+
 pub(crate) use announced::Announced;
 pub(crate) use serve::{differing_items, requested_items};
 
@@ -41,20 +44,18 @@
     pool: Rc<Pool>,
     /// The items that other processes have and this node lacks.
     pull: Pull,
-    /// Each comparison goes to the next control instance, because a minority of the instances may
-    /// lack items that the others have accepted.
-    comparison_number: usize,
+    sources: Sources,
     /// Whether a control instance gave all items in the last comparison.
     got_all_items: bool,
 }
 
 /// Compares the items in force with those of other processes until this one ends.
 pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
-    // The start is random, so that nodes use different instances; its range only needs to be well
-    // above the number of instances.
-    let comparison_number = rand::rng().random_range(0..1_000);
+    // The first turn is random, so that nodes use different instances; its range only needs to be
+    // well above the number of instances.
+    let sources = Sources::new(shared.clock.now(), rand::rng().random_range(0..1_000));
     let pull = Pull::default();
-    let mut updater = Updater { shared, pool, pull, comparison_number, got_all_items: true };
+    let mut updater = Updater { shared, pool, pull, sources, got_all_items: true };
     loop {
         updater.compare().await;
         updater.wait().await;
@@ -69,30 +70,28 @@
 
 impl Updater {
     /// Compares with a control instance, with a second one when the first does not give all items,
-    /// and with another node when neither does.
+    /// and with another node while the control instances are lost.
     async fn compare(&mut self) {
         let (control, nodes) = peer_addresses(&self.shared);
         let mut got_all_items = false;
-        for address in self.rotated(&control).into_iter().take(2) {
-            got_all_items = self.compare_with(address).await;
+        for address in self.sources.next_control(&control) {
+            let outcome = self.compare_with(address).await;
+            if outcome.has_complete_peer() {
+                self.sources.record_control(self.shared.clock.now());
+            }
+            got_all_items = outcome.is_complete();
             if got_all_items {
                 break;
             }
         }
-        self.comparison_number += 1;
-        if !got_all_items && let Some(address) = nodes.first() {
+        if self.sources.asks_nodes(self.shared.clock.now())
+            && let Some(address) = nodes.first()
+        {
             self.compare_with(*address).await;
         }
         self.record_contact(got_all_items);
     }
 
-    /// Returns the addresses, beginning with the one whose turn it is.
-    fn rotated(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut rotated = addresses.to_vec();
-        rotated.rotate_left(self.comparison_number % addresses.len().max(1));
-        rotated
-    }
-
     fn record_contact(&mut self, got_all_items: bool) {
         if got_all_items != self.got_all_items {
             self.got_all_items = got_all_items;
@@ -128,7 +127,7 @@
             }
             self.pull.want(self.shared.configuration().items(), &hashes);
             let (control, _) = peer_addresses(&self.shared);
-            self.fetch(&self.rotated(&control)).await;
+            self.fetch(&self.sources.rotated(&control)).await;
         }
     }
 
--- /dev/null
+++ b/crates/arbutuslane_node/src/cluster/items/sources.rs
@@ -0,0 +1,104 @@
+//! Decides which processes a node compares its items with.
+//!
+//! Control instances have every accepted item, other nodes may be behind without knowing it. A node
+//! that took its first configuration from such a node would serve an outdated one. Nodes are
+//! therefore asked only while the control instances are lost, so that a node can still start then.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use arbutuslane_core::time::Time;
+
+/// The number of control instances that are asked for each comparison.
+const CONTROL_PER_COMPARISON: usize = 2;
+
+/// The time without a control instance that has all items after which another node is asked. Control
+/// instances that were all killed at once have settled their items by then.
+const NODE_FALLBACK_AFTER: Duration = Duration::from_secs(2);
+
+/// The processes to compare with.
+#[derive(Debug)]
+pub(super) struct Sources {
+    /// Each comparison begins with the next control instance, because a minority of the instances
+    /// may lack items that the others have accepted.
+    turn: usize,
+    /// The last time when a control instance that has all items responded, or the start.
+    last_source_at: Time,
+}
+
+impl Sources {
+    /// Returns the state at the start; `turn` differs between nodes, so that they use different
+    /// control instances.
+    pub(super) fn new(now: Time, turn: usize) -> Self {
+        Self { turn, last_source_at: now }
+    }
+
+    /// Returns the control instances for the next comparison, in the order in which they are asked.
+    pub(super) fn next_control(&mut self, control: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut next = self.rotated(control);
+        next.truncate(CONTROL_PER_COMPARISON);
+        self.turn = self.turn.wrapping_add(1);
+        next
+    }
+
+    /// Returns all of the `control` instances, beginning with the one whose turn it is.
+    pub(super) fn rotated(&self, control: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut rotated = control.to_vec();
+        rotated.rotate_left(self.turn % control.len().max(1));
+        rotated
+    }
+
+    /// Records a response of a control instance that has all items.
+    pub(super) fn record_control(&mut self, now: Time) {
+        self.last_source_at = now;
+    }
+
+    /// Returns whether another node is asked.
+    pub(super) fn asks_nodes(&self, now: Time) -> bool {
+        now >= self.last_source_at + NODE_FALLBACK_AFTER
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn control() -> Vec<SocketAddr> {
+        (1..=5).map(|number| SocketAddr::from(([10, 0, 0, number], 80))).collect()
+    }
+
+    /// Guards against a node that takes an outdated configuration from another node although a
+    /// control instance responds, for example slowly and in parts.
+    #[test]
+    fn asks_nodes_control_responds() {
+        let mut sources = Sources::new(Time::ZERO, 0);
+        for number in 0..100 {
+            let now = Duration::from_millis(number * 900);
+            assert!(!sources.asks_nodes(now), "at {now:?}");
+            sources.record_control(now);
+        }
+    }
+
+    /// Guards against a node that cannot start while the control instances are lost.
+    #[test]
+    fn asks_nodes_control_lost() {
+        let mut sources = Sources::new(Time::ZERO, 0);
+        sources.record_control(Duration::from_millis(500));
+        assert!(!sources.asks_nodes(Duration::from_millis(2_499)));
+        assert!(sources.asks_nodes(Duration::from_millis(2_500)));
+        sources.record_control(Duration::from_millis(3_000));
+        assert!(!sources.asks_nodes(Duration::from_millis(3_100)));
+    }
+
+    /// Guards against a node that compares with the same few control instances only, and so misses
+    /// what they lack.
+    #[test]
+    fn next_control_all() {
+        let mut sources = Sources::new(Time::ZERO, 7);
+        let mut first: Vec<SocketAddr> =
+            (0..5).map(|_| sources.next_control(&control())[0]).collect();
+        first.sort_unstable();
+        assert_eq!(first, control());
+        assert!(sources.next_control(&[]).is_empty());
+    }
+}
