--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -17,6 +17,7 @@
 mod process;
 mod response;
 mod silence;
+mod stated;
 mod stop;
 mod stop_fleet;
 mod strikes;
