--- a/crates/arbutuslane_node/src/cluster/items/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -20,6 +20,7 @@
 use rand::seq::SliceRandom;
 
 use crate::shared::Shared;
+use crate::timeout::within;
 use crate::traffic::Pool;
 
 use sources::Sources;
@@ -121,7 +122,7 @@
                 return;
             }
             let announced = self.shared.announced.wait();
-            let Ok(hashes) = ntex::time::timeout_checked(left, announced).await else { return };
+            let Ok(hashes) = within(left, announced).await else { return };
             if hashes.is_empty() {
                 return;
             }
--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -12,12 +12,12 @@
 use arbutuslane_wire::{header, peer};
 use ntex::channel::mpsc;
 use ntex::http::{Response, StatusCode};
-use ntex::time::timeout_checked;
 use ntex::util::{Bytes, BytesMut};
 use rand::RngExt;
 
 use crate::peers;
 use crate::shared::Shared;
+use crate::timeout::within;
 use crate::traffic::{self, Outcome, Pool, Refusal, RoutedRequest, ServerResponse, Worker};
 
 /// The longest wait for a majority of replicas: many times the round trip between failure domains.
@@ -109,7 +109,7 @@
         }
         None
     };
-    let decided = timeout_checked(timeout, decide).await;
+    let decided = within(timeout, decide).await;
     let decision = decided.ok().flatten().or_else(|| coordinator.expired());
     if decision != Some(Decision::Dispatch) {
         drop(send(&worker.shared, &worker.pool, group, &coordinator.withdraw()));
--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod run;
 pub mod settings;
 mod shared;
+mod timeout;
 mod traffic;
 
 /// The names that most users of this crate need.
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -8,11 +8,11 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use ntex::time::timeout_checked;
-
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_limit::gate::{self, Arrival, Cancelled, Gate, QueueChange, Reason, Refusal};
 
+use crate::timeout::{Elapsed, within};
+
 /// The maximum queue length as a multiple of the slots. The due times of the requests limit how
 /// long they wait; this limits the memory when requests are due late.
 const MAX_QUEUED_PER_SLOT: usize = 2;
@@ -128,9 +128,9 @@
         };
         let limit = arrival.deadline.remaining(now);
         let waiting = poll_fn(|cx| self.lock().poll(queue_entry.ticket, cx));
-        match timeout_checked(limit, waiting).await {
+        match within(limit, waiting).await {
             Ok(true) => Ok(self.permit(queue_entry.ticket)),
-            Ok(false) | Err(()) => {
+            Ok(false) | Err(Elapsed) => {
                 let wait = self.lock().gate.predicted_wait(&arrival, self.clock.now());
                 Err(Refusal { reason: Reason::TooLate, retry_after: wait })
             }
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use ntex::http::StatusCode;
-use ntex::time::timeout_checked;
 
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::attempts::Effort;
 
+use crate::timeout::{Elapsed, within};
+
 use super::answer::ServerResponse;
 use super::entry::is_failure;
 use super::owner::{self, Repeat, ServerRequest};
@@ -68,7 +69,7 @@
         record_result(worker, routed, &attempt_log, attempt_guard, result)
     });
     let Some(silence_timeout) = silence_timeout else { return SendResult::Ended(running.await) };
-    if let Ok(result) = timeout_checked(silence_timeout, running.as_mut()).await {
+    if let Ok(result) = within(silence_timeout, running.as_mut()).await {
         return SendResult::Ended(result);
     }
     // The response may still arrive in time, and no other attempt can be made.
@@ -244,9 +245,9 @@
 ) -> Result<ServerResponse, Refusal> {
     let limit = server_request.deadline.remaining(worker.shared.clock.now());
     let forwarding = remote::forward(worker, server_request, owner_address);
-    match timeout_checked(limit.max(Duration::from_millis(1)), forwarding).await {
+    match within(limit, forwarding).await {
         Ok(result) => result,
-        Err(()) => {
+        Err(Elapsed) => {
             worker.pool.purge(owner_address.1);
             let error = "no response within the deadline";
             Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, error))
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -12,6 +12,7 @@
 use crate::cluster::keyed;
 use crate::metrics::count;
 use crate::shared::Shared;
+use crate::timeout::{Elapsed, within};
 
 use super::client::{HeldBody, Upload};
 use super::refusal::Refusal;
@@ -58,7 +59,7 @@
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    match timeout_checked(bounds.time, hold(&shared.body_memory, payload, bounds)).await {
+    match within(bounds.time, hold(&shared.body_memory, payload, bounds)).await {
         Ok(Ok(upload)) => {
             if matches!(upload, Upload::Stream(_)) {
                 count(&shared.metrics.streamed_bodies);
@@ -67,7 +68,7 @@
         }
         Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
         Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
-        Err(()) => Err(late_body()),
+        Err(Elapsed) => Err(late_body()),
     }
 }
 
