--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -1,116 +1,21 @@
 //! Admission to one backend server: its slots and a short priority queue.
 
+mod arrival;
+mod decision;
+
 use std::time::Duration;
 
-use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::time::Time;
 
-use crate::deadline::Deadline;
+use crate::pace::Pace;
 use crate::service_time::{Kind, ServiceTimes};
 
+pub use arrival::Arrival;
+pub use decision::{Admission, Cancelled, QueueChange, Reason, Refusal};
+
 /// Identifies an admitted request at its gate.
 pub type Ticket = u64;
 
-/// A request that arrives at a gate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Arrival {
-    /// The kind of the request; service times are measured separately for each kind.
-    pub kind: Kind,
-    /// The rank of the request; requests of rank 0 start first.
-    pub rank: u8,
-    /// Orders the requests of one rank: the lowest value starts first. Requests that are useful
-    /// only together, such as the calls made for one request, have the same value.
-    pub precedence: u64,
-    /// The time until which the response has its full value. Among requests of equal rank and
-    /// precedence, the earliest starts first.
-    pub due: Time,
-    /// The time after which the response has no value.
-    pub deadline: Deadline,
-}
-
-impl Arrival {
-    /// Returns a request ranked by its class: bookings before lookups before downloads. Its
-    /// response has its full value until the deadline, so requests of one class start in deadline
-    /// order.
-    pub fn of_class(class: Class, now: Time, deadline: Deadline) -> Self {
-        let rank = class.default_rank();
-        Self {
-            kind: Kind::from(rank),
-            rank,
-            precedence: 0,
-            due: now + deadline.remaining(now),
-            deadline,
-        }
-    }
-
-    fn sort_key(&self) -> (u8, u64, Time) {
-        (self.rank, self.precedence, self.due)
-    }
-
-    /// Returns whether this request replaces `other` in a full queue.
-    fn displaces(&self, other: &Self) -> bool {
-        (self.rank, self.precedence) < (other.rank, other.precedence)
-    }
-}
-
-/// The gate's decision on an arriving request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// The request has a slot and is dispatched now.
-    Run(Ticket),
-    /// The request waits. A later [`QueueChange`] starts or refuses it.
-    Queued {
-        /// The ticket of the arriving request.
-        ticket: Ticket,
-        /// A request of lower priority that was removed from the queue and is refused as not run.
-        displaced: Option<Ticket>,
-    },
-    /// The request is refused as not run.
-    Refused(Refusal),
-}
-
-/// Why a request was refused and when it may be sent again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refusal {
-    /// The reason.
-    pub reason: Reason,
-    /// The delay to send to the caller as `Retry-After`.
-    pub retry_after: Duration,
-}
-
-/// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// Its deadline has passed.
-    Expired,
-    /// Its response is predicted to come after its due time.
-    TooLate,
-    /// The queue is full of requests of at least its priority.
-    Full,
-    /// The server accepts no new requests.
-    Closed,
-}
-
-/// The queued requests that start or are refused after slots have become free.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct QueueChange {
-    /// Queued requests that now have a slot.
-    pub start: Vec<Ticket>,
-    /// Queued requests that are refused as not run, because too little time remains for them.
-    pub refuse: Vec<Ticket>,
-}
-
-/// The state in which a request was cancelled.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Cancelled {
-    /// The request was in the queue and has been removed; it did not run.
-    Queued,
-    /// The request is running: the owner closes the connection, then calls [`Gate::finish`].
-    Running,
-    /// The gate does not know the request: it has already finished or been refused.
-    Unknown,
-}
-
 /// The slots and the queue of one backend server.
 ///
 /// The queue is sorted by rank, then precedence, then due time. Ordering by due time keeps requests
@@ -123,6 +28,9 @@
 /// A request whose calls are refused at random fails as soon as one of them is refused. When calls
 /// exceed the slots, a common precedence lets the calls of one request succeed or fail together.
 ///
+/// While the server states how many requests it accepts in a second, requests start at that rate at
+/// most, even when slots are free.
+///
 /// A request is refused on arrival when the wait predicted from the measured service times, plus
 /// one service time, ends after its due time. The refusal uses no slot, whereas a late response
 /// uses one in which another request would have finished in time.
@@ -137,6 +45,8 @@
     /// The number of consecutive starts while a request of a lower rank waited.
     higher_rank_starts: u32,
     service_times: ServiceTimes,
+    /// The rate that the server states, or `None` while it states none.
+    pace: Option<Pace>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -182,6 +92,7 @@
             queue: Vec::with_capacity(queue_limit),
             higher_rank_starts: 0,
             service_times: ServiceTimes::default(),
+            pace: None,
         }
     }
 
@@ -191,9 +102,9 @@
         if let Some(refusal) = self.refusal(now, &arrival) {
             return Admission::Refused(refusal);
         }
-        if self.running.len() < self.slots {
+        if self.can_start(now) {
             let ticket = self.issue_ticket();
-            self.running.push(Running { ticket, kind, since: now });
+            self.start(ticket, kind, now);
             return Admission::Run(ticket);
         }
         let mut displaced = None;
@@ -213,13 +124,13 @@
             Reason::Closed
         } else if arrival.deadline.is_expired(now) {
             Reason::Expired
-        } else if self.running.len() < self.slots {
+        } else if self.can_start(now) {
             // A free slot is used whatever the measured service time is. Refusing here would stop
             // the measurement, so a server whose mean once exceeded the deadline would never be
             // used again.
             return None;
         } else if arrival.due.saturating_sub(now) < self.expected_time(arrival, now) {
-            Reason::TooLate
+            if self.is_paced(now) { Reason::Limited } else { Reason::TooLate }
         } else if self.queue.len() >= self.queue_limit && self.displaced_index(arrival).is_none() {
             Reason::Full
         } else {
@@ -290,6 +201,67 @@
         self.open = open;
     }
 
+    /// Changes the number of requests that the server accepts in a second, or with `None` lifts the
+    /// limit. Refuses the queued requests that cannot start at the new rate before their deadlines.
+    pub fn set_limit(&mut self, per_second: Option<f64>, now: Time) -> QueueChange {
+        match (&mut self.pace, per_second) {
+            (Some(pace), Some(per_second)) => pace.set_rate(per_second, now),
+            (pace, per_second) => {
+                *pace = per_second.map(|per_second| Pace::new(per_second, now));
+            }
+        }
+        let mut change = self.fill_slots(now);
+        if let Some(pace) = &self.pace {
+            let mut ahead = 0;
+            self.queue.retain(|waiting| {
+                let starts_in_time =
+                    pace.wait_behind(ahead, now) < waiting.arrival.deadline.remaining(now);
+                match starts_in_time {
+                    true => ahead += 1,
+                    false => change.refuse.push(waiting.ticket),
+                }
+                starts_in_time
+            });
+        }
+        change
+    }
+
+    /// Returns whether the server states a limit on the rate of its requests.
+    pub fn is_limited(&self) -> bool {
+        self.pace.is_some()
+    }
+
+    /// Returns the time until a queued request may start although no running one finishes, or `None`
+    /// if there is none.
+    ///
+    /// The owner then calls [`advance`](Gate::advance).
+    pub fn next_start(&self, now: Time) -> Option<Duration> {
+        let pace = self.pace.as_ref()?;
+        let has_slot = self.running.len() < self.slots && !self.queue.is_empty();
+        has_slot.then(|| pace.wait(now))
+    }
+
+    /// Starts the queued requests whose time has come.
+    pub fn advance(&mut self, now: Time) -> QueueChange {
+        self.fill_slots(now)
+    }
+
+    /// Returns whether a free slot stays free because of the stated rate.
+    pub fn is_paced(&self, now: Time) -> bool {
+        self.pace.as_ref().is_some_and(|pace| pace.wait(now) > Duration::ZERO)
+    }
+
+    fn can_start(&self, now: Time) -> bool {
+        self.running.len() < self.slots && !self.is_paced(now)
+    }
+
+    fn start(&mut self, ticket: Ticket, kind: Kind, now: Time) {
+        self.running.push(Running { ticket, kind, since: now });
+        if let Some(pace) = &mut self.pace {
+            pace.record_start(now);
+        }
+    }
+
     /// Changes the number of slots and starts queued requests in the free ones.
     pub fn set_slots(&mut self, slots: usize, now: Time) -> QueueChange {
         self.slots = slots;
@@ -311,11 +283,20 @@
         self.queue.len()
     }
 
-    /// Returns the predicted time that an arriving request waits for a slot.
+    /// Returns the predicted time that an arriving request waits for a slot and for the stated rate.
     ///
     /// A request that has run for longer than the mean counts with its elapsed time. The mean
     /// counts finished requests only, so it does not show that hanging requests occupy all slots.
     pub fn predicted_wait(&self, arrival: &Arrival, now: Time) -> Duration {
+        let ahead = self.queue.iter().filter(|waiting| waiting.precedes(arrival));
+        let Some(pace) = &self.pace else { return self.slot_wait(ahead, now) };
+        let count = u32::try_from(ahead.clone().count()).unwrap_or(u32::MAX);
+        pace.wait_behind(count, now).max(self.slot_wait(ahead, now))
+    }
+
+    /// Returns the predicted time until a slot is free for a request behind those that are `ahead` in
+    /// the queue.
+    fn slot_wait<'a>(&self, ahead: impl Iterator<Item = &'a Waiting>, now: Time) -> Duration {
         if self.running.len() < self.slots || self.slots == 0 {
             return Duration::ZERO;
         }
@@ -325,11 +306,9 @@
             work += self.service_times.mean_or_overall(running.kind).max(elapsed);
         }
         let mut queued_ahead = 0;
-        for waiting in &self.queue {
-            if waiting.precedes(arrival) {
-                work += self.service_times.mean_or_overall(waiting.arrival.kind);
-                queued_ahead += 1;
-            }
+        for waiting in ahead {
+            work += self.service_times.mean_or_overall(waiting.arrival.kind);
+            queued_ahead += 1;
         }
         // The arriving request starts once all requests ahead of it in the queue have started and
         // one more slot is free. Each slot finishes one request per mean service time.
@@ -384,10 +363,9 @@
 
     fn fill_slots(&mut self, now: Time) -> QueueChange {
         let mut change = QueueChange { start: Vec::new(), refuse: self.expire(now) };
-        while self.running.len() < self.slots && !self.queue.is_empty() {
+        while self.can_start(now) && !self.queue.is_empty() {
             let waiting = self.pop_next();
-            let kind = waiting.arrival.kind;
-            self.running.push(Running { ticket: waiting.ticket, kind, since: now });
+            self.start(waiting.ticket, waiting.arrival.kind, now);
             change.start.push(waiting.ticket);
         }
         change
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -1,7 +1,8 @@
 //! Admission, slots, queues, rate limits, deadlines, retries and hedging.
 //!
 //! All code in this crate depends only on the state and time that are passed to it. The owner of a
-//! backend server has one [`Gate`](gate::Gate) for it. An entry has a [`Bucket`](bucket::Bucket)
+//! backend server has one [`Gate`](gate::Gate) for it, with a [`Pace`](pace::Pace) while the server
+//! states how many requests it accepts. An entry has a [`Bucket`](bucket::Bucket)
 //! for each caller, route and service, and a [`RetryBudget`](budget::RetryBudget) for each service.
 //! It distinguishes callers' resends from new requests with
 //! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt and
@@ -32,6 +33,7 @@
 pub mod gate;
 pub mod hedge;
 pub mod memory;
+pub mod pace;
 pub mod resend;
 pub mod retry;
 pub mod reuse;
--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -101,9 +101,7 @@
             let is_unchanged = known.address == address && known.service == announcement.service;
             if known.incarnation == announcement.incarnation && is_unchanged {
                 let is_latest = known.apply_announcement(announcement, now);
-                if announcement.draining && !known.draining.swap(true, Ordering::AcqRel) {
-                    known.admission.close();
-                    self.bump_version();
+                if announcement.draining && self.close(known) {
                     return Ok(AnnouncementOutcome::Draining);
                 }
                 return Ok(if is_latest {
@@ -139,6 +137,7 @@
             echoes_ids: AtomicBool::new(false),
             latency_us: AtomicU32::new(0),
             reuse: Default::default(),
+            limit: Default::default(),
         });
         server.renew(now);
         if announcement.draining {
@@ -157,6 +156,16 @@
         Ok(AnnouncementOutcome::New)
     }
 
+    /// Stops new work for a server that states that it leaves; returns whether it accepted new work.
+    pub(crate) fn close(&self, server: &Server) -> bool {
+        if server.draining.swap(true, Ordering::AcqRel) {
+            return false;
+        }
+        server.admission.close();
+        self.bump_version();
+        true
+    }
+
     /// Stops new work for a server; returns whether it is known.
     pub(crate) fn drain(&self, server: &str) -> bool {
         let Some(server) = self.get(server) else { return false };
@@ -331,6 +340,36 @@
         assert!(!table.get("s1").unwrap().is_open(now));
     }
 
+    /// Guards against a limit that an entry remembers and that replaces what the server itself has
+    /// stated since, and against an owner that restarts and forgets the limit.
+    #[test]
+    fn learn_limit_outdated() {
+        let table = ServerTable::new(Clock::start(), LEASE, false);
+        table.announce(&announcement(1), Duration::from_secs(1)).unwrap();
+        let server = table.get("s1").unwrap();
+        server.learn_limit(2.0);
+        assert_eq!(server.stated_limit(), Some(2.0));
+        assert!(server.set_limit(Some(3.0)));
+        server.learn_limit(2.0);
+        assert_eq!(server.stated_limit(), Some(3.0));
+        assert!(server.set_limit(None));
+        server.learn_limit(2.0);
+        assert_eq!(server.stated_limit(), None);
+    }
+
+    /// Guards against a server that states that it leaves and that a renewal reopens.
+    #[test]
+    fn close_renewed() {
+        let table = ServerTable::new(Clock::start(), LEASE, false);
+        let now = Duration::from_secs(1);
+        table.announce(&announcement(1), now).unwrap();
+        let server = table.get("s1").unwrap();
+        assert!(table.close(&server));
+        assert!(!table.close(&server));
+        table.announce(&announcement(1), now).unwrap();
+        assert!(!table.get("s1").unwrap().is_open(now));
+    }
+
     /// Guards against a delayed announcement that undoes a later drain or renews the lease of a
     /// silent server.
     #[test]
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -42,6 +42,18 @@
     pub(super) echoes_ids: AtomicBool,
     pub(super) latency_us: AtomicU32,
     pub(super) reuse: Mutex<Reuse>,
+    pub(super) limit: Mutex<StatedLimit>,
+}
+
+/// The rate that a server states in its responses.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum StatedLimit {
+    /// No response has arrived since this node knows the server.
+    #[default]
+    Unknown,
+    /// The requests a second in the last response, or what an entry received before this node knew
+    /// the server; `None` if the response stated no limit.
+    Known(Option<f64>),
 }
 
 impl Server {
@@ -88,6 +100,36 @@
         self.lock_reuse().record_broken(now);
     }
 
+    /// Applies the limit that the server states in a response, in requests a second; returns whether
+    /// it differs from the one before.
+    pub(crate) fn set_limit(&self, per_second: Option<f64>) -> bool {
+        let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = match *limit {
+            StatedLimit::Known(known) => known,
+            StatedLimit::Unknown => None,
+        };
+        *limit = StatedLimit::Known(per_second);
+        self.admission.set_limit(per_second);
+        known != per_second
+    }
+
+    /// Applies a limit that the server stated before this node knew it.
+    pub(crate) fn learn_limit(&self, per_second: f64) {
+        let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if *limit == StatedLimit::Unknown {
+            *limit = StatedLimit::Known(Some(per_second));
+            self.admission.set_limit(Some(per_second));
+        }
+    }
+
+    /// Returns the limit that the server states, in requests a second.
+    pub(crate) fn stated_limit(&self) -> Option<f64> {
+        match *self.limit.lock().unwrap_or_else(PoisonError::into_inner) {
+            StatedLimit::Known(limit) => limit,
+            StatedLimit::Unknown => None,
+        }
+    }
+
     fn lock_reuse(&self) -> MutexGuard<'_, Reuse> {
         self.reuse.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -86,6 +86,15 @@
 
 fn render_servers(shared: &Shared, text: &mut String) {
     let now = shared.clock.now();
+    let _ = writeln!(text, "# TYPE arbutuslane_server_stated_limit gauge");
+    for server in shared.servers.all() {
+        let Some(limit) = server.stated_limit() else { continue };
+        let (service, id) = (escape_label(&server.service), escape_label(&server.id));
+        let _ = writeln!(
+            text,
+            "arbutuslane_server_stated_limit{{service=\"{service}\",server=\"{id}\"}} {limit}"
+        );
+    }
     for name in ["in_flight", "queued", "slots", "open", "suspect", "suspicions"] {
         let _ = writeln!(text, "# TYPE arbutuslane_server_{name} gauge");
         for server in shared.servers.all() {
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -45,6 +45,8 @@
     ticket: gate::Ticket,
     /// Whether the request may run; `None` while it is queued.
     admitted: Option<bool>,
+    /// Whether the time for which the request waits has changed.
+    is_outdated: bool,
     waker: Option<Waker>,
 }
 
@@ -71,6 +73,18 @@
         }
     }
 
+    /// Changes the number of requests that the server accepts in a second, or with `None` lifts the
+    /// limit.
+    pub(crate) fn set_limit(&self, per_second: Option<f64>) {
+        let mut state = self.lock();
+        if !state.gate.is_limited() && per_second.is_none() {
+            return;
+        }
+        let change = state.gate.set_limit(per_second, self.clock.now());
+        state.apply_change(&change);
+        state.wake_all();
+    }
+
     /// Refuses all queued and all later requests.
     pub(crate) fn close(&self) {
         let mut state = self.lock();
@@ -80,11 +94,19 @@
     }
 
     /// Returns the numbers of requests in flight, of queued requests and of slots.
+    ///
+    /// While the server's stated rate lets no request start, all slots count as used, because a
+    /// server that looked idle would attract the requests that it has to refuse.
     pub(crate) fn occupancy(&self) -> (u32, u32, u32) {
+        let now = self.clock.now();
         let state = self.lock();
         let number = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
         let gate = &state.gate;
-        (number(gate.in_flight()), number(gate.queued()), number(gate.slots()))
+        let in_flight = match gate.is_paced(now) {
+            true => gate.in_flight().max(gate.slots()),
+            false => gate.in_flight(),
+        };
+        (number(in_flight), number(gate.queued()), number(gate.slots()))
     }
 
     /// Acquires a slot, or refuses the request if its predicted wait is longer than forwarding it
@@ -103,7 +125,8 @@
         let gate = &self.lock().gate;
         let wait = gate.predicted_wait(arrival, now);
         if !may_wait && wait > FORWARDING_TIME {
-            return Some(Refusal { reason: Reason::Full, retry_after: wait });
+            let reason = if gate.is_paced(now) { Reason::Limited } else { Reason::Full };
+            return Some(Refusal { reason, retry_after: wait });
         }
         gate.refusal(now, arrival)
     }
@@ -117,7 +140,8 @@
                 gate::Admission::Run(ticket) => return Ok(self.permit(ticket)),
                 gate::Admission::Refused(refusal) => return Err(refusal),
                 gate::Admission::Queued { ticket, displaced } => {
-                    state.waiting.push(Waiter { ticket, admitted: None, waker: None });
+                    let waiter = Waiter { ticket, admitted: None, is_outdated: false, waker: None };
+                    state.waiting.push(waiter);
                     state.apply_change(&QueueChange {
                         start: Vec::new(),
                         refuse: Vec::from_iter(displaced),
@@ -126,15 +150,28 @@
                 }
             }
         };
-        let limit = arrival.deadline.remaining(now);
-        let waiting = poll_fn(|cx| self.lock().poll(queue_entry.ticket, cx));
-        match within(limit, waiting).await {
-            Ok(true) => Ok(self.permit(queue_entry.ticket)),
-            Ok(false) | Err(Elapsed) => {
-                let wait = self.lock().gate.predicted_wait(&arrival, self.clock.now());
-                Err(Refusal { reason: Reason::TooLate, retry_after: wait })
+        loop {
+            let now = self.clock.now();
+            let left = arrival.deadline.remaining(now);
+            // Without a running request that finishes, only time lets the next one start.
+            let next_start = self.lock().gate.next_start(now).unwrap_or(left);
+            let waiting = poll_fn(|cx| self.lock().poll(queue_entry.ticket, cx));
+            match within(left.min(next_start), waiting).await {
+                Ok(Some(true)) => return Ok(self.permit(queue_entry.ticket)),
+                Ok(None) => continue,
+                Ok(Some(false)) => break,
+                Err(Elapsed) if left <= next_start => break,
+                Err(Elapsed) => {
+                    let mut state = self.lock();
+                    let change = state.gate.advance(self.clock.now());
+                    state.apply_change(&change);
+                }
             }
         }
+        let now = self.clock.now();
+        let gate = &self.lock().gate;
+        let reason = if gate.is_paced(now) { Reason::Limited } else { Reason::TooLate };
+        Err(Refusal { reason, retry_after: gate.predicted_wait(&arrival, now) })
     }
 
     fn permit(self: &Arc<Self>, ticket: gate::Ticket) -> Permit {
@@ -147,13 +184,17 @@
 }
 
 impl State {
-    /// Returns the decision on a queued request, or registers its waker.
-    fn poll(&mut self, ticket: gate::Ticket, cx: &mut Context<'_>) -> Poll<bool> {
+    /// Returns the decision on a queued request, or registers its waker. Returns `None` once when the
+    /// time for which the request should wait has changed.
+    fn poll(&mut self, ticket: gate::Ticket, cx: &mut Context<'_>) -> Poll<Option<bool>> {
         let index = self.waiting.iter().position(|waiting| waiting.ticket == ticket);
-        let Some(index) = index else { return Poll::Ready(false) };
+        let Some(index) = index else { return Poll::Ready(Some(false)) };
         if let Some(admitted) = self.waiting[index].admitted {
             self.waiting.swap_remove(index);
-            return Poll::Ready(admitted);
+            return Poll::Ready(Some(admitted));
+        }
+        if std::mem::take(&mut self.waiting[index].is_outdated) {
+            return Poll::Ready(None);
         }
         self.waiting[index].waker = Some(cx.waker().clone());
         Poll::Pending
@@ -171,6 +212,16 @@
         }
     }
 
+    /// Lets the queued requests determine anew for how long they wait.
+    fn wake_all(&mut self) {
+        for waiting in &mut self.waiting {
+            waiting.is_outdated = true;
+            if let Some(waker) = waiting.waker.take() {
+                waker.wake();
+            }
+        }
+    }
+
     /// Wakes the queued requests that `change` starts or refuses.
     fn apply_change(&mut self, change: &QueueChange) {
         for waiting in &mut self.waiting {
@@ -194,6 +245,10 @@
         let mut state = self.admission.lock();
         let change = state.gate.finish(self.ticket, now);
         state.apply_change(&change);
+        if state.gate.is_limited() {
+            // The free slot may stay free until the next request may start.
+            state.wake_all();
+        }
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -134,6 +134,7 @@
         must_accept: matches!(effort, Effort::Insist | Effort::Suspect),
         is_offered: false,
         repeat,
+        known_limit: selected.known_limit,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
         deadline: routed.deadline,
         fingerprint: routed.fingerprint,
@@ -175,7 +176,10 @@
             // request that did not run is not counted as a failure, because that would hide real
             // failures from the comparison with the server's peers.
             match refusal.cause {
-                RefusalCause::Stale | RefusalCause::Suspect | RefusalCause::RepeatLimit => {}
+                RefusalCause::Stale
+                | RefusalCause::Limited
+                | RefusalCause::Suspect
+                | RefusalCause::RepeatLimit => {}
                 RefusalCause::Full | RefusalCause::Shed => attempt_guard.record_refusal(),
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => {
@@ -185,6 +189,7 @@
             let avoidance = match refusal.cause {
                 RefusalCause::Stale => Some(Avoidance::Gone),
                 RefusalCause::Shed => Some(Avoidance::Overloaded),
+                RefusalCause::Limited => Some(Avoidance::Limited(refusal.wait.unwrap_or_default())),
                 RefusalCause::Suspect => Some(Avoidance::Suspect(refusal.wait.unwrap_or_default())),
                 _ => None,
             };
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -348,7 +348,7 @@
     }
     Some(match (refusal.cause, refusal.outcome) {
         (RefusalCause::Stale, _) => AttemptFailure::Unavailable,
-        (RefusalCause::Full, _) => AttemptFailure::Busy,
+        (RefusalCause::Full | RefusalCause::Limited, _) => AttemptFailure::Busy,
         (RefusalCause::Suspect, _) => AttemptFailure::Suspect,
         (RefusalCause::RepeatLimit, _) => AttemptFailure::RepeatLimit,
         (_, Outcome::NotRun) => AttemptFailure::Sent(retry::Outcome::NotRun),
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -127,8 +127,7 @@
     headers: &HeaderMap,
     status: StatusCode,
 ) -> Option<Refusal> {
-    let stated = fields::text(headers, dialect.not_run.name);
-    let stated = stated.is_some_and(|stated| dialect.not_run.value.is_none_or(|v| v == stated));
+    let stated = dialect.not_run.is_made_by(fields::text(headers, dialect.not_run.name));
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if is_misdirected && dialect.expected_server.is_some() {
         return Some(Refusal::stale("another server has this address"));
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod repeats;
+mod statement;
 mod work;
 
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 pub(crate) use exchange::count_connection;
 use exchange::{implies_not_run, send, shed_refusal};
 pub(crate) use repeats::{Repeat, Repeats};
+pub(crate) use statement::parse_limit;
 pub(crate) use work::ServerRequest;
 use work::{parse_request, receive_request};
 
@@ -71,6 +73,9 @@
     let server = fields::text(request, header::SERVER).unwrap_or_default();
     if let Some(server) = worker.shared.servers.get(server) {
         fields::set(headers, header::LOAD, &server.report().encode());
+        if let Some(limit) = server.stated_limit() {
+            fields::set(headers, header::LIMIT, &limit.to_string());
+        }
     }
     response
 }
@@ -114,6 +119,9 @@
     server_request: &ServerRequest,
 ) -> Result<(Arc<Server>, Arrival), Refusal> {
     let server = find_server(worker, server_request)?;
+    if let Some(limit) = server_request.known_limit {
+        server.learn_limit(limit);
+    }
     strikes::requires_claim(worker, server_request.fingerprint)?;
     let servers = || worker.shared.server_count(&server.service);
     if server_request.repeat == Repeat::Retry
@@ -191,6 +199,7 @@
             .await);
         }
     };
+    statement::apply(worker, &server, &received.headers);
     let latency = clock.now().saturating_sub(dispatched_at);
     server.record_latency(latency);
     metrics.record_stage(Stage::Server, latency);
@@ -309,16 +318,21 @@
 
 /// Returns the refusal of a request that was not admitted to a slot.
 fn admission_refusal(refusal: gate::Refusal) -> Refusal {
+    let cause = match refusal.reason {
+        Reason::Limited => RefusalCause::Limited,
+        _ => RefusalCause::Full,
+    };
     let error = match refusal.reason {
         Reason::Expired => "the deadline passed before dispatch",
         Reason::TooLate => "no slot becomes free within the deadline",
         Reason::Full => "all slots and the queue of the server are taken",
+        Reason::Limited => "the server states that it accepts no more requests a second",
         Reason::Closed => return Refusal::stale("the server takes no new work"),
     };
     let seconds = u32::try_from(refusal.retry_after.as_secs()).unwrap_or(u32::MAX);
     let retry_after = Some(seconds.saturating_add(1).min(60));
     let wait = Some(refusal.retry_after);
-    Refusal { cause: RefusalCause::Full, retry_after, wait, ..Refusal::not_run(error) }
+    Refusal { cause, retry_after, wait, ..Refusal::not_run(error) }
 }
 
 /// Returns the id that the caller gave its request, or an empty string.
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -12,7 +12,7 @@
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_wire::header;
 
-use super::{FORWARD, OFFER, Repeat};
+use super::{FORWARD, OFFER, Repeat, statement};
 use crate::traffic::client::{Request, Upload};
 use crate::traffic::intake::{self, Bounds};
 use crate::traffic::refusal::Refusal;
@@ -45,6 +45,8 @@
     pub(crate) is_offered: bool,
     /// Whether the request counts as a repeat.
     pub(crate) repeat: Repeat,
+    /// The rate that the server stated in the last response that the entry received from it.
+    pub(crate) known_limit: Option<f64>,
     /// The id of the entry thread and its summary of how the server's peers perform.
     pub(crate) summary: Option<(u64, Summary)>,
     /// The time after which the response is useless.
@@ -119,6 +121,8 @@
         None => Repeat::First,
     };
     let is_offered = incoming.headers().contains_key(header::OFFERED);
+    let known_limit =
+        fields::text(incoming.headers(), header::LIMIT).and_then(statement::parse_limit);
     let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
     let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
     let fingerprint = fingerprint.unwrap_or_default();
@@ -135,6 +139,7 @@
         must_accept,
         is_offered,
         repeat,
+        known_limit,
         summary,
         deadline,
         fingerprint,
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -25,8 +25,8 @@
     pub(crate) try_other_server: bool,
     /// The cause of the refusal.
     pub(crate) cause: RefusalCause,
-    /// The predicted time until the server could take the request: until a slot is free, or until a
-    /// suspect server is tried again.
+    /// The predicted time until the server could take the request: until a slot is free, until its
+    /// stated limit lets another request start, or until a suspect server is tried again.
     pub(crate) wait: Option<Duration>,
 }
 
@@ -42,6 +42,8 @@
     Shed,
     /// The owner's queue for the server cannot accept the request.
     Full,
+    /// The server states that it accepts no more requests in a second.
+    Limited,
     /// The server fails most requests. It accepts the request only if no other server does.
     Suspect,
     /// The fleet repeats too many requests to the service. The request was sent before.
@@ -156,6 +158,7 @@
             RefusalCause::Stale => return "server-gone",
             RefusalCause::Shed => return "shed-by-server",
             RefusalCause::Full => return "queue-full",
+            RefusalCause::Limited => return "server-limit",
             RefusalCause::Suspect => return "suspect",
             RefusalCause::RepeatLimit => return "repeat-limit",
             RefusalCause::Silent => return "silent",
@@ -198,6 +201,9 @@
             RefusalCause::Full => {
                 builder.header(header::REFUSAL, header::REFUSAL_FULL);
             }
+            RefusalCause::Limited => {
+                builder.header(header::REFUSAL, header::REFUSAL_LIMITED);
+            }
             RefusalCause::Suspect => {
                 builder.header(header::REFUSAL, header::REFUSAL_SUSPECT);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -9,7 +9,7 @@
 
 use super::answer::ServerResponse;
 use super::client::{Echo, ExchangeOptions, Failure, ReceivedResponse, Request, Upload};
-use super::owner::{FORWARD, OFFER, Repeat, ServerRequest, count_connection};
+use super::owner::{FORWARD, OFFER, Repeat, ServerRequest, count_connection, parse_limit};
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::worker::Worker;
 use super::{deadline, fields, services};
@@ -101,6 +101,8 @@
             let load = fields::text(&received.headers, header::LOAD).and_then(load::Report::parse);
             if let Some(report) = load {
                 services::record_load(worker, service, server, &report);
+                let limit = fields::text(&received.headers, header::LIMIT);
+                services::record_limit(worker, service, server, limit.and_then(parse_limit));
             }
         }
         Err(failure) => {
@@ -138,6 +140,9 @@
             fields::set(headers, name, "1");
         }
     }
+    if let Some(limit) = server_request.known_limit {
+        fields::set(headers, header::LIMIT, &limit.to_string());
+    }
     match server_request.repeat {
         Repeat::First => {}
         Repeat::Retry => fields::set(headers, header::REPEATED, header::REPEATED_RETRY),
@@ -193,6 +198,7 @@
         Some(header::REFUSAL_SHED) => RefusalCause::Shed,
         Some(header::REFUSAL_REPEAT_LIMIT) => RefusalCause::RepeatLimit,
         Some(header::REFUSAL_FULL) => RefusalCause::Full,
+        Some(header::REFUSAL_LIMITED) => RefusalCause::Limited,
         Some(header::REFUSAL_SUSPECT) => RefusalCause::Suspect,
         Some(header::REFUSAL_FINAL) => RefusalCause::Final,
         _ => RefusalCause::Sound,
--- a/crates/arbutuslane_node/src/traffic/services/avoidance.rs
+++ b/crates/arbutuslane_node/src/traffic/services/avoidance.rs
@@ -8,9 +8,10 @@
 /// How long a server that shed load or has moved is avoided; server lists are exchanged within 1 s.
 const AVOID_DURATION: Duration = Duration::from_secs(1);
 
-/// The longest time for which a server that fails most requests is avoided without asking its owner
-/// again. Servers fail for some seconds, and one that has recovered should not stay unused for long.
-const MAX_SUSPECT_DURATION: Duration = Duration::from_secs(2);
+/// The longest time for which a server that fails most requests, or that states a limit, is avoided
+/// without asking its owner again. Such a state lasts for some seconds, and a server that has left it
+/// should not stay unused for long.
+const MAX_STATED_DURATION: Duration = Duration::from_secs(2);
 
 /// Why a server is avoided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +20,8 @@
     Gone,
     /// It fails most requests, and is tried again after this time.
     Suspect(Duration),
+    /// It states a limit, which lets another request start after this time.
+    Limited(Duration),
     /// It sheds load or is silent.
     Overloaded,
 }
@@ -50,7 +53,7 @@
     pub(super) fn add(&mut self, server: &str, reason: Avoidance, now: Time) {
         self.0.retain(|avoided| avoided.server != server && now < avoided.until);
         let duration = match reason {
-            Avoidance::Suspect(wait) => wait.min(MAX_SUSPECT_DURATION),
+            Avoidance::Suspect(wait) | Avoidance::Limited(wait) => wait.min(MAX_STATED_DURATION),
             Avoidance::Gone | Avoidance::Overloaded => AVOID_DURATION,
         };
         let (server, until) = (server.to_string(), now + duration);
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -4,6 +4,7 @@
 //! refreshed when the server lists change, and periodically because leases expire without an event.
 
 mod avoidance;
+mod limits;
 mod places;
 
 use std::cell::{Cell, RefCell};
@@ -31,6 +32,7 @@
 pub(crate) use places::ServerLocation;
 
 use avoidance::{AvoidedServers, Exclusion};
+use limits::KnownLimits;
 
 /// How often candidates are refreshed if no server list has changed.
 const CANDIDATE_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
@@ -51,6 +53,8 @@
     pub(crate) is_trial: bool,
     /// How the server's peers perform, if the next summary for its owner is due.
     pub(crate) summary: Option<Summary>,
+    /// The requests a second that the server states that it accepts.
+    pub(crate) known_limit: Option<f64>,
 }
 
 /// Counts an attempt as in flight at this thread, and records its outcome when dropped.
@@ -79,6 +83,7 @@
     summarizer: Summarizer,
     next_id: u64,
     avoided: AvoidedServers,
+    limits: KnownLimits,
     locations: Vec<(ServerId, ServerLocation)>,
     remote_servers: Arc<Vec<RemoteServer>>,
     local_version: u64,
@@ -110,6 +115,7 @@
                     summarizer: Summarizer::default(),
                     next_id: 0,
                     avoided: AvoidedServers::default(),
+                    limits: KnownLimits::default(),
                     locations: Vec::new(),
                     remote_servers: Arc::default(),
                     local_version: 0,
@@ -154,6 +160,7 @@
             locations.iter().map(|(server, ..)| server.clone()).collect();
         candidates.sort_unstable();
         self.summarizer.retain(&candidates);
+        self.limits.retain(&candidates);
         self.locations =
             locations.into_iter().map(|(server, location, _)| (server, location)).collect();
         (self.remote_servers, self.local_version, self.refreshed_at) =
@@ -256,10 +263,9 @@
         outcome: OutcomeCell::default(),
         was_refused: false,
     };
-    Some((
-        SelectedServer { server: pick.server, location, is_trial: pick.is_trial, summary },
-        attempt_guard,
-    ))
+    let known_limit = service.limits.get(&pick.server);
+    let (server, is_trial) = (pick.server, pick.is_trial);
+    Some((SelectedServer { server, location, is_trial, summary, known_limit }, attempt_guard))
 }
 
 /// Returns the age at `now` of the last load report of `server`, or `None` without a report.
@@ -305,7 +311,8 @@
             continue;
         }
         match service.avoided.reason(server, now) {
-            Some(Avoidance::Gone) => continue,
+            // An owner that has said when its server's limit lets a request start is not asked before.
+            Some(Avoidance::Gone | Avoidance::Limited(_)) => continue,
             Some(Avoidance::Suspect(_)) => untried.any = true,
             Some(Avoidance::Overloaded) | None => return Untried { any: true, trusted: true },
         }
@@ -328,6 +335,13 @@
     service.picker.report(server, &load, worker.shared.clock.now());
 }
 
+/// Records the limit that the owner of `server` reports, in requests a second, or that there is none.
+pub(crate) fn record_limit(worker: &Worker, service: &str, server: &str, limit: Option<f64>) {
+    if let Some(service) = worker.services.borrow_mut().get_mut(service) {
+        service.limits.set(server, limit);
+    }
+}
+
 /// Avoids `server` for a while: it is selected only if no other server is left.
 ///
 /// A server that refuses quickly looks idle, and would attract all requests and use up the retry
--- a/crates/arbutuslane_node/tests/faults/stated.rs
+++ b/crates/arbutuslane_node/tests/faults/stated.rs
@@ -26,25 +26,30 @@
     wait_until(|| node.metric("arbutuslane_remote_servers") == count);
 }
 
-/// Sends lookups to both nodes from several callers until `stopped`; returns how many were answered.
-fn call_until(nodes: [&Node; 2], stopped: &Arc<AtomicBool>) -> u32 {
+/// Sends lookups to both nodes from several callers for [`LOAD_DURATION`]; returns how many were
+/// answered and how many were not.
+fn call_for_a_while(nodes: [&Node; 2]) -> (u32, u32) {
+    let stopped = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..8)
         .map(|number| {
             let address = nodes[number % 2].caller_address;
-            let stopped = Arc::clone(stopped);
+            let stopped = Arc::clone(&stopped);
             spawn(move || {
-                let mut answered = 0;
+                let (mut answered, mut refused) = (0, 0);
                 while !stopped.load(Ordering::Relaxed) {
-                    let response = caller::call(address, "GET", "/slots", &[], b"");
-                    answered += u32::from(response.status == 200);
+                    match caller::call(address, "GET", "/slots", &[], b"").status {
+                        200 => answered += 1,
+                        _ => refused += 1,
+                    }
                 }
-                answered
+                (answered, refused)
             })
         })
         .collect();
     sleep(LOAD_DURATION);
     stopped.store(true, Ordering::Relaxed);
-    callers.into_iter().map(|caller| caller.join().unwrap()).sum()
+    let counts = callers.into_iter().map(|caller| caller.join().unwrap());
+    counts.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1))
 }
 
 /// Guards against a server in need that gets far more requests than it states that it accepts,
@@ -63,8 +68,9 @@
         write(stream, &received.build_ok_response("done"))
     });
     wait_for_servers(&second, 2);
-    let answered = call_until([&first, &second], &Arc::new(AtomicBool::new(false)));
+    let (answered, refused) = call_for_a_while([&first, &second]);
     assert!(answered > 100, "{answered} requests were answered");
+    assert_eq!(refused, 0, "requests were refused although another server has room");
     let arrivals = arrivals.lock().unwrap();
     // Those that arrive while the first response is on its way are not known to be too many.
     let known_at = arrivals[0] + Duration::from_millis(500);
@@ -97,7 +103,7 @@
     });
     sleep(Duration::from_millis(500));
     let before = leaving.received_requests().len();
-    let answered = call_until([&first, &second], &Arc::new(AtomicBool::new(false)));
+    let (answered, _) = call_for_a_while([&first, &second]);
     assert!(answered > 100, "{answered} requests were answered");
     assert_eq!(leaving.received_requests().len(), before, "the leaving server got new requests");
 }
--- a/crates/arbutuslane_wire/src/dialect.rs
+++ b/crates/arbutuslane_wire/src/dialect.rs
@@ -22,7 +22,12 @@
     /// The field that names the service on whose machine a request originated.
     pub origin_service: Option<&'static str>,
     /// The field by which a server states that it did not run a request.
-    pub not_run: NotRun,
+    pub not_run: Statement,
+    /// The field by which a server states how many requests it accepts in a second, a decimal
+    /// number; the limit applies until a response without the field.
+    pub server_limit: &'static str,
+    /// The field by which a server states that it leaves and accepts no new requests.
+    pub server_leaving: Statement,
     /// Whether the statuses 408, 421, 429 and 503 guarantee to a caller that its request did not
     /// run, so that no other response may have one of them.
     pub statuses_guarantee_not_run: bool,
@@ -39,15 +44,22 @@
     EndToEnd(&'static str),
 }
 
-/// The header field by which a server states that it did not run a request.
+/// A header field by which a server states something about a request or about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NotRun {
+pub struct Statement {
     /// The name of the field.
     pub name: &'static str,
     /// The value that states it, or `None` when any value does.
     pub value: Option<&'static str>,
 }
 
+impl Statement {
+    /// Returns whether a response whose field has the value `found` states it.
+    pub fn is_made_by(&self, found: Option<&str>) -> bool {
+        found.is_some_and(|found| self.value.is_none_or(|value| value == found))
+    }
+}
+
 impl Dialect {
     /// Returns the id of the request during which a server made the request `id`.
     ///
@@ -63,7 +75,9 @@
         call_separator: None,
         expected_server: None,
         origin_service: None,
-        not_run: NotRun { name: header::OUTCOME, value: Some(header::OUTCOME_NOT_RUN) },
+        not_run: Statement { name: header::OUTCOME, value: Some(header::OUTCOME_NOT_RUN) },
+        server_limit: header::SERVER_LIMIT,
+        server_leaving: Statement { name: header::SERVER_LEAVING, value: Some("1") },
         statuses_guarantee_not_run: false,
         allows_close_delimited: false,
     };
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -30,6 +30,17 @@
 /// The load of a backend server, on responses from its owner; see [`crate::load::Report`].
 pub const LOAD: &str = "arbutuslane-load";
 
+/// The requests in a second that a backend server accepts from the whole fleet, a decimal number, on
+/// responses from a server.
+pub const SERVER_LIMIT: &str = "arbutuslane-server-limit";
+
+/// The server leaves and accepts no new requests, on responses from a server.
+pub const SERVER_LEAVING: &str = "arbutuslane-server-leaving";
+
+/// The limit that a backend server last stated, on responses from its owner, and on requests to an
+/// owner, which may have restarted since.
+pub const LIMIT: &str = "arbutuslane-limit";
+
 /// The entry's baseline of the other servers of the service, on requests to an owner.
 pub const BASELINE: &str = "arbutuslane-baseline";
 
@@ -78,6 +89,9 @@
 /// The owner's queue for the backend server cannot accept the request.
 pub const REFUSAL_FULL: &str = "full";
 
+/// The backend server states that it accepts no more requests in a second.
+pub const REFUSAL_LIMITED: &str = "limited";
+
 /// The backend server fails most requests, and the entry may try another server first.
 pub const REFUSAL_SUSPECT: &str = "suspect";
 
