--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -19,6 +19,7 @@
 use crate::reload;
 use crate::settings::{self, Settings};
 use crate::shared::{Shared, read_token};
+use crate::timeout::within;
 use crate::traffic::listener;
 
 /// How long a stopping node continues to accept connections.
@@ -119,6 +120,12 @@
     System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
 }
 
+/// Returns whether requests that are still without a response must be given up, so that their
+/// callers get one.
+fn is_time_up(shared: &Shared) -> bool {
+    shared.stop.requests_end_at().is_some_and(|end| shared.clock.now() >= end)
+}
+
 /// Serves the listeners until a signal to stop, then lets requests in flight finish.
 async fn serve(shared: Arc<Shared>) -> Result<(), Error> {
     let server = listener::start(&shared)?;
@@ -132,24 +139,26 @@
         }
     })
     .await;
-    shared.stop();
+    let limit = shared.settings.stop_limit();
     let stop_start = shared.clock.now();
+    shared.stop.begin(stop_start, limit);
     let in_flight = || shared.metrics.in_flight.load(Ordering::Relaxed).unsigned_abs();
     shared.events.record(Draft::new(Kind::Stop { in_flight: in_flight() }));
-    let limit = shared.settings.stop_limit();
     let delay = if shared.settings.withdraw_on_stop { WITHDRAWN_STOP_DELAY } else { STOP_DELAY };
     sleep(delay.min(limit)).await;
-    shared.end_intake();
+    shared.stop.end_intake();
     // The HTTP library interrupts running requests when it stops, and callers use open connections
     // until they are closed.
     let mut idle_checks = 0;
-    while idle_checks < IDLE_CHECKS && shared.clock.now().saturating_sub(stop_start) < limit {
+    while idle_checks < IDLE_CHECKS && !is_time_up(&shared) {
         idle_checks = if in_flight() > 0 { 0 } else { idle_checks + 1 };
         sleep(IDLE_CHECK_INTERVAL).await;
     }
-    server.stop(true).await;
-    // Requests that are in flight after the workers have ended were interrupted by the time limit
-    // of the stop.
+    shared.stop.give_up();
+    // The library waits for bodies that are still being sent, for longer than the stop may take.
+    let left = (stop_start + limit).saturating_sub(shared.clock.now());
+    let _ = within(left, server.stop(true)).await;
+    // Requests that are in flight now were interrupted by the time limit of the stop.
     shared.events.record(Draft::new(Kind::Stopped { interrupted: in_flight() }));
     output::flush();
     Ok(())
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::recent_ids::RecentIds;
 use crate::settings::{Settings, Source};
+use crate::stop::Stop;
 use crate::traffic::{Limiter, Repeats};
 
 /// The most summaries of peers' health that a node attaches to forwarded requests per second, which
@@ -91,6 +92,8 @@
     pub(crate) repeated_runs: RecentIds,
     /// The limit on repeated requests to the servers of this node.
     pub(crate) repeats: Repeats,
+    /// The planned stop of this node.
+    pub(crate) stop: Stop,
     /// The accepted items that control instances announced.
     pub(crate) announced: Announced,
     configuration: RwLock<Arc<Configuration>>,
@@ -98,10 +101,8 @@
     token: RwLock<Arc<String>>,
     /// The addresses of control instances, which may change while the node runs.
     control: RwLock<Arc<Vec<SocketAddr>>>,
-    stopping: AtomicBool,
     /// Whether this node has adopted all items of another process.
     has_all_items: AtomicBool,
-    intake_ended: AtomicBool,
     awaited_revision: AtomicU64,
     threads: AtomicU64,
 }
@@ -156,14 +157,13 @@
             failed_calls: RecentIds::default(),
             repeated_runs: RecentIds::default(),
             repeats: Repeats::new(retry_limit),
+            stop: Stop::default(),
             announced: Announced::default(),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
             control,
-            stopping: AtomicBool::new(false),
             has_all_items: AtomicBool::new(false),
-            intake_ended: AtomicBool::new(false),
             awaited_revision: AtomicU64::new(0),
             threads: AtomicU64::new(0),
         })
@@ -316,22 +316,7 @@
 
     /// Returns whether the node is in a planned stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Returns whether this stopping node refuses new requests, which the stop might interrupt.
-    pub(crate) fn has_intake_ended(&self) -> bool {
-        self.intake_ended.load(Ordering::Relaxed)
-    }
-
-    /// Refuses new requests from now on.
-    pub(crate) fn end_intake(&self) {
-        self.intake_ended.store(true, Ordering::Relaxed);
-    }
-
-    /// Starts a planned stop.
-    pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop.has_begun()
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -57,7 +57,9 @@
     let dialect = worker.shared.interface.dialect();
     let id = owner::request_id(dialect, &incoming.headers).to_string();
     let mut destination = Destination::default();
-    let result = process_request(&worker, incoming, &mut destination).await;
+    let response = process_request(&worker, incoming, &mut destination);
+    let response = worker.shared.stop.unless_given_up(response).await;
+    let result = response.unwrap_or_else(|| Err(Refusal::unanswered_at_stop()));
     let elapsed = worker.shared.clock.now().saturating_sub(started_at);
     record_failed_call(&worker, &id, &result);
     record(&worker, &id, &destination, &result, elapsed);
@@ -182,7 +184,7 @@
     mut incoming: IncomingRequest,
     destination: &mut Destination,
 ) -> Result<FinalResponse, Refusal> {
-    let routed = match worker.shared.has_intake_ended() {
+    let routed = match worker.shared.stop.has_intake_ended() {
         true => Err(Refusal::not_run("this node is about to stop")),
         false => route(worker, &mut incoming).await,
     };
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -296,7 +296,7 @@
     if deadline::has_passed(server_request.deadline, now) {
         return Err(Refusal::not_run("the deadline passed before dispatch"));
     }
-    if worker.shared.has_intake_ended() {
+    if worker.shared.stop.has_intake_ended() {
         return Err(Refusal::stale("the owner of the server is about to stop"));
     }
     let server = worker.shared.servers.get(&server_request.server);
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Returns the refusal of a request that has no response when the time of a planned stop is over.
+    pub(crate) fn unanswered_at_stop() -> Self {
+        let error = "this node stopped before the response arrived";
+        Self { try_other_server: false, ..Self::unknown(StatusCode::BAD_GATEWAY, error) }
+    }
+
     /// Returns the refusal for a failed exchange.
     pub(crate) fn from_failure(failure: &Failure) -> Self {
         if matches!(failure, Failure::Left) {
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -131,6 +131,11 @@
         None => Deadline::after(now, deadline.remaining(now).min(rule.timeout)),
     };
     let now = worker.shared.clock.now();
+    // A response that a stopping node would not pass on any more is of no use.
+    let deadline = match worker.shared.stop.requests_end_at() {
+        Some(end) => deadline.min(Deadline::after(end, Duration::ZERO)),
+        None => deadline,
+    };
     if deadline::has_passed(deadline, now) {
         return Err(Refusal::not_run("the deadline passed before the request arrived"));
     }
--- a/crates/arbutuslane_node/tests/faults/stop.rs
+++ b/crates/arbutuslane_node/tests/faults/stop.rs
@@ -177,6 +177,36 @@
     assert!(answered > 500, "{answered}");
 }
 
+/// Guards against requests that get no answer because they still run or wait for a server when the
+/// time of a planned stop is over.
+#[test]
+fn stop_out_of_time() {
+    let mut node = Node::start(&[]);
+    node.restart_with(|settings| settings["stop_ms"] = 4_500.into());
+    node.wait_healthy();
+    let server = Server::start(&node, "slots", "s1", |received, stream| {
+        sleep(Duration::from_secs(30));
+        write(stream, &received.build_ok_response("too late"))
+    });
+    let address = node.caller_address;
+    let call = move || {
+        let headers = [("arbutuslane-deadline-ms", "60000")];
+        spawn(move || caller::call(address, "GET", "/slots", &headers, b""))
+    };
+    // Five run, one waits for a slot, and one arrives after the signal.
+    let mut calls: Vec<_> = (0..6).map(|_| call()).collect();
+    wait_until(|| server.received_requests().len() == 5);
+    node.terminate();
+    sleep(Duration::from_millis(500));
+    calls.push(call());
+    for call in calls {
+        let response = call.join().unwrap();
+        assert!(response.is_complete, "{response:?}");
+        assert!(matches!(response.status, 502..=504), "{response:?}");
+    }
+    assert!(node.child.wait().unwrap().success());
+}
+
 /// Guards against a restarted node that accepts connections of callers before it has a
 /// configuration and refuses their requests until then.
 #[test]
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -137,7 +137,7 @@
     }
 
     /// Kills the node and starts it with changed settings.
-    fn restart_with(&mut self, change: impl FnOnce(&mut serde_json::Value)) {
+    pub(crate) fn restart_with(&mut self, change: impl FnOnce(&mut serde_json::Value)) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         let path = self.directory.join("settings.json");
@@ -163,7 +163,7 @@
         self.wait_healthy();
     }
 
-    fn wait_healthy(&self) {
+    pub(crate) fn wait_healthy(&self) {
         wait_until(|| self.get_admin("/health").is_some_and(|response| response.status == 200));
     }
 
