--- a/crates/arbutuslane_control/src/items/compare.rs
+++ b/crates/arbutuslane_control/src/items/compare.rs
@@ -63,8 +63,8 @@
         return Answer::Items {
             instance,
             complete,
-            items: encode(differing.items()),
-            accepted: encode(accepted.items()),
+            items: encode(differing.items(), unaccepted || max_items.is_none()),
+            accepted: encode(accepted.items(), true),
             hashes: Vec::new(),
             accepted_hashes: Vec::new(),
             more: false,
@@ -73,7 +73,7 @@
     let (hashes, accepted_hashes) =
         (differing.first_hashes(MAX_HASHES), accepted.first_hashes(MAX_HASHES));
     let more = hashes.len() < differing.len() || accepted_hashes.len() < accepted.len();
-    let (items, accepted) = (encode([]), encode([]));
+    let (items, accepted) = (encode([], true), encode([], true));
     Answer::Items { instance, complete, items, accepted, hashes, accepted_hashes, more }
 }
 
@@ -84,11 +84,17 @@
         true => replication.table(),
         false => replication.accepted(),
     };
-    Answer::Fetched(encode(&table.with_hashes(hashes)))
+    Answer::Fetched(encode(&table.with_hashes(hashes), unaccepted))
 }
 
-fn encode<'a>(items: impl IntoIterator<Item = &'a Arc<Item>>) -> Vec<u8> {
-    codec::encode(&border::encode(items)).unwrap_or_default()
+/// Encodes items. Nodes do not need the texts of the declarations; control instances do, and nodes
+/// of earlier releases, which state no largest number of items, compute hashes from them.
+fn encode<'a>(items: impl IntoIterator<Item = &'a Arc<Item>>, with_text: bool) -> Vec<u8> {
+    let items = match with_text {
+        true => border::encode(items),
+        false => border::encode_without_text(items),
+    };
+    codec::encode(&items).unwrap_or_default()
 }
 
 /// Fetches and stores the items of the other instances that this one lacks. Returns how many
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -137,7 +137,7 @@
 
 #[cfg(test)]
 mod tests {
-    use arbutuslane_item::prelude::Key;
+    use arbutuslane_item::prelude::{Key, Source};
 
     use super::*;
 
@@ -146,7 +146,7 @@
     #[ntex::test]
     async fn start_same_version() {
         let item = |service: &str| {
-            let source = format!(r#"{{"service":"{service}"}}"#);
+            let source = Source::Text(format!(r#"{{"service":"{service}"}}"#));
             Arc::new(Item { source, ..Item::removal(Key::Route("r".to_string()), 3) })
         };
         let (first, accepted) = match item("x").hash() > item("y").hash() {
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -201,7 +201,7 @@
 #[cfg(test)]
 mod tests {
     use arbutuslane_core::rng;
-    use arbutuslane_item::prelude::Key;
+    use arbutuslane_item::prelude::{Key, Source};
     use rand::RngExt;
 
     use super::*;
@@ -216,7 +216,7 @@
 
     fn item(route: u32, version: u64) -> Arc<Item> {
         let removal = Item::removal(Key::Route(format!("r{route}")), version);
-        Arc::new(Item { source: "{}".to_string(), ..removal })
+        Arc::new(Item { source: Source::Text("{}".to_string()), ..removal })
     }
 
     /// Guards against an item that was reported as durable on a disk that was full at any moment
--- a/crates/arbutuslane_item/src/border.rs
+++ b/crates/arbutuslane_item/src/border.rs
@@ -14,7 +14,11 @@
     key: Key,
     version: u64,
     content: Option<Content>,
+    /// The text of the declaration, empty if only its hash is sent.
     source: String,
+    /// The hash of the text; earlier releases send the text only.
+    #[serde(default)]
+    source_hash: Option<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -43,8 +47,14 @@
     targets: Vec<(String, u32)>,
 }
 
-impl From<&item::Item> for Item {
-    fn from(item: &item::Item) -> Self {
+impl Item {
+    /// Converts an item without the text of its declaration.
+    fn without_text(item: &item::Item) -> Self {
+        let source_hash = Some(item.source.hash());
+        Self { source_hash, ..Self::with_source(item, String::new()) }
+    }
+
+    fn with_source(item: &item::Item, source: String) -> Self {
         let key = match &item.key {
             item::Key::Limits => Key::Limits,
             item::Key::Service(name) => Key::Service(name.clone()),
@@ -63,7 +73,17 @@
             },
             item::Content::Route(route) => Content::Route(Route::from(route)),
         });
-        Self { key, version: item.version, content, source: item.source.clone() }
+        let source_hash = match item.source {
+            item::Source::Text(_) => None,
+            item::Source::Hash(hash) => Some(hash),
+        };
+        Self { key, version: item.version, content, source, source_hash }
+    }
+}
+
+impl From<&item::Item> for Item {
+    fn from(item: &item::Item) -> Self {
+        Self::with_source(item, item.source.text().to_string())
     }
 }
 
@@ -88,7 +108,11 @@
             }
             Content::Route(route) => item::Content::Route(route.into()),
         });
-        Self { key, version: item.version, content, source: item.source }
+        let source = match item.source_hash {
+            Some(hash) => item::Source::Hash(hash),
+            None => item::Source::Text(item.source),
+        };
+        Self { key, version: item.version, content, source }
     }
 }
 
@@ -129,6 +153,12 @@
     items.into_iter().map(|item| Item::from(item.as_ref())).collect()
 }
 
+/// Converts items to a serialized form without the texts of their declarations, which is about half
+/// as long. Only nodes can use it.
+pub fn encode_without_text<'a>(items: impl IntoIterator<Item = &'a Arc<item::Item>>) -> Vec<Item> {
+    items.into_iter().map(|item| Item::without_text(item)).collect()
+}
+
 /// Converts items from their serialized form.
 pub fn decode(items: Vec<Item>) -> Vec<Arc<item::Item>> {
     items.into_iter().map(|item| Arc::new(item.into())).collect()
--- a/crates/arbutuslane_item/src/item.rs
+++ b/crates/arbutuslane_item/src/item.rs
@@ -32,8 +32,17 @@
     pub version: Version,
     /// The declaration, or `None` when this version removes the item.
     pub content: Option<Content>,
-    /// The declaration as the operator wrote it, returned unchanged when it is read.
-    pub source: String,
+    /// The declaration as the operator wrote it.
+    pub source: Source,
+}
+
+/// A declaration as the operator wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// The text, which control instances return unchanged when the item is read.
+    Text(String),
+    /// The hash of the text, which is enough for nodes.
+    Hash(u64),
 }
 
 /// The declaration of an item.
@@ -102,7 +111,7 @@
 impl Item {
     /// Returns an item version that removes the item.
     pub fn removal(key: Key, version: Version) -> Self {
-        Self { key, version, content: None, source: String::new() }
+        Self { key, version, content: None, source: Source::Text(String::new()) }
     }
 
     /// Returns the route that the item declares, or `None` when it declares no route.
@@ -129,8 +138,26 @@
 
     fn content_hash(&self) -> u64 {
         match &self.content {
-            Some(_) => hash::of_bytes(self.source.as_bytes()) | 1,
+            Some(_) => self.source.hash(),
             None => 0,
         }
     }
 }
+
+impl Source {
+    /// Returns the text, or nothing when only its hash is known.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Text(text) => text,
+            Self::Hash(_) => "",
+        }
+    }
+
+    /// Returns the hash of the text.
+    pub fn hash(&self) -> u64 {
+        match self {
+            Self::Text(text) => hash::of_bytes(text.as_bytes()) | 1,
+            Self::Hash(hash) => *hash,
+        }
+    }
+}
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -136,7 +136,7 @@
         key: Key::Service(name.to_string()),
         version,
         content: Some(content),
-        source: source.to_string(),
+        source: Source::Text(source.to_string()),
     })
 }
 
@@ -183,7 +183,7 @@
             key: Key::Route("r".to_string()),
             version: 1,
             content: Some(Content::Route(route.clone())),
-            source: String::new(),
+            source: Source::Text(String::new()),
         })
     };
     let mut group = instance(0, Standing::Complete, Vec::new());
--- a/crates/arbutuslane_item/tests/transfer.rs
+++ b/crates/arbutuslane_item/tests/transfer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arbutuslane_core::rng::{self, Rng};
+use arbutuslane_item::border;
 use arbutuslane_item::prelude::*;
 use arbutuslane_item::transfer::{MAX_COMPARED_ITEMS, MAX_HASHES, Pull};
 use quickcheck::{Gen, QuickCheck};
@@ -138,6 +139,26 @@
     assert!(link.bytes < change * 12 / 10, "{} bytes for a change of {change}", link.bytes);
 }
 
+/// Guards against a node that takes an item without the text of its declaration for another one, and
+/// fetches it again with each comparison.
+#[test]
+fn encode_without_text_same() {
+    let content = Content::Service(Service { health_path: "/h".to_string(), connections: 5 });
+    let declared = Arc::new(Item {
+        key: Key::Service("s".to_string()),
+        version: 4,
+        content: Some(content),
+        source: Source::Text(r#"{"health_path":"/h"}"#.to_string()),
+    });
+    let mut whole = Table::default();
+    whole.merge_all(vec![Arc::clone(&declared), item(1, 3)]);
+    let mut without_text = Table::default();
+    without_text.merge_all(border::decode(border::encode_without_text(whole.items())));
+    assert_eq!(without_text.buckets(), whole.buckets());
+    assert!(whole.merge_all(without_text.items().cloned().collect()).is_empty());
+    assert_eq!(whole.get(&declared.key), Some(&declared));
+}
+
 /// Guards against a process that requests an item for good which no other process has any more,
 /// because it was replaced after the comparison.
 #[test]
