--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -70,6 +70,12 @@
 ) -> Result<(DiskHandle, Recovered), Error> {
     let folder = DataFolder(folder);
     let (writer, recovered) = Writer::open(folder, first_start)?;
+    if let Some(damage) = &recovered.damage {
+        let items = recovered.items.len();
+        events.record(Kind::DiskFault {
+            detail: format!("{damage}; {items} items were readable, the others are fetched"),
+        });
+    }
     let is_writable = Arc::new(AtomicBool::new(writer.is_writable()));
     let (jobs, inbox) = channel();
     let shared = Arc::clone(&is_writable);
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -29,6 +29,8 @@
 pub(super) struct Recovered {
     pub(super) items: Vec<Arc<Item>>,
     pub(super) standing: Standing,
+    /// Why the files of the log were set aside.
+    pub(super) damage: Option<String>,
 }
 
 /// The metadata stored beside the items.
@@ -57,12 +59,46 @@
     /// Opens the folder and reads its items. With `first_start`, an empty folder counts as complete,
     /// because it cannot have lost any items.
     ///
+    /// The files of a damaged log are set aside. What is readable of it is kept, and the rest counts
+    /// as lost with the disk, so that the instance recovers it from the others.
+    ///
     /// # Errors
     ///
     /// Returns an error if the folder cannot be read. A full disk is no error: the items on it are
     /// served until it takes writes again.
     pub(super) fn open(folder: F, first_start: bool) -> Result<(Self, Recovered), Error> {
-        let (log, recovered) = Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES)?;
+        match Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES) {
+            Ok((log, recovered)) => Self::with_log(folder, log, &recovered, first_start),
+            Err(Error::Corrupt { file, offset, reason }) => {
+                let damage = Error::Corrupt { file, offset, reason }.to_string();
+                Self::salvage(folder, damage)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Sets the files of a damaged log aside, and writes what is readable of it to a new one.
+    fn salvage(folder: F, damage: String) -> Result<(Self, Recovered), Error> {
+        let mut disk = folder.open()?;
+        let readable = Log::salvage(&disk)?;
+        Log::set_aside(&mut disk)?;
+        let (log, empty) = Log::open(disk, log::DEFAULT_SEGMENT_BYTES)?;
+        let (mut writer, mut recovered) = Self::with_log(folder, log, &empty, false)?;
+        writer.table = read_items(&readable)?;
+        if writer.log.is_some() {
+            writer.save_snapshot()?;
+        }
+        recovered.items = writer.table.items().cloned().collect();
+        recovered.damage = Some(damage);
+        Ok((writer, recovered))
+    }
+
+    fn with_log(
+        folder: F,
+        log: Log<F::Disk>,
+        recovered: &log::Recovered,
+        first_start: bool,
+    ) -> Result<(Self, Recovered), Error> {
         tracing::info!(
             event = "log-opened",
             entries = recovered.entries.len(),
@@ -77,19 +113,8 @@
             Some(bytes) => Some(codec::decode(bytes).map_err(|error| codec_error(&error))?),
             None => None,
         };
-        let mut items = Vec::new();
-        if let Some(snapshot) = &recovered.snapshot {
-            items.extend(decode(&snapshot.payload)?);
-        }
-        for entry in &recovered.entries {
-            items.extend(decode(&entry.payload)?);
-        }
+        let table = read_items(recovered)?;
         let complete = meta.is_some_and(|meta| meta.complete) || (is_new && first_start);
-        // When two declarations have the same version, the accepted one is written last and so wins.
-        let mut table = Table::default();
-        for item in items {
-            table.merge_accepted(vec![item]);
-        }
         let items = table.items().cloned().collect();
         let mut writer =
             Self { folder, log: Some(log), table, next_index, entries_since_snapshot: 0, complete };
@@ -101,7 +126,7 @@
             true => Standing::Complete,
             false => Standing::Recovering { sources: Vec::new() },
         };
-        Ok((writer, Recovered { items, standing }))
+        Ok((writer, Recovered { items, standing, damage: None }))
     }
 
     /// Returns whether the last write succeeded, or the log has been reopened since.
@@ -186,6 +211,20 @@
     }
 }
 
+/// Returns the items that were read from a log.
+fn read_items(recovered: &log::Recovered) -> Result<Table, Error> {
+    let snapshot = recovered.snapshot.iter().map(|snapshot| &snapshot.payload);
+    let entries = recovered.entries.iter().map(|entry| &entry.payload);
+    let mut table = Table::default();
+    for payload in snapshot.chain(entries) {
+        // When two declarations have the same version, the accepted one is written last and so wins.
+        for item in decode(payload)? {
+            table.merge_accepted(vec![item]);
+        }
+    }
+    Ok(table)
+}
+
 fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
     codec::encode(value).map_err(|error| codec_error(&error))
 }
@@ -219,6 +258,30 @@
         Arc::new(Item { source: Source::Text("{}".to_string()), ..removal })
     }
 
+    /// Guards against an instance that ends at each start because its log is damaged, against one that
+    /// then counts as holding all items, and against a loss of the items that are still readable.
+    #[test]
+    fn open_damaged() {
+        let disk = disk::Fake::new(3);
+        let (mut writer, _) = Writer::open(disk.clone(), true).unwrap();
+        for version in 1..=20 {
+            let number = u32::try_from(version).unwrap();
+            writer.write(&[item(number, version)], false).unwrap();
+        }
+        drop(writer);
+        let name = disk.names().unwrap().pop().unwrap();
+        let middle = disk.read(&name).unwrap().len() / 2;
+        disk.flip(&name, middle);
+        for start in 0..2 {
+            let (_, recovered) = Writer::open(disk.clone(), false).unwrap();
+            assert!(matches!(recovered.standing, Standing::Recovering { .. }), "start {start}");
+            assert_eq!(recovered.items.len(), 19, "start {start}");
+            assert_eq!(recovered.damage.is_some(), start == 0);
+            disk.crash();
+        }
+        assert!(disk.names().unwrap().contains(&format!("damaged-{name}")));
+    }
+
     /// Guards against an item that was reported as durable on a disk that was full at any moment
     /// and is missing after a power loss, against an instance that cannot start on a full disk, and
     /// against one that writes nothing once there is room again.
--- a/crates/arbutuslane_storage/src/log.rs
+++ b/crates/arbutuslane_storage/src/log.rs
@@ -108,6 +108,12 @@
         Ok((log, state.recovered))
     }
 
+    /// Reads what is readable of a damaged log: the newest readable snapshot and all readable entries
+    /// in the order in which they were written, some of which may be missing or replaced by others.
+    pub fn salvage(disk: &D) -> Result<Recovered, Error> {
+        recovery::salvage(disk)
+    }
+
     /// Renames all files of a damaged log, so that the replica starts empty, and returns their
     /// number.
     ///
@@ -116,7 +122,11 @@
         let names = disk.names().map_err(|error| Error::io("list", ".", error))?;
         let mut moved = 0;
         for name in names.iter().filter(|name| !name.starts_with(DAMAGED_PREFIX)) {
-            let target = format!("{DAMAGED_PREFIX}{name}");
+            let mut target = format!("{DAMAGED_PREFIX}{name}");
+            // Files that were set aside before stay.
+            while names.contains(&target) {
+                target.insert_str(0, DAMAGED_PREFIX);
+            }
             disk.rename(name, &target).map_err(|error| Error::io("rename", name, error))?;
             moved += 1;
         }
--- a/crates/arbutuslane_storage/src/recovery.rs
+++ b/crates/arbutuslane_storage/src/recovery.rs
@@ -52,6 +52,28 @@
     disk.sync_folder().map_err(|error| Error::io("sync", ".", error))
 }
 
+/// Reads what is readable of a damaged folder, and changes nothing.
+pub(crate) fn salvage<D: Disk>(disk: &D) -> Result<Recovered, Error> {
+    let names = disk.names().map_err(|error| Error::io("list", ".", error))?;
+    let mut recovered =
+        Recovered { snapshot: snapshot::load_readable(disk, &names)?, ..Recovered::default() };
+    for name in names.iter().filter(|name| name.starts_with(SEGMENT_PREFIX)) {
+        let bytes = disk.read(name).map_err(|error| Error::io("read", name, error))?;
+        let mut offset = SEGMENT_HEADER_BYTES;
+        while offset < bytes.len() {
+            let Ok(frame) = frame::decode(&bytes[offset..]) else {
+                offset += 1;
+                continue;
+            };
+            offset += frame.length;
+            if let Record::Entry(entry) = frame.record {
+                recovered.entries.push(entry);
+            }
+        }
+    }
+    Ok(recovered)
+}
+
 /// Reads one segment, or removes the last one when its header is incomplete.
 fn read_segment<D: Disk>(
     disk: &mut D,
--- a/crates/arbutuslane_storage/src/snapshot.rs
+++ b/crates/arbutuslane_storage/src/snapshot.rs
@@ -56,6 +56,20 @@
     parse(name, &bytes).map(Some)
 }
 
+/// Loads the newest snapshot of the folder that is readable.
+pub(crate) fn load_readable<D: Disk>(
+    disk: &D,
+    names: &[String],
+) -> Result<Option<Snapshot>, Error> {
+    for name in names.iter().rev().filter(|name| name.starts_with(PREFIX)) {
+        let bytes = disk.read(name).map_err(|error| Error::io("read", name, error))?;
+        if let Ok(snapshot) = parse(name, &bytes) {
+            return Ok(Some(snapshot));
+        }
+    }
+    Ok(None)
+}
+
 fn parse(name: &str, bytes: &[u8]) -> Result<Snapshot, Error> {
     let truncated = || Error::corrupt(name, bytes.len(), "snapshot is truncated");
     let (magic, rest) = split_array::<8>(bytes).ok_or_else(truncated)?;
