--- a/crates/arbutuslane_node/src/cluster/items/exchange.rs
+++ b/crates/arbutuslane_node/src/cluster/items/exchange.rs
@@ -60,7 +60,7 @@
     /// Compares the items with those of the process at `address`, and fetches those that differ.
     pub(super) async fn compare_with(&mut self, address: SocketAddr) -> Outcome {
         let started_at = self.shared.clock.now();
-        let outcome = self.exchange_with(address).await;
+        let outcome = self.exchange_with(address, false).await;
         self.shared.metrics.count_comparison(outcome.name());
         if outcome != (Outcome::Complete { fetched: 0 }) {
             let took_ms = self.shared.clock.now().saturating_sub(started_at).as_millis();
@@ -72,12 +72,14 @@
         outcome
     }
 
-    async fn exchange_with(&mut self, address: SocketAddr) -> Outcome {
+    /// Fetches the items that the process at `address` has and this node lacks; with `unaccepted`,
+    /// also those that are not known to be accepted.
+    pub(super) async fn exchange_with(&mut self, address: SocketAddr, unaccepted: bool) -> Outcome {
         let mut fetched = 0;
         loop {
             let message = peer::Message::SyncItems {
                 buckets: self.shared.configuration().items().buckets().to_vec(),
-                unaccepted: false,
+                unaccepted,
                 max_items: Some(MAX_COMPARED_ITEMS),
             };
             let answer = self.send(address, &message).await;
@@ -94,7 +96,7 @@
                 return Outcome::Unreadable;
             };
             self.pull.want(self.shared.configuration().items(), &hashes);
-            let parts = self.fetch(&[address]).await;
+            let parts = self.fetch(&[address], unaccepted).await;
             fetched += adopted + parts.fetched;
             // Without a new item, another comparison would name the same ones.
             if more && parts.fetched > 0 && parts.is_whole {
@@ -112,13 +114,13 @@
 
     /// Fetches the missing items from the processes at `addresses` in turn, and puts each part into
     /// force as it arrives.
-    pub(super) async fn fetch(&mut self, addresses: &[SocketAddr]) -> Parts {
+    pub(super) async fn fetch(&mut self, addresses: &[SocketAddr], unaccepted: bool) -> Parts {
         let mut parts = Parts { fetched: 0, is_whole: true };
         let mut failures = 0;
         let mut turn = addresses.iter().cycle();
         while !self.pull.is_done() {
             let Some(address) = turn.next() else { break };
-            match self.fetch_part(*address).await {
+            match self.fetch_part(*address, unaccepted).await {
                 Ok(part) => {
                     failures = 0;
                     parts.fetched += part.fetched;
@@ -138,10 +140,10 @@
         parts
     }
 
-    async fn fetch_part(&mut self, address: SocketAddr) -> Result<Parts, String> {
+    async fn fetch_part(&mut self, address: SocketAddr, unaccepted: bool) -> Result<Parts, String> {
         let started_at = self.shared.clock.now();
         let part = self.pull.next_part();
-        let message = peer::Message::FetchItems { hashes: part.clone(), unaccepted: false };
+        let message = peer::Message::FetchItems { hashes: part.clone(), unaccepted };
         let answer = self.send(address, &message).await?;
         let peer::Answer::Fetched(bytes) = answer else {
             return Err("the peer does not send items in parts".to_string());
--- a/crates/arbutuslane_node/src/cluster/items/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -90,9 +90,27 @@
         {
             self.compare_with(*address).await;
         }
+        if !self.shared.is_configured() && self.sources.is_last_resort(self.shared.clock.now()) {
+            self.take_unaccepted(&control).await;
+        }
         self.record_contact(got_all_items);
     }
 
+    /// Puts what the control instances hold into force, whether they know it to be accepted or not.
+    ///
+    /// Too few of them are left to tell, and without this nothing would be served until an operator
+    /// has restored them.
+    async fn take_unaccepted(&mut self, control: &[SocketAddr]) {
+        for address in control {
+            self.exchange_with(*address, true).await;
+        }
+        if !self.shared.configuration().is_empty() {
+            self.shared.set_provisional();
+            let items = self.shared.configuration().items().len();
+            tracing::warn!(event = "configuration-provisional", items);
+        }
+    }
+
     fn record_contact(&mut self, got_all_items: bool) {
         if got_all_items != self.got_all_items {
             self.got_all_items = got_all_items;
@@ -128,7 +146,7 @@
             }
             self.pull.want(self.shared.configuration().items(), &hashes);
             let (control, _) = peer_addresses(&self.shared);
-            self.fetch(&self.sources.rotated(&control)).await;
+            self.fetch(&self.sources.rotated(&control), false).await;
         }
     }
 
--- a/crates/arbutuslane_node/src/cluster/items/sources.rs
+++ b/crates/arbutuslane_node/src/cluster/items/sources.rs
@@ -16,6 +16,11 @@
 /// instances that were all killed at once have settled their items by then.
 const NODE_FALLBACK_AFTER: Duration = Duration::from_secs(2);
 
+/// The time without a process that has all items after which a node that has just started uses what
+/// the control instances hold. They settle which items are accepted within a few seconds of a start,
+/// unless too few of them are left.
+const LAST_RESORT_AFTER: Duration = Duration::from_secs(6);
+
 /// The processes to compare with.
 #[derive(Debug)]
 pub(super) struct Sources {
@@ -57,6 +62,12 @@
     pub(super) fn asks_nodes(&self, now: Time) -> bool {
         now >= self.last_source_at + NODE_FALLBACK_AFTER
     }
+
+    /// Returns whether a node without a configuration uses items that may not be accepted, and of
+    /// which some may be missing.
+    pub(super) fn is_last_resort(&self, now: Time) -> bool {
+        now >= self.last_source_at + LAST_RESORT_AFTER
+    }
 }
 
 #[cfg(test)]
@@ -86,8 +97,10 @@
         sources.record_control(Duration::from_millis(500));
         assert!(!sources.asks_nodes(Duration::from_millis(2_499)));
         assert!(sources.asks_nodes(Duration::from_millis(2_500)));
-        sources.record_control(Duration::from_millis(3_000));
-        assert!(!sources.asks_nodes(Duration::from_millis(3_100)));
+        assert!(!sources.is_last_resort(Duration::from_millis(6_499)));
+        assert!(sources.is_last_resort(Duration::from_millis(6_500)));
+        sources.record_control(Duration::from_millis(7_000));
+        assert!(!sources.asks_nodes(Duration::from_millis(7_100)));
     }
 
     /// Guards against a node that compares with the same few control instances only, and so misses
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -103,6 +103,8 @@
     control: RwLock<Arc<Vec<SocketAddr>>>,
     /// Whether this node has adopted all items of another process.
     has_all_items: AtomicBool,
+    /// Whether this node may use the items that it has although some may be missing.
+    is_provisional: AtomicBool,
     awaited_revision: AtomicU64,
     threads: AtomicU64,
 }
@@ -164,6 +166,7 @@
             token: RwLock::new(Arc::new(token)),
             control,
             has_all_items: AtomicBool::new(false),
+            is_provisional: AtomicBool::new(false),
             awaited_revision: AtomicU64::new(0),
             threads: AtomicU64::new(0),
         })
@@ -209,7 +212,19 @@
     /// With those alone it would deny requests on every other route.
     pub(crate) fn is_configured(&self) -> bool {
         let known = !self.configuration().is_empty();
-        known && (self.settings.source == Source::Catalogue || self.has_all_items())
+        let may_use_items = self.has_all_items() || self.is_provisional.load(Ordering::Acquire);
+        known && (self.settings.source == Source::Catalogue || may_use_items)
+    }
+
+    /// Lets this node use the items that it has, because no process has been found for a while that
+    /// has all of them.
+    pub(crate) fn set_provisional(&self) {
+        self.is_provisional.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this node uses items although some may be missing.
+    pub(crate) fn is_provisional(&self) -> bool {
+        self.is_provisional.load(Ordering::Acquire) && !self.has_all_items()
     }
 
     /// Returns whether this node has adopted all items of another process.
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -119,6 +119,9 @@
     let host = host.or_else(|| incoming.uri.authority().map(|authority| authority.as_str()));
     let host = host.map(str::to_string);
     let Some(rule) = configuration.route(host.as_deref(), incoming.uri.path()) else {
+        if worker.shared.is_provisional() {
+            return Err(Refusal::not_run("this node may not know all routes yet"));
+        }
         let remedy = "check host and path against the routes of the catalogue";
         return Err(Refusal::rejected(StatusCode::NOT_FOUND, "no service has this route", remedy));
     };
