Log how long a request waits for a slot, and what was predicted

The logs could not tell whether lookups come late because their owner predicted the wait wrongly or because there was no slot. The lines dispatched state rank, predicted_ms and waited_ms, the lines attempt wait_ms.

--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -131,6 +131,11 @@
         gate.refusal(now, arrival)
     }
 
+    /// Returns the predicted time that a request which arrives now waits for a slot.
+    pub(crate) fn predicted_wait(&self, arrival: &Arrival) -> Duration {
+        self.lock().gate.predicted_wait(arrival, self.clock.now())
+    }
+
     /// Waits for a slot until the deadline of the request at the latest.
     pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
         let now = self.clock.now();
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -224,6 +224,7 @@
         choice = ?refusal.cause,
         reason = refusal.error,
         known_ms = attempt.load_age.map(millis),
+        wait_ms = refusal.wait.map(millis),
         left_ms = routed.deadline.remaining_ms(now),
         took_ms = millis(now.saturating_sub(attempt.started_at))
     );
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -152,13 +152,15 @@
     let deadline = server_request.deadline;
     let arrived_at = clock.now();
     let may_wait = server_request.must_accept || server_request.is_offered;
+    let predicted_wait = server.admission.predicted_wait(&arrival);
     let permit = match may_wait {
         true => server.admission.enter(arrival).await,
         false => server.admission.enter_now(arrival).await,
     };
     let permit = permit.map_err(admission_refusal)?;
     let metrics = &worker.shared.metrics;
-    metrics.record_stage(Stage::Queue, clock.now().saturating_sub(arrived_at));
+    let waited = clock.now().saturating_sub(arrived_at);
+    metrics.record_stage(Stage::Queue, waited);
     if !may_wait && !was_suspect {
         server.health.try_accept(server_request.retryable).map_err(Refusal::suspect)?;
     }
@@ -212,6 +214,9 @@
         suspect = was_suspect,
         insisted = server_request.must_accept,
         call_failed = received.status.is_server_error() && worker.shared.failed_calls.contains(id),
+        rank = server_request.rank,
+        predicted_ms = millis(predicted_wait),
+        waited_ms = millis(waited),
         took_ms = millis(latency)
     );
     if received.echoed {
