Move the servers that a request tried, and those that an entry avoids, to the limit crate

Both decide from explicit state and time, and a simulation of the entries needs them without a network. The cascade of a selection (not avoided, not gone, any) and the search for untried servers move with them; no behaviour changes.

--- a/crates/arbutuslane_node/src/traffic/services/avoidance.rs
+++ b/crates/arbutuslane_limit/src/avoidance.rs
@@ -5,6 +5,8 @@
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 
+use crate::attempts::Untried;
+
 /// How long a server that shed load or has moved is avoided; server lists are exchanged within 1 s.
 const AVOID_DURATION: Duration = Duration::from_secs(1);
 
@@ -15,7 +17,7 @@
 
 /// Why a server is avoided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Avoidance {
+pub enum Avoidance {
     /// It has moved, left or cannot be reached.
     Gone,
     /// It fails most requests, and is tried again after this time.
@@ -28,7 +30,7 @@
 
 /// Which avoided servers a selection excludes, besides the servers that were already tried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Exclusion {
+enum Exclusion {
     /// All avoided servers.
     Avoided,
     /// The avoided servers that are gone.
@@ -39,7 +41,7 @@
 
 /// The servers of one service that are avoided.
 #[derive(Debug, Default)]
-pub(super) struct AvoidedServers(Vec<AvoidedServer>);
+pub struct AvoidedServers(Vec<AvoidedServer>);
 
 #[derive(Debug)]
 struct AvoidedServer {
@@ -50,7 +52,7 @@
 
 impl AvoidedServers {
     /// Avoids `server` from `now` on, for a time that depends on the reason.
-    pub(super) fn add(&mut self, server: &str, reason: Avoidance, now: Time) {
+    pub fn add(&mut self, server: &str, reason: Avoidance, now: Time) {
         self.0.retain(|avoided| avoided.server != server && now < avoided.until);
         let duration = match reason {
             Avoidance::Suspect(wait) | Avoidance::Limited(wait) => wait.min(MAX_STATED_DURATION),
@@ -61,19 +63,56 @@
     }
 
     /// Returns why `server` is avoided at `now`, or `None` if it is not.
-    pub(super) fn reason(&self, server: &str, now: Time) -> Option<Avoidance> {
+    pub fn reason(&self, server: &str, now: Time) -> Option<Avoidance> {
         let avoided = self.0.iter().find(|avoided| avoided.server == server)?;
         (now < avoided.until).then_some(avoided.reason)
     }
 
-    /// Returns the servers that a selection must not use: those in `tried` and the avoided ones that
-    /// `exclusion` names.
-    pub(super) fn excluded(
+    /// Selects a server with `pick`, which gets the servers that it must not use. Servers that are avoided
+    /// are used only when no other one is left.
+    pub fn select<T>(
+        &self,
+        tried: &[ServerId],
+        now: Time,
+        mut pick: impl FnMut(&[ServerId]) -> Option<T>,
+    ) -> Option<T> {
+        for exclusion in [Exclusion::Avoided, Exclusion::Gone, Exclusion::Tried] {
+            // A request that other servers refused has no time left for a server that is gone.
+            if exclusion == Exclusion::Tried && !tried.is_empty() {
+                break;
+            }
+            if let Some(picked) = pick(&self.excluded(exclusion, tried, now)) {
+                return Some(picked);
+            }
+        }
+        None
+    }
+
+    /// Returns which of `servers` are neither in `tried` nor gone.
+    pub fn untried<'a>(
         &self,
-        exclusion: Exclusion,
+        servers: impl IntoIterator<Item = &'a ServerId>,
         tried: &[ServerId],
         now: Time,
-    ) -> Vec<ServerId> {
+    ) -> Untried {
+        let mut untried = Untried { any: false, trusted: false };
+        for server in servers {
+            if tried.contains(server) {
+                continue;
+            }
+            match self.reason(server, now) {
+                // An owner that has said when its server's limit lets a request start is not asked before.
+                Some(Avoidance::Gone | Avoidance::Limited(_)) => continue,
+                Some(Avoidance::Suspect(_)) => untried.any = true,
+                Some(Avoidance::Overloaded) | None => return Untried { any: true, trusted: true },
+            }
+        }
+        untried
+    }
+
+    /// Returns the servers that a selection must not use: those in `tried` and the avoided ones that
+    /// `exclusion` names.
+    fn excluded(&self, exclusion: Exclusion, tried: &[ServerId], now: Time) -> Vec<ServerId> {
         let mut excluded = tried.to_vec();
         for avoided in &self.0 {
             let is_excluded = match exclusion {
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub mod acceptance;
 pub mod attempts;
+pub mod avoidance;
 pub mod bucket;
 pub mod budget;
 pub mod deadline;
@@ -38,6 +39,7 @@
 pub mod retry;
 pub mod reuse;
 pub mod service_time;
+pub mod tried;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_node/src/traffic/tried.rs
+++ b/crates/arbutuslane_limit/src/tried.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 
 use arbutuslane_core::id::ServerId;
-use arbutuslane_limit::attempts::{AttemptFailure, Effort};
 
-use super::answer::ServerResponse;
-use super::refusal::Refusal;
+use crate::attempts::{AttemptFailure, Effort};
 
 /// The servers that were tried for one request.
 #[derive(Debug, Default)]
-pub(super) struct TriedServers {
+pub struct TriedServers {
     /// All selected servers; the last one is the one that responded, if any did.
-    pub(super) all: Vec<ServerId>,
+    pub all: Vec<ServerId>,
     /// Servers that received the request or may have received it; attempts with [`Effort::Insist`]
     /// exclude them.
     may_have_received: Vec<ServerId>,
@@ -26,7 +24,7 @@
 impl TriedServers {
     /// Returns the servers that the next attempt must not use; the attempt adds the server that it
     /// selects.
-    pub(super) fn exclusions(&mut self, effort: Effort) -> &mut Vec<ServerId> {
+    pub fn exclusions(&mut self, effort: Effort) -> &mut Vec<ServerId> {
         match effort {
             Effort::Ordinary | Effort::Last => &mut self.all,
             Effort::Insist => &mut self.may_have_received,
@@ -35,7 +33,7 @@
     }
 
     /// Records that an attempt failed, or that its response can be passed on (`None`).
-    pub(super) fn record_failure(&mut self, effort: Effort, failure: Option<AttemptFailure>) {
+    pub fn record_failure(&mut self, effort: Effort, failure: Option<AttemptFailure>) {
         let Some(server) = self.exclusions(effort).last().cloned() else { return };
         if matches!(effort, Effort::Insist | Effort::Suspect) {
             self.all.push(server);
@@ -49,28 +47,24 @@
         }
     }
 
-    /// Records how long the request would have to wait at the last server.
-    pub(super) fn record_wait(
-        &mut self,
-        failure: Option<AttemptFailure>,
-        result: &Result<ServerResponse, Refusal>,
-    ) {
+    /// Records how long the request would have to wait at the last server, if that is known.
+    pub fn record_wait(&mut self, failure: Option<AttemptFailure>, wait: Option<Duration>) {
         if failure == Some(AttemptFailure::Busy)
-            && let Err(Refusal { wait: Some(wait), .. }) = result
+            && let Some(wait) = wait
             && let Some(server) = self.all.last()
         {
-            self.waits.push((*wait, server.clone()));
+            self.waits.push((wait, server.clone()));
         }
     }
 
     /// Returns the server at which a request that may wait for a slot waits for the shortest time.
-    pub(super) fn shortest_wait(&self, effort: Effort) -> Option<ServerId> {
+    pub fn shortest_wait(&self, effort: Effort) -> Option<ServerId> {
         let waits = self.waits.iter().filter(|_| effort == Effort::Insist);
         waits.min_by_key(|(wait, _)| *wait).map(|(_, server)| server.clone())
     }
 
     /// Returns all servers, with `server`, which responded, as the last one.
-    pub(super) fn with_last(mut self, server: ServerId) -> Vec<ServerId> {
+    pub fn with_last(mut self, server: ServerId) -> Vec<ServerId> {
         self.all.push(server);
         self.all
     }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -14,6 +14,7 @@
 use arbutuslane_limit::attempts::{AttemptFailure, Attempts, Effort};
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::retry;
+use arbutuslane_limit::tried::TriedServers;
 use arbutuslane_wire::header;
 
 use crate::cluster::keyed::{self, KeyClaim, KeyedResponse};
@@ -31,7 +32,6 @@
 use super::route::{IncomingRequest, RoutedRequest, route};
 use super::services;
 use super::silent::{self, SendResult};
-use super::tried::TriedServers;
 use super::worker::Worker;
 
 /// Responds to a caller's request that is not pipelined.
@@ -263,7 +263,7 @@
             next_effort(worker, routed, &mut attempts, failure, exclusions)
         });
         tried.record_failure(effort, failure);
-        tried.record_wait(failure, &result);
+        tried.record_wait(failure, result.as_ref().err().and_then(|refusal| refusal.wait));
         let Some(next) = next else {
             let is_unsuccessful = result.as_ref().map_or(true, is_failure);
             if let Some(silent) = silent_attempt.take().filter(|_| is_unsuccessful)
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -26,7 +26,6 @@
 mod routes;
 mod services;
 mod silent;
-mod tried;
 mod worker;
 
 pub(crate) use admission::Admission;
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -3,7 +3,6 @@
 //! Each traffic thread has its own pickers, so that a selection takes no lock. The candidates are
 //! refreshed when the server lists change, and periodically because leases expire without an event.
 
-mod avoidance;
 mod limits;
 mod places;
 
@@ -21,6 +20,7 @@
 use arbutuslane_health::peers::{Summarizer, Summary};
 use arbutuslane_limit::acceptance::Acceptance;
 use arbutuslane_limit::attempts::Untried;
+use arbutuslane_limit::avoidance::AvoidedServers;
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
 
@@ -28,10 +28,9 @@
 
 use super::worker::Worker;
 
-pub(crate) use avoidance::Avoidance;
+pub(crate) use arbutuslane_limit::avoidance::Avoidance;
 pub(crate) use places::ServerLocation;
 
-use avoidance::{AvoidedServers, Exclusion};
 use limits::KnownLimits;
 
 /// How often candidates are refreshed if no server list has changed.
@@ -233,19 +232,12 @@
     service.refresh_candidates(shared, name, now);
     let mut rng = worker.rng.borrow_mut();
     let wanted = wanted.filter(|wanted| service.location(wanted).is_some());
-    let mut pick = wanted.and_then(|wanted| service.picker.pick_named(wanted));
-    for exclusion in [Exclusion::Avoided, Exclusion::Gone, Exclusion::Tried] {
-        if pick.is_some() {
-            break;
-        }
-        // A request that other servers refused has no time left for a server that is gone.
-        if exclusion == Exclusion::Tried && !tried.is_empty() {
-            break;
-        }
-        let excluded = service.avoided.excluded(exclusion, tried, now);
-        pick = service.picker.pick(&Request { class, tried: &excluded }, now, &mut rng);
-    }
-    let pick = pick?;
+    let pick = wanted.and_then(|wanted| service.picker.pick_named(wanted));
+    let pick = pick.or_else(|| {
+        service.avoided.select(tried, now, |excluded| {
+            service.picker.pick(&Request { class, tried: excluded }, now, &mut rng)
+        })
+    })?;
     let location = service.location(&pick.server)?.clone();
     service.picker.sent(&pick.server, now);
     let id = service.next_id;
@@ -302,22 +294,13 @@
 
 /// Returns which servers of `service` are neither in `tried` nor gone.
 pub(crate) fn untried(worker: &Worker, service: &str, tried: &[ServerId]) -> Untried {
-    let mut untried = Untried { any: false, trusted: false };
-    let mut services = worker.services.borrow_mut();
-    let Some(service) = services.get_mut(service) else { return untried };
     let now = worker.shared.clock.now();
-    for (server, _) in &service.locations {
-        if tried.contains(server) {
-            continue;
-        }
-        match service.avoided.reason(server, now) {
-            // An owner that has said when its server's limit lets a request start is not asked before.
-            Some(Avoidance::Gone | Avoidance::Limited(_)) => continue,
-            Some(Avoidance::Suspect(_)) => untried.any = true,
-            Some(Avoidance::Overloaded) | None => return Untried { any: true, trusted: true },
-        }
-    }
-    untried
+    let mut services = worker.services.borrow_mut();
+    let Some(service) = services.get_mut(service) else {
+        return Untried { any: false, trusted: false };
+    };
+    let servers = service.locations.iter().map(|(server, _)| server);
+    service.avoided.untried(servers, tried, now)
 }
 
 /// Records the load that the owner of `server` reported.
