Show in a simulation that an overload of a small service ends in late responses

arbutuslane-bench scarcity plays 33 entries and 9 servers, of which 3 or 5 fail, with the real picker, attempts, gates, streaks and budgets.

--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::campaign::{self, Plan};
 use crate::report::Report;
-use crate::{bound, compare, cost, matrix, night, plot};
+use crate::{bound, compare, cost, matrix, night, plot, scarcity};
 
 /// Parses the arguments of the process and runs the subcommand.
 ///
@@ -66,6 +66,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Some(("night", options)) => night::command::dispatch(options),
+        Some(("scarcity", options)) => scarcity::command::dispatch(options),
         _ => Ok(ExitCode::FAILURE),
     }
 }
@@ -123,6 +124,7 @@
                 .arg(file("svg").long("svg").required(true)),
         )
         .subcommand(night::command::definition())
+        .subcommand(scarcity::command::definition())
 }
 
 fn file(name: &'static str) -> Arg {
@@ -230,7 +232,8 @@
     Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn print_text(text: &str) -> Result<()> {
+/// Prints `text` to the standard output.
+pub(crate) fn print_text(text: &str) -> Result<()> {
     use std::io::Write;
     std::io::stdout().write_all(text.as_bytes()).into_diagnostic()
 }
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`run`](sim::run) is a discrete-event simulation of the real picker, gate, detector and ejection
 //! life cycle over servers with slots and service-time distributions. There is no network and no
-//! process: hops are delays, and [`permit::Permits`] grants ejection permits. [`night`] evaluates the
+//! process: hops are delays, and [`permit::Permits`] grants ejection permits. [`scarcity`] simulates a
+//! small service that many entries share, with the attempts of each request. [`night`] evaluates the
 //! records of a fault scenario that ran on real processes.
 //!
 //! ```
@@ -26,6 +27,7 @@
 pub mod command;
 pub mod compare;
 pub mod cost;
+mod event_queue;
 pub mod fault;
 pub mod matrix;
 pub mod night;
@@ -36,6 +38,7 @@
 pub mod policy;
 pub mod report;
 pub mod sample;
+pub mod scarcity;
 pub mod service;
 pub mod sim;
 pub mod spread;
--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -10,8 +10,8 @@
 use arbutuslane_limit::retry::{self, Decision, Outcome};
 use rand::RngExt;
 
+use super::event::Event;
 use super::owner::AttemptRef;
-use super::queue::Event;
 use super::{Attempt, AttemptResult, SUMMARY_BURST, Sim};
 
 /// The mean delay before a caller's first resend of a failed request. It doubles with each resend, up
--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -1,8 +1,8 @@
 //! A discrete-event simulation of the callers, entries, owners and servers of one service.
 
 mod entry;
+mod event;
 mod owner;
-mod queue;
 mod state;
 
 use std::collections::VecDeque;
@@ -23,6 +23,7 @@
 use arbutuslane_limit::gate::Gate;
 use rand::RngExt;
 
+use crate::event_queue::{Queue, Slab};
 use crate::fault::{
     COLD_START_WARM_UP, Fault, HEAVY_CALLER, HEAVY_CALLER_SHARE, SLOW_ROUTE, SLOW_ROUTE_SHARE,
 };
@@ -31,7 +32,7 @@
 use crate::policy::{Phase, Policy};
 use crate::sample::exponential;
 use crate::service::{DOMAINS, Service};
-use queue::{Event, Queue, Slab};
+use event::Event;
 use state::{Attempt, AttemptResult, Entry, Gradient, Request, Server};
 
 /// The settings of one run.
@@ -134,7 +135,7 @@
     now: Time,
     end: Time,
     rng: Rng,
-    queue: Queue,
+    queue: Queue<Event>,
     servers: Vec<Server>,
     entries: Vec<Entry>,
     requests: Slab<Request>,
--- a/crates/arbutuslane_bench/src/sim/owner.rs
+++ b/crates/arbutuslane_bench/src/sim/owner.rs
@@ -7,7 +7,7 @@
 use arbutuslane_health::ejection::{Permission, StageEvent, TrialResult};
 use arbutuslane_limit::gate::{Admission, Arrival, QueueChange, Ticket};
 
-use super::queue::Event;
+use super::event::Event;
 use super::{AttemptResult, GOSSIP_DELAY, Gradient, PERMIT_RENEWAL_INTERVAL, Sim};
 use crate::fault::{COLD_START_WARM_UP, Fault, LOAD_REPORT_AGE};
 use crate::sample::exponential;
