Start requests that can still be in time before those that will be late

In an overload the queue of an owner starts the earliest due time first, which is the request that will be late anyway, and each such start makes the next one late too. Of one rank, a request that can end by its due time now starts before one that cannot; the late one still runs when nothing else waits.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -366,24 +366,32 @@
     /// Removes and returns the request that starts next: the first in the queue, or after
     /// `MAX_HIGHER_RANK_STARTS` consecutive higher-rank starts the one of the lower ranks with the
     /// earliest due time.
-    fn pop_next(&mut self) -> Waiting {
+    fn pop_next(&mut self, now: Time) -> Waiting {
         let rank = self.queue[0].arrival.rank;
         let lower_start = self.queue.partition_point(|waiting| waiting.arrival.rank <= rank);
+        let is_timely = |index: &usize| self.is_timely(&self.queue[*index].arrival, now);
+        let lower = lower_start..self.queue.len();
         let first_due =
-            (lower_start..self.queue.len()).min_by_key(|index| self.queue[*index].arrival.due);
+            lower.min_by_key(|index| (!is_timely(index), self.queue[*index].arrival.due));
+        let first = (0..lower_start).find(is_timely).unwrap_or_default();
         let index = match first_due {
             Some(index) if self.higher_rank_starts >= MAX_HIGHER_RANK_STARTS => index,
-            _ => 0,
+            _ => first,
         };
-        let passes_lower_rank = index == 0 && first_due.is_some();
+        let passes_lower_rank = index < lower_start && first_due.is_some();
         self.higher_rank_starts = if passes_lower_rank { self.higher_rank_starts + 1 } else { 0 };
         self.queue.remove(index)
     }
 
+    /// Returns whether a request that starts now is expected to end by its due time.
+    fn is_timely(&self, arrival: &Arrival, now: Time) -> bool {
+        arrival.due.saturating_sub(now) >= self.expected_service_time(arrival.kind)
+    }
+
     fn fill_slots(&mut self, now: Time) -> QueueChange {
         let mut change = QueueChange { start: Vec::new(), refuse: self.expire(now) };
         while self.can_start(now) && !self.queue.is_empty() {
-            let waiting = self.pop_next();
+            let waiting = self.pop_next(now);
             self.start(waiting.ticket, &waiting.arrival, now);
             change.start.push(waiting.ticket);
         }
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -384,3 +384,23 @@
     let ratio = wait(1) / wait(0);
     assert!((1.6..2.6).contains(&ratio), "{ratio}");
 }
+
+/// Guards against a request that will be late anyway and starts before one that it makes late.
+#[test]
+fn finish_late_last() {
+    let mut gate = Gate::new(1, 10);
+    let Admission::Run(first) = gate.arrive(Duration::ZERO, arrival(1, 6_000)) else {
+        panic!("the slot is free")
+    };
+    let second = queued(&mut gate, arrival(1, 6_000));
+    let third = queued(&mut gate, arrival(1, 9_000));
+    let millis = Duration::from_millis;
+    // The mean service time is 1 s from here on, so the second request would end after 6 s.
+    assert_eq!(gate.finish(first, millis(1_000)).start, [second]);
+    let late = match gate.arrive(millis(1_100), arrival(1, 4_000)) {
+        Admission::Queued { ticket, .. } => ticket,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(gate.finish(second, millis(3_500)).start, [third]);
+    assert_eq!(gate.finish(third, millis(4_500)).start, [late]);
+}
