Keep the reserved starts of lower ranks, and let late requests not hold back others in a prediction

Queued requests that will be late by their turn let others pass, so the predicted wait does not count them.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -299,41 +299,79 @@
     /// Requests of higher ranks that arrive while this one waits start before it. Their share of the
     /// slots is therefore not available to those that are ahead now.
     pub fn predicted_wait(&self, arrival: &Arrival, now: Time) -> Duration {
-        let ahead = self.queue.iter().filter(|waiting| waiting.precedes(arrival));
-        let slot_wait = self.slot_wait(ahead.clone(), now).div_f64(self.share_left(arrival, now));
-        let Some(pace) = &self.pace else { return slot_wait };
-        let count = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
-        pace.wait_behind(count, now).max(slot_wait)
+        let (ahead, slot_wait) = self.slot_wait(arrival, now);
+        match &self.pace {
+            Some(pace) => pace.wait_behind(ahead, now).max(slot_wait),
+            None => slot_wait,
+        }
     }
 
-    /// Returns the share of the slots that requests of higher ranks leave.
-    #[expect(clippy::cast_precision_loss, reason = "a number of slots")]
-    fn share_left(&self, arrival: &Arrival, now: Time) -> f64 {
-        let higher = self.rank_loads.above(arrival.rank, now) / (self.slots as f64).max(1.0);
-        (1.0 - higher).max(MIN_SHARE_LEFT)
+    /// Returns how many queued requests start before an arriving one, and the predicted time until a
+    /// slot is free for it.
+    ///
+    /// A queued request that will be late by the time of its turn lets the others pass.
+    fn slot_wait(&self, arrival: &Arrival, now: Time) -> (u32, Duration) {
+        let share_left = self.share_left(arrival, now);
+        let mut work = self.running_work(now);
+        let (mut ahead, mut wait) = (0, self.wait_behind(work, 0).div_f64(share_left));
+        for waiting in self.queue.iter().filter(|waiting| waiting.precedes(arrival)) {
+            let is_passed = waiting.arrival.rank == arrival.rank
+                && !self.is_timely(&waiting.arrival, now + wait);
+            if is_passed {
+                continue;
+            }
+            ahead += 1;
+            work += self.service_times.mean_or_overall(waiting.arrival.kind);
+            wait = self.wait_behind(work, ahead).div_f64(share_left);
+        }
+        (ahead, wait.min(self.reserved_start_wait(arrival, work, ahead)))
+    }
+
+    /// Returns the predicted time until the start that is reserved for lower ranks is an arriving
+    /// request's, if `ahead` requests and the running ones take `work` in all.
+    fn reserved_start_wait(&self, arrival: &Arrival, work: Duration, ahead: u32) -> Duration {
+        let is_ahead = |waiting: &&Waiting| waiting.arrival.rank >= arrival.rank;
+        let lower = self.queue.iter().filter(is_ahead).count();
+        let lower = u32::try_from(lower).unwrap_or(u32::MAX);
+        // One start takes the mean time of the work divided by the slots.
+        let start_interval = self.wait_behind(work, ahead) / (ahead + 1);
+        let starts = lower.saturating_add(1).saturating_mul(MAX_HIGHER_RANK_STARTS + 1);
+        start_interval.saturating_mul(starts)
     }
 
-    /// Returns the predicted time until a slot is free for a request behind those that are `ahead` in
-    /// the queue.
-    fn slot_wait<'a>(&self, ahead: impl Iterator<Item = &'a Waiting>, now: Time) -> Duration {
+    /// Returns the expected service times of the running requests.
+    fn running_work(&self, now: Time) -> Duration {
+        let expected = self.running.iter().map(|running| {
+            let elapsed = now.saturating_sub(running.since);
+            self.service_times.mean_or_overall(running.kind).max(elapsed)
+        });
+        expected.sum()
+    }
+
+    /// Returns the time until a slot is free behind `ahead` queued requests, if those and the running ones
+    /// take `work` in all.
+    fn wait_behind(&self, work: Duration, ahead: u32) -> Duration {
         if self.running.len() < self.slots || self.slots == 0 {
             return Duration::ZERO;
         }
-        let mut work = Duration::ZERO;
-        for running in &self.running {
-            let elapsed = now.saturating_sub(running.since);
-            work += self.service_times.mean_or_overall(running.kind).max(elapsed);
-        }
-        let mut queued_ahead = 0;
-        for waiting in ahead {
-            work += self.service_times.mean_or_overall(waiting.arrival.kind);
-            queued_ahead += 1;
-        }
         // The arriving request starts once all requests ahead of it in the queue have started and
         // one more slot is free. Each slot finishes one request per mean service time.
-        let requests = queued_ahead + u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let requests = ahead + u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let slots = u32::try_from(self.slots).unwrap_or(u32::MAX);
-        work / requests.max(1) * (queued_ahead + 1) / slots
+        work / requests.max(1) * (ahead + 1) / slots
+    }
+
+    /// Returns the share of the slots that requests of higher ranks leave.
+    ///
+    /// The first request of the lowest rank in the queue gets the next start that is reserved for lower
+    /// ranks, however much the higher ones use.
+    #[expect(clippy::cast_precision_loss, reason = "a number of slots")]
+    fn share_left(&self, arrival: &Arrival, now: Time) -> f64 {
+        if self.queue.last().is_none_or(|last| last.arrival.rank < arrival.rank) {
+            return 1.0;
+        }
+        let higher = self.rank_loads.above(arrival.rank, now) / (self.slots as f64).max(1.0);
+        (1.0 - higher).max(MIN_SHARE_LEFT)
     }
 
     /// Returns the mean service time of `kind`, or zero while it is unknown.
