Admit requests by a time that most of their kind keep, not by the mean

An overloaded queue admits requests until the time that is left equals the predicted wait and the mean service time, so about half of those at the end come late.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -148,7 +148,7 @@
 
     /// Returns the predicted time from the arrival of a request to its response.
     fn expected_time(&self, arrival: &Arrival, now: Time) -> Duration {
-        self.predicted_wait(arrival, now) + self.expected_service_time(arrival.kind)
+        self.predicted_wait(arrival, now) + self.upper_service_time(arrival.kind)
     }
 
     /// Frees the slot of a running request, whatever its outcome, and fills the free slots from the
@@ -374,6 +374,11 @@
         (1.0 - higher).max(MIN_SHARE_LEFT)
     }
 
+    /// Returns a time in which most requests of `kind` end, or zero while it is unknown.
+    fn upper_service_time(&self, kind: Kind) -> Duration {
+        self.service_times.upper(kind).unwrap_or_default()
+    }
+
     /// Returns the mean service time of `kind`, or zero while it is unknown.
     pub fn expected_service_time(&self, kind: Kind) -> Duration {
         self.service_times.mean(kind).unwrap_or_default()
@@ -423,7 +428,7 @@
 
     /// Returns whether a request that starts now is expected to end by its due time.
     fn is_timely(&self, arrival: &Arrival, now: Time) -> bool {
-        arrival.due.saturating_sub(now) >= self.expected_service_time(arrival.kind)
+        arrival.due.saturating_sub(now) >= self.upper_service_time(arrival.kind)
     }
 
     fn fill_slots(&mut self, now: Time) -> QueueChange {
