Refuse a queued request at once when it will be late and others pass it

A request that could no longer be in time stayed in the queue of its owner until its deadline, behind those that could. It is now refused when others that can be in time wait and start before it; where nothing else waits it still runs, late. Weighed: refusing it at its due time in any case, which would also refuse what an idle slot can serve.

--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -438,6 +438,23 @@
             self.start(waiting.ticket, &waiting.arrival, now);
             change.start.push(waiting.ticket);
         }
+        self.refuse_passed(now, &mut change);
         change
     }
+
+    /// Refuses the queued requests that will be late and that others, which can be in time, pass. They
+    /// would wait until their deadlines while such requests arrive.
+    fn refuse_passed(&mut self, now: Time, change: &mut QueueChange) {
+        let timely = self.queue.iter().filter(|waiting| self.is_timely(&waiting.arrival, now));
+        let Some(first_rank) = timely.map(|waiting| waiting.arrival.rank).min() else { return };
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.retain(|waiting| {
+            let stays = waiting.arrival.rank < first_rank || self.is_timely(&waiting.arrival, now);
+            if !stays {
+                change.refuse.push(waiting.ticket);
+            }
+            stays
+        });
+        self.queue = queue;
+    }
 }
--- a/crates/arbutuslane_limit/tests/gate.rs
+++ b/crates/arbutuslane_limit/tests/gate.rs
@@ -406,3 +406,20 @@
     assert_eq!(gate.finish(second, millis(3_500)).start, [third]);
     assert_eq!(gate.finish(third, millis(4_500)).start, [late]);
 }
+
+/// Guards against a request that waits until its deadline although it will be late, while others that
+/// can be in time start before it; a late one of a higher rank keeps its place.
+#[test]
+fn finish_passed_refused() {
+    let mut gate = Gate::new(1, 10);
+    let Admission::Run(first) = gate.arrive(Duration::ZERO, arrival(1, 60_000)) else {
+        panic!("the slot is free")
+    };
+    let urgent = queued(&mut gate, arrival(0, 3_000));
+    let passed = queued(&mut gate, arrival(1, 3_000));
+    let timely = queued(&mut gate, arrival(1, 60_000));
+    // The mean service time is 4 s from here on.
+    let change = gate.finish(first, Duration::from_secs(4));
+    assert_eq!((change.start, change.refuse), (vec![urgent], vec![passed]));
+    assert_eq!(gate.finish(urgent, Duration::from_secs(8)).start, [timely]);
+}
