Wait for a connection to an owner by its distance, not for 250 ms

The timeout is now eight times the usual time to that owner, 50 ms at least and 250 ms at most, or where no time is known. Weighed: 50 ms everywhere, which is too short between regions.

--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod avoidance;
 pub mod bucket;
 pub mod budget;
+pub mod connect_time;
 pub mod deadline;
 pub mod gate;
 pub mod hedge;
--- a/crates/arbutuslane_node/src/traffic/client/pool.rs
+++ b/crates/arbutuslane_node/src/traffic/client/pool.rs
@@ -7,6 +7,8 @@
 
 use hyper::client::conn::http1::SendRequest;
 
+use arbutuslane_limit::connect_time::ConnectTimes;
+
 use super::connection::Driver;
 use super::upload::OutgoingBody;
 use super::{Connection, Failure};
@@ -27,6 +29,8 @@
     idle: RefCell<Vec<(SocketAddr, Vec<IdleConnection>)>>,
     /// The addresses whose connections are not reused, each with the end of that time.
     suspended: RefCell<Vec<(SocketAddr, Instant)>>,
+    /// The usual times of connections to other nodes.
+    connect_times: RefCell<ConnectTimes>,
 }
 
 #[derive(Debug)]
@@ -40,7 +44,11 @@
 impl Pool {
     /// Returns an empty pool.
     pub(crate) fn new() -> Rc<Self> {
-        Rc::new(Self { idle: RefCell::default(), suspended: RefCell::default() })
+        Rc::new(Self {
+            idle: RefCell::default(),
+            suspended: RefCell::default(),
+            connect_times: RefCell::default(),
+        })
     }
 
     /// Returns an idle connection to `address` that is still open, or `None`.
@@ -78,6 +86,19 @@
         Connection::open(address, limit, Rc::clone(self)).await
     }
 
+    /// Opens a new connection to another node within a time that follows its distance.
+    pub(crate) async fn connect_to_node(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, Failure> {
+        let started_at = Instant::now();
+        let limit = limit.min(self.connect_times.borrow().timeout(address));
+        let connection = self.connect(address, limit).await?;
+        self.connect_times.borrow_mut().record(address, started_at.elapsed());
+        Ok(connection)
+    }
+
     /// Adds the connection of a completed exchange to the pool.
     ///
     /// `peer_timeout` is the time after which the other side closes an idle connection. The pool
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -14,10 +14,6 @@
 use super::worker::Worker;
 use super::{deadline, fields, services};
 
-/// The connect timeout for an owner: several round trips between regions. Another owner is tried
-/// after it, which is faster than waiting for the retransmission of a lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// The size from which a body is offered before it is sent. A smaller one crosses a link of a few
 /// megabits per second in some tens of milliseconds, which is not worth a second round trip.
 const MIN_OFFERED_BYTES: u64 = 16 << 10;
@@ -170,7 +166,7 @@
         let wait = deadline.remaining(clock.now());
         let connection = match idle.take() {
             Some(connection) => connection,
-            None => worker.pool.connect(address, wait.min(CONNECT_TIMEOUT)).await?,
+            None => worker.pool.connect_to_node(address, wait).await?,
         };
         let is_reused = connection.is_reused();
         count_connection(worker, &connection);
