Suspect no server because a request had too little time

The operators' routes with short timeouts end with 504 at a server that works as usual. A request whose time ends is now evidence against a server only if it ran for four times the mean latency and at least 400 ms, the rule that requests of callers who leave already follow. Before, the first end of the test run_out_of_time_short was recorded as a failure, which makes a suspect.

--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -17,11 +17,11 @@
 /// The time in which the load share of a new server rises to its full load.
 const COLD_RAMP: Duration = Duration::from_secs(5);
 
-/// A cancelled request counts as failed if it ran for longer than this multiple of the mean
-/// latency.
+/// A request that is cancelled, or whose time ends, counts as failed if it ran for longer than this
+/// multiple of the mean latency.
 const HANG_LATENCY_FACTOR: u32 = 4;
 
-/// The shortest time after which a cancelled request may count as failed.
+/// The shortest time after which such a request may count as failed.
 const MIN_HANG_TIME: Duration = Duration::from_millis(400);
 
 /// The inverse of the weight that the newest latency has in the moving mean.
@@ -211,6 +211,25 @@
         }
     }
 
+    /// Records that the time of the request ended before the server responded.
+    ///
+    /// The caller or the operator sets that time. A server that needs no longer than usual is not at
+    /// fault when the time is too short.
+    pub(crate) fn run_out_of_time(&mut self) {
+        let has_hung = self.has_hung(&self.health.lock());
+        match has_hung {
+            true => self.finish(false),
+            false => self.cancel(),
+        }
+    }
+
+    /// Returns whether the request has run for several times the usual latency.
+    fn has_hung(&self, state: &State) -> bool {
+        let mean = state.mean_latency[self.start.class.index()].unwrap_or_default();
+        let elapsed = self.health.clock.now().saturating_sub(self.start.at);
+        elapsed > (mean * HANG_LATENCY_FACTOR).max(MIN_HANG_TIME)
+    }
+
     /// Records that the body broke off after a successful response head.
     pub(crate) fn record_broken_body(&self) {
         let latency = self.health.clock.now().saturating_sub(self.start.at);
@@ -230,9 +249,7 @@
         let now = self.health.clock.now();
         let mut state = self.health.lock();
         state.detector.cancelled(self.id);
-        let hang_time =
-            state.mean_latency[self.start.class.index()].unwrap_or_default() * HANG_LATENCY_FACTOR;
-        if now.saturating_sub(self.start.at) > hang_time.max(MIN_HANG_TIME) {
+        if self.has_hung(&state) {
             state.record_outcome(&self.health, self.start.class, None);
         }
         if self.trial {
@@ -283,6 +300,21 @@
         assert!(health.begin(Class::Idempotent, false, 1, 1).is_some());
     }
 
+    /// Guards against a server that is suspected because requests with little time, such as those of a
+    /// route with a short timeout, end before it can respond.
+    #[test]
+    fn run_out_of_time_short() {
+        let health = ServerHealth::new("s", Clock::start(), true);
+        let begin = || health.begin(Class::Idempotent, false, 1, 1).unwrap();
+        begin().run_out_of_time();
+        assert!(!health.is_suspect());
+        let mut hung = begin();
+        hung.start.at = Duration::ZERO;
+        std::thread::sleep(MIN_HANG_TIME + Duration::from_millis(20));
+        hung.run_out_of_time();
+        assert!(health.is_suspect());
+    }
+
     /// Guards against early cancellations by callers that count as failures of the server.
     #[test]
     fn begin_cancelled() {
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -39,6 +39,10 @@
 /// The path prefix of forwarded requests.
 pub(crate) const FORWARD: &str = "/v1/forward";
 
+/// A server that responds 504 when less than this is left of a request's time has stopped because of
+/// that time.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
+
 /// The path prefix of offers: heads of requests whose bodies follow if the offer is accepted.
 pub(crate) const OFFER: &str = "/v1/offer";
 
@@ -240,9 +244,15 @@
         strikes::clear_strikes(worker, &server.service, server_request.fingerprint);
         claim.release();
     }
-    match received.status.is_server_error() && worker.shared.failed_calls.contains(id) {
-        true => running.cancel(),
-        false => running.finish(!received.status.is_server_error()),
+    let is_failed = received.status.is_server_error();
+    let is_timeout = received.status == StatusCode::GATEWAY_TIMEOUT
+        && deadline.remaining(clock.now()) < RESPONSE_MARGIN;
+    if is_failed && worker.shared.failed_calls.contains(id) {
+        running.cancel();
+    } else if is_timeout {
+        running.run_out_of_time();
+    } else {
+        running.finish(!is_failed);
     }
     Ok(ServerResponse {
         latency,
@@ -273,8 +283,10 @@
     mut running: RunningRequest,
     claim: Option<ExclusiveClaim>,
 ) -> Refusal {
-    if failure.blames_server() {
-        running.finish(false);
+    match failure {
+        Failure::Deadline => running.run_out_of_time(),
+        _ if failure.blames_server() => running.finish(false),
+        _ => {}
     }
     if matches!(failure, Failure::WrongExchange) {
         count(&worker.shared.metrics.wrong_exchange);
