Try a suspect server again at once after a success

A server that had failed several requests needs two successes to be trusted, and each came from a trial 1.2 s after the one before. After a success the next request that may be repeated is now a trial at once; requests that cannot be repeated wait as before. try_now_after_success fails before.

--- a/crates/arbutuslane_health/src/streak.rs
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -43,6 +43,8 @@
     is_suspect: bool,
     /// The time of the last trial, or of the first request since the server became suspect.
     last_trial_at: Option<Time>,
+    /// Whether the last outcome since the server became suspect is a success.
+    has_succeeded: bool,
 }
 
 /// A change of the server's standing caused by an outcome.
@@ -59,9 +61,11 @@
     pub fn observe(&mut self, success: bool) -> Option<Change> {
         let evidence = if success { SUCCESS_EVIDENCE } else { FAILURE_EVIDENCE };
         self.evidence = (self.evidence + evidence).clamp(0.0, MAX_EVIDENCE);
+        self.has_succeeded = success;
         if !self.is_suspect && self.evidence >= SUSPECT_THRESHOLD {
             self.is_suspect = true;
             self.last_trial_at = None;
+            self.has_succeeded = false;
             return Some(Change::Suspected);
         }
         if self.is_suspect && self.evidence <= TRUST_THRESHOLD {
@@ -85,6 +89,8 @@
     pub fn try_start_trial(&mut self, now: Time, repeatable: bool) -> Result<(), Duration> {
         let interval = if repeatable { TRIAL_INTERVAL } else { UNREPEATABLE_TRIAL_INTERVAL };
         let due = match self.last_trial_at {
+            // A success makes a recovery likely, and the next outcome decides.
+            _ if repeatable && self.has_succeeded => now,
             Some(last_trial_at) => last_trial_at + interval,
             None if repeatable => now,
             // The interval is counted from the first request that the server could have had.
--- a/crates/arbutuslane_health/tests/streak.rs
+++ b/crates/arbutuslane_health/tests/streak.rs
@@ -51,6 +51,25 @@
     assert_eq!(streak.observe(true), Some(Change::Trusted));
 }
 
+/// Guards against a recovered server that waits for the next interval after the success that makes its
+/// recovery likely, and against requests that cannot be repeated which are lost in such trials.
+#[test]
+fn try_now_after_success() {
+    let at = Duration::from_millis;
+    let mut streak = Streak::default();
+    for _ in 0..3 {
+        streak.observe(false);
+    }
+    assert!(streak.try_start_trial(at(0), true).is_ok());
+    assert!(streak.try_start_trial(at(10), true).is_err());
+    streak.observe(true);
+    assert!(streak.is_suspect());
+    assert!(streak.try_start_trial(at(20), false).is_err());
+    assert!(streak.try_start_trial(at(20), true).is_ok());
+    streak.observe(false);
+    assert!(streak.try_start_trial(at(30), true).is_err());
+}
+
 /// Guards against a server that stays suspect forever after some seconds of failures because its
 /// service has no lookups, and against many bookings lost in trials while it still fails.
 #[test]
