End an exchange whose response head has no end, before it stops the thread

A server that sends interim responses (1xx) without end stopped all work of a node's traffic thread for good: the HTTP library skips them in a loop for as long as bytes arrive, without a pause, so that not even the deadline of the request is noticed. On the platform a node has one such thread. The socket of an exchange now fails after 256 KiB before the end of the head, which ends the exchange, frees the slot and blames the server. A new metric counts the outcomes that blame a server.

head_endless: fields, one line, bytes that are no response, empty lines, interim and informational responses; before, the case of interim responses had no answer after 20 s, with the thread in the parser (seen in a debugger).

--- a/crates/arbutuslane_node/src/condition.rs
+++ b/crates/arbutuslane_node/src/condition.rs
@@ -57,6 +57,8 @@
     streak: Streak,
     /// How often the server became a suspect.
     suspicions: u64,
+    /// The requests whose outcome is evidence against the server.
+    failures: u64,
     /// The moving mean latency of successful requests by class.
     mean_latency: [Option<Duration>; Class::COUNT],
     next_id: u64,
@@ -75,6 +77,7 @@
             stage,
             streak: Streak::default(),
             suspicions: 0,
+            failures: 0,
             mean_latency: [None; Class::COUNT],
             next_id: 0,
         };
@@ -164,6 +167,11 @@
         self.lock().suspicions
     }
 
+    /// Returns the number of requests whose outcome is evidence against the server.
+    pub(crate) fn failures(&self) -> u64 {
+        self.lock().failures
+    }
+
     /// Returns whether the server is ejected, and the percentage of its full load that it takes.
     pub(crate) fn availability(&self) -> (bool, u32) {
         let now = self.clock.now();
@@ -267,6 +275,7 @@
                 (mean * (LATENCY_SMOOTHING - 1) + latency) / LATENCY_SMOOTHING
             }));
         }
+        self.failures += u64::from(success.is_none());
         let change = self.streak.observe(success.is_some());
         if let Some(change) = change.filter(|_| health.tries_suspects_last) {
             let (suspect, evidence) = (change == Change::Suspected, self.streak.evidence());
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -96,7 +96,7 @@
             "arbutuslane_server_stated_limit{{service=\"{service}\",server=\"{id}\"}} {limit}"
         );
     }
-    for name in ["in_flight", "queued", "slots", "open", "suspect", "suspicions"] {
+    for name in ["in_flight", "queued", "slots", "open", "suspect", "suspicions", "failures"] {
         let _ = writeln!(text, "# TYPE arbutuslane_server_{name} gauge");
         for server in shared.servers.all() {
             let report = server.report();
@@ -106,7 +106,8 @@
                 "slots" => report.slots,
                 "open" => u32::from(server.is_open(now)),
                 "suspect" => u32::from(server.health.is_suspect()),
-                _ => u32::try_from(server.health.suspicions()).unwrap_or(u32::MAX),
+                "suspicions" => u32::try_from(server.health.suspicions()).unwrap_or(u32::MAX),
+                _ => u32::try_from(server.health.failures()).unwrap_or(u32::MAX),
             };
             let (service, id) = (escape_label(&server.service), escape_label(&server.id));
             let _ = writeln!(
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -21,6 +21,7 @@
 use crate::traffic::worker::new_exchange_id;
 
 use super::body::{Body, Framing};
+use super::head_limit::{HeadAllowance, HeadLimitedStream};
 use super::upload::OutgoingBody;
 use super::{Failure, Pool, Upload};
 
@@ -64,7 +65,10 @@
 
 /// The protocol state of one connection, which makes progress only while it is polled.
 #[derive(Debug)]
-pub(super) struct Driver(http1::Connection<TokioIo<TcpStream>, OutgoingBody>);
+pub(super) struct Driver {
+    connection: http1::Connection<TokioIo<HeadLimitedStream>, OutgoingBody>,
+    allowance: HeadAllowance,
+}
 
 /// A request for one hop.
 #[derive(Debug, Clone)]
@@ -138,9 +142,12 @@
             .max_buf_size(MAX_BUFFER_BYTES)
             .max_header_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADER_FIELDS);
+        let allowance = HeadAllowance::default();
+        let stream = HeadLimitedStream::new(stream, allowance.clone());
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.map_err(|_| Failure::ClosedUnused)?;
-        Ok(Self { sender, driver: Driver(connection), address, is_reused: false, pool })
+        let driver = Driver { connection, allowance };
+        Ok(Self { sender, driver, address, is_reused: false, pool })
     }
 
     /// Returns an idle connection for another exchange.
@@ -172,6 +179,7 @@
             options;
         let (method, upload) = (request.method.clone(), request.upload.clone());
         let request = to_hyper_request(&request, (field, &id), keep_alive)?;
+        driver.allowance.start();
         let mut responding = Box::pin(sender.try_send_request(request));
         let receive = poll_fn(|cx| {
             let has_ended = driver.poll(cx).is_ready();
@@ -199,6 +207,7 @@
                 return Err(Failure::Deadline);
             }
         };
+        driver.allowance.end();
         let (head, incoming) = response.into_parts();
         let mut headers = HeaderMap::with_capacity(head.headers.len());
         for (name, value) in &head.headers {
@@ -227,7 +236,7 @@
 impl Driver {
     /// Sends and receives bytes; ready when the connection has ended.
     pub(super) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        Pin::new(&mut self.0).poll(cx).map(|_| ())
+        Pin::new(&mut self.connection).poll(cx).map(|_| ())
     }
 
     /// Returns whether the connection is open and idle, with no received bytes.
--- a/crates/arbutuslane_node/src/traffic/client/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/client/mod.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod connection;
+mod head_limit;
 mod held;
 mod pool;
 mod upload;
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod download;
 mod ejection;
+mod endless;
 mod http2;
 mod keys;
 mod leave;
