Learn for how long a server keeps idle connections, instead of trusting 200 ms of all

Change: a connection is trusted for twice the idle time that others to the same server have outlasted, up to 5 s; a break after a longer idle time than 200 ms lowers that to a quarter and ends the learning for 30 s; a break after a shorter one says nothing about idle time. A response to another request suspends reuse as before.

--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -13,7 +13,7 @@
 use arbutuslane_wire::load::{Report, Serving};
 
 use crate::condition::ServerHealth;
-use crate::traffic::{Admission, BodyAdmission};
+use crate::traffic::{Admission, BodyAdmission, Failure};
 
 /// One backend server that this node owns.
 #[derive(Debug)]
@@ -97,9 +97,18 @@
         self.lock_reuse().max_idle(class, now)
     }
 
-    /// Records that a reused connection to the server broke.
-    pub(crate) fn record_broken_reuse(&self, now: Time) {
-        self.lock_reuse().record_broken(now);
+    /// Records a response on a connection that was idle for `idle`.
+    pub(crate) fn record_reuse(&self, idle: Duration, now: Time) {
+        self.lock_reuse().record_kept(idle, now);
+    }
+
+    /// Records a failed exchange on a connection that was idle for `idle`.
+    pub(crate) fn record_failed_reuse(&self, idle: Duration, failure: &Failure, now: Time) {
+        match failure {
+            Failure::Closed(_) => self.lock_reuse().record_broken(idle, now),
+            Failure::WrongExchange => self.lock_reuse().record_crossed(now),
+            _ => {}
+        }
     }
 
     /// Applies the limit that the server states in a response, in requests a second; returns whether
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -60,7 +60,8 @@
     sender: SendRequest<OutgoingBody>,
     driver: Driver,
     address: SocketAddr,
-    is_reused: bool,
+    /// How long the connection was idle before this exchange; `None` if it carries its first one.
+    idle: Option<Duration>,
     used_ids: UsedIds,
     pool: Rc<Pool>,
 }
@@ -163,7 +164,7 @@
             builder.handshake(TokioIo::new(stream)).await.map_err(|_| Failure::ClosedUnused)?;
         let driver = Driver { connection, allowance };
         let used_ids = UsedIds::default();
-        Ok(Self { sender, driver, address, is_reused: false, used_ids, pool })
+        Ok(Self { sender, driver, address, idle: None, used_ids, pool })
     }
 
     /// Returns an idle connection for another exchange.
@@ -173,13 +174,19 @@
         address: SocketAddr,
         used_ids: UsedIds,
         pool: Rc<Pool>,
+        idle: Duration,
     ) -> Self {
-        Self { sender, driver, address, is_reused: true, used_ids, pool }
+        Self { sender, driver, address, idle: Some(idle), used_ids, pool }
     }
 
     /// Returns whether the connection has carried an earlier exchange.
     pub(crate) fn is_reused(&self) -> bool {
-        self.is_reused
+        self.idle.is_some()
+    }
+
+    /// Returns how long the connection has been idle since its last exchange, if it had one.
+    pub(crate) fn idle(&self) -> Option<Duration> {
+        self.idle
     }
 
     /// Sends `request` and returns the response once its head is complete.
@@ -191,7 +198,8 @@
         request: Request,
         options: ExchangeOptions,
     ) -> Result<ReceivedResponse, Failure> {
-        let Self { mut sender, mut driver, address, is_reused, mut used_ids, pool } = self;
+        let is_reused = self.is_reused();
+        let Self { mut sender, mut driver, address, mut used_ids, pool, .. } = self;
         let ExchangeOptions { echo, keep_alive, allows_close_delimited, limit, .. } = options;
         let (field, id) = options.id;
         let (method, upload) = (request.method.clone(), request.upload.clone());
--- a/crates/arbutuslane_node/src/traffic/client/pool.rs
+++ b/crates/arbutuslane_node/src/traffic/client/pool.rs
@@ -106,8 +106,10 @@
             if entry.idle_time(now) > entry.limit || !entry.driver.is_idle(&entry.sender) {
                 continue;
             }
+            let idle = entry.idle_time(now);
             let IdleConnection { sender, driver, used_ids, .. } = entry;
-            return Some(Connection::reuse(sender, driver, address, used_ids, Rc::clone(self)));
+            let pool = Rc::clone(self);
+            return Some(Connection::reuse(sender, driver, address, used_ids, pool, idle));
         }
         None
     }
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -49,7 +49,7 @@
             return Err(Failure::Expired);
         }
         let limit = server_request.deadline.remaining(clock.now());
-        let is_reused = connection.is_reused();
+        let idle_time = connection.idle();
         count_connection(worker, &connection);
         let echoes_ids = always_echoes || server.echoes_ids();
         let options = ExchangeOptions {
@@ -63,15 +63,18 @@
         let request = request_for(dialect, server_request, clock.now());
         let result = connection.exchange(request, options).await;
         match result {
-            Err(Failure::ClosedUnused) if is_reused => {}
+            Err(Failure::ClosedUnused) if idle_time.is_some() => {}
             Err(failure) => {
-                if is_reused && matches!(failure, Failure::Closed(_) | Failure::WrongExchange) {
-                    server.record_broken_reuse(clock.now());
+                if let Some(idle_time) = idle_time {
+                    server.record_failed_reuse(idle_time, &failure, clock.now());
                 }
                 worker.pool.purge(server.address);
                 return Err(failure);
             }
             Ok(received) => {
+                if let Some(idle_time) = idle_time {
+                    server.record_reuse(idle_time, clock.now());
+                }
                 count(&worker.shared.metrics.dispatched);
                 return Ok(received);
             }
