--- a/crates/arbutuslane_limit/tests/bodies.rs
+++ b/crates/arbutuslane_limit/tests/bodies.rs
@@ -1,4 +1,4 @@
-//! The memory for request bodies, and the reuse of connections by requests that run at most once.
+//! The memory for request bodies.
 
 use arbutuslane_limit::memory::{Memory, Reservation};
 use quickcheck::{Gen, QuickCheck};
