--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::campaign::{self, Plan};
 use crate::report::Report;
-use crate::{admission, bound, compare, cost, matrix, night, plot, scarcity};
+use crate::{admission, bound, compare, cost, matrix, night, plot, repeats, scarcity};
 
 /// Parses the arguments of the process and runs the subcommand.
 ///
@@ -67,6 +67,7 @@
         }
         Some(("night", options)) => night::command::dispatch(options),
         Some(("admission", options)) => admission::command::dispatch(options),
+        Some(("repeats", options)) => repeats::command::dispatch(options),
         Some(("scarcity", options)) => scarcity::command::dispatch(options),
         _ => Ok(ExitCode::FAILURE),
     }
@@ -126,6 +127,7 @@
         )
         .subcommand(night::command::definition())
         .subcommand(admission::command::definition())
+        .subcommand(repeats::command::definition())
         .subcommand(scarcity::command::definition())
 }
 
--- a/crates/arbutuslane_bench/src/lib.rs
+++ b/crates/arbutuslane_bench/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod phi;
 pub mod plot;
 pub mod policy;
+pub mod repeats;
 pub mod report;
 pub mod sample;
 pub mod scarcity;
--- a/crates/arbutuslane_limit/src/repeats.rs
+++ b/crates/arbutuslane_limit/src/repeats.rs
@@ -81,7 +81,8 @@
 }
 
 /// The share of the limit that owners use. The rest covers the consequences of repeats, which owners
-/// cannot refuse, and repeats that are counted too late to prevent others.
+/// cannot refuse, and first requests that arrive unevenly: an owner counts its own at the time of its last
+/// repeat, and not all owners have that at the same time.
 const USED_SHARE: f64 = 0.85;
 
 /// The time for which owners that are not known any more keep their parts, at least.
