Grant the slack of the limit on repeats a window after the start of the process

Cause: a part was made with the first request, so the slack was withheld for the first 10 s of traffic instead of the first 10 s of the process.

--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -182,7 +182,7 @@
             failed_calls: RecentIds::default(),
             dispatched_ids: RecentIds::default(),
             repeated_runs: RecentIds::default(),
-            repeats: Repeats::new(retry_limit),
+            repeats: Repeats::new(retry_limit, clock.now()),
             stop: Stop::default(),
             announced: Announced::default(),
             configuration: RwLock::default(),
--- a/crates/arbutuslane_node/src/traffic/owner/repeats.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/repeats.rs
@@ -31,6 +31,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Repeats {
     limit: Option<Limit>,
+    started_at: Time,
     services: Mutex<Vec<ServicePart>>,
 }
 
@@ -53,9 +54,10 @@
 }
 
 impl Repeats {
-    /// Returns the parts of `limit`; without one, entries limit their retries themselves.
-    pub(crate) fn new(limit: Option<Limit>) -> Self {
-        Self { limit, services: Mutex::default() }
+    /// Returns the parts of `limit` in a process that started at `started_at`; without a limit, entries
+    /// limit their retries themselves.
+    pub(crate) fn new(limit: Option<Limit>, started_at: Time) -> Self {
+        Self { limit, started_at, services: Mutex::default() }
     }
 
     /// Returns whether the limit admits a request to `service`. `servers` counts the servers of the
@@ -108,7 +110,7 @@
         let index = match services.binary_search_by(|known| known.service.as_str().cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let (service, mut part) = (service.to_string(), Part::new(limit, now));
+                let (service, mut part) = (service.to_string(), Part::new(limit, self.started_at));
                 part.set_owners(servers(), now);
                 let known = ServicePart { service, part, counted_at: now, lowest_rank: 0 };
                 services.insert(index, known);
@@ -148,7 +150,7 @@
     #[test]
     fn admits_part() {
         let window = Duration::from_secs(10);
-        let repeats = Repeats::new(Some(Limit { ratio: 0.2, slack: 0.0, window }));
+        let repeats = Repeats::new(Some(Limit { ratio: 0.2, slack: 0.0, window }), Time::ZERO);
         let servers = || 10;
         let now = Duration::from_secs(1);
         let subject = |repeat, is_call| Subject { repeat, is_call, rank: 1 };
@@ -168,6 +170,19 @@
         count(Repeat::Consequence, true);
         assert!(!repeats.admits(SERVICE, servers, retry, now));
         assert!(repeats.admits(SERVICE, servers, subject(Repeat::Consequence, true), now));
-        assert!(Repeats::new(None).admits(SERVICE, servers, retry, now));
+        assert!(Repeats::new(None, Time::ZERO).admits(SERVICE, servers, retry, now));
+    }
+    /// Guards against a slack that is withheld for a window after the first request rather than after
+    /// the start of the process.
+    #[test]
+    fn admits_long_after_start() {
+        let window = Duration::from_secs(10);
+        let limit = Limit { ratio: 0.0, slack: 20.0, window };
+        let repeats = Repeats::new(Some(limit), Duration::from_secs(5));
+        let retry = Subject { repeat: Repeat::Retry, is_call: false, rank: 1 };
+        assert!(!repeats.admits(SERVICE, || 1, retry, Duration::from_secs(14)));
+        assert!(repeats.admits(SERVICE, || 1, retry, Duration::from_secs(15)));
+        let unused = Repeats::new(Some(limit), Duration::from_secs(5));
+        assert!(unused.admits(SERVICE, || 1, retry, Duration::from_secs(15)));
     }
 }
