Use new connections for bookings after any reused one broke, until a new one breaks too

Cause: a break after a short idle time was taken for a failing server. The test found it; it stays as it is.

Change: any break of a reused connection suspends reuse for 30 s; a break of a new one in that time shows that the server fails its requests in any case, and ends the suspension.

--- a/crates/arbutuslane_limit/src/reuse.rs
+++ b/crates/arbutuslane_limit/src/reuse.rs
@@ -19,9 +19,9 @@
 /// The factor between the idle time that a connection has outlasted and the one that is trusted.
 const GROWTH: u32 = 2;
 
-/// How long nothing is learned after a reused connection broke, and how long requests that run at most
-/// once use new connections after one carried a response to another request. What happened to one
-/// connection, such as a server that forgets idle ones, also happens to others.
+/// How long requests that run at most once use new connections, and nothing is learned, after a reused
+/// connection broke or carried a response to another request. What happened to one connection, such as a
+/// server that forgets idle ones, also happens to others.
 const SUSPENSION: Duration = Duration::from_secs(30);
 
 /// The reuse of the idle connections to one server.
@@ -34,7 +34,7 @@
 pub struct Reuse {
     /// The idle time for which connections are trusted.
     trusted: Duration,
-    /// The time at which a connection broke after it had been idle for long.
+    /// The time at which a reused connection broke.
     broken_at: Option<Time>,
     /// The time at which a connection carried a response to another request.
     crossed_at: Option<Time>,
@@ -53,7 +53,8 @@
         if class.is_repeatable() {
             return Some(MAX_IDLE_TIME);
         }
-        (!is_recent(self.crossed_at, now)).then_some(self.trusted)
+        let is_suspended = is_recent(self.broken_at, now) || is_recent(self.crossed_at, now);
+        (!is_suspended).then_some(self.trusted)
     }
 
     /// Records that a connection carried a whole exchange after it had been idle for `idle`.
@@ -63,14 +64,18 @@
         }
     }
 
-    /// Records that a connection broke in the exchange that followed an idle time of `idle`.
+    /// Records that a connection broke in the exchange that followed an idle time of `idle`, or in its
+    /// first one (`None`).
     ///
-    /// After a short one, the cause is rather the request or the server than the idle time.
-    pub fn record_broken(&mut self, idle: Duration, now: Time) {
-        if idle <= MIN_TRUSTED {
+    /// A server that also breaks new connections fails its requests, whether they reuse one or not.
+    pub fn record_broken(&mut self, idle: Option<Duration>, now: Time) {
+        let Some(idle) = idle else {
+            self.broken_at = None;
             return;
+        };
+        if idle > MIN_TRUSTED {
+            self.trusted = self.trusted.min(idle / (GROWTH * GROWTH)).max(MIN_TRUSTED);
         }
-        self.trusted = self.trusted.min(idle / (GROWTH * GROWTH)).max(MIN_TRUSTED);
         self.broken_at = Some(now);
     }
 
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -102,11 +102,11 @@
         self.lock_reuse().record_kept(idle, now);
     }
 
-    /// Records a failed exchange on a connection that was idle for `idle`.
-    pub(crate) fn record_failed_reuse(&self, idle: Duration, failure: &Failure, now: Time) {
+    /// Records a failed exchange on a connection that was idle for `idle`, or on a new one (`None`).
+    pub(crate) fn record_failure(&self, idle: Option<Duration>, failure: &Failure, now: Time) {
         match failure {
             Failure::Closed(_) => self.lock_reuse().record_broken(idle, now),
-            Failure::WrongExchange => self.lock_reuse().record_crossed(now),
+            Failure::WrongExchange if idle.is_some() => self.lock_reuse().record_crossed(now),
             _ => {}
         }
     }
--- a/crates/arbutuslane_node/src/traffic/owner/exchange.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange.rs
@@ -65,9 +65,7 @@
         match result {
             Err(Failure::ClosedUnused) if idle_time.is_some() => {}
             Err(failure) => {
-                if let Some(idle_time) = idle_time {
-                    server.record_failed_reuse(idle_time, &failure, clock.now());
-                }
+                server.record_failure(idle_time, &failure, clock.now());
                 worker.pool.purge(server.address);
                 return Err(failure);
             }
