--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::{DomainName, NodeId, ServerId};
 use arbutuslane_core::rng::Rng;
 use arbutuslane_core::time::Time;
@@ -198,6 +199,7 @@
                     now,
                 ) < 1.0;
                 let penalty = match has_room {
+                    _ if !Mechanism::LocalPreference.is_on() => 1.0,
                     true => self.weights.remote_penalty,
                     false => self.weights.busy_remote_penalty,
                 };
--- a/crates/arbutuslane_cli/src/args.rs
+++ b/crates/arbutuslane_cli/src/args.rs
@@ -39,6 +39,7 @@
         )
         .subcommand(explain())
         .subcommand(groups())
+        .subcommand(losses())
         .subcommand(timeline())
         .subcommand(
             Command::new("report")
@@ -63,25 +64,17 @@
     Command::new("explain")
         .about("Shows what happened to a request, from the logs of all processes")
         .arg(Arg::new("id").required(true).help("The id that the caller gave the request"))
-        .arg(
-            Arg::new("logs")
-                .num_args(0..)
-                .value_parser(value_parser!(PathBuf))
-                .value_hint(ValueHint::FilePath)
-                .help("Log files; reads standard input if none is given"),
-        )
-        .arg(
-            Arg::new("separator")
-                .long("separator")
-                .default_value(".")
-                .value_parser(value_parser!(char))
-                .help(
-                    "The character between the id of a request and the suffix in the id of a call",
-                ),
-        )
+        .args([logs(), separator()])
         .after_help("Example:\n  arbutuslane explain 9c41d07be2a35f68 node-1.log node-2.log")
 }
 
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Counts the requests that were not served, by cause, from the logs of all nodes")
+        .args([logs(), separator()])
+        .after_help("Example:\n  arbutuslane losses node-1.log node-2.log")
+}
+
 fn catalogue() -> Command {
     Command::new("catalogue")
         .about("Checks, compares and changes the catalogue")
@@ -219,6 +212,22 @@
         )
 }
 
+fn logs() -> Arg {
+    Arg::new("logs")
+        .num_args(0..)
+        .value_parser(value_parser!(PathBuf))
+        .value_hint(ValueHint::FilePath)
+        .help("Log files; reads standard input if none is given")
+}
+
+fn separator() -> Arg {
+    Arg::new("separator")
+        .long("separator")
+        .default_value(".")
+        .value_parser(value_parser!(char))
+        .help("The character between the id of a request and the suffix in the id of a call")
+}
+
 fn files() -> Arg {
     Arg::new("files")
         .required(true)
--- a/crates/arbutuslane_cli/src/dispatch.rs
+++ b/crates/arbutuslane_cli/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::exit::Code;
 use crate::settings::Settings;
 use crate::timeline::{Filter, OutputFormat};
-use crate::{args, explain, groups, report, status, timeline, when};
+use crate::{args, explain, groups, losses, report, status, timeline, when};
 
 /// Parses `arguments`, runs the command and returns its exit code.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -49,13 +49,13 @@
         }
         Some(("catalogue", matches)) => dispatch_catalogue(matches, json),
         Some(("explain", matches)) => {
-            let logs = matches.get_many::<PathBuf>("logs").unwrap_or_default();
-            let logs: Vec<PathBuf> = logs.cloned().collect();
             let id = text(matches, "id").unwrap_or_default();
-            let separator = matches.get_one::<char>("separator").copied().unwrap_or('.');
-            explain::show(&id, separator, &logs, json)
+            explain::show(&id, separator(matches), &paths(matches, "logs"), json)
         }
         Some(("groups", matches)) => dispatch_groups(matches, json),
+        Some(("losses", matches)) => {
+            losses::show(separator(matches), &paths(matches, "logs"), json)
+        }
         Some(("status", matches)) => block_on(status::show(settings(matches)?, json)),
         Some(("timeline", matches)) => dispatch_timeline(matches, json),
         Some(("report", matches)) => {
@@ -69,13 +69,13 @@
 
 fn dispatch_catalogue(matches: &ArgMatches, json: bool) -> Result<Code, Error> {
     match matches.subcommand() {
-        Some(("check", matches)) => catalogue::check(&paths(matches), json),
+        Some(("check", matches)) => catalogue::check(&paths(matches, "files"), json),
         Some(("diff", matches)) => {
-            block_on(catalogue::diff(paths(matches), settings(matches)?, json))
+            block_on(catalogue::diff(paths(matches, "files"), settings(matches)?, json))
         }
         Some(("apply", matches)) => {
             let (settings, proposal) = (settings(matches)?, proposal(matches));
-            block_on(catalogue::apply(paths(matches), proposal, settings, json))
+            block_on(catalogue::apply(paths(matches, "files"), proposal, settings, json))
         }
         Some(("rollback", matches)) => {
             let (settings, proposal) = (settings(matches)?, proposal(matches));
@@ -150,8 +150,12 @@
     }
 }
 
-fn paths(matches: &ArgMatches) -> Vec<PathBuf> {
-    matches.get_many::<PathBuf>("files").unwrap_or_default().cloned().collect()
+fn separator(matches: &ArgMatches) -> char {
+    matches.get_one::<char>("separator").copied().unwrap_or('.')
+}
+
+fn paths(matches: &ArgMatches, name: &str) -> Vec<PathBuf> {
+    matches.get_many::<PathBuf>(name).unwrap_or_default().cloned().collect()
 }
 
 fn number(matches: &ArgMatches, name: &str) -> u64 {
--- a/crates/arbutuslane_cli/src/error.rs
+++ b/crates/arbutuslane_cli/src/error.rs
@@ -65,6 +65,30 @@
         /// The argument.
         text: String,
     },
+    /// The last line of a log is cut.
+    #[error("{}:{line}: the log ends within a line", path.display())]
+    #[diagnostic(help("copy the log again after its process wrote the line, or remove the line"))]
+    CutLog {
+        /// The log.
+        path: PathBuf,
+        /// The line, counted from 1.
+        line: usize,
+    },
+    /// The times of an instance step back.
+    #[error("{}:{line}: instance {instance} wrote later lines before this one", path.display())]
+    #[diagnostic(help("pass the logs of one run only, those of each instance in order of time"))]
+    DisorderedLog {
+        /// The log.
+        path: PathBuf,
+        /// The line, counted from 1.
+        line: usize,
+        /// The instance that wrote the line.
+        instance: String,
+    },
+    /// Logs name no request.
+    #[error("the logs name no request of a caller")]
+    #[diagnostic(help("pass the logs of nodes, written at level info"))]
+    NoRequests,
     /// No control instance sent a usable response.
     #[error("no control instance answered: {attempts}")]
     #[diagnostic(help("check the addresses under \"controls\", then run the same command again"))]
@@ -123,7 +147,10 @@
             | Self::InvalidSettings { .. }
             | Self::InvalidToken { .. }
             | Self::MissingSetting { .. }
-            | Self::InvalidTime { .. } => Code::Usage,
+            | Self::InvalidTime { .. }
+            | Self::CutLog { .. }
+            | Self::DisorderedLog { .. }
+            | Self::NoRequests => Code::Usage,
             Self::Unreachable { .. } | Self::Unconfirmed { .. } => Code::Unreachable,
             Self::Refused { .. } | Self::UnexpectedResponse { .. } | Self::NoRevision { .. } => {
                 Code::Refused
--- a/crates/arbutuslane_cli/src/explain/mod.rs
+++ b/crates/arbutuslane_cli/src/explain/mod.rs
@@ -3,8 +3,6 @@
 mod line;
 mod story;
 
-use std::fs;
-use std::io::Read;
 use std::path::PathBuf;
 
 pub use line::LogLine;
@@ -12,6 +10,7 @@
 
 use crate::error::Error;
 use crate::exit::Code;
+use crate::logs;
 use crate::output;
 
 /// Reads the logs in `paths`, or standard input if `paths` is empty, and shows the trace of the
@@ -21,19 +20,9 @@
 ///
 /// Returns [`Error::Read`] when a file or standard input cannot be read.
 pub fn show(id: &str, separator: char, paths: &[PathBuf], json: bool) -> Result<Code, Error> {
-    let mut text = String::new();
-    for path in paths {
-        let bytes = fs::read(path).map_err(|source| Error::Read { path: path.clone(), source })?;
-        text.push_str(&String::from_utf8_lossy(&bytes));
-        text.push('\n');
-    }
-    if paths.is_empty() {
-        let mut bytes = Vec::new();
-        let path = PathBuf::from("standard input");
-        std::io::stdin().read_to_end(&mut bytes).map_err(|source| Error::Read { path, source })?;
-        text = String::from_utf8_lossy(&bytes).into_owned();
-    }
-    let lines: Vec<LogLine> = text.lines().filter_map(LogLine::parse).collect();
+    let logs = logs::read(paths)?;
+    let lines = logs.iter().flat_map(|log| log.text.lines());
+    let lines: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
     let trace = RequestTrace::of(id, separator, &lines);
     if json {
         output::write_json(&trace);
--- a/crates/arbutuslane_cli/src/lib.rs
+++ b/crates/arbutuslane_cli/src/lib.rs
@@ -24,6 +24,8 @@
 mod groups;
 mod leader;
 pub mod locate;
+mod logs;
+pub mod losses;
 pub mod output;
 pub mod page;
 pub mod report;
--- a/crates/arbutuslane_core/src/lib.rs
+++ b/crates/arbutuslane_core/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(first, hash::rendezvous(&nodes, "slots", 1));
 //! ```
 
+pub mod experiment;
 pub mod hash;
 pub mod id;
 pub mod rng;
--- a/crates/arbutuslane_health/src/streak.rs
+++ b/crates/arbutuslane_health/src/streak.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::time::Time;
 
 /// The evidence of one failure: the log-likelihood ratio between a server that fails 85% of its
@@ -62,7 +63,10 @@
         let evidence = if success { SUCCESS_EVIDENCE } else { FAILURE_EVIDENCE };
         self.evidence = (self.evidence + evidence).clamp(0.0, MAX_EVIDENCE);
         self.has_succeeded = success;
-        if !self.is_suspect && self.evidence >= SUSPECT_THRESHOLD {
+        if !self.is_suspect
+            && self.evidence >= SUSPECT_THRESHOLD
+            && Mechanism::SuspectServers.is_on()
+        {
             self.is_suspect = true;
             self.last_trial_at = None;
             self.has_succeeded = false;
@@ -87,6 +91,9 @@
     ///
     /// Returns the time until a trial with such a request is due.
     pub fn try_start_trial(&mut self, now: Time, repeatable: bool) -> Result<(), Duration> {
+        if !Mechanism::SuspectTrials.is_on() {
+            return Err(UNREPEATABLE_TRIAL_INTERVAL);
+        }
         let interval = if repeatable { TRIAL_INTERVAL } else { UNREPEATABLE_TRIAL_INTERVAL };
         let due = match self.last_trial_at {
             // A success makes a recovery likely, and the next outcome decides.
--- a/crates/arbutuslane_limit/src/acceptance.rs
+++ b/crates/arbutuslane_limit/src/acceptance.rs
@@ -1,5 +1,7 @@
 //! How many owners are worth asking for a free slot.
 
+use arbutuslane_core::experiment::Mechanism;
+
 use crate::attempts::MAX_OWNERS_TRIED;
 
 /// The weight of the newest answer in the share of acceptances.
@@ -34,7 +36,8 @@
 
     /// Returns how many owners a request asks before it waits.
     pub fn max_owners(&self) -> u32 {
-        match self.share * f64::from(MAX_OWNERS_TRIED) < 1.0 {
+        let is_overloaded = self.share * f64::from(MAX_OWNERS_TRIED) < 1.0;
+        match is_overloaded && Mechanism::Acceptance.is_on() {
             true => FEW_OWNERS,
             false => MAX_OWNERS_TRIED,
         }
--- a/crates/arbutuslane_limit/src/avoidance.rs
+++ b/crates/arbutuslane_limit/src/avoidance.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 
@@ -53,6 +54,9 @@
 impl AvoidedServers {
     /// Avoids `server` from `now` on, for a time that depends on the reason.
     pub fn add(&mut self, server: &str, reason: Avoidance, now: Time) {
+        if reason != Avoidance::Gone && !Mechanism::Avoidance.is_on() {
+            return;
+        }
         self.0.retain(|avoided| avoided.server != server && now < avoided.until);
         let duration = match reason {
             Avoidance::Suspect(wait) | Avoidance::Limited(wait) => wait.min(MAX_STATED_DURATION),
--- a/crates/arbutuslane_limit/src/gate.rs
+++ b/crates/arbutuslane_limit/src/gate.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::time::Time;
 
 use crate::pace::Pace;
@@ -321,7 +322,12 @@
             lower.min_by_key(|index| (!is_timely(index), self.queue[*index].arrival.due));
         let first = (0..lower_start).find(is_timely).unwrap_or_default();
         let index = match first_due {
-            Some(index) if self.higher_rank_starts >= MAX_HIGHER_RANK_STARTS => index,
+            Some(index)
+                if self.higher_rank_starts >= MAX_HIGHER_RANK_STARTS
+                    && Mechanism::LowerRankStarts.is_on() =>
+            {
+                index
+            }
             _ => first,
         };
         let passes_lower_rank = index < lower_start && first_due.is_some();
--- a/crates/arbutuslane_limit/src/gate/priority.rs
+++ b/crates/arbutuslane_limit/src/gate/priority.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::time::Time;
 
 use super::decision::{QueueChange, Reason};
@@ -11,7 +12,8 @@
 impl Gate {
     /// Returns why a request that arrives while no slot is free is refused, or `None` if it may wait.
     pub(super) fn priority_refusal(&self, arrival: &Arrival, now: Time) -> Option<Reason> {
-        if arrival.due.saturating_sub(now) < self.expected_time(arrival, now) {
+        let is_late = arrival.due.saturating_sub(now) < self.expected_time(arrival, now);
+        if is_late && Mechanism::PredictedWait.is_on() {
             return Some(if self.is_paced(now) { Reason::Limited } else { Reason::TooLate });
         }
         let is_full =
--- a/crates/arbutuslane_limit/src/reuse.rs
+++ b/crates/arbutuslane_limit/src/reuse.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::time::Time;
 
 /// The longest idle time of a connection that a repeatable request reuses. Such a request is sent
@@ -54,7 +55,8 @@
             return Some(MAX_IDLE_TIME);
         }
         let is_suspended = is_recent(self.broken_at, now) || is_recent(self.crossed_at, now);
-        (!is_suspended).then_some(self.trusted)
+        let may_reuse = !is_suspended && Mechanism::ConnectionReuse.is_on();
+        may_reuse.then_some(self.trusted)
     }
 
     /// Records that a connection carried a whole exchange after it had been idle for `idle`.
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -5,6 +5,7 @@
 
 use ntex::http::StatusCode;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::attempts::Effort;
@@ -80,7 +81,8 @@
     // would have succeeded.
     let may_switch =
         routed.class.is_repeatable() && effort == Effort::Ordinary && !worker.shared.is_stopping();
-    let silence_timeout = may_switch.then(|| silence_timeout(worker, routed));
+    let abandons_silent = may_switch && Mechanism::SilentAttempts.is_on();
+    let silence_timeout = abandons_silent.then(|| silence_timeout(worker, routed));
     let started_at = worker.shared.clock.now();
     let load_age = services::load_age(worker, service, &server, started_at);
     let outcome_cell = attempt_guard.outcome_cell();
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use arbutuslane_core::experiment::Mechanism;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use ntex::http::Payload;
 
@@ -93,7 +94,8 @@
     /// Returns whether the body can still be sent from its first byte.
     pub(crate) fn is_replayable(&self) -> bool {
         match self {
-            Self::Empty | Self::Held(_) => true,
+            Self::Empty => true,
+            Self::Held(body) => body.len() == 0 || Mechanism::HeldBodies.is_on(),
             Self::Stream(stream) => !stream.has_started.get(),
         }
     }
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -104,6 +104,8 @@
             let reason = if is_error { "server-error" } else { "" };
             metrics.count_outcome(destination, "answered", reason);
             metrics.record_response_time(&routed.service, routed.class, elapsed);
+            let late = worker.shared.clock.now().saturating_sub(routed.due);
+            let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
             tracing::info!(
                 event = "request",
                 request = id,
@@ -114,6 +116,7 @@
                 workspace = routed.workspace.as_ref().map(|workspace| workspace.name.as_str()),
                 server = tried.last(),
                 asked = tried.len(),
+                late_ms,
                 took_ms
             );
         }
@@ -140,6 +143,7 @@
                 route,
                 service,
                 status = refusal.status.as_u16(),
+                cause = refusal.reason(),
                 reason = refusal.error,
                 took_ms
             );
@@ -374,7 +378,10 @@
     may_have_run: bool,
 ) -> Result<ServerResponse, Refusal> {
     result.map_err(|refusal| match refusal.outcome {
-        Outcome::NotRun if may_have_run => Refusal::unknown(StatusCode::BAD_GATEWAY, refusal.error),
+        Outcome::NotRun if may_have_run => {
+            let cause = refusal.cause;
+            Refusal { cause, ..Refusal::unknown(StatusCode::BAD_GATEWAY, refusal.error) }
+        }
         _ => refusal,
     })
 }
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -14,6 +14,7 @@
 
 use ntex::http::{self, HeaderMap, Method, Response, StatusCode};
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::hash;
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_wire::dialect::{Dialect, ResponseMatching};
@@ -369,6 +370,7 @@
 fn precedence(worker: &Worker, headers: &HeaderMap) -> u64 {
     let dialect = worker.shared.interface.dialect();
     let parent = dialect.parent_id(request_id(dialect, headers));
+    let parent = parent.filter(|_| Mechanism::CallPrecedence.is_on());
     parent.map_or(0, |parent| hash::of_bytes(parent.as_bytes()))
 }
 
--- a/crates/arbutuslane_node/src/traffic/owner/repeats.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/repeats.rs
@@ -8,6 +8,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::ServiceName;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::repeats::{Limit, Part, Precedence};
@@ -69,7 +70,7 @@
         subject: Subject,
         now: Time,
     ) -> bool {
-        if subject.repeat != Repeat::Retry {
+        if subject.repeat != Repeat::Retry || !Mechanism::RepeatLimit.is_on() {
             return true;
         }
         let admits = |known: &mut ServicePart| {
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -5,6 +5,7 @@
 
 use ntex::http::StatusCode;
 
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_wire::{header, load, operator};
 
 use super::answer::ServerResponse;
@@ -57,7 +58,8 @@
 
 /// Returns whether a body is long enough to ask the owner first whether it would admit the request.
 fn is_worth_offer(upload: &Upload) -> bool {
-    upload.length().is_none_or(|length| length >= MIN_OFFERED_BYTES)
+    let is_long = upload.length().is_none_or(|length| length >= MIN_OFFERED_BYTES);
+    is_long && Mechanism::BodyOffers.is_on()
 }
 
 /// Offers a request to the owner of its server. Returns whether the owner accepted the offer; an
