Remove hedging, which no node used

Measured: the tests of `limit`, `bench` and `core` pass. The simulation never drew random numbers for hedges while they were off, so its results stay as they are.

--- a/crates/arbutuslane_balance/tests/picker.rs
+++ b/crates/arbutuslane_balance/tests/picker.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Guards against a retry or hedge that is sent to the same server again.
+/// Guards against a retry that is sent to the same server again.
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes owned values")]
 fn attempts_differ(states: Vec<u8>, number: u8, seed: u64) -> bool {
     let mut picker = picker(&states);
--- a/crates/arbutuslane_bench/src/sim/state.rs
+++ b/crates/arbutuslane_bench/src/sim/state.rs
@@ -71,7 +71,7 @@
     pub(super) tried: Vec<String>,
     pub(super) attempts_made: u32,
     pub(super) attempts_in_flight: u32,
-    /// Scheduled hedge and resend events that refer to this request.
+    /// Scheduled resend events that refer to this request.
     pub(super) pending_timers: u32,
     pub(super) is_finished: bool,
     /// How often the caller has resent this request.
--- a/crates/arbutuslane_limit/src/budget.rs
+++ b/crates/arbutuslane_limit/src/budget.rs
@@ -1,4 +1,4 @@
-//! The retry budget limits retries and hedges to a share of first requests.
+//! The retry budget limits retries to a share of first requests.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
     Resend,
 }
 
-/// Limits retries and hedges of one service at one entry.
+/// Limits retries of one service at one entry.
 ///
 /// At any time, `spent <= percent / 100 * first requests + reserve`. The saved credit is capped, so
 /// that a burst of failures after a quiet period causes at most `max_saved` retries beyond the
@@ -74,7 +74,7 @@
         self.credit = (self.credit + credit).min(self.max_credit);
     }
 
-    /// Spends one retry or hedge and returns whether the budget allowed it.
+    /// Spends one retry and returns whether the budget allowed it.
     #[must_use]
     pub fn spend(&mut self) -> bool {
         let allowed = self.credit >= CREDIT_PER_RETRY;
@@ -84,7 +84,7 @@
         allowed
     }
 
-    /// Returns the number of retries or hedges that are allowed now, or `None` if it is not limited.
+    /// Returns the number of retries that are allowed now, or `None` if it is not limited.
     pub fn available(&self) -> Option<u32> {
         if self.credit.is_infinite() {
             return None;
@@ -93,7 +93,7 @@
         Some(u32::try_from(retries.unwrap_or_default().as_secs()).unwrap_or(u32::MAX))
     }
 
-    /// Returns whether a retry or hedge is allowed now.
+    /// Returns whether a retry is allowed now.
     pub fn is_available(&self) -> bool {
         self.credit >= CREDIT_PER_RETRY
     }
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Admission, slots, queues, rate limits, deadlines, retries and hedging.
+//! Admission, slots, queues, rate limits, deadlines and retries.
 //!
 //! All code in this crate depends only on the state and time that are passed to it. The owner of a
 //! backend server has one [`Gate`](gate::Gate) for it, in one of two [orders](gate::Order), with a
@@ -7,8 +7,7 @@
 //! [`RetryBudget`](budget::RetryBudget) for each service. Where the fleet has a limit on repeats, each
 //! owner keeps a [`Part`](repeats::Part) of it instead.
 //! It distinguishes callers' resends from new requests with
-//! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt and
-//! [`hedge::delay`] for a late one. A node has one [`Memory`](memory::Memory) for the request bodies
+//! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt. A node has one [`Memory`](memory::Memory) for the request bodies
 //! that it holds, and a [`BodyWatch`](body_watch::BodyWatch) for each response that it passes on.
 //! [`SlowReaders`](slow_readers::SlowReaders) chooses the response that is cut when that memory is
 //! used up, and an owner bounds the request bodies of each server by
@@ -40,7 +39,6 @@
 pub mod connect_time;
 pub mod deadline;
 pub mod gate;
-pub mod hedge;
 pub mod memory;
 pub mod pace;
 pub mod rank_load;
@@ -64,6 +62,6 @@
         Admission, Arrival, Cancelled, Gate, Order, QueueChange, Reason, Refusal, Shed, Ticket,
     };
     pub use crate::resend::RecentFailures;
+    pub use crate::retry;
     pub use crate::retry::{Attempt, Decision, Outcome};
-    pub use crate::{hedge, retry};
 }
