Remove the economical search, which no deployment uses

Cause: the node setting `search` had a second value that lets owners queue requests for a while and prefers servers of the own failure domain also when they are busy.

Change: the setting, `limit::search`, the header field of the acceptable wait and the weight for busy servers are gone.

--- a/crates/arbutuslane_balance/src/picker.rs
+++ b/crates/arbutuslane_balance/src/picker.rs
@@ -46,27 +46,11 @@
     /// The factor by which the score of a server in another domain must be lower for it to be
     /// chosen over a local server with free slots.
     pub remote_penalty: f64,
-    /// The same factor while the local servers have no free slots.
-    pub busy_remote_penalty: f64,
 }
 
 impl Default for Weights {
     fn default() -> Self {
-        Self {
-            latency_limit: 1.2,
-            success_floor: 0.25,
-            report_half_life: 1.0,
-            remote_penalty: 4.0,
-            busy_remote_penalty: 1.0,
-        }
-    }
-}
-
-impl Weights {
-    /// Returns weights that prefer servers in the own domain also when they are busy, where traffic
-    /// between domains is dear. A remote server with half the load still goes first.
-    pub fn prefer_local() -> Self {
-        Self { busy_remote_penalty: 2.0, ..Self::default() }
+        Self { latency_limit: 1.2, success_floor: 0.25, report_half_life: 1.0, remote_penalty: 4.0 }
     }
 }
 
@@ -198,11 +182,9 @@
                     &self.weights,
                     now,
                 ) < 1.0;
-                let penalty = match has_room {
-                    _ if !Mechanism::LocalPreference.is_on() => 1.0,
-                    true => self.weights.remote_penalty,
-                    false => self.weights.busy_remote_penalty,
-                };
+                // While the local servers are busy, one in another domain may be faster.
+                let prefers_local = has_room && Mechanism::LocalPreference.is_on();
+                let penalty = if prefers_local { self.weights.remote_penalty } else { 1.0 };
                 if local_best.1 <= remote_best.1 * penalty { local_best.0 } else { remote_best.0 }
             }
             (Some((index, _)), None) | (None, Some((index, _))) => index,
--- a/crates/arbutuslane_bench/src/command.rs
+++ b/crates/arbutuslane_bench/src/command.rs
@@ -194,7 +194,6 @@
         success_floor: number("success-floor", default.weights.success_floor),
         report_half_life: number("report-half-life", default.weights.report_half_life),
         remote_penalty: number("remote-penalty", default.weights.remote_penalty),
-        ..default.weights
     };
     let loads: Vec<u32> = options.get_many::<u32>("load").unwrap_or_default().copied().collect();
     Plan {
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -46,7 +46,6 @@
 pub mod resend;
 pub mod retry;
 pub mod reuse;
-pub mod search;
 pub mod server_bodies;
 pub mod service_time;
 pub mod slow_readers;
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -74,9 +74,6 @@
     /// The source of the configuration.
     #[serde(default)]
     pub source: Source,
-    /// How long a request searches for a free slot.
-    #[serde(default)]
-    pub search: Search,
     /// The order in which requests start at the servers of this node.
     #[serde(default)]
     pub admission: Admission,
@@ -151,18 +148,6 @@
     Items,
 }
 
-/// How long a request that finds busy servers searches for a free slot.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Search {
-    /// Asks owners in all failure domains until one has a free slot or many have none.
-    #[default]
-    Exhaustive,
-    /// Prefers servers in the own failure domain also when they are busy, and lets an owner queue a
-    /// request where the wait is short.
-    Economical,
-}
-
 /// The order in which requests start at a server, and the rule by which some are refused.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/arbutuslane_node/src/traffic/admission.rs
+++ b/crates/arbutuslane_node/src/traffic/admission.rs
@@ -131,26 +131,22 @@
         (number(in_flight), number(gate.queued()), number(gate.slots()))
     }
 
-    /// Acquires a slot, or refuses the request if its predicted wait is longer than `max_wait` and
-    /// than forwarding it to another server takes.
-    pub(crate) async fn enter_within(
-        self: &Arc<Self>,
-        arrival: Arrival,
-        max_wait: Duration,
-    ) -> Result<Permit, Refusal> {
-        match self.refusal(&arrival, Some(max_wait)) {
+    /// Acquires a slot, or refuses the request if its predicted wait is longer than forwarding it to
+    /// another server takes.
+    pub(crate) async fn enter_now(self: &Arc<Self>, arrival: Arrival) -> Result<Permit, Refusal> {
+        match self.refusal(&arrival, false) {
             Some(refusal) => Err(refusal),
             None => self.enter(arrival).await,
         }
     }
 
-    /// Returns why a request would be refused now, or `None` if it would be admitted. Without
-    /// `max_wait`, a request that would have to wait for a slot counts as admitted.
-    pub(crate) fn refusal(&self, arrival: &Arrival, max_wait: Option<Duration>) -> Option<Refusal> {
+    /// Returns why a request would be refused now, or `None` if it would be admitted. If it `may_wait`,
+    /// a request that would have to wait for a slot counts as admitted.
+    pub(crate) fn refusal(&self, arrival: &Arrival, may_wait: bool) -> Option<Refusal> {
         let now = self.clock.now();
         let gate = &self.lock().gate;
         let wait = gate.predicted_wait(arrival, now);
-        if max_wait.is_some_and(|max_wait| wait > max_wait.max(FORWARDING_TIME)) {
+        if !may_wait && wait > FORWARDING_TIME {
             let reason = if gate.is_paced(now) { Reason::Limited } else { Reason::Full };
             return Some(Refusal { reason, retry_after: wait });
         }
@@ -360,13 +356,11 @@
     #[ntex::test]
     async fn enter_now_busy() {
         let admission = admission();
-        let first =
-            admission.enter_within(arrival(Class::Idempotent), Duration::ZERO).await.unwrap();
+        let first = admission.enter_now(arrival(Class::Idempotent)).await.unwrap();
         ntex::time::sleep(FORWARDING_TIME * 4).await;
         drop(first);
-        let _second =
-            admission.enter_within(arrival(Class::Idempotent), Duration::ZERO).await.unwrap();
-        let third = admission.enter_within(arrival(Class::Idempotent), Duration::ZERO).await;
+        let _second = admission.enter_now(arrival(Class::Idempotent)).await.unwrap();
+        let third = admission.enter_now(arrival(Class::Idempotent)).await;
         assert_eq!(third.map(|_| ()).map_err(|refusal| refusal.reason), Err(Reason::Full));
     }
 
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -9,10 +9,7 @@
 use arbutuslane_core::id::ServerId;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::attempts::Effort;
-use arbutuslane_limit::search;
-use arbutuslane_limit::tried::TriedServers;
 
-use crate::settings::Search;
 use crate::timeout::{Elapsed, within};
 
 use super::answer::ServerResponse;
@@ -39,22 +36,6 @@
     pub(super) server: Option<ServerId>,
     /// Whether the attempt counts as a repeat.
     pub(super) repeat: Repeat,
-    /// The longest predicted wait for which the owner queues the request instead of refusing it.
-    pub(super) max_wait: Duration,
-}
-
-/// Returns the longest wait that a request accepts at the next owner: none where the settings ask for
-/// an exhaustive search.
-pub(super) fn acceptable_wait(
-    worker: &Worker,
-    routed: &RoutedRequest,
-    tried: &TriedServers,
-) -> Duration {
-    let left = routed.due.saturating_sub(worker.shared.clock.now());
-    match worker.shared.settings.search {
-        Search::Exhaustive => Duration::ZERO,
-        Search::Economical => search::acceptable_wait(left, tried.all.len()),
-    }
 }
 
 /// Sends `routed` to the best server that is not in `tried`, and adds that server to `tried`.
@@ -138,7 +119,7 @@
     worker: &Worker,
     routed: &RoutedRequest,
     selected: services::SelectedServer,
-    AttemptPlan { effort, repeat, max_wait, .. }: AttemptPlan,
+    AttemptPlan { effort, repeat, .. }: AttemptPlan,
     may_switch: bool,
 ) -> Result<ServerResponse, Refusal> {
     let service = &routed.service;
@@ -158,7 +139,6 @@
         retryable: may_switch && services::has_retry_budget(worker, service),
         must_accept: matches!(effort, Effort::Insist | Effort::Suspect),
         is_offered: false,
-        max_wait,
         repeat,
         known_limit: selected.known_limit,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -254,13 +254,7 @@
             true => Repeat::Retry,
             false => first_send,
         };
-        // A silent attempt is abandoned once another server has accepted the request, and must not be for
-        // one that only queues it.
-        let max_wait = match silent_attempt {
-            Some(_) => Duration::ZERO,
-            None => attempt::acceptable_wait(worker, routed, &tried),
-        };
-        let plan = AttemptPlan { effort, server, repeat, max_wait };
+        let plan = AttemptPlan { effort, server, repeat };
         let sent = attempt::send(worker, routed, tried.exclusions(effort), plan);
         let result = match silent::send_alongside(sent, &mut silent_attempt, effort).await {
             SendResult::Ended(result) => result,
--- a/crates/arbutuslane_node/src/traffic/owner/exchange/tests.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange/tests.rs
@@ -63,7 +63,6 @@
         retryable: false,
         must_accept: false,
         is_offered: false,
-        max_wait: Duration::ZERO,
         repeat: Repeat::First,
         known_limit: None,
         summary: None,
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -62,8 +62,7 @@
         if !server_request.must_accept && server.bodies.as_ref().is_some_and(|b| b.is_used_up()) {
             return Err(bodies::refusal());
         }
-        let max_wait = (!server_request.must_accept).then_some(server_request.max_wait);
-        match server.admission.refusal(&arrival, max_wait) {
+        match server.admission.refusal(&arrival, server_request.must_accept) {
             Some(refusal) => Err(admission_refusal(refusal)),
             None => Ok(()),
         }
@@ -179,7 +178,7 @@
     let predicted_wait = server.admission.predicted_wait(&arrival);
     let permit = match may_wait {
         true => server.admission.enter(arrival).await,
-        false => server.admission.enter_within(arrival, server_request.max_wait).await,
+        false => server.admission.enter_now(arrival).await,
     };
     let waited = clock.now().saturating_sub(arrived_at);
     let permit = permit.map_err(|refusal| {
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -46,8 +46,6 @@
     pub(crate) must_accept: bool,
     /// Whether the owner has accepted an offer of the request, so that its body was sent.
     pub(crate) is_offered: bool,
-    /// The longest predicted wait for which the request is queued instead of refused.
-    pub(crate) max_wait: Duration,
     /// Whether the request counts as a repeat.
     pub(crate) repeat: Repeat,
     /// The rate that the server stated in the last response that the entry received from it.
@@ -132,8 +130,6 @@
         Some(_) => Repeat::Consequence,
         None => Repeat::First,
     };
-    let max_wait = fields::text(incoming.headers(), header::MAX_WAIT_MS);
-    let max_wait = max_wait.and_then(|text| text.parse().ok()).map(Duration::from_millis);
     let is_offered = incoming.headers().contains_key(header::OFFERED);
     let known_limit =
         fields::text(incoming.headers(), header::LIMIT).and_then(statement::parse_limit);
@@ -153,7 +149,6 @@
         retryable,
         must_accept,
         is_offered,
-        max_wait: max_wait.unwrap_or_default(),
         repeat,
         known_limit,
         summary,
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -146,9 +146,6 @@
             fields::set(headers, name, "1");
         }
     }
-    if !server_request.max_wait.is_zero() {
-        fields::set(headers, header::MAX_WAIT_MS, &server_request.max_wait.as_millis().to_string());
-    }
     if let Some(limit) = server_request.known_limit {
         fields::set(headers, header::LIMIT, &limit.to_string());
     }
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -107,12 +107,8 @@
         let (etag, length, received) = (self.etag.clone(), self.length, self.received);
         let mut tried = std::mem::take(&mut self.tried);
         self.continuation = Some(Box::pin(async move {
-            let plan = AttemptPlan {
-                effort: Effort::Insist,
-                server: None,
-                repeat: Repeat::Consequence,
-                max_wait: Duration::ZERO,
-            };
+            let plan =
+                AttemptPlan { effort: Effort::Insist, server: None, repeat: Repeat::Consequence };
             let sent = attempt::send(&worker, &routed, &mut tried, plan).await;
             let SendResult::Ended(Ok(response)) = sent else { return None };
             is_continuation(&response, &etag, received, length).then_some((response.body, tried))
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use arbutuslane_balance::candidate::{Load, Serving};
-use arbutuslane_balance::picker::{Picker, Request, Weights};
+use arbutuslane_balance::picker::{Picker, Request};
 use arbutuslane_balance::subset::Subset;
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{ServerId, ServiceName};
@@ -24,7 +24,6 @@
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_wire::load;
 
-use crate::settings::Search;
 use crate::shared::{RemoteServer, Shared};
 
 use super::worker::Worker;
@@ -107,7 +106,7 @@
             Ok(index) => index,
             Err(index) => {
                 let state = ServiceState {
-                    picker: picker(shared),
+                    picker: Picker::new(shared.settings.domain.clone()),
                     budget: shared.retry_budget(),
                     acceptance: Acceptance::default(),
                     summarizer: Summarizer::default(),
@@ -133,14 +132,6 @@
     }
 }
 
-fn picker(shared: &Shared) -> Picker {
-    let weights = match shared.settings.search {
-        Search::Exhaustive => Weights::default(),
-        Search::Economical => Weights::prefer_local(),
-    };
-    Picker::with_weights(shared.settings.domain.clone(), weights)
-}
-
 impl ServiceState {
     /// Refreshes the candidates if a server list has changed or the refresh interval has passed.
     fn refresh_candidates(&mut self, shared: &Shared, name: &str, now: Time) {
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -90,10 +90,6 @@
 /// The predicted milliseconds until the server could take the request, on refusals by an owner.
 pub const WAIT_MS: &str = "arbutuslane-wait-ms";
 
-/// The longest predicted wait in milliseconds for which the owner queues a request instead of refusing
-/// it, on requests to an owner. Without the field, a request that would have to wait is refused.
-pub const MAX_WAIT_MS: &str = "arbutuslane-max-wait-ms";
-
 /// The owner's queue for the backend server cannot accept the request.
 pub const REFUSAL_FULL: &str = "full";
 
