Ask the limit on repeats for repeats only, in its own module

Change: `owner/repeats.rs` builds what the limit needs to know, for repeats and for the count; `remember_run` keeps what the calls of a request need to know.

Measured: the unit tests of `node` pass; decisions are the same.

--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -144,9 +144,9 @@
         server.learn_limit(limit);
     }
     strikes::requires_claim(worker, server_request.fingerprint)?;
-    let servers = || worker.shared.server_count(&server.service);
-    let subject = repeat_subject(worker, server_request);
-    if !worker.shared.repeats.admits(&server.service, servers, subject, worker.shared.clock.now()) {
+    if server_request.repeat == Repeat::Retry
+        && !repeats::admits(worker, &server.service, server_request)
+    {
         return Err(Refusal::repeat_limit());
     }
     // The trial of a suspect server was decided with the offer.
@@ -213,7 +213,8 @@
     if let Some(claim) = &mut claim {
         claim.dispatch();
     }
-    count_repeat(worker, &server.service, &server_request);
+    remember_run(worker, &server_request);
+    repeats::count(worker, &server.service, &server_request);
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
@@ -285,28 +286,15 @@
     })
 }
 
-fn repeat_subject(worker: &Worker, server_request: &ServerRequest) -> repeats::Subject {
-    let dialect = worker.shared.interface.dialect();
-    let id = request_id(dialect, &server_request.request.headers);
-    let is_call = dialect.parent_id(id).is_some();
-    repeats::Subject {
-        repeat: server_request.repeat,
-        is_call,
-        rank: server_request.importance.rank,
-    }
-}
-
-/// Counts a request that is sent to its server, and remembers a repeat, whose calls are repeats too.
-fn count_repeat(worker: &Worker, service: &str, server_request: &ServerRequest) {
+/// Remembers what the calls of a request need to know of it: its importance, and whether it is a
+/// repeat, because the calls of a repeat are repeats too.
+fn remember_run(worker: &Worker, server_request: &ServerRequest) {
     let shared = &worker.shared;
-    let dialect = shared.interface.dialect();
-    let id = request_id(dialect, &server_request.request.headers);
+    let id = request_id(shared.interface.dialect(), &server_request.request.headers);
     let inherits = shared.settings.admission == settings::Admission::LeastCost;
     if inherits || shared.requires_keys(&shared.configuration()) {
         shared.dispatched_ids.insert(id, server_request.importance);
     }
-    let (servers, now) = (|| shared.server_count(service), shared.clock.now());
-    shared.repeats.count(service, servers, repeat_subject(worker, server_request), now);
     if server_request.repeat != Repeat::First {
         shared.repeated_runs.add(id);
     }
--- a/crates/arbutuslane_node/src/traffic/owner/repeats.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/repeats.rs
@@ -13,6 +13,10 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::repeats::{Limit, Part, Precedence};
 
+use crate::traffic::worker::Worker;
+
+use super::{ServerRequest, request_id};
+
 /// How often the servers of a service are counted.
 const COUNT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -28,6 +32,22 @@
     Consequence,
 }
 
+/// Returns whether the limit admits a repeat that arrives at a server of `service`.
+pub(super) fn admits(worker: &Worker, service: &str, server_request: &ServerRequest) -> bool {
+    let shared = &worker.shared;
+    let servers = || shared.server_count(service);
+    let subject = Subject::of(worker, server_request);
+    shared.repeats.admits(service, servers, subject, shared.clock.now())
+}
+
+/// Counts a request that is sent to its server, which belongs to `service`.
+pub(super) fn count(worker: &Worker, service: &str, server_request: &ServerRequest) {
+    let shared = &worker.shared;
+    let servers = || shared.server_count(service);
+    let subject = Subject::of(worker, server_request);
+    shared.repeats.count(service, servers, subject, shared.clock.now());
+}
+
 /// The parts of the services whose servers this node owns, in ascending order of their names.
 #[derive(Debug, Default)]
 pub(crate) struct Repeats {
@@ -54,6 +74,18 @@
     pub(crate) rank: u8,
 }
 
+impl Subject {
+    fn of(worker: &Worker, server_request: &ServerRequest) -> Self {
+        let dialect = worker.shared.interface.dialect();
+        let id = request_id(dialect, &server_request.request.headers);
+        Self {
+            repeat: server_request.repeat,
+            is_call: dialect.parent_id(id).is_some(),
+            rank: server_request.importance.rank,
+        }
+    }
+}
+
 impl Repeats {
     /// Returns the parts of `limit` in a process that started at `started_at`; without a limit, entries
     /// limit their retries themselves.
