Split the entry, the settings and the experiment of nodes by subject

Change: `traffic/outcome.rs` records how requests ended, `experiment.rs` reads and applies what an experiment changes, and the entry decides whether it attaches summaries while they are turned off.

--- a/crates/arbutuslane_node/src/lib.rs
+++ b/crates/arbutuslane_node/src/lib.rs
@@ -23,6 +23,7 @@
 mod cluster;
 mod condition;
 mod configuration;
+pub mod experiment;
 pub mod interface;
 mod metrics;
 mod peers;
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -9,7 +9,6 @@
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::sleep;
 
-use arbutuslane_core::experiment;
 use arbutuslane_event::prelude::{Draft, Kind, log};
 use arbutuslane_event::reload::{WatchedFile, install_sighup_handler};
 use arbutuslane_event::{output, signal};
@@ -103,11 +102,7 @@
     let path: PathBuf = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = Settings::read(&path)?;
     log::set_instance(&settings.node);
-    let off = &settings.experiment.off;
-    if !off.is_empty() {
-        tracing::warn!(event = "experiment", ?off, "mechanisms are off for an experiment");
-        experiment::turn_off(off);
-    }
+    settings.experiment.apply();
     Ok(run(settings, interface)?)
 }
 
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -4,11 +4,11 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_limit::gate::Order;
 use arbutuslane_wire::allowance::AllowanceSettings;
-use serde::de::Error as _;
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
+
+use crate::experiment::Experiment;
 
 /// The number of bytes in a megabyte of the settings.
 const BYTES_PER_MEGABYTE: usize = 1 << 20;
@@ -128,15 +128,6 @@
     pub experiment: Experiment,
 }
 
-/// What an experiment changes in a node.
-#[derive(Debug, Clone, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Experiment {
-    /// The mechanisms that are off.
-    #[serde(default, deserialize_with = "mechanisms")]
-    pub off: Vec<Mechanism>,
-}
-
 /// The source of a node's configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -333,11 +324,6 @@
     60_000
 }
 
-fn mechanisms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Mechanism>, D::Error> {
-    let names = Vec::<String>::deserialize(deserializer)?;
-    names.iter().map(|name| name.parse().map_err(D::Error::custom)).collect()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -8,7 +8,6 @@
 
 use subtle::ConstantTimeEq;
 
-use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_event::buffer::Buffer;
@@ -361,9 +360,6 @@
     /// Returns whether one more summary may be attached to a request. Half of the burst is reserved
     /// for urgent summaries.
     pub(crate) fn may_attach_summary(&self, urgent: bool, now: Time) -> bool {
-        if !Mechanism::PeerSummaries.is_on() {
-            return false;
-        }
         let reserve = if urgent { 0 } else { SUMMARY_BURST / 2 };
         self.summaries
             .lock()
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod intake;
 mod limiter;
 pub(crate) mod listener;
+mod outcome;
 mod owner;
 mod protocol;
 mod refusal;
--- a/crates/arbutuslane_node/src/traffic/services/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/services/mod.rs
@@ -15,6 +15,7 @@
 use arbutuslane_balance::picker::{Picker, Request};
 use arbutuslane_balance::subset::Subset;
 use arbutuslane_catalogue::entry::Class;
+use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::{ServerId, ServiceName};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_health::peers::{Summarizer, Summary};
@@ -240,7 +241,7 @@
     service.picker.sent(&pick.server, now);
     let id = service.next_id;
     service.next_id += 1;
-    let allow = |urgent: bool| shared.may_attach_summary(urgent, now);
+    let allow = |urgent| Mechanism::PeerSummaries.is_on() && shared.may_attach_summary(urgent, now);
     let summary = service.summarizer.due_summary(&pick.server, class, now, allow);
     service.summarizer.sent(&pick.server, class, id, now);
     let attempt_guard = AttemptGuard {
