Say in `losses` that a request without an outcome may be that of a killed node

Change: the text names both reasons, and the call that made a request fail has a plain name in the code.

Measured: the five tests of the command pass.

--- a/crates/arbutuslane_cli/src/losses/table.rs
+++ b/crates/arbutuslane_cli/src/losses/table.rs
@@ -60,7 +60,7 @@
     /// The id of the request.
     id: &'a str,
     /// The request, or the call that made it fail.
-    culprit: &'a Record,
+    failed: &'a Record,
     is_call: bool,
     has_warning: bool,
 }
@@ -100,16 +100,16 @@
 
 impl<'a> Loss<'a> {
     fn of(records: &'a Records, record: &'a Record, failures: &Failures<'_>) -> Self {
-        let mut culprit = record;
+        let mut failed = record;
         for _ in 0..MAX_CALL_DEPTH {
-            let Some(call) = failed_call(records, culprit) else { break };
-            culprit = call;
+            let Some(call) = failed_call(records, failed) else { break };
+            failed = call;
         }
-        let has_warning = culprit.failures.last().is_some_and(|(server, at_ms)| {
+        let has_warning = failed.failures.last().is_some_and(|(server, at_ms)| {
             let warning = failures.last_before(server, *at_ms);
             warning.is_some_and(|warning| warning + WARNING_TIME_MS >= *at_ms)
         });
-        Self { id: &record.id, culprit, is_call: !std::ptr::eq(culprit, record), has_warning }
+        Self { id: &record.id, failed, is_call: !std::ptr::eq(failed, record), has_warning }
     }
 }
 
@@ -139,7 +139,7 @@
 }
 
 fn rows(mut losses: Vec<Loss<'_>>) -> Vec<Row> {
-    let key = |loss: &Loss<'_>| (loss.culprit.cause.clone(), loss.culprit.service.clone());
+    let key = |loss: &Loss<'_>| (loss.failed.cause.clone(), loss.failed.service.clone());
     losses.sort_by_cached_key(|loss| (key(loss), loss.id.to_string()));
     let mut rows: Vec<Row> =
         losses.chunk_by(|left, right| key(left) == key(right)).map(Row::of).collect();
@@ -151,13 +151,13 @@
     fn of(losses: &[Loss<'_>]) -> Self {
         let first = &losses[0];
         Self {
-            cause: first.culprit.cause.clone(),
-            service: first.culprit.service.clone(),
+            cause: first.failed.cause.clone(),
+            service: first.failed.service.clone(),
             requests: losses.len(),
             through_calls: losses.iter().filter(|loss| loss.is_call).count(),
             after_warning: losses.iter().filter(|loss| loss.has_warning).count(),
-            median_ms: median(losses.iter().map(|loss| loss.culprit.took_ms)).unwrap_or_default(),
-            median_left_ms: median(losses.iter().filter_map(|loss| loss.culprit.left_ms)),
+            median_ms: median(losses.iter().map(|loss| loss.failed.took_ms)).unwrap_or_default(),
+            median_left_ms: median(losses.iter().filter_map(|loss| loss.failed.left_ms)),
             example: first.id.to_string(),
         }
     }
@@ -192,7 +192,10 @@
         )?;
         if self.unfinished > 0 {
             let count = self.unfinished;
-            write!(formatter, "\n{count} requests have no outcome: add the logs of all nodes")?;
+            write!(
+                formatter,
+                "\n{count} requests have no outcome: a log is missing, or their node was killed"
+            )?;
         }
         if self.left_out > 0 {
             write!(formatter, "\n{} lines were left out of the logs", self.left_out)?;
