Remove what the simulation kept for a second copy of a request

Cause: with hedges gone, a simulated request has one attempt in flight or one pending resend, never both and never two. The counts of attempts and timers, the flag of an ended request and the copy made for each resend had no use left.

Change: a request is removed where it ends, and a resend starts again in its place.

--- a/crates/arbutuslane_bench/src/sim/entry.rs
+++ b/crates/arbutuslane_bench/src/sim/entry.rs
@@ -21,10 +21,8 @@
     /// Chooses a server and sends the request to its owner.
     pub(super) fn send_attempt(&mut self, request: usize) {
         let now = self.now;
-        let (entry, class) = {
-            let request = self.requests.get(request);
-            (request.entry, request.class)
-        };
+        let stored = self.requests.get(request);
+        let (entry, class) = (stored.entry, stored.class);
         let chosen = if self.config.policy.uses_picker() {
             let choice = picker::Request { class, tried: &self.requests.get(request).tried };
             let pick = self.entries[entry].picker.pick(&choice, now, &mut self.rng);
@@ -52,7 +50,6 @@
         let stored = self.requests.get(request);
         stored.tried.push(name);
         stored.attempts_made += 1;
-        stored.attempts_in_flight += 1;
         self.last_attempt_id += 1;
         let attempt = self.attempts.insert(Attempt {
             id: self.last_attempt_id,
@@ -97,11 +94,8 @@
         let load = self.attempts.get(attempt).load;
         let id = self.attempts.get(attempt).id;
         self.attempts.remove(attempt);
-        let (entry, class) = {
-            let request = self.requests.get(request);
-            request.attempts_in_flight -= 1;
-            (request.entry, request.class)
-        };
+        let stored = self.requests.get(request);
+        let (entry, class) = (stored.entry, stored.class);
         let name = self.servers[server].name.clone();
         let state = &mut self.entries[entry];
         if let Some(load) = load {
@@ -141,9 +135,6 @@
         let now = self.now;
         let is_counted = self.has_fault_started();
         let stored = self.requests.get(request);
-        if stored.is_finished || stored.attempts_in_flight > 0 {
-            return self.remove_if_unused(request);
-        }
         // The fleet chose to send a trial, so a declined or failed one is not charged to the budget.
         if is_trial && !stored.deadline.is_expired(now) {
             return self.send_attempt(request);
@@ -168,14 +159,10 @@
         }
     }
 
-    /// Ends a request with its first successful response.
+    /// Ends a request with a successful response.
     fn finish_with_response(&mut self, request: usize) {
         let now = self.now;
         let stored = self.requests.get(request);
-        if stored.is_finished {
-            return self.remove_if_unused(request);
-        }
-        stored.is_finished = true;
         let is_in_time = now <= stored.deadline.at();
         let latency = now.saturating_sub(stored.arrived);
         let is_counted = stored.arrived >= self.config.warm_up;
@@ -188,28 +175,22 @@
             let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
             self.outcome.latency.saturating_record(micros);
         }
-        self.remove_if_unused(request);
+        self.requests.remove(request);
     }
 
     /// Ends a request without a successful response; its caller may resend it later.
     fn finish_without_response(&mut self, request: usize) {
-        let stored = self.requests.get(request);
-        if stored.is_finished || stored.attempts_in_flight > 0 {
-            return self.remove_if_unused(request);
-        }
-        stored.is_finished = true;
-        let resends = stored.resends;
+        let resends = self.requests.get(request).resends;
         self.outcome.second(self.now).ended += 1;
         if self.has_fault_started() {
             self.outcome.failed += 1;
         }
-        if resends < self.config.caller_resends {
-            self.requests.get(request).pending_timers += 1;
-            let delay = FIRST_RESEND_DELAY * (1 << resends.min(4));
-            let jitter = self.rng.random_range(0.5..1.5);
-            self.queue.push(self.now + delay.mul_f64(jitter), Event::Resend(request));
+        if resends >= self.config.caller_resends {
+            return self.requests.remove(request);
         }
-        self.remove_if_unused(request);
+        let delay = FIRST_RESEND_DELAY * (1 << resends.min(4));
+        let jitter = self.rng.random_range(0.5..1.5);
+        self.queue.push(self.now + delay.mul_f64(jitter), Event::Resend(request));
     }
 
     /// Sends a failed request of a caller again, as a new request through a random entry.
@@ -217,30 +198,16 @@
         let service = &self.config.service;
         let entry = self.rng.random_range(0..self.entries.len());
         let stored = self.requests.get(request);
-        stored.pending_timers -= 1;
-        let mut resent = stored.clone();
-        self.remove_if_unused(request);
-        resent.entry = entry;
-        resent.arrived = self.now;
-        resent.deadline = Deadline::after(self.now, service.deadline);
-        resent.tried.clear();
-        resent.attempts_made = 0;
-        resent.pending_timers = 0;
-        resent.is_finished = false;
-        resent.resends += 1;
+        stored.entry = entry;
+        stored.arrived = self.now;
+        stored.deadline = Deadline::after(self.now, service.deadline);
+        stored.tried.clear();
+        stored.attempts_made = 0;
+        stored.resends += 1;
         self.entries[entry].retry_budget.earn(Origin::Resend);
         if self.has_fault_started() {
             self.outcome.resends += 1;
         }
-        let index = self.requests.insert(resent);
-        self.send_attempt(index);
-    }
-
-    /// Removes a finished request once no attempt or timer refers to it.
-    fn remove_if_unused(&mut self, request: usize) {
-        let stored = self.requests.get(request);
-        if stored.is_finished && stored.attempts_in_flight == 0 && stored.pending_timers == 0 {
-            self.requests.remove(request);
-        }
+        self.send_attempt(request);
     }
 }
--- a/crates/arbutuslane_bench/src/sim/mod.rs
+++ b/crates/arbutuslane_bench/src/sim/mod.rs
@@ -268,9 +268,6 @@
             deadline: Deadline::after(self.now, service.deadline),
             tried: Vec::new(),
             attempts_made: 0,
-            attempts_in_flight: 0,
-            pending_timers: 0,
-            is_finished: false,
             resends: 0,
         };
         self.entries[entry].retry_budget.earn(Origin::First);
--- a/crates/arbutuslane_bench/src/sim/state.rs
+++ b/crates/arbutuslane_bench/src/sim/state.rs
@@ -58,7 +58,7 @@
     pub(super) next_server: usize,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Request {
     pub(super) entry: usize,
     pub(super) class: Class,
@@ -70,10 +70,6 @@
     /// The names of the servers that attempts were sent to.
     pub(super) tried: Vec<String>,
     pub(super) attempts_made: u32,
-    pub(super) attempts_in_flight: u32,
-    /// Scheduled resend events that refer to this request.
-    pub(super) pending_timers: u32,
-    pub(super) is_finished: bool,
     /// How often the caller has resent this request.
     pub(super) resends: u32,
 }
