--- a/crates/arbutuslane_cli/src/explain/line.rs
+++ b/crates/arbutuslane_cli/src/explain/line.rs
@@ -1,5 +1,7 @@
 //! Parses the lines of a log.
 
+use crate::when;
+
 /// The `key=value` pairs of a log line, in the order of the line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
@@ -38,6 +40,11 @@
         pair.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the time of the line in milliseconds since 1970, or `None` if it is no valid time.
+    pub(crate) fn at_ms(&self) -> Option<u64> {
+        when::parse(&self.time, 0).ok()
+    }
+
     /// Returns the pairs other than those that identify the event, its time, its source and its
     /// request.
     pub fn details(&self) -> impl Iterator<Item = &(String, String)> {
--- a/crates/arbutuslane_cli/src/explain/story.rs
+++ b/crates/arbutuslane_cli/src/explain/story.rs
@@ -61,13 +61,11 @@
             REQUEST_EVENTS.contains(&line.event.as_str()) && (request == id || is_call)
         };
         let mut selected: Vec<&LogLine> = lines.iter().filter(is_about_request).collect();
-        let end =
-            selected.iter().map(|line| ms_since_month_start(&line.time)).max().unwrap_or_default();
-        let start =
-            selected.iter().map(|line| ms_since_month_start(&line.time)).min().unwrap_or_default();
-        let start = start.saturating_sub(STATE_CHANGE_WINDOW_MS);
+        let times_ms = || selected.iter().filter_map(|line| line.at_ms());
+        let end = times_ms().max().unwrap_or_default();
+        let start = times_ms().min().unwrap_or_default().saturating_sub(STATE_CHANGE_WINDOW_MS);
         let state_changes = lines.iter().filter(|line| {
-            let time_ms = ms_since_month_start(&line.time);
+            let Some(time_ms) = line.at_ms() else { return false };
             STATE_CHANGE_EVENTS.contains(&line.event.as_str())
                 && (start..=end).contains(&time_ms)
                 && selected.iter().any(|step| affects_step(line, step))
@@ -128,12 +126,3 @@
     let route = step.get("route").map(|route| format!("Route(\"{route}\")"));
     has_same("server") || (route.is_some() && state_change.get("item") == route.as_deref())
 }
-
-/// Returns the milliseconds between the start of the month and the RFC 3339 time `time`.
-fn ms_since_month_start(time: &str) -> u64 {
-    let number = |range: std::ops::Range<usize>| {
-        time.get(range).and_then(|digits| digits.parse::<u64>().ok()).unwrap_or_default()
-    };
-    let seconds = ((number(8..10) * 24 + number(11..13)) * 60 + number(14..16)) * 60;
-    (seconds + number(17..19)) * 1_000 + number(20..23)
-}
--- a/crates/arbutuslane_cli/src/losses/history.rs
+++ b/crates/arbutuslane_cli/src/losses/history.rs
@@ -1,11 +1,11 @@
 //! What the logs say of each request.
 
+use std::path::Path;
+
 use crate::error::Error;
 use crate::explain::LogLine;
-use crate::when;
 
 use super::table::Table;
-use crate::logs::Log;
 
 /// How far the times of one instance may step back from line to line. Its clock may be corrected by
 /// less, whereas the logs of another run begin much earlier.
@@ -63,26 +63,22 @@
         Self { separator, lines: Vec::new(), last_ms: Vec::new(), left_out: 0 }
     }
 
-    /// Adds a log in text form, which was read from `path`.
+    /// Adds the text of a log that was read from `path`.
     ///
     /// # Errors
     ///
     /// Returns an error when the log is cut or belongs to another run.
-    pub fn add_text(&mut self, path: &str, text: &str) -> Result<(), Error> {
-        self.add(&Log { path: path.into(), text: text.to_string() })
-    }
-
-    pub(super) fn add(&mut self, log: &Log) -> Result<(), Error> {
-        let mut count = 0;
-        for (index, text) in log.text.lines().enumerate() {
+    pub fn add(&mut self, path: &Path, text: &str) -> Result<(), Error> {
+        let mut has_lines = false;
+        for (index, text) in text.lines().enumerate() {
             let Some(line) = LogLine::parse(text) else { continue };
-            count += 1;
-            self.check_order(log, index + 1, &line)?;
+            has_lines = true;
+            self.check_order(path, index + 1, &line)?;
             self.add_line(line);
         }
-        if count > 0 && !log.text.ends_with('\n') {
-            let line = log.text.lines().count();
-            return Err(Error::CutLog { path: log.path.clone(), line });
+        if has_lines && !text.ends_with('\n') {
+            let line = text.lines().count();
+            return Err(Error::CutLog { path: path.to_path_buf(), line });
         }
         Ok(())
     }
@@ -101,9 +97,9 @@
             .ok_or(Error::NoRequests)
     }
 
-    fn check_order(&mut self, log: &Log, number: usize, line: &LogLine) -> Result<(), Error> {
+    fn check_order(&mut self, path: &Path, number: usize, line: &LogLine) -> Result<(), Error> {
         let Some(instance) = line.get("instance") else { return Ok(()) };
-        let Ok(now) = when::parse(&line.time, 0) else { return Ok(()) };
+        let Some(now) = line.at_ms() else { return Ok(()) };
         let index = match self.last_ms.binary_search_by(|known| known.0.as_str().cmp(instance)) {
             Ok(index) => index,
             Err(index) => {
@@ -113,7 +109,7 @@
         };
         let last = &mut self.last_ms[index].1;
         if now + MAX_CLOCK_CORRECTION_MS < *last {
-            let (path, instance) = (log.path.clone(), instance.to_string());
+            let (path, instance) = (path.to_path_buf(), instance.to_string());
             return Err(Error::DisorderedLog { path, line: number, instance });
         }
         *last = now.max(*last);
@@ -211,7 +207,7 @@
     }
 
     fn add_failure(&mut self, line: &LogLine) {
-        let Ok(at_ms) = when::parse(&line.time, 0) else { return };
+        let Some(at_ms) = line.at_ms() else { return };
         let Some(server) = line.get("server") else { return };
         self.failures.push((server.to_string(), at_ms));
     }
--- a/crates/arbutuslane_cli/src/losses/mod.rs
+++ b/crates/arbutuslane_cli/src/losses/mod.rs
@@ -24,7 +24,7 @@
 pub fn show(separator: char, paths: &[PathBuf], json: bool) -> Result<Code, Error> {
     let mut history = History::new(separator);
     for log in logs::read(paths)? {
-        history.add(&log)?;
+        history.add(&log.path, &log.text)?;
     }
     let table = history.into_table()?;
     if json {
--- a/crates/arbutuslane_cli/tests/losses.rs
+++ b/crates/arbutuslane_cli/tests/losses.rs
@@ -1,5 +1,7 @@
 //! Counts the requests that were not served in logs of real processes and in damaged ones.
 
+use std::path::Path;
+
 use arbutuslane_cli::error::Error;
 use arbutuslane_cli::losses::{History, Table};
 
@@ -23,7 +25,7 @@
 fn table(logs: &[&str]) -> Result<Table, Error> {
     let mut history = History::new('.');
     for (index, log) in logs.iter().enumerate() {
-        history.add_text(&format!("node-{index}.log"), log)?;
+        history.add(Path::new(&format!("node-{index}.log")), log)?;
     }
     history.into_table()
 }
