Convert durations to milliseconds in one place

Change: `arbutuslane_core::time::millis` serves all of them. The stand-ins keep theirs, which stand for programs of others.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use arbutuslane_core::time::millis;
 use arbutuslane_event::metric::Text;
 use arbutuslane_item::border;
 use arbutuslane_item::prelude::Item;
@@ -226,7 +227,7 @@
         }
     };
     let in_time = ntex::time::timeout(ACCEPT_TIMEOUT, waiting).await.is_ok();
-    let took_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let took_ms = millis(started_at.elapsed());
     let outcome = if in_time { "accepted" } else { "unconfirmed" };
     tracing::info!(event = "change", items = items.len(), outcome, took_ms);
     if !in_time {
--- a/crates/arbutuslane_control/src/watch.rs
+++ b/crates/arbutuslane_control/src/watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arbutuslane_consensus::prelude::{Id, Member, Node};
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 use arbutuslane_event::kind::Kind;
 use arbutuslane_wire::operator::{Address, Instance, NodeRevision};
 
@@ -278,7 +278,3 @@
 pub(crate) fn change_id(addresses: &str) -> Option<&str> {
     addresses.splitn(3, ' ').nth(2)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/arbutuslane_core/src/time.rs
+++ b/crates/arbutuslane_core/src/time.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Returns a duration in whole milliseconds, for messages and log lines.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// assert_eq!(arbutuslane_core::time::millis(Duration::from_micros(2_900)), 2);
+/// ```
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the time of a clock of the system, since its own origin.
 fn read(id: ClockId) -> Duration {
     // The clocks that are used here are never negative.
--- a/crates/arbutuslane_event/src/clock.rs
+++ b/crates/arbutuslane_event/src/clock.rs
@@ -3,6 +3,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use arbutuslane_core::time::millis;
+
 /// The most milliseconds by which a received stamp may be ahead of the local wall clock.
 ///
 /// Without a limit, one instance with a wrong clock would advance the stamps of the whole fleet.
@@ -62,7 +64,7 @@
 /// Returns the milliseconds since 1970-01-01 UTC according to the system clock.
 pub fn wall_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    millis(since_epoch)
 }
 
 #[cfg(test)]
--- a/crates/arbutuslane_item/src/border.rs
+++ b/crates/arbutuslane_item/src/border.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arbutuslane_catalogue::border::Class;
+use arbutuslane_core::time::millis;
 use serde::{Deserialize, Serialize};
 
 use crate::item;
@@ -181,7 +182,3 @@
 pub fn decode(items: Vec<Item>) -> Vec<Arc<item::Item>> {
     items.into_iter().map(|item| Arc::new(item.into())).collect()
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/arbutuslane_limit/src/deadline.rs
+++ b/crates/arbutuslane_limit/src/deadline.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 
 /// The point in time at which a request expires, by the clock of the process that handles it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,7 +29,7 @@
     /// Returns the remaining time in whole milliseconds, rounded down so that no hop extends a
     /// deadline.
     pub fn remaining_ms(&self, now: Time) -> u64 {
-        u64::try_from(self.remaining(now).as_millis()).unwrap_or(u64::MAX)
+        millis(self.remaining(now))
     }
 
     /// Returns whether the deadline has passed.
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -7,8 +7,9 @@
 //! [`RetryBudget`](budget::RetryBudget) for each service. Where the fleet has a limit on repeats, each
 //! owner keeps a [`Part`](repeats::Part) of it instead.
 //! It distinguishes callers' resends from new requests with
-//! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt. A node has one [`Memory`](memory::Memory) for the request bodies
-//! that it holds, and a [`BodyWatch`](body_watch::BodyWatch) for each response that it passes on.
+//! [`RecentFailures`](resend::RecentFailures), and calls [`retry::decide`] for a failed attempt. A
+//! node has one [`Memory`](memory::Memory) for the request bodies that it holds, and a
+//! [`BodyWatch`](body_watch::BodyWatch) for each response that it passes on.
 //! [`SlowReaders`](slow_readers::SlowReaders) chooses the response that is cut when that memory is
 //! used up, and an owner bounds the request bodies of each server by
 //! [`ServerBodies`](server_bodies::ServerBodies).
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -6,6 +6,7 @@
 use ntex::http::{Method, Response, StatusCode, Uri};
 use serde::Serialize;
 
+use arbutuslane_core::time::millis;
 use arbutuslane_event::prelude::{Draft, Kind, border};
 use arbutuslane_wire::announce::{Announcement, Lease};
 use arbutuslane_wire::operator::Refusal;
@@ -201,7 +202,6 @@
         );
     }
     let lease = Duration::from_millis(shared.settings.lease_ms);
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let lease = Lease {
         lease_ms: millis(lease),
         renew_ms: millis(lease.div_f64(RENEWALS_PER_LEASE)),
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -7,7 +7,7 @@
 
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 use arbutuslane_limit::reuse::Reuse;
 use arbutuslane_wire::announce::Announcement;
 use arbutuslane_wire::load::{Report, Serving};
@@ -173,7 +173,7 @@
 
     /// Renews the lease.
     pub(super) fn renew(&self, now: Time) {
-        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let now = millis(now);
         self.renewed_ms.fetch_max(now, Ordering::AcqRel);
         self.refusing.store(false, Ordering::Release);
     }
--- a/crates/arbutuslane_node/src/cluster/bursts.rs
+++ b/crates/arbutuslane_node/src/cluster/bursts.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arbutuslane_core::time::millis;
 use arbutuslane_event::kind::Kind;
 use ntex::time::sleep;
 
@@ -45,7 +46,7 @@
 
 /// Returns the events of an interval that began with the counters `last` and ended with `now`.
 fn bursts(last: &Counters, now: &Counters) -> Vec<Kind> {
-    let window_ms = u64::try_from(BURST_INTERVAL.as_millis()).unwrap_or(u64::MAX);
+    let window_ms = millis(BURST_INTERVAL);
     let mut kinds = Vec::new();
     let count = now.not_run.saturating_sub(last.not_run);
     if count >= NOT_RUN_THRESHOLD {
--- a/crates/arbutuslane_node/src/cluster/contact.rs
+++ b/crates/arbutuslane_node/src/cluster/contact.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 use arbutuslane_event::kind::Kind;
 
 /// The time between two fetches while gossip does not bring the newest revision. Together with
@@ -101,10 +101,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_member::prelude::{Server, State};
 use arbutuslane_record::message::{Request, Response};
@@ -102,7 +102,7 @@
     let now = shared.clock.now();
     shared.reload_token();
     for (server, silence) in shared.servers.expire(now) {
-        let silent_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        let silent_ms = millis(silence);
         let draft = Draft::new(Kind::LeaseLost { silent_ms });
         shared.events.record(draft.service(&server.service).server(&server.id));
     }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -9,7 +9,7 @@
 use subtle::ConstantTimeEq;
 
 use arbutuslane_core::id::{DomainName, Incarnation, NodeId, Revision, ServerId, ServiceName};
-use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_core::time::{Clock, Time, millis};
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
@@ -145,7 +145,7 @@
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::start_counting_suspension();
         let events = Buffer::new(settings.node.clone(), MAX_EVENTS);
-        let incarnation = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
+        let incarnation = millis(started);
         let cluster = Cluster::new(&settings, incarnation, clock.now());
         let (lease, order) = (settings.lease(), settings.admission.into());
         // Permits come from register groups, which only the catalogue's control instances assign.
--- a/crates/arbutuslane_node/src/traffic/allowance/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/allowance/mod.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 
 use arbutuslane_core::hash;
-use arbutuslane_core::time::{Clock, Time};
+use arbutuslane_core::time::{Clock, Time, millis};
 use arbutuslane_limit::allowance::{Bounds, Decision, Ledger, LenderId, LenderState, Loan, Quota};
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_wire::allowance::AllowanceSettings;
@@ -241,7 +241,7 @@
         request,
         workspace,
         lenders = states.join(", "),
-        wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+        wait_ms = millis(wait)
     );
     let spread = worker.rng.borrow_mut().random_range(0.0..RETRY_SPREAD_S);
     Refusal {
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -7,7 +7,7 @@
 
 use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::id::ServerId;
-use arbutuslane_core::time::Time;
+use arbutuslane_core::time::{Time, millis};
 use arbutuslane_limit::attempts::Effort;
 
 use crate::timeout::{Elapsed, within};
@@ -219,7 +219,6 @@
 fn log_failure(worker: &Worker, routed: &RoutedRequest, attempt: &AttemptLog, refusal: &Refusal) {
     worker.shared.metrics.count_failed_attempt(&routed.service, refusal.reason());
     let now = worker.shared.clock.now();
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     tracing::info!(
         event = "attempt",
         request = owner::request_id(worker.shared.interface.dialect(), &routed.request.headers),
--- a/crates/arbutuslane_node/src/traffic/outcome.rs
+++ b/crates/arbutuslane_node/src/traffic/outcome.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use arbutuslane_core::time::millis;
+
 use crate::metrics::{Destination, count};
 
 use super::entry::{FinalResponse, is_failure};
@@ -17,7 +19,7 @@
     elapsed: Duration,
 ) {
     let metrics = &worker.shared.metrics;
-    let took_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+    let took_ms = millis(elapsed);
     match result {
         Ok(FinalResponse::Relayed(relayed)) => {
             let (routed, response, tried) = relayed.as_ref();
@@ -26,8 +28,7 @@
             let reason = if is_error { "server-error" } else { "" };
             metrics.count_outcome(destination, "answered", reason);
             metrics.record_response_time(&routed.service, routed.class, elapsed);
-            let late = worker.shared.clock.now().saturating_sub(routed.due);
-            let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+            let late_ms = millis(worker.shared.clock.now().saturating_sub(routed.due));
             tracing::info!(
                 event = "request",
                 request = id,
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -16,6 +16,7 @@
 
 use arbutuslane_core::experiment::Mechanism;
 use arbutuslane_core::hash;
+use arbutuslane_core::time::millis;
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_wire::dialect::{Dialect, ResponseMatching};
 use arbutuslane_wire::header;
@@ -370,10 +371,6 @@
     fields::text(headers, field).unwrap_or_default()
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns the hashes of the route and the caller. The detector caps the share of the evidence that
 /// comes from one route or caller.
 fn evidence_sources(worker: &Worker, request: &Request) -> (u64, u64) {
--- a/crates/arbutuslane_node/src/traffic/owner/repeats.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/repeats.rs
@@ -205,6 +205,7 @@
         assert!(repeats.admits(SERVICE, servers, subject(Repeat::Consequence, true), now));
         assert!(Repeats::new(None, Time::ZERO).admits(SERVICE, servers, retry, now));
     }
+
     /// Guards against a slack that is withheld for a window after the first request rather than after
     /// the start of the process.
     #[test]
