--- a/review/standin/support.rs
+++ b/review/standin/support.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,8 +16,22 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
+/// The socket option for the size of the receive buffer, and its level.
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+
+/// The receive buffer of a server's connections: the platform's links have small windows.
+const SERVER_BUFFER_BYTES: i32 = 64 << 10;
+
+/// The longest time that a case may take.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// The processes that run, which the watchdog kills.
+static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -34,6 +49,9 @@
 /// `grace_s` of the small sites.
 pub const GRACE: Duration = Duration::from_secs(6);
 
+/// The part of a body on which a server works before it reads on.
+const PART_BYTES: usize = 32 << 10;
+
 /// Exit codes of a case.
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -80,6 +98,8 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let pid = self.child.id() as i32;
+        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).retain(|known| *known != pid);
     }
 
     /// Returns whether the process has ended.
@@ -188,6 +208,7 @@
                 eprintln!("cannot start {program}: {error}");
                 std::process::exit(COULD_NOT_RUN);
             });
+        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).push(child.id() as i32);
         Process { child, name: name.to_string() }
     }
 
@@ -492,8 +513,10 @@
     pub ended: AtomicBool,
     pub received: Mutex<Vec<Received>>,
     record: Record,
-    /// The pause before the body of a request is read.
-    pub reads_after_ms: AtomicU64,
+    /// The ids of the requests that the server has begun to work on.
+    pub begun: Mutex<Vec<String>>,
+    /// How long the server works on the first part of a body before it reads on.
+    pub works_on_part_ms: AtomicU64,
 }
 
 /// A server on a machine with a node.
@@ -514,6 +537,8 @@
         let listener = TcpListener::bind(address).unwrap_or_else(|error| {
             fleet.give_up(&format!("cannot listen on {address}: {error}"));
         });
+        let (buffer, length) = (SERVER_BUFFER_BYTES, size_of::<i32>() as u32);
+        unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &buffer, length) };
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let state = Arc::new(ServerState {
             id: format!("i-{number}"),
@@ -526,7 +551,8 @@
             ended: AtomicBool::new(false),
             received: Mutex::new(Vec::new()),
             record: fleet.record.clone(),
-            reads_after_ms: AtomicU64::new(0),
+            begun: Mutex::new(Vec::new()),
+            works_on_part_ms: AtomicU64::new(0),
         });
         let work = Arc::new(work);
         let accepting = Arc::clone(&state);
@@ -605,19 +631,32 @@
             let method = words.next().unwrap_or_default().to_string();
             let target = words.next().unwrap_or_default().to_string();
             let head = text.to_ascii_lowercase();
-            thread::sleep(Duration::from_millis(self.reads_after_ms.load(Ordering::Relaxed)));
+            let id = field(&head, "attempt-id").unwrap_or_default().to_string();
+            let mut part_work = Duration::from_millis(self.works_on_part_ms.load(Ordering::Relaxed));
             let mut body_bytes = 0;
             if let Some(length) = field(&head, "content-length") {
                 let mut left: usize = length.parse().unwrap_or(0);
+                self.begun.lock().unwrap().push(id.clone());
                 while left > 0 {
                     if reader.buffer.is_empty() && !reader.fill(until) {
-                        self.record.line(format!("{}: {first} ended in its body", self.id));
+                        self.record.line(format!(
+                            "{}: the channel of {id} ends after {body_bytes} bytes of its body",
+                            self.id
+                        ));
                         return;
                     }
                     let taken = left.min(reader.buffer.len());
                     reader.buffer.drain(..taken);
                     left -= taken;
                     body_bytes += taken;
+                    if body_bytes >= PART_BYTES && !part_work.is_zero() {
+                        self.record.line(format!(
+                            "{}: works on the first {body_bytes} bytes of {id} for {part_work:?}",
+                            self.id
+                        ));
+                        thread::sleep(part_work);
+                        part_work = Duration::ZERO;
+                    }
                 }
             } else if field(&head, "transfer-encoding").is_some() {
                 loop {
@@ -641,7 +680,6 @@
                 );
                 continue;
             }
-            let id = field(&head, "attempt-id").unwrap_or_default().to_string();
             let received =
                 Received { at: Instant::now(), method, target, head, id: id.clone(), body_bytes };
             self.received.lock().unwrap().push(received.clone());
@@ -727,6 +765,15 @@
 pub fn run_case(folder: &Path, body: impl FnOnce(&Record) -> bool + std::panic::UnwindSafe) -> ! {
     let record = Record::create(folder);
     record.line(format!("trouble: {}", if has_trouble() { "yes" } else { "no" }));
+    let watchdog = record.clone();
+    thread::spawn(move || {
+        thread::sleep(TIME_LIMIT);
+        watchdog.line("the case could not run: it takes too long");
+        for pid in RUNNING.lock().unwrap_or_else(|error| error.into_inner()).iter() {
+            unsafe { kill(*pid, 9) };
+        }
+        std::process::exit(COULD_NOT_RUN);
+    });
     let result = std::panic::catch_unwind(|| body(&record));
     let code = match result {
         Ok(true) => HELD,
