--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,102 +1,89 @@
-//! A server runs a request that no client sent: its text stands in the body of an upload.
+//! An acknowledged item is replaced by other content under the same version, after the core has
+//! restarted.
 
 #[path = "../standin/support.rs"]
 mod support;
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
-use std::thread::{self, sleep};
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use support::*;
 
-/// The size of an upload; `max_body_bytes` is 64 MiB.
-const UPLOAD_BYTES: usize = 2 << 20;
+const VERSION: u32 = 7;
+const ITEMS: usize = 6;
 
-/// The size of a record in an upload, which a client writes at once.
-const RECORD_BYTES: usize = 4 << 10;
-const RECORD_PAUSE: Duration = Duration::from_micros(300);
-
-const CLIENTS: usize = 8;
-const UPLOADS_PER_CLIENT: usize = 8;
-
-/// Sends an upload; with trouble, each of its records begins with the text of a request.
-fn upload(address: SocketAddr, id: &str) -> Option<u16> {
-    let rest = format!("Deadline-Ms: 15000\r\nContent-Length: {UPLOAD_BYTES}\r\n");
-    let head = client_request("POST", "up", "", id, &rest);
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_nodelay(true).ok()?;
-    stream.write_all(head.as_bytes()).ok()?;
-    for number in 0..UPLOAD_BYTES / RECORD_BYTES {
-        let mut record = Vec::new();
-        if has_trouble() {
-            let quoted = format!("quoted-{id}-{number}");
-            record = client_request("GET", "look", "quoted", &quoted, "").into_bytes();
-        }
-        record.resize(RECORD_BYTES, b'.');
-        stream.write_all(&record).ok()?;
-        sleep(RECORD_PAUSE);
-    }
-    Reader::new(stream).answer(Duration::from_secs(16)).map(|answer| answer.status)
+/// The routes of one operator's order, all at [`VERSION`]; `timeout_s` tells the operators apart.
+fn routes(service: &str, timeout_s: f64) -> Vec<String> {
+    (0..ITEMS).map(|n| route(&format!("x{n}"), "safe", service, timeout_s, VERSION)).collect()
 }
 
 fn main() {
     let folder = std::env::args().nth(1).expect("the folder of the case");
     run_case(Path::new(&folder), |record| {
-        let fleet = Fleet::new(record, Site { memory_mb: 160, has_tenants: false });
-        let _controls = fleet.start_controls();
-        let _nodes = [fleet.start_node(11, "evidence"), fleet.start_node(12, "status")];
-        let evidence = Server::start(&fleet, 11, "evidence", 11, |_| Work::of_ms(850));
-        let status = Server::start(&fleet, 12, "status", 11, |_| Work::of_ms(100));
-        let routes = [
-            route("up", "upload", "evidence", 15.0, 2),
-            route("look", "safe", "status", 12.0, 2),
+        let fleet = Fleet::new(record, Site { memory_mb: 260, has_tenants: false });
+        let mut controls = fleet.start_controls();
+        let node = [fleet.start_node(11, "slots"), fleet.start_node(12, "bookings")];
+        let servers = [
+            Server::start(&fleet, 11, "slots", 5, |_| Work::of_ms(10)),
+            Server::start(&fleet, 12, "bookings", 5, |_| Work::of_ms(10)),
         ];
-        let services = [service("evidence", 2), service("status", 2)];
-        fleet.patch_until_confirmed(&[1, 2, 3], &first_order(&routes, &services, 2));
+        let first: Vec<String> =
+            (0..ITEMS).map(|n| route(&format!("x{n}"), "safe", "slots", 3.0, 2)).collect();
+        let services = [service("slots", 2), service("bookings", 2)];
+        fleet.patch_until_confirmed(&[1, 2, 3], &first_order(&first, &services, 2));
         fleet.wait_ready(11);
         fleet.wait_ready(12);
-        sleep(Duration::from_secs(4));
-        record.line(match has_trouble() {
-            true => "clients: each record of an upload begins with the text of GET /look/quoted",
-            false => "clients: the uploads contain no text of a request",
-        });
+        sleep(Duration::from_secs(3));
 
-        let served = Arc::new(AtomicUsize::new(0));
-        let mut clients = Vec::new();
-        for client in 0..CLIENTS {
-            let (address, record) = (fleet.outbound(11), record.clone());
-            let served = Arc::clone(&served);
-            clients.push(thread::spawn(move || {
-                for n in 0..UPLOADS_PER_CLIENT {
-                    let id = format!("c-{client}-{n}");
-                    record.line(format!("client: sends {id}, POST /up/, {UPLOAD_BYTES} bytes"));
-                    let status = upload(address, &id);
-                    record.line(format!("client: {id} -> {status:?}"));
-                    served.fetch_add(usize::from(status == Some(200)), Ordering::Relaxed);
-                }
-            }));
+        if has_trouble() {
+            record.line("platform: kills core-5");
+            controls[4].kill();
+            sleep(Duration::from_millis(1_000));
         }
-        for client in clients {
-            let _ = client.join();
+        if fleet.patch(1, &order(&routes("slots", 4.0))) != 200 {
+            fleet.give_up("the first operator's order was not confirmed");
         }
-        sleep(Duration::from_secs(1));
+        sleep(Duration::from_millis(1_500));
+        let held = fleet.read_back(2).unwrap_or_default().matches("\"timeout_s\":4").count();
+        record.line(format!("operator: core-2 reads back {held} of the {ITEMS} items just acknowledged"));
+        if has_trouble() {
+            record.line("platform: kills all processes of the core");
+            for control in &mut controls {
+                control.kill();
+            }
+            sleep(Duration::from_millis(300));
+            for number in 1..=5 {
+                controls[number - 1] = fleet.start_control(number as u8, false);
+            }
+        }
+        let until = Instant::now() + Duration::from_secs(6);
+        let other = order(&routes("bookings", 5.0));
+        while fleet.patch(5, &other) != 200 && Instant::now() < until {
+            sleep(Duration::from_millis(30));
+        }
+        sleep(Duration::from_secs(5));
 
-        let is_sent = |run: &&Received| run.id.starts_with("c-");
-        let unasked = status.runs().iter().filter(|run| !is_sent(run)).count();
-        let uploads = evidence.runs().iter().filter(is_sent).count();
-        let sent = CLIENTS * UPLOADS_PER_CLIENT;
-        let served = served.load(Ordering::Relaxed);
-        record.line(format!(
-            "clients sent {sent} requests, all of them uploads, of which {served} were served; servers \
-             ran {uploads} uploads and {unasked} requests that no client sent"
-        ));
-        if served == 0 {
-            fleet.give_up("no upload was served");
+        let mut replaced = 0;
+        for number in 1..=5 {
+            let Some(read) = fleet.read_back(number) else {
+                record.line(format!("operator: core-{number} reads nothing back"));
+                continue;
+            };
+            let count = read.matches("\"timeout_s\":5").count();
+            record.line(format!("operator: core-{number} reads back: {read}"));
+            record.line(format!(
+                "operator: {count} of {ITEMS} items at r{VERSION} are not those acknowledged first"
+            ));
+            replaced += count;
+        }
+        for n in 0..ITEMS {
+            let request = client_request("GET", &format!("x{n}"), "", &format!("c-{n}"), "");
+            let answer = exchange(fleet.outbound(11), request.as_bytes(), Duration::from_secs(4));
+            let by = answer.as_ref().and_then(|answer| answer.field("response-signature"));
+            record.line(format!("client: request c-{n} on route x{n} answered by {by:?}"));
         }
-        unasked == 0
+        drop((servers, node));
+        replaced == 0
     })
 }
