--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -4,24 +4,30 @@
 #[path = "../standin/support.rs"]
 mod support;
 
+use std::ops::Range;
 use std::path::Path;
-use std::thread::sleep;
+use std::sync::Arc;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use support::*;
 
 const VERSION: u32 = 7;
-const ITEMS: usize = 6;
+const ITEMS: usize = 12;
 
-/// The routes of one operator's order, all at [`VERSION`]; `timeout_s` tells the operators apart.
-fn routes(service: &str, timeout_s: f64) -> Vec<String> {
-    (0..ITEMS).map(|n| route(&format!("x{n}"), "safe", service, timeout_s, VERSION)).collect()
+/// The orders of the second operator, each with a part of the items, and the time between them.
+const ORDERS: usize = 4;
+const ORDER_INTERVAL: Duration = Duration::from_millis(120);
+
+/// The routes `numbers` of one operator, all at [`VERSION`]; `timeout_s` tells the operators apart.
+fn routes(numbers: Range<usize>, service: &str, timeout_s: f64) -> Vec<String> {
+    numbers.map(|n| route(&format!("x{n}"), "safe", service, timeout_s, VERSION)).collect()
 }
 
 fn main() {
     let folder = std::env::args().nth(1).expect("the folder of the case");
     run_case(Path::new(&folder), |record| {
-        let fleet = Fleet::new(record, Site { memory_mb: 260, has_tenants: false });
+        let fleet = Arc::new(Fleet::new(record, Site { memory_mb: 260, has_tenants: false }));
         let mut controls = fleet.start_controls();
         let node = [fleet.start_node(11, "slots"), fleet.start_node(12, "bookings")];
         let servers = [
@@ -41,7 +47,7 @@
             controls[4].kill();
             sleep(Duration::from_millis(1_000));
         }
-        if fleet.patch(1, &order(&routes("slots", 4.0))) != 200 {
+        if fleet.patch(1, &order(&routes(0..ITEMS, "slots", 4.0))) != 200 {
             fleet.give_up("the first operator's order was not confirmed");
         }
         sleep(Duration::from_millis(1_500));
@@ -57,10 +63,21 @@
                 controls[number - 1] = fleet.start_control(number as u8, false);
             }
         }
-        let until = Instant::now() + Duration::from_secs(6);
-        let other = order(&routes("bookings", 5.0));
-        while fleet.patch(5, &other) != 200 && Instant::now() < until {
-            sleep(Duration::from_millis(30));
+        let mut orders = Vec::new();
+        for part in 0..ORDERS {
+            sleep(ORDER_INTERVAL);
+            let size = ITEMS / ORDERS;
+            let other = order(&routes(part * size..(part + 1) * size, "bookings", 5.0));
+            let fleet = Arc::clone(&fleet);
+            orders.push(thread::spawn(move || {
+                let until = Instant::now() + Duration::from_secs(6);
+                while fleet.patch(5, &other) != 200 && Instant::now() < until {
+                    sleep(Duration::from_millis(30));
+                }
+            }));
+        }
+        for order in orders {
+            let _ = order.join();
         }
         sleep(Duration::from_secs(5));
 
