--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -6,8 +6,8 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, sleep};
 use std::time::Duration;
 
@@ -51,10 +51,8 @@
         let _nodes = [fleet.start_node(11, "evidence"), fleet.start_node(12, "status")];
         let evidence = Server::start(&fleet, 11, "evidence", 11, |_| Work::of_ms(850));
         let status = Server::start(&fleet, 12, "status", 11, |_| Work::of_ms(100));
-        let routes = [
-            route("up", "upload", "evidence", 15.0, 2),
-            route("look", "safe", "status", 12.0, 2),
-        ];
+        let routes =
+            [route("up", "upload", "evidence", 15.0, 2), route("look", "safe", "status", 12.0, 2)];
         let services = [service("evidence", 2), service("status", 2)];
         fleet.patch_until_confirmed(&[1, 2, 3], &first_order(&routes, &services, 2));
         fleet.wait_ready(11);
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -52,7 +52,9 @@
         }
         sleep(Duration::from_millis(1_500));
         let held = fleet.read_back(2).unwrap_or_default().matches("\"timeout_s\":4").count();
-        record.line(format!("operator: core-2 reads back {held} of the {ITEMS} items just acknowledged"));
+        record.line(format!(
+            "operator: core-2 reads back {held} of the {ITEMS} items just acknowledged"
+        ));
         if has_trouble() {
             record.line("platform: kills all processes of the core");
             for control in &mut controls {
--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -16,10 +16,8 @@
         let mut controls = fleet.start_controls();
         let nodes = [fleet.start_node(11, "slots"), fleet.start_node(12, "slots")];
         let server = Server::start(&fleet, 11, "slots", 5, |_| Work::of_ms(10));
-        let routes = [
-            route("look", "safe", "slots", 3.0, 2),
-            route("report", "safe", "reports", 3.0, 2),
-        ];
+        let routes =
+            [route("look", "safe", "slots", 3.0, 2), route("report", "safe", "reports", 3.0, 2)];
         let services = [service("slots", 2), service("reports", 2)];
         fleet.patch_until_confirmed(&[1, 2, 3], &first_order(&routes, &services, 2));
         fleet.wait_ready(11);
--- a/review/standin/support.rs
+++ b/review/standin/support.rs
@@ -632,7 +632,8 @@
             let target = words.next().unwrap_or_default().to_string();
             let head = text.to_ascii_lowercase();
             let id = field(&head, "attempt-id").unwrap_or_default().to_string();
-            let mut part_work = Duration::from_millis(self.works_on_part_ms.load(Ordering::Relaxed));
+            let mut part_work =
+                Duration::from_millis(self.works_on_part_ms.load(Ordering::Relaxed));
             let mut body_bytes = 0;
             if let Some(length) = field(&head, "content-length") {
                 let mut left: usize = length.parse().unwrap_or(0);
