--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -16,14 +16,16 @@
 use ntex::client::Client;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::web::{self, App, HttpServer};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use crate::daemon::Error;
 use crate::gossip;
 
 use super::core::Core;
 use super::interface::OperatorFormat;
+use super::leader::Order;
 use super::settings::Settings;
-use super::{disk, replicate, server};
+use super::{disk, leader, server, settle};
 
 /// The log filter that applies without the argument `--log`.
 const DEFAULT_LOG_FILTER: &str = "info,ntex_server=warn,ntex_rt=warn,ntex=warn";
@@ -86,24 +88,25 @@
             .map_err(|source| Error::Listen { address: address.clone(), source })?;
         listeners.push(listener);
     }
-    let copies = settings.lost_disks + 1;
-    let replication = Replication::new(&settings.name, copies, recovered.standing, recovered.items);
+    let quorum = settings.lost_disks + 1;
+    let replication = Replication::new(&settings.name, quorum, recovered.replication);
     tracing::info!(
         event = "items-found",
-        items = replication.table().len(),
+        items = replication.stored().table.len(),
         complete = replication.is_complete()
     );
     let incarnation = wall_ms();
     let advertised = settings.advertised();
     let record = Record::new(&settings.name, incarnation, advertised, &settings.domain);
     let seeds = settings.other_seeds();
-    let core = Core::new(settings, disk, replication, Arc::clone(&events));
+    let (orders, orders_inbox) = unbounded_channel();
+    let core = Core::new(settings, disk, replication, Arc::clone(&events), incarnation, orders);
     let (gossip, inbox) = gossip::channel();
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
     let version = env!("CARGO_PKG_VERSION").to_string();
     events.record(Kind::Start { version, incarnation });
     let system = System::new("arbutuslane-control", DefaultRuntime);
-    system.block_on(serve(core, gossip, operators, listeners)).map_err(Error::Serve)
+    system.block_on(serve(core, gossip, operators, listeners, orders_inbox)).map_err(Error::Serve)
 }
 
 /// Applies the seeds of a changed settings file; other changed settings apply after a restart.
@@ -123,6 +126,7 @@
     gossip: gossip::GossipHandle,
     operators: Arc<dyn OperatorFormat>,
     listeners: Vec<TcpListener>,
+    orders: UnboundedReceiver<Order>,
 ) -> std::io::Result<()> {
     let worker_core = Arc::clone(&core);
     let reload_gossip = gossip.clone();
@@ -146,7 +150,8 @@
         server = server.listen(listener)?;
     }
     let server = server.run();
-    let _repair_task = ntex::rt::spawn(replicate::run_repair(Arc::clone(&core)));
+    let _leader_task = ntex::rt::spawn(leader::run(Arc::clone(&core), orders));
+    let _repair_task = ntex::rt::spawn(settle::run_repair(Arc::clone(&core)));
     let path = core.settings.path.clone();
     let mut watched = path.clone().map(WatchedFile::new);
     signal::wait_for_stop(|| {
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -1,5 +1,6 @@
-//! Persists items in the data folder, on a thread of its own.
+//! Persists states and promises in the data folder, on a thread of its own.
 
+use std::future::Future;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,23 +9,20 @@
 use std::time::{Duration, Instant};
 
 use arbutuslane_event::kind::Kind;
-use arbutuslane_item::prelude::Item;
 use arbutuslane_storage::prelude::*;
 use tokio::sync::oneshot;
 
 use crate::store::open_disk;
 
 use super::core::Events;
-use super::writer::{Folder, Recovered, Writer};
+use super::writer::{Folder, Record, Recovered, Writer};
 
 /// The time between two attempts to reopen a disk that failed.
 const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A write request to the disk thread; the reply says whether the write is durable.
 struct Job {
-    items: Vec<Arc<Item>>,
-    /// Whether to record that this instance holds every accepted change.
-    complete: bool,
+    record: Record,
     reply: oneshot::Sender<bool>,
 }
 
@@ -41,23 +39,12 @@
         self.is_writable.load(Ordering::Relaxed)
     }
 
-    /// Writes items; returns whether they are durable.
-    pub(super) async fn store(&self, items: Vec<Arc<Item>>) -> bool {
-        self.submit(items, false).await
-    }
-
-    /// Records that this instance holds every accepted change; returns whether the record is
-    /// durable.
-    pub(super) async fn record_complete(&self) -> bool {
-        self.submit(Vec::new(), true).await
-    }
-
-    async fn submit(&self, items: Vec<Arc<Item>>, complete: bool) -> bool {
+    /// Queues a record after those queued before it. The future returns whether it and all records
+    /// before it are durable.
+    pub(super) fn write(&self, record: Record) -> impl Future<Output = bool> + use<> {
         let (reply, result) = oneshot::channel();
-        if self.jobs.send(Job { items, complete, reply }).is_err() {
-            return false;
-        }
-        result.await.unwrap_or(false)
+        let is_queued = self.jobs.send(Job { record, reply }).is_ok();
+        async move { is_queued && result.await.unwrap_or(false) }
     }
 }
 
@@ -71,7 +58,7 @@
     let folder = DataFolder(folder);
     let (writer, recovered) = Writer::open(folder, first_start)?;
     if let Some(damage) = &recovered.damage {
-        let items = recovered.items.len();
+        let items = recovered.replication.state.table.len();
         events.record(Kind::DiskFault {
             detail: format!("{damage}; {items} items were readable, the others are fetched"),
         });
@@ -103,7 +90,7 @@
             last_attempt_at = Instant::now();
             writer.reopen();
         }
-        let is_durable = jobs.is_empty() || write(&mut writer, &jobs, events);
+        let is_durable = jobs.is_empty() || write(&mut writer, &mut jobs, events);
         if writer.is_writable() && !is_writable.swap(true, Ordering::Relaxed) {
             events.record(Kind::DiskRegained { items: writer.item_count() });
         }
@@ -117,12 +104,17 @@
     }
 }
 
-/// Writes the items of `jobs`; returns whether they are durable. Records the first failure after a
+/// Writes the records of `jobs`; returns whether they are durable. Records the first failure after a
 /// time without one.
-fn write(writer: &mut Writer<DataFolder>, jobs: &[Job], events: &Events) -> bool {
+fn write(writer: &mut Writer<DataFolder>, jobs: &mut [Job], events: &Events) -> bool {
     let was_writable = writer.is_writable();
-    let items: Vec<Arc<Item>> = jobs.iter().flat_map(|job| job.items.iter().cloned()).collect();
-    let Err(error) = writer.write(&items, jobs.iter().any(|job| job.complete)) else { return true };
+    let mut all = Record::default();
+    for job in jobs {
+        all.updates.append(&mut job.record.updates);
+        all.promised = all.promised.max(job.record.promised.take());
+        all.complete |= job.record.complete;
+    }
+    let Err(error) = writer.write(&all) else { return true };
     if was_writable {
         events.record(Kind::DiskFault { detail: error.to_string() });
     }
@@ -143,12 +135,14 @@
 
 #[cfg(test)]
 mod tests {
-    use arbutuslane_item::prelude::{Key, Source};
+    use std::sync::Arc;
+
+    use arbutuslane_item::prelude::{Ballot, Item, Key, Position, Source, State, Update};
 
     use super::*;
 
-    /// Guards against the loss of an accepted item in a restart when an earlier declaration with
-    /// the same version has the larger hash.
+    /// Guards against the loss of an accepted item in a restart when a declaration that was stored
+    /// before it under the same version has the larger hash, and against the loss of a promise.
     #[ntex::test]
     async fn start_same_version() {
         let item = |service: &str| {
@@ -159,13 +153,28 @@
             true => (item("x"), item("y")),
             false => (item("y"), item("x")),
         };
+        let update = |round: u64, item: &Arc<Item>| {
+            let ballot = Ballot { round, instance: "c".to_string(), incarnation: 1 };
+            let mut state = State { position: Position { ballot, change: 1 }, ..State::default() };
+            state.table.set_all(vec![Arc::clone(item)]);
+            let digest = state.table.digest();
+            let items = vec![Arc::clone(item)];
+            Update { position: state.position, replaced: Vec::new(), items, digest }
+        };
+        let updates = |round: u64, item: &Arc<Item>| Record {
+            updates: vec![update(round, item)],
+            ..Record::default()
+        };
+        let promised = Ballot { round: 7, instance: "d".to_string(), incarnation: 2 };
         let name = format!("arbutuslane-disk-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         let _ = std::fs::remove_dir_all(&folder);
         let events = || Events::new(arbutuslane_event::buffer::Buffer::new("c", 16));
         let (disk, _) = start(folder.clone(), true, events()).unwrap();
-        assert!(disk.store(vec![first]).await);
-        assert!(disk.store(vec![accepted.clone()]).await);
+        assert!(disk.write(updates(1, &first)).await);
+        assert!(disk.write(updates(2, &accepted)).await);
+        let promise = Record { promised: Some(promised.clone()), ..Record::default() };
+        assert!(disk.write(promise).await);
         drop(disk);
         // The thread releases the folder once the last handle is dropped.
         let mut opened = start(folder.clone(), false, events());
@@ -176,7 +185,10 @@
             ntex::time::sleep(Duration::from_millis(10)).await;
             opened = start(folder.clone(), false, events());
         }
-        assert_eq!(opened.unwrap().1.items, vec![accepted]);
+        let recovered = opened.unwrap().1.replication;
+        let items: Vec<Arc<Item>> = recovered.state.table.items().cloned().collect();
+        assert_eq!(items, vec![accepted]);
+        assert_eq!(recovered.promised, promised);
         let _ = std::fs::remove_dir_all(&folder);
     }
 }
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -8,8 +8,7 @@
 
 use arbutuslane_core::time::millis;
 use arbutuslane_event::metric::Text;
-use arbutuslane_item::border;
-use arbutuslane_item::prelude::Item;
+use arbutuslane_item::prelude::{Item, check};
 use arbutuslane_wire::peer::{Answer, Message};
 use arbutuslane_wire::{codec, header, operator};
 use ntex::client::Client;
@@ -19,10 +18,10 @@
 use crate::body;
 use crate::gossip::GossipHandle;
 
-use super::compare;
 use super::core::{Core, Step};
 use super::interface::{OperatorFormat, OperatorRequest};
-use super::replicate;
+use super::leader::{self, Decision};
+use super::{agreement, compare, settle};
 
 /// The largest accepted request body.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -64,9 +63,9 @@
     let (held, accepted, pending, complete) = {
         let replication = core.replication();
         (
-            replication.table().len(),
+            replication.stored().table.len(),
             replication.accepted().len(),
-            replication.pending().len(),
+            replication.pending_count(),
             replication.is_complete(),
         )
     };
@@ -120,17 +119,10 @@
         Message::FetchItems { hashes, unaccepted } => {
             compare::requested_items(&shared.core, &hashes, unaccepted)
         }
-        Message::StoreItems { items } => match store_from_peer(&shared, &items).await {
+        Message::ItemAgreement(bytes) => match agreement::handle(&shared.core, &bytes).await {
             Some(answer) => answer,
-            None => return HttpResponse::ServiceUnavailable().finish(),
+            None => return HttpResponse::BadRequest().finish(),
         },
-        Message::AcceptedItems { items } => {
-            let Ok(items) = codec::decode(&items) else {
-                return HttpResponse::BadRequest().finish();
-            };
-            replicate::record_accepted(&shared.core, &shared.client, border::decode(items), false);
-            Answer::Done
-        }
         _ => Answer::Unsupported,
     };
     match codec::encode(&answer) {
@@ -139,29 +131,6 @@
     }
 }
 
-/// Writes items of another instance to the disk; returns `None` when the write fails.
-async fn store_from_peer(shared: &Shared, items: &[u8]) -> Option<Answer> {
-    let items = border::decode(codec::decode(items).ok()?);
-    let core = &shared.core;
-    let contradicting = {
-        let mut replication = core.replication();
-        replication.merge_items(items.clone());
-        replication.conflicting_items(&items)
-    };
-    // Known items are written too, because an earlier write may have failed. An item that
-    // contradicts an accepted one must not be the last declaration on the disk.
-    let mut written = items.clone();
-    written.retain(|item| !contradicting.iter().any(|accepted_item| accepted_item.key == item.key));
-    if !written.is_empty() && !core.store(written).await {
-        return None;
-    }
-    let own_name = core.settings.name.clone();
-    let accepted = core.replication().record_stored(&own_name, &items);
-    core.publish_accepted(&accepted);
-    let contradicting = codec::encode(&border::encode(&contradicting)).ok()?;
-    Some(Answer::Stored { instance: own_name, contradicting })
-}
-
 /// Handles requests to all paths without a route, which form the operators' interface.
 pub(super) async fn handle_operator_request(
     request: HttpRequest,
@@ -181,11 +150,7 @@
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
     match shared.operators.read(request.method().as_str(), target, &bytes) {
         OperatorRequest::Change(Ok(items)) => handle_change(&shared, items).await,
-        OperatorRequest::Change(Err(error)) => {
-            shared.core.counters.invalid.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(event = "change-refused", reason = %error);
-            refuse(StatusCode::BAD_REQUEST, &error.to_string(), "correct the change")
-        }
+        OperatorRequest::Change(Err(error)) => refuse_invalid(&shared.core, &error.to_string()),
         OperatorRequest::Read => read_items(&shared).await,
         OperatorRequest::Unknown => {
             refuse(StatusCode::NOT_FOUND, "no such request", "see the operators' page")
@@ -197,60 +162,60 @@
     let started_at = Instant::now();
     let items: Vec<Arc<Item>> = items.into_iter().map(Arc::new).collect();
     let core = &shared.core;
+    if let Err(error) = check::check_declarations(&items) {
+        return refuse_invalid(core, &error.to_string());
+    }
     if core.is_stopping() || !core.replication().is_complete() {
         return unavailable("this instance does not hold all accepted changes yet");
     }
-    let mut submitted = core.replication().submit_change(items.clone());
-    if submitted.is_err() {
-        // This instance may lag behind; the others may hold the items that the change refers to.
-        let complete = compare::fetch_missing_items(core, &shared.client).await;
-        if complete < core.replication().copies() {
-            return unavailable("too few control instances respond to check the change");
-        }
-        submitted = core.replication().submit_change(items.clone());
-    }
-    let new_items = match submitted {
-        Ok(new_items) => new_items,
-        Err(error) => {
-            core.counters.invalid.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(event = "change-refused", reason = %error);
-            return refuse(StatusCode::BAD_REQUEST, &error.to_string(), "correct the change");
-        }
-    };
-    let mut accepted = core.watch_accepted();
-    replicate::replicate_items(core, &shared.client, &new_items);
-    let waiting = async {
-        while !core.replication().are_accepted(&items) {
-            if accepted.changed().await.is_err() {
-                return;
-            }
-        }
+    let decision = match is_accepted(core, &items) {
+        true => Decision::Accepted,
+        false => leader::decide(core, &shared.client, &items, ACCEPT_TIMEOUT).await,
     };
-    let in_time = ntex::time::timeout(ACCEPT_TIMEOUT, waiting).await.is_ok();
     let took_ms = millis(started_at.elapsed());
-    let outcome = if in_time { "accepted" } else { "unconfirmed" };
+    let outcome = match &decision {
+        Decision::Accepted => "accepted",
+        Decision::Invalid(_) => "invalid",
+        Decision::Unavailable => "unconfirmed",
+    };
     tracing::info!(event = "change", items = items.len(), outcome, took_ms);
-    if !in_time {
-        core.counters.unconfirmed.fetch_add(1, Ordering::Relaxed);
-        return unavailable(
-            "too few control instances have stored the change yet; it may still be accepted",
-        );
+    match decision {
+        Decision::Accepted => {
+            core.counters.record_step(Step::Accept, started_at.elapsed());
+            core.counters.accepted.fetch_add(1, Ordering::Relaxed);
+            HttpResponse::Ok().content_type("application/json").body("{}")
+        }
+        Decision::Invalid(reason) => refuse_invalid(core, &reason),
+        Decision::Unavailable => {
+            core.counters.unconfirmed.fetch_add(1, Ordering::Relaxed);
+            unavailable(
+                "too few control instances have stored the change yet; it may still be accepted",
+            )
+        }
     }
-    core.counters.record_step(Step::Accept, started_at.elapsed());
-    core.counters.accepted.fetch_add(1, Ordering::Relaxed);
-    HttpResponse::Ok().content_type("application/json").body("{}")
+}
+
+/// Returns whether a valid change is accepted already, or was overtaken by newer versions.
+fn is_accepted(core: &Core, items: &[Arc<Item>]) -> bool {
+    let replication = core.replication();
+    replication.are_accepted(items) && check::check_items(replication.accepted(), items).is_ok()
 }
 
 async fn read_items(shared: &Shared) -> HttpResponse {
     let core = &shared.core;
-    let complete = compare::fetch_missing_items(core, &shared.client).await;
-    if complete < core.replication().copies() {
+    if !settle::settle(core, &shared.client).await {
         return unavailable("too few control instances respond to read the newest items");
     }
-    let text = shared.operators.render(core.replication().table());
+    let text = shared.operators.render(core.replication().accepted());
     HttpResponse::Ok().content_type("application/json").body(text)
 }
 
+fn refuse_invalid(core: &Core, reason: &str) -> HttpResponse {
+    core.counters.invalid.fetch_add(1, Ordering::Relaxed);
+    tracing::info!(event = "change-refused", reason);
+    refuse(StatusCode::BAD_REQUEST, reason, "correct the change")
+}
+
 fn unavailable(error: &str) -> HttpResponse {
     refuse(
         StatusCode::SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/crates/arbutuslane_item/src/border/agreement.rs
@@ -0,0 +1,202 @@
+//! The serialized form of what control instances send each other to agree on the catalogue, and of
+//! what they write to disk for it.
+
+use serde::{Deserialize, Serialize};
+
+use super::Item;
+use crate::{ballot, replication, state};
+
+/// A request from one control instance to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// Requests the status of the receiver.
+    Status,
+    /// Requests a promise to refuse states of lower ballots.
+    Promise(Ballot),
+    /// Requests that the receiver store a state on its disk.
+    Store(Update),
+    /// Requests the update to the receiver's state from a table with these hashes of its buckets.
+    Fetch {
+        /// The hash of each bucket of the sender's table.
+        buckets: Vec<u64>,
+        /// Which of the receiver's states.
+        kind: Kind,
+    },
+    /// Announces that the state at a position is accepted.
+    Accepted(Position),
+    /// Requests that the receiver, which leads, accept a change.
+    Change(Vec<Item>),
+}
+
+/// A state of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// The newest state that the instance stored.
+    Stored,
+    /// The newest state that it knows to be accepted.
+    Accepted,
+}
+
+/// The response to a [`Request`].
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Response {
+    /// The status of the instance. In response to [`Request::Promise`], it says whether the promise
+    /// was given.
+    Status(Status),
+    /// The instance has the state on its disk.
+    Stored(String),
+    /// The instance does not store the state.
+    Refused(Refusal),
+    /// The update that was requested.
+    Update(Update),
+    /// The change is accepted.
+    Accepted,
+    /// The change is invalid, for this reason.
+    Invalid(String),
+    /// The instance cannot do what was requested.
+    Unavailable,
+}
+
+/// See [`ballot::Ballot`].
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Ballot {
+    round: u64,
+    instance: String,
+    incarnation: u64,
+}
+
+/// See [`ballot::Position`].
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Position {
+    ballot: Ballot,
+    change: u64,
+}
+
+/// See [`state::Update`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    position: Position,
+    replaced: Vec<usize>,
+    items: Vec<Item>,
+    digest: u64,
+}
+
+/// See [`replication::Status`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    instance: String,
+    is_complete: bool,
+    promised: Ballot,
+    position: Position,
+    digest: u64,
+    accepted: Option<Position>,
+}
+
+/// See [`replication::Refusal`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Refusal {
+    /// See [`replication::Refusal::Promised`].
+    Promised(Ballot),
+    /// See [`replication::Refusal::Overtaken`].
+    Overtaken,
+    /// See [`replication::Refusal::Behind`].
+    Behind(Vec<u64>),
+    /// See [`replication::Refusal::Recovering`].
+    Recovering,
+}
+
+impl From<&ballot::Ballot> for Ballot {
+    fn from(ballot: &ballot::Ballot) -> Self {
+        let instance = ballot.instance.clone();
+        Self { round: ballot.round, instance, incarnation: ballot.incarnation }
+    }
+}
+
+impl From<Ballot> for ballot::Ballot {
+    fn from(ballot: Ballot) -> Self {
+        let Ballot { round, instance, incarnation } = ballot;
+        Self { round, instance, incarnation }
+    }
+}
+
+impl From<&ballot::Position> for Position {
+    fn from(position: &ballot::Position) -> Self {
+        Self { ballot: Ballot::from(&position.ballot), change: position.change }
+    }
+}
+
+impl From<Position> for ballot::Position {
+    fn from(position: Position) -> Self {
+        Self { ballot: position.ballot.into(), change: position.change }
+    }
+}
+
+impl From<&state::Update> for Update {
+    fn from(update: &state::Update) -> Self {
+        Self {
+            position: Position::from(&update.position),
+            replaced: update.replaced.clone(),
+            items: super::encode(&update.items),
+            digest: update.digest,
+        }
+    }
+}
+
+impl From<Update> for state::Update {
+    fn from(update: Update) -> Self {
+        Self {
+            position: update.position.into(),
+            replaced: update.replaced,
+            items: super::decode(update.items),
+            digest: update.digest,
+        }
+    }
+}
+
+impl From<&replication::Status> for Status {
+    fn from(status: &replication::Status) -> Self {
+        Self {
+            instance: status.instance.clone(),
+            is_complete: status.is_complete,
+            promised: Ballot::from(&status.promised),
+            position: Position::from(&status.position),
+            digest: status.digest,
+            accepted: status.accepted.as_ref().map(Position::from),
+        }
+    }
+}
+
+impl From<Status> for replication::Status {
+    fn from(status: Status) -> Self {
+        Self {
+            instance: status.instance,
+            is_complete: status.is_complete,
+            promised: status.promised.into(),
+            position: status.position.into(),
+            digest: status.digest,
+            accepted: status.accepted.map(ballot::Position::from),
+        }
+    }
+}
+
+impl From<replication::Refusal> for Refusal {
+    fn from(refusal: replication::Refusal) -> Self {
+        match refusal {
+            replication::Refusal::Promised(ballot) => Self::Promised(Ballot::from(&ballot)),
+            replication::Refusal::Overtaken => Self::Overtaken,
+            replication::Refusal::Behind(buckets) => Self::Behind(buckets),
+            replication::Refusal::Recovering => Self::Recovering,
+        }
+    }
+}
+
+impl From<Refusal> for replication::Refusal {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Promised(ballot) => Self::Promised(ballot.into()),
+            Refusal::Overtaken => Self::Overtaken,
+            Refusal::Behind(buckets) => Self::Behind(buckets),
+            Refusal::Recovering => Self::Recovering,
+        }
+    }
+}
--- a/crates/arbutuslane_item/src/border.rs
+++ b/crates/arbutuslane_item/src/border/mod.rs
@@ -1,5 +1,7 @@
 //! The serialized form of items, in messages between processes and on disk.
 
+pub mod agreement;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/arbutuslane_item/src/check.rs
+++ b/crates/arbutuslane_item/src/check.rs
@@ -18,6 +18,9 @@
 /// The maximum length of an API key in bytes; a longer one does not fit into usual header limits.
 pub const MAX_API_KEY_BYTES: usize = 256;
 
+/// The items of a change that take effect, by their keys.
+type Changed<'a> = BTreeMap<&'a Key, &'a Arc<Item>>;
+
 /// The reason why a change is refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -29,6 +32,14 @@
         /// The service.
         service: String,
     },
+    /// A service is removed that a route still targets.
+    #[error("service {service} is removed, but route {route} targets it; change the route first")]
+    ServiceInUse {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
     /// A route has no target with a positive weight.
     #[error(
         "the weights of route {route} add up to 0; give at least one service a positive weight"
@@ -73,47 +84,102 @@
     },
 }
 
-/// Checks `items` as a change to `table`; the items may refer to each other.
-pub fn check_items(table: &Table, items: &[Arc<Item>]) -> Result<(), Error> {
-    let submitted = newest_services(items);
+/// Checks `items` as a change to `table`: what they declare, and the resulting references between
+/// items, also those of items that the change leaves as they are. The items may refer to each other.
+///
+/// Returns the items that take effect: of each one, the highest version that is above the one in
+/// `table`, and the last of several declarations of that version.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub fn check_items(table: &Table, items: &[Arc<Item>]) -> Result<Vec<Arc<Item>>, Error> {
+    check_declarations(items)?;
+    let all: Vec<&Arc<Item>> = items.iter().collect();
+    let submitted = newest_versions(&all);
+    let mut changed = submitted.clone();
+    changed.retain(|_, item| !table.covers(item));
     for item in items {
         let (Key::Route(name), Some(route)) = (&item.key, item.route()) else { continue };
-        check_route(name, route)?;
+        let takes_effect = changed.get(&item.key).is_some_and(|newest| *newest == item);
         for target in &route.targets {
-            if !is_declared(table, &submitted, &target.service) {
+            let key = Key::Service(target.service.clone());
+            let is_valid = match takes_effect {
+                true => is_declared(table, &changed, &key),
+                // The item is stored already or was overtaken. Its services may be gone by now.
+                false => table.get(&key).is_some() || submitted.contains_key(&key),
+            };
+            if !is_valid {
                 let (route, service) = (name.clone(), target.service.clone());
                 return Err(Error::UnknownService { route, service });
             }
         }
     }
-    check_api_keys(table, items)
+    check_removed_services(table, &changed)?;
+    check_api_keys(table, &changed)?;
+    Ok(changed.into_values().cloned().collect())
+}
+
+/// Checks what can be checked of each item by itself.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub fn check_declarations(items: &[Arc<Item>]) -> Result<(), Error> {
+    for item in items {
+        match (&item.key, &item.content) {
+            (Key::Route(name), Some(Content::Route(route))) => check_route(name, route)?,
+            (Key::Workspace(name), Some(Content::Workspace(workspace))) => {
+                check_workspace(name, workspace)?;
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// Checks that no route targets a service that the change removes.
+fn check_removed_services(table: &Table, changed: &Changed<'_>) -> Result<(), Error> {
+    let is_removed = |service: &ServiceName| {
+        let key = Key::Service(service.clone());
+        changed.get(&key).is_some_and(|item| item.content.is_none())
+    };
+    if !changed.values().any(|item| item.is_removed_service()) {
+        return Ok(());
+    }
+    for item in table.declared_items() {
+        let (Key::Route(name), Some(route)) = (&item.key, item.route()) else { continue };
+        if changed.contains_key(&item.key) {
+            continue;
+        }
+        for target in &route.targets {
+            if is_removed(&target.service) {
+                let (route, service) = (name.clone(), target.service.clone());
+                return Err(Error::ServiceInUse { route, service });
+            }
+        }
+    }
+    Ok(())
 }
 
 /// Checks that each API key is valid and identifies one workspace after the change.
-fn check_api_keys(table: &Table, items: &[Arc<Item>]) -> Result<(), Error> {
-    // An item that is stored already, or was overtaken, changes nothing and is acknowledged again.
-    let changed: Vec<&Arc<Item>> = items
-        .iter()
-        .filter(|item| matches!(item.key, Key::Workspace(_)) && !table.covers(item))
-        .collect();
-    if changed.iter().all(|item| item.workspace().is_none()) {
+fn check_api_keys(table: &Table, changed: &Changed<'_>) -> Result<(), Error> {
+    if changed.values().all(|item| item.workspace().is_none()) {
         return Ok(());
     }
-    let newest = newest_versions(&changed);
     let mut owners: HashMap<&ApiKey, &WorkspaceName> = HashMap::new();
     for item in table.declared_items() {
         let (Key::Workspace(name), Some(workspace)) = (&item.key, item.workspace()) else {
             continue;
         };
-        if !newest.contains_key(&item.key) {
+        if !changed.contains_key(&item.key) {
             owners.extend(workspace.keys.iter().map(|key| (key, name)));
         }
     }
-    for item in newest.values() {
+    for item in changed.values() {
         let (Key::Workspace(name), Some(workspace)) = (&item.key, item.workspace()) else {
             continue;
         };
-        check_workspace(name, workspace)?;
         for key in &workspace.keys {
             if let Some(other) = owners.insert(key, name).filter(|other| *other != name) {
                 let (workspace, other) = (name.clone(), other.clone());
@@ -152,8 +218,8 @@
 }
 
 /// Returns the newest version of each item in `items`.
-fn newest_versions<'a>(items: &[&'a Arc<Item>]) -> BTreeMap<&'a Key, &'a Arc<Item>> {
-    let mut newest: BTreeMap<&Key, &Arc<Item>> = BTreeMap::new();
+fn newest_versions<'a>(items: &[&'a Arc<Item>]) -> Changed<'a> {
+    let mut newest = Changed::new();
     for item in items {
         if newest.get(&item.key).is_none_or(|known| known.version <= item.version) {
             newest.insert(&item.key, item);
@@ -162,31 +228,8 @@
     newest
 }
 
-/// Returns the newest version of each service in `items`.
-fn newest_services(items: &[Arc<Item>]) -> BTreeMap<&ServiceName, &Item> {
-    let mut services: BTreeMap<&ServiceName, &Item> = BTreeMap::new();
-    for item in items {
-        let Key::Service(name) = &item.key else { continue };
-        if services.get(name).is_none_or(|known| known.version <= item.version) {
-            services.insert(name, item);
-        }
-    }
-    services
-}
-
-fn is_declared(
-    table: &Table,
-    submitted: &BTreeMap<&ServiceName, &Item>,
-    service: &ServiceName,
-) -> bool {
-    let declares_service = |item: &Item| matches!(item.content, Some(Content::Service(_)));
-    let stored = table.get(&Key::Service(service.clone()));
-    match (stored, submitted.get(service)) {
-        (Some(stored), Some(submitted)) if submitted.version > stored.version => {
-            declares_service(submitted)
-        }
-        (Some(stored), _) => declares_service(stored),
-        (None, Some(submitted)) => declares_service(submitted),
-        (None, None) => false,
-    }
+/// Returns whether a service is declared in `table` after the change.
+fn is_declared(table: &Table, changed: &Changed<'_>, service: &Key) -> bool {
+    let item = changed.get(service).copied().or_else(|| table.get(service));
+    item.is_some_and(|item| item.content.is_some())
 }
--- a/crates/arbutuslane_item/src/item.rs
+++ b/crates/arbutuslane_item/src/item.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Returns whether this version removes a service.
+    pub fn is_removed_service(&self) -> bool {
+        matches!(self.key, Key::Service(_)) && self.content.is_none()
+    }
+
     /// Returns the workspace that the item declares, or `None` when it declares no workspace.
     pub fn workspace(&self) -> Option<&Workspace> {
         match &self.content {
--- a/crates/arbutuslane_item/src/lib.rs
+++ b/crates/arbutuslane_item/src/lib.rs
@@ -1,12 +1,11 @@
 //! A catalogue of named items, each with its own version.
 //!
-//! For each name the highest version is in force, whether it sets the item or removes it. Tables of
-//! items converge to the same content in whatever order items are merged, so no leader or log has to
-//! order the changes: a change is accepted when enough control instances have it on their disks.
-//! [`Table`](table::Table) merges items, [`check`] validates changes,
-//! [`Replication`](replication::Replication) decides when a change is accepted and when an
-//! instance that lost its disk has recovered, and [`Pull`](transfer::Pull) decides in which parts a
-//! process fetches the items that it lacks.
+//! For each name the highest version is in force, whether it sets the item or removes it. Nodes merge
+//! accepted items in whatever order they arrive. What is accepted is agreed on by the control
+//! instances: each change is checked against the newest state, and the result is accepted when a
+//! quorum has it on disk. [`Table`](table::Table) merges items, [`check`] validates changes,
+//! [`Replication`](replication::Replication) and [`election`] reach the agreement, and
+//! [`Pull`](transfer::Pull) decides in which parts a process fetches the items that it lacks.
 //!
 //! ```
 //! use arbutuslane_item::prelude::*;
@@ -17,19 +16,25 @@
 //! assert!(!table.merge(limits));
 //! ```
 
+pub mod ballot;
 pub mod border;
 pub mod check;
+pub mod election;
 pub mod item;
 pub mod replication;
+pub mod state;
 pub mod table;
 pub mod transfer;
 
 /// Re-exports the commonly used types of this crate.
 pub mod prelude {
+    pub use crate::ballot::{Ballot, Position};
     pub use crate::check;
+    pub use crate::election::{Candidate, Leader};
     pub use crate::item::{
         ApiKey, Content, Item, Key, Limits, Route, Service, Source, Target, Version, Workspace,
     };
     pub use crate::replication::Replication;
+    pub use crate::state::{State, Update};
     pub use crate::table::Table;
 }
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -1,91 +1,170 @@
-//! Decides when a change is accepted, and when an instance that lost its disk has recovered.
+//! One control instance's part in the agreement on the catalogue.
 //!
-//! A change is accepted once it is on the disks of one instance more than may lose their disks at the
-//! same time. Any instance may receive a change from an operator and counts the copies itself; an
-//! instance that has a change on disk without knowing that it is accepted counts the copies again.
-//! An instance with an empty disk is [`Standing::Recovering`] until the same number of complete
-//! instances have sent it all their items: for each accepted change, at least one of them has it.
+//! The catalogue is a replicated register in the manner of Paxos. One instance at a time leads: it has
+//! promises of a quorum, so that no older leader can store anything there, and starts from the newest
+//! state that the quorum has. It checks each change against that state and sends the result to all
+//! instances. A state is accepted once a quorum has it on disk, and then every later state contains
+//! it: two quorums share an instance. Each state has passed the checks as a whole, so what is in force
+//! is valid, and an instance that was down or frozen cannot confirm what contradicts it, because no
+//! quorum stores it.
+//!
+//! [`Replication`] holds what an instance has promised and stored, and which state it knows to be
+//! accepted. [`election`](crate::election) holds what an instance needs to lead. An instance that lost
+//! its disk is [`Standing::Recovering`]: it promises and stores nothing until it has taken a state
+//! over from a quorum of the others as a candidate, whose higher ballot also voids what the instance
+//! confirmed before the loss.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use arbutuslane_core::id::NodeId;
 
-use crate::check;
-use crate::item::{Item, Key};
+use crate::ballot::{Ballot, Position};
+use crate::item::Item;
+use crate::state::{State, Update};
 use crate::table::Table;
 
-/// Whether an instance has every change that was accepted before it started.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Whether an instance has kept what it promised and stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
-    /// The instance serves reads and counts for the recovery of other instances.
+    /// The instance counts for quorums.
     Complete,
-    /// The instance started with an empty disk and has not received the items of enough complete
-    /// instances.
-    Recovering {
-        /// The complete instances that have sent all their items, in ascending order.
-        sources: Vec<NodeId>,
-    },
+    /// The instance started with an empty or damaged disk and has not taken over a state yet.
+    Recovering,
 }
 
-/// One control instance's state of the items and of the instances that have them on disk.
+/// What an instance has read from its disk.
 #[derive(Debug, Clone)]
-pub struct Replication {
-    /// The number of instances that must have a change on disk.
-    copies: usize,
-    standing: Standing,
-    /// All items that this instance has received.
-    table: Table,
-    /// The items that are known to be accepted.
-    accepted: Table,
-    /// The items of `table` that are not known to be accepted, in ascending order of their keys.
-    pending: Vec<PendingItem>,
-    /// The items that this instance had when it started or became complete, and that it does not know
-    /// to be accepted or replaced since, in ascending order of their keys.
-    unconfirmed: Vec<Arc<Item>>,
+pub struct Recovered {
+    /// Whether the disk has kept everything.
+    pub standing: Standing,
+    /// The highest ballot that the instance promised to follow.
+    pub promised: Ballot,
+    /// The last state that the instance stored.
+    pub state: State,
 }
 
-/// An item that is not known to be accepted.
+/// What an instance reports of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// The instance.
+    pub instance: NodeId,
+    /// Whether the instance counts for quorums.
+    pub is_complete: bool,
+    /// The highest ballot that the instance promised to follow.
+    pub promised: Ballot,
+    /// The position of the state on its disk.
+    pub position: Position,
+    /// The digest of the state on its disk.
+    pub digest: u64,
+    /// The position of the newest state that it knows to be accepted.
+    pub accepted: Option<Position>,
+}
+
+/// Why an instance does not store an update.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// The instance has promised to follow a higher ballot.
+    Promised(Ballot),
+    /// The instance has stored a newer state under the same ballot.
+    Overtaken,
+    /// The update was made for another state than the instance's, which has these hashes of its
+    /// buckets.
+    Behind(Vec<u64>),
+    /// The instance does not count for quorums.
+    Recovering,
+}
+
+/// What an instance has to do to know the newest accepted state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settlement {
+    /// Nothing; [`Replication::accepted`] is the newest accepted state.
+    Settled,
+    /// Fetch the accepted state of an instance.
+    Fetch(NodeId),
+    /// Call [`Replication::learn`] with this position.
+    Learn(Position),
+    /// Have a leader propose the newest state again, because it may be accepted or not.
+    Propose,
+    /// Wait for more instances to respond.
+    Wait,
+}
+
+/// One control instance's state of the catalogue.
 #[derive(Debug, Clone)]
-struct PendingItem {
-    item: Arc<Item>,
-    /// The instances that have the item on disk.
-    holders: Vec<NodeId>,
+pub struct Replication {
+    own: NodeId,
+    /// The number of instances that must store a state before it is accepted.
+    quorum: usize,
+    standing: Standing,
+    promised: Ballot,
+    /// The newest state that this instance has received as a part of the agreement.
+    stored: State,
+    /// The position and the digest of the newest state that is on the disk.
+    durable: (Position, u64),
+    /// The newest state that is known to be accepted.
+    accepted: Option<State>,
+    /// Whether `accepted` contains every state that was accepted before this instance started.
+    is_settled: bool,
+    /// The highest round that this instance has heard of.
+    highest_round: u64,
+    /// The table of [`Replication::accepted`] while no state is known to be accepted.
+    empty: Table,
 }
 
 impl Replication {
-    /// Returns the state of the instance `own`, which has read `items` from its disk; a change is
-    /// accepted when `copies` instances have it on disk.
-    pub fn new(own: &str, copies: usize, standing: Standing, items: Vec<Arc<Item>>) -> Self {
-        let mut replication = Self {
-            copies: copies.max(1),
-            standing,
-            table: Table::default(),
-            accepted: Table::default(),
-            pending: Vec::new(),
-            unconfirmed: Vec::new(),
-        };
-        let items = replication.merge_items(items);
-        replication.record_stored(own, &items);
-        replication.unconfirmed = replication.pending();
-        replication
+    /// Returns the state of the instance `own` after a start; a state is accepted when `quorum`
+    /// instances have it on disk.
+    ///
+    /// Of 2 `quorum` - 1 instances, any two quorums share one.
+    pub fn new(own: &str, quorum: usize, recovered: Recovered) -> Self {
+        let stored = recovered.state;
+        let promised = recovered.promised.max(stored.position.ballot.clone());
+        Self {
+            own: own.to_string(),
+            quorum: quorum.max(1),
+            standing: recovered.standing,
+            highest_round: promised.round,
+            promised,
+            durable: (stored.position.clone(), stored.table.digest()),
+            stored,
+            accepted: None,
+            is_settled: false,
+            empty: Table::default(),
+        }
     }
 
-    /// Returns all items that this instance has received.
-    pub fn table(&self) -> &Table {
-        &self.table
+    /// Returns the name of this instance.
+    pub fn own(&self) -> &str {
+        &self.own
     }
 
-    /// Returns the items that are known to be accepted.
+    /// Returns the newest state that this instance has received.
+    pub fn stored(&self) -> &State {
+        &self.stored
+    }
+
+    /// Returns the items of the newest state that is known to be accepted.
     pub fn accepted(&self) -> &Table {
-        &self.accepted
+        self.accepted.as_ref().map_or(&self.empty, |state| &state.table)
     }
 
-    /// Returns the number of instances that must have a change on disk before it is accepted.
-    pub fn copies(&self) -> usize {
-        self.copies
+    /// Returns the newest state that is known to be accepted.
+    pub fn accepted_state(&self) -> Option<&State> {
+        self.accepted.as_ref()
     }
 
-    /// Returns whether this instance has every change that was accepted before it started.
+    /// Returns the number of instances that must store a state before it is accepted.
+    pub fn quorum(&self) -> usize {
+        self.quorum
+    }
+
+    /// Returns the highest ballot that this instance has promised to follow.
+    pub fn promised(&self) -> &Ballot {
+        &self.promised
+    }
+
+    /// Returns whether this instance counts for quorums.
     pub fn is_complete(&self) -> bool {
         self.standing == Standing::Complete
     }
@@ -93,122 +172,204 @@
     /// Returns whether [`Replication::accepted`] contains every item that was accepted before this
     /// instance started.
     ///
-    /// The disk does not record which items are accepted: after a start, the instance determines it
-    /// again from the others, item by item. A node that mistakes an incomplete set for the whole
-    /// catalogue denies requests on all missing routes.
+    /// A node that mistakes an incomplete set for the whole catalogue denies requests on all missing
+    /// routes.
     pub fn knows_all_accepted(&self) -> bool {
-        self.is_complete() && self.unconfirmed.is_empty()
+        self.is_complete() && self.is_settled
     }
 
-    /// Validates and merges an operator's change; returns the items that are new here and must be
-    /// stored.
-    ///
-    /// An item whose version is not higher than the known one is ignored.
+    /// Returns whether the newest state of this instance is accepted.
+    pub fn has_pending_state(&self) -> bool {
+        self.accepted.as_ref().is_none_or(|state| state.position != self.stored.position)
+    }
+
+    /// Returns the number of items that this instance has stored and does not know to be accepted.
+    pub fn pending_count(&self) -> usize {
+        self.pending_items().len()
+    }
+
+    fn pending_items(&self) -> Vec<Arc<Item>> {
+        let accepted = self.accepted();
+        let differing = self.stored.table.difference(accepted.buckets());
+        let is_pending = |item: &&Arc<Item>| accepted.get(&item.key) != Some(*item);
+        differing.items().filter(is_pending).cloned().collect()
+    }
+
+    /// Returns whether `items`, or newer versions of them, are accepted.
+    pub fn are_accepted(&self, items: &[Arc<Item>]) -> bool {
+        self.accepted.is_some() && items.iter().all(|item| self.accepted().covers(item))
+    }
+
+    /// Returns what this instance reports of itself.
+    pub fn status(&self) -> Status {
+        let (position, digest) = self.durable.clone();
+        Status {
+            instance: self.own.clone(),
+            is_complete: self.is_complete(),
+            promised: self.promised.clone(),
+            position,
+            digest,
+            accepted: self.accepted.as_ref().map(|state| state.position.clone()),
+        }
+    }
+
+    /// Returns a ballot that is higher than each one that this instance knows.
+    pub(crate) fn next_ballot(&mut self, incarnation: u64) -> Ballot {
+        self.highest_round += 1;
+        Ballot { round: self.highest_round, instance: self.own.clone(), incarnation }
+    }
+
+    /// Takes note of a ballot of another instance.
+    pub fn observe(&mut self, ballot: &Ballot) {
+        self.highest_round = self.highest_round.max(ballot.round);
+    }
+
+    /// Promises to refuse states of lower ballots, and returns the status with the state that this
+    /// instance has stored until then. The caller sends it once the promise is on disk, and with it
+    /// all that was written before. Returns `None` if this instance cannot promise.
+    pub fn promise(&mut self, ballot: &Ballot) -> Option<Status> {
+        self.observe(ballot);
+        if !self.is_complete() || *ballot < self.promised {
+            return None;
+        }
+        self.promised = ballot.clone();
+        let (position, digest) = (self.stored.position.clone(), self.stored.table.digest());
+        Some(Status { position, digest, ..self.status() })
+    }
+
+    /// Stores a state that a leader proposes. The caller writes the update to disk, and then calls
+    /// [`Replication::record_durable`].
     ///
     /// # Errors
     ///
-    /// See [`check::Error`]; an invalid change is refused as a whole.
-    pub fn submit_change(&mut self, items: Vec<Arc<Item>>) -> Result<Vec<Arc<Item>>, check::Error> {
-        check::check_items(&self.table, &items)?;
-        let new_items = items.into_iter().filter(|item| !self.table.covers(item)).collect();
-        Ok(self.merge_items(new_items))
-    }
-
-    /// Merges items from another instance; returns those that are new here and must be stored, in
-    /// ascending order of their keys.
-    pub fn merge_items(&mut self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
-        items.retain(|item| !self.accepted.covers(item));
-        let new_items = self.table.merge_all(items);
-        if new_items.is_empty() {
-            return new_items;
-        }
-        self.pending.retain(|pending| find(&new_items, &pending.item.key).is_none());
-        let added = new_items.iter().cloned();
-        self.pending.extend(added.map(|item| PendingItem { item, holders: Vec::new() }));
-        self.pending.sort_by(|left, right| left.item.key.cmp(&right.item.key));
-        new_items
+    /// Returns the reason why the state must not or cannot be stored.
+    pub fn store(&mut self, update: &Update) -> Result<(), Refusal> {
+        let ballot = &update.position.ballot;
+        self.observe(ballot);
+        if !self.is_complete() {
+            return Err(Refusal::Recovering);
+        }
+        if *ballot < self.promised {
+            return Err(Refusal::Promised(self.promised.clone()));
+        }
+        if update.position < self.stored.position {
+            return Err(Refusal::Overtaken);
+        }
+        if update.position > self.stored.position && !self.stored.apply(update) {
+            return Err(Refusal::Behind(self.stored.table.buckets().to_vec()));
+        }
+        self.promised = ballot.clone();
+        Ok(())
     }
 
-    /// Records that `instance` has `items`, or newer versions of them, on its disk; returns the items
-    /// that became accepted.
-    pub fn record_stored(&mut self, instance: &str, items: &[Arc<Item>]) -> Vec<Arc<Item>> {
-        let mut accepted = Vec::new();
-        for item in items {
-            let found = self.pending.binary_search_by(|pending| pending.item.key.cmp(&item.key));
-            let Ok(index) = found else { continue };
-            let pending = &mut self.pending[index];
-            if pending.item != *item {
-                continue;
-            }
-            if !pending.holders.iter().any(|holder| holder == instance) {
-                pending.holders.push(instance.to_string());
-            }
-            if pending.holders.len() >= self.copies {
-                accepted.push(Arc::clone(item));
-            }
-        }
-        self.accept(accepted)
-    }
-
-    /// Merges items that are known to be accepted; returns those that this instance did not know to be
-    /// accepted, in ascending order of their keys.
-    ///
-    /// An accepted declaration replaces another declaration of the same version that is not accepted.
-    pub fn accept(&mut self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
-        items.retain(|item| !self.accepted.covers(item));
-        let new_items = self.accepted.merge_all(items);
-        if new_items.is_empty() {
-            return new_items;
-        }
-        self.table.merge_accepted(new_items.clone());
-        let is_newer = |held: &Item| {
-            find(&new_items, &held.key).is_none_or(|accepted| held.version > accepted.version)
-        };
-        self.pending.retain(|pending| is_newer(&pending.item));
-        self.unconfirmed.retain(|held| is_newer(held));
-        new_items
+    /// Records that the state at `position`, with the digest of its table, is on disk.
+    pub fn record_durable(&mut self, position: &Position, digest: u64) {
+        if *position >= self.durable.0 {
+            self.durable = (position.clone(), digest);
+        }
     }
 
-    /// Returns whether `items`, or newer versions of them, are accepted.
-    pub fn are_accepted(&self, items: &[Arc<Item>]) -> bool {
-        items.iter().all(|item| self.accepted.covers(item))
+    /// Records that the state at `position` is accepted; returns the items that this instance did not
+    /// know to be accepted. Does nothing if this instance has another state.
+    pub fn learn(&mut self, position: &Position) -> Vec<Arc<Item>> {
+        let is_known = self.accepted.as_ref().is_some_and(|known| known.position >= *position);
+        if is_known || self.stored.position != *position {
+            return Vec::new();
+        }
+        let new_items = self.pending_items();
+        self.accepted = Some(self.stored.clone());
+        new_items
     }
 
-    /// Returns the items that are not known to be accepted, in ascending order of their keys.
-    pub fn pending(&self) -> Vec<Arc<Item>> {
-        self.pending.iter().map(|pending| Arc::clone(&pending.item)).collect()
+    /// Takes over an accepted state of another instance; returns whether this instance has it now.
+    /// The caller writes the update to disk.
+    ///
+    /// A promise to a higher ballot does not prevent it: that ballot's leader has seen the state too,
+    /// because a quorum stores it.
+    pub fn install(&mut self, update: &Update) -> bool {
+        self.observe(&update.position.ballot);
+        if !self.is_complete() || update.position < self.stored.position {
+            return false;
+        }
+        if update.position > self.stored.position && !self.stored.apply(update) {
+            return false;
+        }
+        self.promised = self.promised.clone().max(update.position.ballot.clone());
+        true
     }
 
-    /// Returns the accepted items that conflict with `items`: different declarations of the same
-    /// version, or newer versions.
-    pub fn conflicting_items(&self, items: &[Arc<Item>]) -> Vec<Arc<Item>> {
-        let mut conflicting = Vec::new();
-        for item in items {
-            let Some(held) = self.accepted.get(&item.key) else { continue };
-            if held.version >= item.version && held != item {
-                conflicting.push(Arc::clone(held));
-            }
+    /// Decides from the reports of instances, including this one, what it takes to know the newest
+    /// accepted state.
+    pub fn settle(&mut self, statuses: &[Status]) -> Settlement {
+        for status in statuses {
+            self.observe(&status.promised);
+        }
+        let complete: Vec<&Status> = statuses.iter().filter(|status| status.is_complete).collect();
+        let Some(newest) = complete.iter().max_by(|left, right| left.position.cmp(&right.position))
+        else {
+            return Settlement::Wait;
+        };
+        if complete.len() < self.quorum {
+            return Settlement::Wait;
+        }
+        if !self.is_complete() {
+            return Settlement::Propose;
+        }
+        let knows = |position: &Position| {
+            self.accepted.as_ref().is_some_and(|known| known.position >= *position)
+        };
+        if knows(&newest.position) {
+            self.is_settled = true;
+            return Settlement::Settled;
+        }
+        let holds_newest = |status: &&&Status| {
+            status.position == newest.position && status.digest == newest.digest
+        };
+        let reported = statuses.iter().max_by(|left, right| left.accepted.cmp(&right.accepted));
+        let reported =
+            reported.and_then(|status| Some((status.accepted.as_ref()?, &status.instance)));
+        let accepted = match complete.iter().filter(holds_newest).count() >= self.quorum {
+            true => Some((&newest.position, &newest.instance)),
+            false => reported,
+        };
+        let Some((position, instance)) = accepted.filter(|(position, _)| !knows(position)) else {
+            return Settlement::Propose;
+        };
+        match self.stored.position.cmp(position) {
+            Ordering::Less => Settlement::Fetch(instance.clone()),
+            Ordering::Equal => Settlement::Learn(position.clone()),
+            Ordering::Greater => Settlement::Propose,
         }
-        conflicting
     }
 
-    /// Records that a complete instance has sent all its items; returns whether this instance has
-    /// thereby become complete.
-    pub fn record_complete_source(&mut self, instance: &str) -> bool {
-        let Standing::Recovering { sources } = &mut self.standing else { return false };
-        if let Err(index) = sources.binary_search_by(|known| known.as_str().cmp(instance)) {
-            sources.insert(index, instance.to_string());
+    /// Starts from the newest state that a quorum has promised, as a candidate; returns whether this
+    /// instance has it now. The caller writes the update to disk.
+    ///
+    /// Disks of releases without positions have states at the initial position, which may differ.
+    /// Their items are merged.
+    pub(crate) fn adopt(&mut self, ballot: &Ballot, update: &Update) -> bool {
+        if self.promised > *ballot {
+            return false;
         }
-        if sources.len() < self.copies {
+        let is_newer = !self.is_complete() || update.position > self.stored.position;
+        if update.position == Position::default() {
+            self.stored.table.merge_all(update.items.clone());
+        } else if is_newer && !self.stored.apply(update) {
             return false;
         }
-        self.standing = Standing::Complete;
-        self.unconfirmed = self.pending();
+        self.promised = ballot.clone();
         true
     }
-}
 
-/// Returns the item with `key` in `items`, which are in ascending order of their keys.
-fn find<'a>(items: &'a [Arc<Item>], key: &Key) -> Option<&'a Arc<Item>> {
-    items.binary_search_by(|item| item.key.cmp(key)).ok().map(|index| &items[index])
+    /// Counts for quorums from now on, after a state was adopted and written to disk.
+    pub(crate) fn complete(&mut self) {
+        self.standing = Standing::Complete;
+    }
+
+    /// Replaces the state by the next one of the leader, which is this instance.
+    pub(crate) fn advance(&mut self, position: Position, items: Vec<Arc<Item>>) -> Update {
+        self.stored.table.set_all(items.clone());
+        self.stored.position = position.clone();
+        Update { position, replaced: Vec::new(), items, digest: self.stored.table.digest() }
+    }
 }
--- a/crates/arbutuslane_item/src/table.rs
+++ b/crates/arbutuslane_item/src/table.rs
@@ -68,6 +68,24 @@
         })
     }
 
+    /// Stores items whatever version of them is stored.
+    pub fn set_all(&mut self, items: Vec<Arc<Item>>) {
+        self.merge_if(items, |_, _| true);
+    }
+
+    /// Forgets all items of these buckets.
+    pub fn clear_buckets(&mut self, buckets: &[usize]) {
+        if buckets.is_empty() {
+            return;
+        }
+        self.entries.retain(|entry| !buckets.contains(&entry.bucket));
+        for bucket in buckets {
+            if let Some(hash) = self.buckets.get_mut(*bucket) {
+                *hash = 0;
+            }
+        }
+    }
+
     fn merge_if(
         &mut self,
         mut items: Vec<Arc<Item>>,
@@ -160,6 +178,15 @@
         &self.buckets
     }
 
+    /// Returns the buckets whose hashes differ from those in `theirs`, in ascending order.
+    ///
+    /// A list of another length comes from another release; all buckets differ from it.
+    pub fn differing_buckets(&self, theirs: &[u64]) -> Vec<usize> {
+        let is_comparable = theirs.len() == BUCKET_COUNT;
+        let differs = |bucket: &usize| !is_comparable || theirs[*bucket] != self.buckets[*bucket];
+        (0..BUCKET_COUNT).filter(differs).collect()
+    }
+
     /// Returns the items in the buckets whose hashes differ from those in `theirs`.
     ///
     /// A list of another length comes from another release; all items differ from it.
--- a/crates/arbutuslane_item/tests/workspaces.rs
+++ b/crates/arbutuslane_item/tests/workspaces.rs
@@ -31,7 +31,7 @@
     assert!(matches!(shared, Err(Error::SharedApiKey { .. })), "{shared:?}");
     let both = [workspace("b", 2, &["k3"]), workspace("c", 2, &["k3"])];
     assert!(matches!(check_items(&stored, &both), Err(Error::SharedApiKey { .. })));
-    assert_eq!(check_items(&stored, &[workspace("a", 2, &["k1", "k1"])]), Ok(()));
+    assert_eq!(check_items(&stored, &[workspace("a", 2, &["k1", "k1"])]).map(drop), Ok(()));
 }
 
 /// Guards against a refusal of a key that moves between workspaces, or that a removed one held.
@@ -39,9 +39,9 @@
 fn check_items_moved_key() {
     let stored = table(&[workspace("a", 1, &["k1", "k2"])]);
     let moved = [workspace("a", 2, &["k1"]), workspace("b", 2, &["k2"])];
-    assert_eq!(check_items(&stored, &moved), Ok(()));
+    assert_eq!(check_items(&stored, &moved).map(drop), Ok(()));
     let removal = Arc::new(Item::removal(Key::Workspace("a".to_string()), 2));
-    assert_eq!(check_items(&stored, &[removal, workspace("b", 2, &["k2"])]), Ok(()));
+    assert_eq!(check_items(&stored, &[removal, workspace("b", 2, &["k2"])]).map(drop), Ok(()));
 }
 
 /// Guards against a refusal of an accepted change that is sent again after its key moved on.
@@ -50,7 +50,7 @@
     let first = workspace("a", 1, &["k1"]);
     let mut stored = table(&[Arc::clone(&first)]);
     stored.merge_all(vec![workspace("a", 2, &["k2"]), workspace("b", 2, &["k1"])]);
-    assert_eq!(check_items(&stored, &[first]), Ok(()));
+    assert_eq!(check_items(&stored, &[first]).map(drop), Ok(()));
 }
 
 /// Guards against keys that no request can carry.
--- a/crates/arbutuslane_node/src/cluster/items/serve.rs
+++ b/crates/arbutuslane_node/src/cluster/items/serve.rs
@@ -31,8 +31,6 @@
         more: !hashes.is_empty() && hashes.len() < differing.len(),
         hashes,
         // Only control instances use these lists, in comparisons with one another.
-        accepted: Vec::new(),
-        accepted_hashes: Vec::new(),
     }
 }
 
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -161,7 +161,7 @@
             }
             None => peer::Answer::Unsupported,
         },
-        peer::Message::InForce { .. } | peer::Message::StoreItems { .. } => {
+        peer::Message::InForce { .. } | peer::Message::ItemAgreement(_) => {
             peer::Answer::Unsupported
         }
     }
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -67,11 +67,8 @@
         /// The hashes of the items; empty when they are too many for one message.
         hashes: Vec<u64>,
     },
-    /// Requests that a control instance store catalogue items on its disk.
-    StoreItems {
-        /// The items, encoded.
-        items: Vec<u8>,
-    },
+    /// A request from one control instance to another about the agreement on the items, encoded.
+    ItemAgreement(Vec<u8>),
     /// Announces accepted catalogue items.
     AcceptedItems {
         /// The items, encoded.
@@ -127,28 +124,17 @@
         complete: bool,
         /// The items that differ, encoded.
         items: Vec<u8>,
-        /// The differing items that are known to be accepted, encoded.
-        accepted: Vec<u8>,
         /// The hashes of the items that differ, when `items` would exceed the requested number.
         #[serde(default)]
         hashes: Vec<u64>,
         /// Whether more items differ than `hashes` names.
         #[serde(default)]
         more: bool,
-        /// Those of the hashes whose items are known to be accepted.
-        #[serde(default)]
-        accepted_hashes: Vec<u64>,
     },
     /// The response to [`Message::FetchItems`]: the items that the receiver has, encoded.
     Fetched(Vec<u8>),
-    /// The response to [`Message::StoreItems`]: the receiver has stored the items, or newer
-    /// versions of them, on its disk.
-    Stored {
-        /// The instance that responds.
-        instance: String,
-        /// Accepted items that conflict with the sent ones, encoded.
-        contradicting: Vec<u8>,
-    },
+    /// The response to [`Message::ItemAgreement`], encoded.
+    ItemAgreement(Vec<u8>),
     /// The response to [`Message::BorrowAllowance`].
     Allowance {
         /// The loans, in the order of the requests.
