Parse pipelined requests only after the body of the running request has ended

Cause: two parsers read one buffer. While a request ran, the early start of pipelined requests parsed what stood in the connection's read buffer every 10 ms, whether or not the library had taken the whole body from it. It happens when bytes of a body lie in the buffer at that moment: while a streamed body waits for its server, or on a busy thread.

Change: the body records when it was read to its end, and nothing is parsed before. A body that breaks off, is framed wrongly or is left unread never ends, so that the bytes behind it are never parsed.

--- a/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
+++ b/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
@@ -6,18 +6,26 @@
 //! requests in them. The library delivers each of them later, in order, and receives the response
 //! that is ready by then. Only requests without a body that may run twice are started early,
 //! because a caller resends the requests that follow a closed connection.
+//!
+//! The library leaves the bytes of a body in the same buffer until the request takes them. Nothing is
+//! parsed before the whole body of the running request was taken, so that no part of it counts as
+//! a request. A body that breaks off or is left unread has no end, and the library closes its
+//! connection.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use ntex::http::error::PayloadError;
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{self, HeaderMap, Method, Payload, Response, Uri, Version};
 use ntex::io::IoRef;
 use ntex::time::sleep;
+use ntex::util::{Bytes, Stream};
 
 use super::entry;
 use super::route::IncomingRequest;
@@ -94,7 +102,7 @@
     }
 
     /// Polls the request, and stores its response when it is ready.
-    fn poll(&mut self, cx: &mut std::task::Context<'_>) {
+    fn poll(&mut self, cx: &mut Context<'_>) {
         if let PendingResponse::Running(running) = &mut self.response
             && let Poll::Ready(response) = running.as_mut().poll(cx)
         {
@@ -103,6 +111,52 @@
     }
 }
 
+/// Whether the library has taken the whole body of a request from the read buffer.
+#[derive(Debug, Clone)]
+struct BodyEnd(Rc<Cell<bool>>);
+
+impl BodyEnd {
+    /// Returns the end of a request without a body.
+    fn reached() -> Self {
+        Self(Rc::new(Cell::new(true)))
+    }
+
+    fn is_reached(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// The body of a request, which records when it has been read to its end.
+struct TrackedBody {
+    payload: Payload,
+    end: BodyEnd,
+}
+
+impl TrackedBody {
+    /// Replaces `payload` by a body that records its end.
+    fn track(payload: &mut Payload) -> BodyEnd {
+        if matches!(payload, Payload::None) {
+            return BodyEnd::reached();
+        }
+        let end = BodyEnd(Rc::new(Cell::new(false)));
+        *payload = Payload::from_stream(Self { payload: payload.take(), end: end.clone() });
+        end
+    }
+}
+
+impl Stream for TrackedBody {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let body = self.get_mut();
+        let next = ready!(body.payload.poll_recv(cx));
+        if next.is_none() {
+            body.end.0.set(true);
+        }
+        Poll::Ready(next)
+    }
+}
+
 /// Responds to a caller's request, and starts the requests that are pipelined after it.
 pub(crate) async fn handle(worker: Rc<Worker>, mut request: http::Request) -> Response {
     let is_http1 = request.version() != Version::HTTP_2;
@@ -119,11 +173,14 @@
             None
         }
     };
+    // Requests that were started early have no body.
+    let mut body_end = BodyEnd::reached();
     let mut running = match response.take() {
         Some(PendingResponse::Running(running)) => running,
         Some(PendingResponse::Ready(response)) => Box::pin(std::future::ready(response)),
         None => {
-            let incoming = IncomingRequest::from(&mut request);
+            let mut incoming = IncomingRequest::from(&mut request);
+            body_end = TrackedBody::track(&mut incoming.payload);
             Box::pin(entry::respond(Rc::clone(&worker), incoming, Some(io.clone())))
         }
     };
@@ -138,6 +195,9 @@
         }
         while buffer_check.poll_elapsed(cx).is_ready() {
             buffer_check = sleep(BUFFER_CHECK_INTERVAL);
+            if !body_end.is_reached() {
+                continue;
+            }
             for incoming in new_requests(&worker, &io, started.len(), caller) {
                 let mut next = start_request(&worker, incoming, &io);
                 next.poll(cx);
