Have departures kept by other instances before a node confirms them

Cause: a node keeps departures and drains in its memory; `state_file` is not set on machines without a disk, and could not outlast the process there. Ruled out: remembering for a while after the start (pings come later than that, and restarts in series), asking the server's health (it lies in both directions).

Change: before it confirms a drain or a departure, the node has it kept by the control instances and three other nodes, and waits for two of them, for 0.6 s at most. After a start it asks them, and refuses announcements until they have answered (1 s at most if one has, 5 s if none has).

--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -9,6 +9,7 @@
 
 use arbutuslane_core::id::Incarnation;
 use arbutuslane_core::rng::Rng;
+use arbutuslane_core::time::Clock;
 use arbutuslane_core::{hash, rng};
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::metric::{Histograms, Text};
@@ -18,6 +19,7 @@
     Ballot, Candidate, Item, Leader, Position, Replication, Table as ItemTable, Update,
 };
 use arbutuslane_item::replication::{Refusal, Status};
+use arbutuslane_member::departure::Keeper;
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::table::Table;
 use rand::RngExt;
@@ -49,6 +51,9 @@
     recovered: ItemTable,
     replication: Mutex<Replication>,
     members: Mutex<Members>,
+    /// The departures of servers that this instance keeps for nodes.
+    departures: Mutex<Keeper>,
+    pub(super) clock: Clock,
     /// The changes for the leader task.
     orders: UnboundedSender<Order>,
     /// The start of this instance, which its ballots contain.
@@ -142,6 +147,8 @@
             recovered: replication.stored().table.clone(),
             replication: Mutex::new(replication),
             members: Mutex::default(),
+            departures: Mutex::default(),
+            clock: Clock::start_counting_suspension(),
             orders,
             incarnation,
             repair_soon: AtomicBool::new(false),
@@ -285,6 +292,11 @@
         items
     }
 
+    /// Locks the departures that this instance keeps for nodes.
+    pub(super) fn departures(&self) -> MutexGuard<'_, Keeper> {
+        self.departures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the members that gossip considers alive.
     pub(super) fn members(&self) -> Members {
         self.members.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -119,6 +119,15 @@
         Message::FetchItems { hashes, unaccepted } => {
             compare::requested_items(&shared.core, &hashes, unaccepted)
         }
+        Message::KeepDepartures { node, departures } => {
+            let departures = departures.into_iter().map(Into::into).collect();
+            shared.core.departures().keep(&node, departures, shared.core.clock.now());
+            Answer::Done
+        }
+        Message::FetchDepartures { node } => {
+            let kept = shared.core.departures().departures(&node, shared.core.clock.now());
+            Answer::Departures(kept.into_iter().map(Into::into).collect())
+        }
         Message::ItemAgreement(bytes) => match agreement::handle(&shared.core, &bytes).await {
             Some(answer) => answer,
             None => return HttpResponse::BadRequest().finish(),
--- a/crates/arbutuslane_member/src/lib.rs
+++ b/crates/arbutuslane_member/src/lib.rs
@@ -4,7 +4,8 @@
 //! number generator, requests from peers and responses from peers; its outputs are
 //! [`Effect`](effect::Effect)s that the calling code executes. It contains a
 //! [`Table`](table::Table) with every node's [`Record`](record::Record) and a
-//! [`Detector`](detector::Detector) of failed nodes.
+//! [`Detector`](detector::Detector) of failed nodes. [`departure`] has what instances keep for each
+//! other about backend servers that leave.
 //!
 //! ```
 //! use std::time::Duration;
@@ -19,6 +20,7 @@
 //! ```
 
 pub mod configuration;
+pub mod departure;
 pub mod detector;
 pub mod effect;
 pub mod gossip;
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -1,5 +1,6 @@
 //! The listener for backend servers, operators and metrics.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,13 +9,16 @@
 
 use arbutuslane_core::time::millis;
 use arbutuslane_event::prelude::{Draft, Kind, border};
+use arbutuslane_member::departure::Stage;
 use arbutuslane_wire::announce::{Announcement, Lease};
 use arbutuslane_wire::operator::Refusal;
 
 use crate::announce::RENEWALS_PER_LEASE;
+use crate::cluster::departures;
 use crate::interface::Call;
 use crate::metrics::{self, AnnouncementOutcome};
 use crate::shared::Shared;
+use crate::traffic::Pool;
 
 /// The largest request body in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 64 << 10;
@@ -55,21 +59,31 @@
 }
 
 /// Handles a request on the `admin` listener.
-pub(crate) fn handle(shared: &Arc<Shared>, method: &Method, uri: &Uri, body: &[u8]) -> Response {
+pub(crate) async fn handle(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    method: &Method,
+    uri: &Uri,
+    body: &[u8],
+) -> Response {
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
     match shared.interface.read(method.as_str(), target, body) {
-        Call::Announce(Ok(announcement)) => return apply_announcement(shared, &announcement),
+        Call::Announce(Ok(announcement)) => {
+            return apply_announcement(shared, pool, &announcement).await;
+        }
         Call::Announce(Err(error)) => {
             tracing::info!(event = "announcement-refused", error);
             return refuse(StatusCode::BAD_REQUEST, &error, "correct the named key");
         }
-        Call::Leave { server, incarnation } => return leave(shared, &server, incarnation),
+        Call::Leave { server, incarnation } => {
+            return leave(shared, pool, &server, incarnation).await;
+        }
         Call::Ready => return health(shared),
         Call::Native => {}
     }
     let path = uri.path();
     if let Some(rest) = path.strip_prefix("/v1/servers") {
-        return servers(shared, method, rest, body);
+        return servers(shared, pool, method, rest, body).await;
     }
     if method != Method::GET {
         return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use GET");
@@ -92,25 +106,31 @@
 }
 
 /// Handles the paths below `/v1/servers`.
-fn servers(shared: &Arc<Shared>, method: &Method, rest: &str, body: &[u8]) -> Response {
+async fn servers(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    method: &Method,
+    rest: &str,
+    body: &[u8],
+) -> Response {
     let rest = rest.strip_prefix('/').unwrap_or(rest);
     if rest.is_empty() {
         if method != Method::POST {
             return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use POST");
         }
-        return announce(shared, body);
+        return announce(shared, pool, body).await;
     }
     let name = rest.strip_suffix("/drain").unwrap_or(rest);
     let server = shared.servers.get(name);
-    let (known, kind) = match (method, name == rest) {
+    let incarnation = server.as_ref().map_or(0, |server| server.incarnation);
+    let (known, stage, kind) = match (method, name == rest) {
         (&Method::POST, false) => {
             let in_flight = server.as_ref().map_or(0, |server| server.report().in_flight);
-            (shared.servers.drain(name), Kind::Drain { in_flight })
+            (shared.servers.drain(name), Stage::Draining, Kind::Drain { in_flight })
         }
         (&Method::DELETE, true) => {
-            let incarnation = server.as_ref().map_or(0, |server| server.incarnation);
             let left = shared.servers.leave(name, None, shared.clock.now());
-            (left, Kind::ServerLeft { incarnation })
+            (left, Stage::Left, Kind::ServerLeft { incarnation })
         }
         _ => return refuse(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", "use DELETE"),
     };
@@ -120,6 +140,7 @@
     }
     if let Some(server) = server {
         record_event(shared, &server.service, name, kind);
+        departures::confirm(shared, pool, name, incarnation, stage).await;
     }
     Response::new(StatusCode::NO_CONTENT)
 }
@@ -138,7 +159,7 @@
     Response::build(StatusCode::OK).json(&border::Page::from(shared.events.events_since(since)))
 }
 
-fn announce(shared: &Arc<Shared>, body: &[u8]) -> Response {
+async fn announce(shared: &Arc<Shared>, pool: &Rc<Pool>, body: &[u8]) -> Response {
     if shared.is_stopping() {
         let remedy = "announce to another node";
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "node is stopping", remedy);
@@ -150,12 +171,18 @@
             return refuse(StatusCode::BAD_REQUEST, &error.to_string(), remedy);
         }
     };
-    apply_announcement(shared, &announcement)
+    apply_announcement(shared, pool, &announcement).await
 }
 
 /// Handles the departure of a server. A repeated departure is acknowledged again.
-fn leave(shared: &Shared, name: &str, incarnation: Option<u64>) -> Response {
+async fn leave(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    name: &str,
+    incarnation: Option<u64>,
+) -> Response {
     let server = shared.servers.get(name);
+    let departed = incarnation.or_else(|| server.as_ref().map(|server| server.incarnation));
     shared.servers.leave(name, incarnation, shared.clock.now());
     shared.metrics.count_announcement(AnnouncementOutcome::Left);
     if let Some(server) = server.filter(|_| shared.servers.get(name).is_none()) {
@@ -166,6 +193,9 @@
             Kind::ServerLeft { incarnation: server.incarnation },
         );
     }
+    if let Some(incarnation) = departed {
+        departures::confirm(shared, pool, name, incarnation, Stage::Left).await;
+    }
     Response::build(StatusCode::OK).json(&Acknowledged {})
 }
 
@@ -174,7 +204,15 @@
 struct Acknowledged {}
 
 /// Applies an announcement and returns the lease.
-fn apply_announcement(shared: &Shared, announcement: &Announcement) -> Response {
+async fn apply_announcement(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    announcement: &Announcement,
+) -> Response {
+    if !departures::wait_recovered(shared).await {
+        let error = "this node has started and does not know yet which servers left before";
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, error, "announce again");
+    }
     shared.raise_awaited_revision(announcement.revision);
     let previous = shared.servers.get(&announcement.server);
     let was_draining = previous.as_ref().is_some_and(|server| server.is_draining());
@@ -201,6 +239,10 @@
             Kind::Drain { in_flight },
         );
     }
+    if announcement.draining {
+        let (server, incarnation) = (&announcement.server, announcement.incarnation);
+        departures::confirm(shared, pool, server, incarnation, Stage::Draining).await;
+    }
     let lease = Duration::from_millis(shared.settings.lease_ms);
     let lease = Lease {
         lease_ms: millis(lease),
--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -207,6 +207,15 @@
         true
     }
 
+    /// Stops new work for an incarnation of a server that drained before the start of this node, also
+    /// if it has not announced itself yet.
+    pub(crate) fn recover_drain(&self, server: &str, incarnation: Incarnation) {
+        self.state.add_drained_earlier(server, incarnation);
+        if let Some(known) = self.get(server).filter(|known| known.incarnation == incarnation) {
+            self.close(&known);
+        }
+    }
+
     /// Stops new work for a server; returns whether it is known.
     pub(crate) fn drain(&self, server: &str) -> bool {
         let Some(server) = self.get(server) else { return false };
--- /dev/null
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -0,0 +1,260 @@
+//! Has the departures that this node confirms kept by other instances, and gets them back after a
+//! restart.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arbutuslane_core::hash;
+use arbutuslane_core::id::Incarnation;
+use arbutuslane_core::time::Time;
+use arbutuslane_event::prelude::{Draft, Kind};
+use arbutuslane_member::departure::{
+    CONFIRMATION_TIMEOUT, Confirmation, Departure, Keeper, MAX_DEPARTURES, RETENTION, Recovery,
+    Stage,
+};
+use arbutuslane_wire::peer::{Answer, Message};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use ntex::time::sleep;
+
+use crate::peers;
+use crate::shared::Shared;
+use crate::timeout::within;
+use crate::traffic::Pool;
+
+/// The number of other nodes that keep departures beside all control instances.
+const KEEPER_NODES: usize = 3;
+
+/// The time between two attempts to reach instances that have not responded.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The longest time that an announcement waits until this node knows its departures.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How often a waiting announcement checks whether this node knows its departures.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The departures that this node has confirmed, and those that it keeps for others.
+#[derive(Debug, Default)]
+pub(crate) struct Departures {
+    keeper: Mutex<Keeper>,
+    confirmed: Mutex<Vec<Confirmed>>,
+    recovery: Mutex<Recovery>,
+}
+
+/// A departure that this node has confirmed since its start.
+#[derive(Debug)]
+struct Confirmed {
+    departure: Departure,
+    at: Time,
+    /// The instances that keep it.
+    keepers: Vec<SocketAddr>,
+}
+
+impl Departures {
+    /// Returns the state of a node that has just started.
+    pub(crate) fn new(now: Time) -> Self {
+        Self { recovery: Mutex::new(Recovery::new(now)), ..Self::default() }
+    }
+
+    /// Keeps departures for another node.
+    pub(crate) fn keep(&self, node: &str, departures: Vec<Departure>, now: Time) {
+        lock(&self.keeper).keep(node, departures, now);
+    }
+
+    /// Returns the departures that are kept for another node.
+    pub(crate) fn kept(&self, node: &str, now: Time) -> Vec<Departure> {
+        lock(&self.keeper).departures(node, now)
+    }
+
+    /// Records a departure that is about to be confirmed; returns whether it is new.
+    fn add(&self, departure: &Departure, now: Time) -> bool {
+        let mut confirmed = lock(&self.confirmed);
+        if confirmed.iter().any(|known| known.departure == *departure) {
+            return false;
+        }
+        confirmed.push(Confirmed { departure: departure.clone(), at: now, keepers: Vec::new() });
+        let excess = confirmed.len().saturating_sub(MAX_DEPARTURES);
+        confirmed.drain(..excess);
+        true
+    }
+
+    fn record_kept(&self, departures: &[Departure], keeper: SocketAddr) {
+        for known in lock(&self.confirmed).iter_mut() {
+            if departures.contains(&known.departure) && !known.keepers.contains(&keeper) {
+                known.keepers.push(keeper);
+            }
+        }
+    }
+
+    /// Returns the departures that the instance at `keeper` does not keep yet.
+    fn missing_at(&self, keeper: SocketAddr, now: Time) -> Vec<Departure> {
+        let mut confirmed = lock(&self.confirmed);
+        confirmed.retain(|known| now < known.at + RETENTION);
+        let missing = confirmed.iter().filter(|known| !known.keepers.contains(&keeper));
+        missing.map(|known| known.departure.clone()).collect()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the instances that keep departures for this node: all control instances, the seeds, and
+/// nodes that are chosen by their names, so that they are the same after a restart.
+fn keepers(shared: &Shared) -> Vec<SocketAddr> {
+    let mut keepers: Vec<SocketAddr> = shared.control().iter().copied().collect();
+    let seeds = shared.settings.gossip_seeds().into_iter();
+    keepers.extend(seeds.filter_map(|seed| seed.parse::<SocketAddr>().ok()));
+    let mut nodes = Vec::new();
+    for known in shared.cluster.membership().gossip.table().members() {
+        let Ok(address) = known.record.peers.parse::<SocketAddr>() else { continue };
+        if known.record.node == shared.settings.node {
+            continue;
+        }
+        // A control instance has no listener for callers.
+        match known.record.callers.is_empty() {
+            true => keepers.push(address),
+            false => {
+                let pair = format!("{} {}", shared.settings.node, known.record.node);
+                nodes.push((hash::of_bytes(pair.as_bytes()), address));
+            }
+        }
+    }
+    nodes.sort_unstable();
+    keepers.extend(nodes.into_iter().take(KEEPER_NODES).map(|(_, address)| address));
+    keepers.retain(|address| *address != shared.settings.peers);
+    keepers.sort_unstable();
+    keepers.dedup();
+    keepers
+}
+
+/// Returns once a departure may be confirmed: other instances keep it, or do not respond in time.
+pub(crate) async fn confirm(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    server: &str,
+    incarnation: Incarnation,
+    stage: Stage,
+) {
+    let departure = Departure { server: server.to_string(), incarnation, stage };
+    let started_at = shared.clock.now();
+    if !shared.departures.add(&departure, started_at) {
+        return;
+    }
+    let keepers = keepers(shared);
+    let mut confirmation = Confirmation::new(keepers.len(), started_at);
+    let departures = [departure];
+    let mut sending: FuturesUnordered<_> =
+        keepers.into_iter().map(|keeper| send(shared, pool, keeper, &departures)).collect();
+    let waiting = async {
+        while !confirmation.is_due(shared.clock.now()) {
+            match sending.next().await {
+                Some(true) => confirmation.record_kept(),
+                Some(false) => {}
+                None => return,
+            }
+        }
+    };
+    // The control thread sends the departure again to those that have not responded.
+    let _ = within(CONFIRMATION_TIMEOUT, waiting).await;
+    let took_ms = (shared.clock.now() - started_at).as_millis();
+    tracing::info!(event = "departure-kept", server, ?stage, took_ms);
+}
+
+/// Has departures kept by the instance at `keeper`; returns whether it does.
+async fn send(
+    shared: &Shared,
+    pool: &Rc<Pool>,
+    keeper: SocketAddr,
+    departures: &[Departure],
+) -> bool {
+    let message = Message::KeepDepartures {
+        node: shared.settings.node.clone(),
+        departures: departures.iter().cloned().map(Into::into).collect(),
+    };
+    let answer = peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await;
+    let is_kept = matches!(answer, Ok(Answer::Done));
+    if is_kept {
+        shared.departures.record_kept(departures, keeper);
+    }
+    is_kept
+}
+
+/// Returns whether this node knows which departures it confirmed before its start, after a short wait
+/// if it does not yet.
+pub(crate) async fn wait_recovered(shared: &Shared) -> bool {
+    let deadline = shared.clock.now() + ANNOUNCEMENT_TIMEOUT;
+    while !is_recovered(shared) {
+        if shared.clock.now() >= deadline {
+            return false;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    true
+}
+
+fn is_recovered(shared: &Shared) -> bool {
+    let addresses: Vec<String> = keepers(shared).iter().map(ToString::to_string).collect();
+    let now = shared.clock.now();
+    lock(&shared.departures.recovery).is_complete(addresses.iter().map(String::as_str), now)
+}
+
+/// Asks for departures from before the start, and has those since then kept by instances that were
+/// not reached, until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
+    loop {
+        let mut exchanges: FuturesUnordered<Pin<Box<dyn Future<Output = ()>>>> =
+            FuturesUnordered::new();
+        for keeper in keepers(&shared) {
+            let (shared, pool) = (Arc::clone(&shared), Rc::clone(&pool));
+            exchanges.push(Box::pin(async move { exchange(&shared, &pool, keeper).await }));
+        }
+        while exchanges.next().await.is_some() {}
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Exchanges departures with one instance, as far as there is a need.
+async fn exchange(shared: &Arc<Shared>, pool: &Rc<Pool>, keeper: SocketAddr) {
+    let address = keeper.to_string();
+    if !lock(&shared.departures.recovery).has_responded(&address) {
+        let message = Message::FetchDepartures { node: shared.settings.node.clone() };
+        match peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await {
+            Ok(Answer::Departures(departures)) => {
+                for departure in departures {
+                    apply(shared, &departure.into());
+                }
+            }
+            // Instances of another kind or release keep none.
+            Ok(_) => {}
+            Err(_) => return,
+        }
+        lock(&shared.departures.recovery).record_response(&address);
+    }
+    let missing = shared.departures.missing_at(keeper, shared.clock.now());
+    if !missing.is_empty() {
+        send(shared, pool, keeper, &missing).await;
+    }
+}
+
+/// Applies a departure from before the start.
+fn apply(shared: &Shared, departure: &Departure) {
+    let Departure { server, incarnation, stage } = departure;
+    tracing::info!(event = "departure-recovered", server, incarnation, ?stage);
+    let now = shared.clock.now();
+    match stage {
+        Stage::Left => {
+            let known = shared.servers.get(server);
+            shared.servers.leave(server, Some(*incarnation), now);
+            if let Some(known) = known.filter(|_| shared.servers.get(server).is_none()) {
+                let kind = Kind::ServerLeft { incarnation: known.incarnation };
+                shared.events.record(Draft::new(kind).service(&known.service).server(server));
+            }
+        }
+        Stage::Draining => shared.servers.recover_drain(server, *incarnation),
+    }
+}
--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod contact;
 pub(crate) mod control;
 pub(crate) mod delta;
+pub(crate) mod departures;
 pub(crate) mod items;
 pub(crate) mod keyed;
 pub(crate) mod peers;
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -23,6 +23,7 @@
 
 use crate::announce::ServerTable;
 use crate::cluster::Cluster;
+use crate::cluster::departures::Departures;
 use crate::cluster::items::Announced;
 use crate::configuration::Configuration;
 use crate::interface::Interface;
@@ -103,6 +104,8 @@
     pub(crate) repeats: Repeats,
     /// The planned stop of this node.
     pub(crate) stop: Stop,
+    /// The departures of servers that this node confirmed, and those that it keeps for others.
+    pub(crate) departures: Departures,
     /// The accepted items that control instances announced.
     pub(crate) announced: Announced,
     configuration: RwLock<Arc<Configuration>>,
@@ -184,6 +187,7 @@
             repeated_runs: RecentIds::default(),
             repeats: Repeats::new(retry_limit, clock.now()),
             stop: Stop::default(),
+            departures: Departures::new(clock.now()),
             announced: Announced::default(),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
--- a/crates/arbutuslane_node/src/state_file.rs
+++ b/crates/arbutuslane_node/src/state_file.rs
@@ -136,6 +136,16 @@
         self.lock().append(&[Fact::Draining { server: server.to_string(), incarnation }]);
     }
 
+    /// Adds a drain from before the start that another instance has kept.
+    pub(crate) fn add_drained_earlier(&self, server: &str, incarnation: Incarnation) {
+        let fact = Fact::Draining { server: server.to_string(), incarnation };
+        let mut state = self.lock();
+        if !state.earlier.contains(&fact) {
+            state.append(std::slice::from_ref(&fact));
+            state.earlier.push(fact);
+        }
+    }
+
     /// Returns the servers that left before the start, with their incarnations.
     pub(crate) fn left_earlier(&self) -> Vec<(ServerId, Incarnation)> {
         let mut left = Vec::new();
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -218,7 +218,10 @@
             response
         }
         Purpose::Admin => match read_body(request.take_payload(), admin::MAX_BODY_BYTES).await {
-            Ok(body) => admin::handle(&worker.shared, request.method(), request.uri(), &body),
+            Ok(body) => {
+                let (method, uri) = (request.method(), request.uri());
+                admin::handle(&worker.shared, &worker.pool, method, uri, &body).await
+            }
             Err(response) => response,
         },
     }
--- a/crates/arbutuslane_node/tests/faults/leave.rs
+++ b/crates/arbutuslane_node/tests/faults/leave.rs
@@ -53,6 +53,69 @@
     assert_eq!(server.received_requests().len(), runs_before);
 }
 
+/// Sends an announcement of the server under `incarnation`; returns the status of the response.
+fn announce(node: &Node, server: &Server, incarnation: &serde_json::Value, draining: bool) -> u16 {
+    let announcement = serde_json::json!({"service": "slots", "server": server.name,
+        "address": server.address, "incarnation": incarnation, "slots": 5, "revision": 0,
+        "draining": draining});
+    let body = announcement.to_string();
+    call(node.admin_address, "POST", "/v1/servers", &[], body.as_bytes()).status
+}
+
+/// Guards against a server that gets work again after its departure was confirmed, because its node,
+/// which has no disk, was killed and started twice before a delayed renewal arrived.
+#[test]
+fn leave_node_killed() {
+    for drains in [false, true] {
+        let others = [Node::start(&[]), Node::start(&[])];
+        let mut owner = Node::start(&[others[0].peer_address, others[1].peer_address]);
+        let server = Server::start(&owner, "slots", "s1", respond_done);
+        wait_until(|| others[0].metric("arbutuslane_remote_servers") == 1);
+        server.stop_renewing();
+        // The last renewal may still be on its way.
+        sleep(Duration::from_millis(400));
+        let incarnation = owner.status()["servers"][0]["incarnation"].clone();
+        match drains {
+            true => assert_eq!(announce(&owner, &server, &incarnation, true), 200),
+            false => {
+                let left = call(owner.admin_address, "DELETE", "/v1/servers/s1", &[], b"");
+                assert_eq!(left.status, 204);
+            }
+        }
+        for _ in 0..2 {
+            owner.kill_and_restart();
+            let status = announce(&owner, &server, &incarnation, false);
+            assert_eq!(status, if drains { 200 } else { 409 });
+            for node in [&owner, &others[0]] {
+                let response = node.call("GET", "/slots", &[], b"");
+                assert_eq!((response.status, response.outcome()), (503, "not-run"));
+            }
+        }
+        assert!(server.received_requests().is_empty());
+        // A later start of the server is used.
+        let later = (incarnation.as_u64().unwrap() + 1).into();
+        assert_eq!(announce(&owner, &server, &later, false), 200);
+        assert_eq!(owner.call("GET", "/slots", &[], b"").status, 200);
+    }
+}
+
+/// Guards against a departure that is confirmed late because no other instance can be reached, and
+/// against announcements that are refused for long after a start because of that.
+#[test]
+fn leave_alone() {
+    let other = Node::start(&[]);
+    let mut owner = Node::start(&[other.peer_address]);
+    let server = Server::start(&owner, "slots", "s1", respond_done);
+    server.stop_renewing();
+    other.signal("STOP");
+    let left = call(owner.admin_address, "DELETE", "/v1/servers/s1", &[], b"");
+    assert_eq!(left.status, 204);
+    owner.kill_and_restart();
+    let next = serde_json::json!(u64::MAX);
+    wait_until(|| announce(&owner, &server, &next, false) == 200);
+    other.signal("CONT");
+}
+
 /// Guards against a drain that interrupts requests in flight or dispatches queued ones.
 #[test]
 fn leave_drained() {
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes and control instances, sent by POST to `/v1/peer`.
 
+pub mod departure;
 pub mod gossip;
 pub mod register;
 
@@ -79,6 +80,18 @@
         /// What each workspace needs.
         requests: Vec<AllowanceRequest>,
     },
+    /// Requests that the receiver keep departures of servers for a node.
+    KeepDepartures {
+        /// The node.
+        node: String,
+        /// The departures.
+        departures: Vec<departure::Departure>,
+    },
+    /// Requests the departures that the receiver keeps for a node.
+    FetchDepartures {
+        /// The node.
+        node: String,
+    },
 }
 
 /// The tokens that an entry requests for a workspace.
@@ -140,4 +153,6 @@
         /// The loans, in the order of the requests.
         loans: Vec<AllowanceLoan>,
     },
+    /// The response to [`Message::FetchDepartures`].
+    Departures(Vec<departure::Departure>),
 }
