--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -2,7 +2,6 @@
 //! restart.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -31,6 +30,9 @@
 /// The time between two attempts to reach instances that have not responded.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The time between two checks whether there is anything to exchange.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The longest time that an announcement waits until this node knows its departures.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -207,21 +209,23 @@
 /// not reached, until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
     loop {
-        let mut exchanges: FuturesUnordered<Pin<Box<dyn Future<Output = ()>>>> =
-            FuturesUnordered::new();
-        for keeper in keepers(&shared) {
-            let (shared, pool) = (Arc::clone(&shared), Rc::clone(&pool));
-            exchanges.push(Box::pin(async move { exchange(&shared, &pool, keeper).await }));
+        let mut exchanges: FuturesUnordered<_> =
+            keepers(&shared).into_iter().map(|keeper| exchange(&shared, &pool, keeper)).collect();
+        let mut is_idle = true;
+        while let Some(is_done) = exchanges.next().await {
+            is_idle &= is_done;
         }
-        while exchanges.next().await.is_some() {}
-        sleep(RETRY_INTERVAL).await;
+        sleep(if is_idle { IDLE_INTERVAL } else { RETRY_INTERVAL }).await;
     }
 }
 
-/// Exchanges departures with one instance, as far as there is a need.
-async fn exchange(shared: &Arc<Shared>, pool: &Rc<Pool>, keeper: SocketAddr) {
+/// Exchanges departures with one instance, as far as there is a need; returns whether there is none
+/// any more.
+async fn exchange(shared: &Arc<Shared>, pool: &Rc<Pool>, keeper: SocketAddr) -> bool {
     let address = keeper.to_string();
-    if !lock(&shared.departures.recovery).has_responded(&address) {
+    // The clock starts with the node; later, nobody keeps a departure from before.
+    let is_recent = shared.clock.now() < RETENTION;
+    if is_recent && !lock(&shared.departures.recovery).has_responded(&address) {
         let message = Message::FetchDepartures { node: shared.settings.node.clone() };
         match peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await {
             Ok(Answer::Departures(departures)) => {
@@ -231,14 +235,12 @@
             }
             // Instances of another kind or release keep none.
             Ok(_) => {}
-            Err(_) => return,
+            Err(_) => return false,
         }
         lock(&shared.departures.recovery).record_response(&address);
     }
     let missing = shared.departures.missing_at(keeper, shared.clock.now());
-    if !missing.is_empty() {
-        send(shared, pool, keeper, &missing).await;
-    }
+    missing.is_empty() || send(shared, pool, keeper, &missing).await
 }
 
 /// Applies a departure from before the start.
--- a/crates/arbutuslane_node/tests/faults/response.rs
+++ b/crates/arbutuslane_node/tests/faults/response.rs
@@ -2,11 +2,15 @@
 //! another caller, and callers that disconnect.
 
 use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
+use crate::support::node::wait_until;
 use crate::support::server::write;
-use crate::support::{Node, Server, caller, encode_request, open_connection};
+use crate::support::{Node, ReceivedRequest, Server, caller, encode_request, open_connection};
 
 /// Guards against forwarding a response that carries the exchange id of another request.
 #[test]
@@ -211,3 +215,65 @@
     assert!(!response.is_complete);
     assert!(response.body.len() < 400_000);
 }
+
+/// Guards against an earlier refusal that a faulty server writes once more on a kept connection, and
+/// that is taken for the refusal of the request that the server runs there: the caller would be told
+/// that it did not run, or it would run at another server.
+#[test]
+fn response_refused_again() {
+    let node = Node::start(&[]);
+    let refusal = Arc::new(Mutex::new(Vec::new()));
+    let earlier = Arc::clone(&refusal);
+    let handler = move |received: &ReceivedRequest, stream: &mut TcpStream| {
+        let mut refusal = earlier.lock().unwrap();
+        let not_run = "arbutuslane-outcome: not-run\r\nretry-after: 0\r\n";
+        if received.path.contains("refuse") {
+            *refusal = received.build_response("503 Busy", not_run, "");
+            return write(stream, &refusal);
+        }
+        let again = std::mem::take(&mut *refusal);
+        write(stream, &again) && write(stream, &received.build_ok_response("booked"))
+    };
+    let server = Server::start(&node, "bookings", "s1", handler);
+    for round in 0..5 {
+        let refused = node.call("POST", "/bookings/refuse", &[], b"x");
+        assert_eq!((refused.status, refused.outcome()), (503, "not-run"), "round {round}");
+        let booked = node.call("POST", "/bookings/run", &[], b"x");
+        // Where the refusal comes first, nothing is known of the booking that ran behind it.
+        let outcome = (booked.status, booked.outcome());
+        assert!(matches!(outcome, (200, _) | (502, "unknown")), "round {round}: {outcome:?}");
+        // A server that breaks the protocol is avoided for a while.
+        wait_until(|| node.call("POST", "/bookings/run", &[], b"x").status == 200);
+    }
+    let runs = server.received_requests();
+    let bookings = runs.iter().filter(|received| received.path.ends_with("run")).count();
+    assert!(bookings >= 10, "{bookings}");
+}
+
+/// Guards against a response whose head was cut, and that reaches the caller as a whole one with an
+/// empty or short body.
+#[test]
+fn response_head_cut() {
+    let node = Node::start(&[]);
+    let cut_at = Arc::new(AtomicUsize::new(0));
+    let cut = Arc::clone(&cut_at);
+    let server = Server::start(&node, "slots", "s1", move |received, stream| {
+        let exchange_id = received.header("arbutuslane-exchange").unwrap();
+        let whole = format!(
+            "HTTP/1.1 200 OK\r\narbutuslane-exchange: {exchange_id}\r\nx-a: b\r\n\
+             content-length: 12\r\n\r\nwhole answer"
+        );
+        let length = cut.load(Ordering::SeqCst).min(whole.len());
+        write(stream, &whole.as_bytes()[..length]);
+        length == whole.len()
+    });
+    for length in (0..130).step_by(4) {
+        cut_at.store(length, Ordering::SeqCst);
+        let response = node.call("GET", "/slots", &[], b"");
+        let is_whole = response.text() == "whole answer";
+        assert!(response.status != 200 || is_whole || !response.is_complete, "{length} bytes");
+    }
+    cut_at.store(usize::MAX, Ordering::SeqCst);
+    wait_until(|| node.call("GET", "/slots", &[], b"").text() == "whole answer");
+    assert!(!server.is_stopped());
+}
