Believe announcements once two instances have said which departures they keep

Cause: after a start a node waited for all instances that it knew. Gossip finds more of them in the first second, so that the wait began again and each restart kept its server out of use for up to a second.

Change: two responses are enough, as two keepers are for a confirmation; what others send later is applied then.

--- a/crates/arbutuslane_member/src/departure.rs
+++ b/crates/arbutuslane_member/src/departure.rs
@@ -21,12 +21,16 @@
 /// The number of other instances that keep a departure before it is confirmed.
 pub const NEEDED_KEEPERS: usize = 2;
 
+/// The number of instances that a node asks after a start before it believes announcements. A departure
+/// is sent to all keepers, so that usually any of them has it; what the others send later is applied
+/// then.
+pub const NEEDED_RESPONSES: usize = 2;
+
 /// The longest wait for [`NEEDED_KEEPERS`]. A server waits about a second for a confirmation, and then
 /// leaves without one.
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long a node that has started waits for all instances that it knows. After it, one response is
-/// enough.
+/// How long a node that has started waits for [`NEEDED_RESPONSES`]. After it, one is enough.
 pub const FULL_RECOVERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How long a node that has started waits for any response. Announcements that were sent before the
@@ -161,7 +165,7 @@
         let minimum = match waited {
             waited if waited >= RECOVERY_TIMEOUT => 0,
             waited if waited >= FULL_RECOVERY_TIMEOUT => 1,
-            _ => usize::MAX,
+            _ => NEEDED_RESPONSES,
         };
         self.responders.len() >= minimum
             || keepers.into_iter().all(|address| self.has_responded(address))
--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -11,8 +11,8 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_member::departure::{
-    CONFIRMATION_TIMEOUT, Confirmation, Departure, Keeper, MAX_DEPARTURES, RETENTION, Recovery,
-    Stage,
+    CONFIRMATION_TIMEOUT, Confirmation, Departure, FULL_RECOVERY_TIMEOUT, Keeper, MAX_DEPARTURES,
+    RETENTION, Recovery, Stage,
 };
 use arbutuslane_wire::peer::{Answer, Message};
 use futures_util::StreamExt;
@@ -215,7 +215,9 @@
         while let Some(is_done) = exchanges.next().await {
             is_idle &= is_done;
         }
-        sleep(if is_idle { IDLE_INTERVAL } else { RETRY_INTERVAL }).await;
+        // Gossip finds most of the instances in the first second.
+        let is_starting = shared.clock.now() < FULL_RECOVERY_TIMEOUT;
+        sleep(if is_idle && !is_starting { IDLE_INTERVAL } else { RETRY_INTERVAL }).await;
     }
 }
 
