Split the steps that go to disk from the core of a control instance, and read on from a log that does not fit

A log whose updates do not follow each other is set aside like any damaged one, so that the instance recovers from the others and does not end at each start.

--- a/crates/arbutuslane_control/src/items/agreement.rs
+++ b/crates/arbutuslane_control/src/items/agreement.rs
@@ -16,7 +16,7 @@
 use ntex::client::Client;
 use ntex::time::sleep;
 
-use super::core::{Addresses, Core};
+use super::core::Core;
 use super::leader::Decision;
 use super::push::send_request;
 
@@ -154,8 +154,3 @@
         }
     }
 }
-
-/// Returns the address of an instance, or `None` if gossip does not consider it alive.
-pub(super) fn address_of(members: &Addresses, instance: &str) -> Option<String> {
-    members.get(instance).cloned()
-}
--- a/crates/arbutuslane_control/src/items/leader.rs
+++ b/crates/arbutuslane_control/src/items/leader.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
-use super::agreement::{address_of, collect, collect_statuses, fetch, request};
+use super::agreement::{collect, collect_statuses, fetch, request};
 use super::core::Core;
 use super::push::{self, PEER_TIMEOUT};
 
@@ -85,7 +85,8 @@
         let leads_itself = replication.promised().instance == replication.own();
         (replication.is_complete() && !leads_itself).then(|| replication.promised().clone())?
     };
-    let address = address_of(&core.members().control, &ballot.instance)?;
+    // Gossip lists only the instances that it considers alive.
+    let address = core.members().control.remove(&ballot.instance)?;
     Some((ballot, address))
 }
 
@@ -186,8 +187,8 @@
         if source.instance == core.settings.name {
             continue;
         }
-        let address = address_of(&members, &source.instance)?;
-        let update = fetch(core, client, &address, Kind::Stored).await?;
+        let address = members.get(&source.instance)?;
+        let update = fetch(core, client, address, Kind::Stored).await?;
         if !core.adopt(&candidate, source, &update).await {
             return None;
         }
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -9,6 +9,7 @@
 mod core;
 pub mod daemon;
 mod disk;
+mod durable;
 pub mod interface;
 mod leader;
 mod push;
--- a/crates/arbutuslane_control/src/items/settle.rs
+++ b/crates/arbutuslane_control/src/items/settle.rs
@@ -9,7 +9,7 @@
 use ntex::client::Client;
 use ntex::time::sleep;
 
-use super::agreement::{address_of, collect_statuses, fetch};
+use super::agreement::{collect_statuses, fetch};
 use super::core::Core;
 use super::{leader, push};
 
@@ -52,8 +52,8 @@
     match &settlement {
         Settlement::Learn(position) => push::push_accepted(core, client, core.learn(position)),
         Settlement::Fetch(instance) => {
-            if let Some(address) = address_of(&core.members().control, instance)
-                && let Some(update) = fetch(core, client, &address, Kind::Accepted).await
+            if let Some(address) = core.members().control.get(instance)
+                && let Some(update) = fetch(core, client, address, Kind::Accepted).await
             {
                 core.install(&update).await;
                 push::push_accepted(core, client, core.learn(&update.position));
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -10,6 +10,9 @@
 use arbutuslane_wire::codec;
 use serde::{Deserialize, Serialize};
 
+#[cfg(test)]
+mod tests;
+
 /// The number of log entries after which a snapshot replaces the log; bounds the restart time.
 const ENTRIES_BEFORE_SNAPSHOT: u64 = 4_096;
 
@@ -84,11 +87,14 @@
     /// served until it takes writes again.
     pub(super) fn open(folder: F, first_start: bool) -> Result<(Self, Recovered), Error> {
         match Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES) {
-            Ok((log, recovered)) => Self::with_log(folder, log, &recovered, first_start),
-            Err(Error::Corrupt { file, offset, reason }) => {
-                let damage = Error::Corrupt { file, offset, reason }.to_string();
-                Self::salvage(folder, damage)
-            }
+            Ok((log, recovered)) => match read_state(&recovered) {
+                Ok(state) => Self::with_log(folder, log, &recovered, state, first_start),
+                Err(error) => {
+                    drop(log);
+                    Self::salvage(folder, error.to_string())
+                }
+            },
+            Err(error @ Error::Corrupt { .. }) => Self::salvage(folder, error.to_string()),
             Err(error) => Err(error),
         }
     }
@@ -99,7 +105,8 @@
         let readable = Log::salvage(&disk)?;
         Log::set_aside(&mut disk)?;
         let (log, empty) = Log::open(disk, log::DEFAULT_SEGMENT_BYTES)?;
-        let (mut writer, mut recovered) = Self::with_log(folder, log, &empty, false)?;
+        let (mut writer, mut recovered) =
+            Self::with_log(folder, log, &empty, State::default(), false)?;
         // With an entry missing, the items belong to no position.
         writer.state = State { position: Position::default(), table: read_items(&readable)? };
         if writer.log.is_some() {
@@ -114,6 +121,7 @@
         folder: F,
         log: Log<F::Disk>,
         recovered: &log::Recovered,
+        state: State,
         first_start: bool,
     ) -> Result<(Self, Recovered), Error> {
         tracing::info!(
@@ -130,7 +138,6 @@
             Some(bytes) => Some(codec::decode(bytes).map_err(|error| codec_error(&error))?),
             None => None,
         };
-        let state = read_state(recovered)?;
         let complete = meta.as_ref().is_some_and(|meta| meta.complete) || (is_new && first_start);
         let promised: Ballot = meta.map(|meta| meta.promised.into()).unwrap_or_default();
         let standing = match complete {
@@ -313,107 +320,3 @@
 fn codec_error(error: &codec::Error) -> Error {
     Error::Corrupt { file: "items".to_string(), offset: 0, reason: error.to_string() }
 }
-
-#[cfg(test)]
-mod tests {
-    use arbutuslane_core::rng;
-    use arbutuslane_item::prelude::{Key, Source};
-    use rand::RngExt;
-
-    use super::*;
-
-    impl Folder for disk::Fake {
-        type Disk = Self;
-
-        fn open(&self) -> Result<Self, Error> {
-            Ok(self.clone())
-        }
-    }
-
-    fn item(route: u32, version: u64) -> Arc<Item> {
-        let removal = Item::removal(Key::Route(format!("r{route}")), version);
-        Arc::new(Item { source: Source::Text("{}".to_string()), ..removal })
-    }
-
-    /// Returns the next update of the writer's state, which sets `item`.
-    fn record<F: Folder>(writer: &Writer<F>, item: &Arc<Item>) -> Record {
-        let mut state = writer.state.clone();
-        state.position.change += 1;
-        state.table.set_all(vec![Arc::clone(item)]);
-        let update = Update {
-            position: state.position,
-            replaced: Vec::new(),
-            items: vec![Arc::clone(item)],
-            digest: state.table.digest(),
-        };
-        Record { updates: vec![update], ..Record::default() }
-    }
-
-    /// Guards against an instance that ends at each start because its log is damaged, against one that
-    /// then counts as holding all items, and against a loss of the items that are still readable.
-    #[test]
-    fn open_damaged() {
-        let disk = disk::Fake::new(3);
-        let (mut writer, _) = Writer::open(disk.clone(), true).unwrap();
-        for version in 1..=20 {
-            let number = u32::try_from(version).unwrap();
-            writer.write(&record(&writer, &item(number, version))).unwrap();
-        }
-        drop(writer);
-        let name = disk.names().unwrap().pop().unwrap();
-        let middle = disk.read(&name).unwrap().len() / 2;
-        disk.flip(&name, middle);
-        for start in 0..2 {
-            let (_, recovered) = Writer::open(disk.clone(), false).unwrap();
-            assert_eq!(recovered.replication.standing, Standing::Recovering, "start {start}");
-            assert_eq!(recovered.replication.state.table.len(), 19, "start {start}");
-            assert_eq!(recovered.damage.is_some(), start == 0);
-            disk.crash();
-        }
-        assert!(disk.names().unwrap().contains(&format!("damaged-{name}")));
-    }
-
-    /// Guards against an item that was reported as durable on a disk that was full at any moment
-    /// and is missing after a power loss, against an instance that cannot start on a full disk, and
-    /// against one that writes nothing once there is room again.
-    #[test]
-    fn write_full_disk() {
-        for seed in 0..300 {
-            let mut rng = rng::seeded(seed);
-            let disk = disk::Fake::new(seed);
-            let (mut writer, _) = Writer::open(disk.clone(), true).unwrap();
-            let mut durable = Table::default();
-            for version in 1..60 {
-                match rng.random_range(0..10) {
-                    0 => disk.set_full(true),
-                    1 => disk.set_full(false),
-                    2 => writer.reopen(),
-                    3 => {
-                        drop(writer);
-                        disk.crash();
-                        let (restarted, recovered) = Writer::open(disk.clone(), false)
-                            .unwrap_or_else(|error| panic!("seed {seed}: {error:?}"));
-                        writer = restarted;
-                        let recovered = recovered.replication;
-                        assert_eq!(recovered.standing, Standing::Complete, "seed {seed}");
-                        for known in durable.items() {
-                            let found = recovered.state.table.get(&known.key);
-                            let version = found.map_or(0, |item| item.version);
-                            assert!(version >= known.version, "seed {seed}: {known:?} is lost");
-                        }
-                    }
-                    _ => {
-                        let item = item(rng.random_range(0..8), version);
-                        if writer.write(&record(&writer, &item)).is_ok() {
-                            durable.merge_accepted(vec![item]);
-                        }
-                    }
-                }
-            }
-            disk.set_full(false);
-            writer.reopen();
-            assert!(writer.is_writable(), "seed {seed}");
-            assert!(writer.write(&record(&writer, &item(9, 60))).is_ok(), "seed {seed}");
-        }
-    }
-}
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -178,7 +178,7 @@
         self.is_complete() && self.is_settled
     }
 
-    /// Returns whether the newest state of this instance is accepted.
+    /// Returns whether the newest state of this instance is not known to be accepted.
     pub fn has_pending_state(&self) -> bool {
         self.accepted.as_ref().is_none_or(|state| state.position != self.stored.position)
     }
--- a/crates/arbutuslane_item/tests/agreement.rs
+++ b/crates/arbutuslane_item/tests/agreement.rs
@@ -1,6 +1,7 @@
 //! Tests the agreement on the catalogue with random schedules of changes, lost and late messages,
 //! crashes, frozen instances and lost disks.
 
+mod support;
 mod world;
 
 use world::World;
--- a/crates/arbutuslane_item/tests/group/mod.rs
+++ b/crates/arbutuslane_item/tests/group/mod.rs
@@ -6,8 +6,7 @@
 use arbutuslane_item::prelude::*;
 use arbutuslane_item::replication::{Recovered, Refusal, Standing};
 
-/// The number of instances that must store a state.
-const QUORUM: usize = 3;
+use crate::support::{INSTANCES, QUORUM, index_of, name};
 
 /// The control instances, by their index.
 pub(super) struct Group {
@@ -15,15 +14,6 @@
     incarnation: u64,
 }
 
-/// Returns the name of an instance.
-pub(super) fn name(index: usize) -> String {
-    format!("c{index}")
-}
-
-fn index_of(name: &str) -> usize {
-    name[1..].parse().unwrap()
-}
-
 fn start(index: usize, standing: Standing, promised: Ballot, state: State) -> Replication {
     Replication::new(&name(index), QUORUM, Recovered { standing, promised, state })
 }
@@ -31,7 +21,7 @@
 impl Group {
     pub(super) fn new() -> Self {
         let start = |index| start(index, Standing::Complete, Ballot::default(), State::default());
-        Self { instances: (0..5).map(start).collect(), incarnation: 0 }
+        Self { instances: (0..INSTANCES).map(start).collect(), incarnation: 0 }
     }
 
     /// Starts an instance again with its disk.
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -1,6 +1,7 @@
 //! Tests acceptance, validation and recovery in a group of control instances without lost messages.
 
 mod group;
+mod support;
 
 use std::sync::Arc;
 
@@ -9,7 +10,8 @@
 use arbutuslane_item::replication::{Refusal, Settlement};
 use quickcheck::{Gen, QuickCheck};
 
-use group::{Group, name};
+use group::Group;
+use support::name;
 
 fn removal(name: u8, version: u8) -> Arc<Item> {
     Arc::new(Item::removal(Key::Route(format!("r{}", name % 4)), u64::from(version)))
--- a/crates/arbutuslane_item/tests/world/mod.rs
+++ b/crates/arbutuslane_item/tests/world/mod.rs
@@ -11,13 +11,9 @@
 use arbutuslane_item::replication::{Recovered, Refusal, Settlement, Standing, Status};
 use rand::RngExt;
 
-use self::check::History;
-
-/// The number of instances.
-const INSTANCES: usize = 5;
+use crate::support::{INSTANCES, QUORUM, index_of, name};
 
-/// The number of instances that must store a state.
-const QUORUM: usize = 3;
+use self::check::History;
 
 /// A control instance.
 struct Instance {
@@ -57,14 +53,6 @@
     history: History,
 }
 
-fn name(index: usize) -> String {
-    format!("c{index}")
-}
-
-fn index_of(name: &str) -> usize {
-    name[1..].parse().unwrap()
-}
-
 impl Instance {
     fn start(index: usize, incarnation: u64, disk: Recovered) -> Self {
         Self {
