Let all keepers get a departure, also after two have confirmed that they keep it

Cause, found on reading: the node stopped sending a departure once two instances kept it, and the others got it up to a second later. A node that was killed in that time asked two instances after its start, which may be two of the others.

Change: each message is sent to its end in a task of its own.

--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -149,12 +149,19 @@
     }
     let keepers = keepers(shared);
     let mut confirmation = Confirmation::new(keepers.len(), started_at);
-    let departures = [departure];
-    let mut sending: FuturesUnordered<_> =
-        keepers.into_iter().map(|keeper| send(shared, pool, keeper, &departures)).collect();
+    let (replies, mut inbox) = tokio::sync::mpsc::unbounded_channel();
+    for keeper in keepers {
+        let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
+        let (departures, replies) = ([departure.clone()], replies.clone());
+        // After the confirmation, too, all others are to keep the departure at once.
+        ntex::rt::spawn(async move {
+            let _ = replies.send(send(&shared, &pool, keeper, &departures).await);
+        });
+    }
+    drop(replies);
     let waiting = async {
         while !confirmation.is_due(shared.clock.now()) {
-            match sending.next().await {
+            match inbox.recv().await {
                 Some(true) => confirmation.record_kept(),
                 Some(false) => {}
                 None => return,
