Use one list of members, one test for the own ballot and one request for a status

Cause, found on reading the whole change: the loop that sorts known members into control instances and nodes stood twice (comparison of items, keepers of departures), as did the test whether an instance leads and the request for a status. Change: items::members, Replication::leads and agreement::request_status serve both places; behaviour is the same.

--- a/crates/arbutuslane_control/src/items/agreement.rs
+++ b/crates/arbutuslane_control/src/items/agreement.rs
@@ -83,11 +83,7 @@
 
 /// Decides on a change that another instance received, if this one leads as far as it knows.
 async fn decide_as_leader(core: &Arc<Core>, items: Vec<Arc<Item>>) -> Response {
-    let leads = {
-        let replication = core.replication();
-        replication.is_complete() && replication.promised().instance == replication.own()
-    };
-    if !leads || core.is_stopping() {
+    if !core.replication().leads() || core.is_stopping() {
         return Response::Unavailable;
     }
     match core.order(items).await {
@@ -111,18 +107,26 @@
     }
 }
 
+/// Sends a request whose response is the status of the instance at `address`.
+pub(super) async fn request_status(
+    core: &Core,
+    client: &Client,
+    address: &str,
+    message: &Request,
+) -> Option<Status> {
+    match request(core, client, address, message).await? {
+        Response::Status(status) => Some(status.into()),
+        _ => None,
+    }
+}
+
 /// Returns the statuses of this instance and of others, as soon as enough for a quorum count and at
 /// the latest after [`STATUS_TIMEOUT`].
 pub(super) async fn collect_statuses(core: &Arc<Core>, client: &Client) -> Vec<Status> {
     let own = core.status();
     let requests = core.members().control.into_values().map(|address| {
         let (core, client) = (Arc::clone(core), client.clone());
-        async move {
-            match request(&core, &client, &address, &Request::Status).await? {
-                Response::Status(status) => Some(Status::from(status)),
-                _ => None,
-            }
-        }
+        async move { request_status(&core, &client, &address, &Request::Status).await }
     });
     let quorum = core.replication().quorum();
     let mut statuses = vec![own];
--- a/crates/arbutuslane_control/src/items/leader.rs
+++ b/crates/arbutuslane_control/src/items/leader.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
-use super::agreement::{collect, collect_statuses, fetch, request};
+use super::agreement::{collect, collect_statuses, fetch, request, request_status};
 use super::core::Core;
 use super::push::{self, PEER_TIMEOUT};
 
@@ -82,8 +82,8 @@
 fn leader_of(core: &Core) -> Option<(Ballot, String)> {
     let ballot = {
         let replication = core.replication();
-        let leads_itself = replication.promised().instance == replication.own();
-        (replication.is_complete() && !leads_itself).then(|| replication.promised().clone())?
+        let is_other = replication.is_complete() && !replication.leads();
+        is_other.then(|| replication.promised().clone())?
     };
     // Gossip lists only the instances that it considers alive.
     let address = core.members().control.remove(&ballot.instance)?;
@@ -169,12 +169,7 @@
     promises.push(Box::pin(async { Some(core.promise(&ballot).await) }));
     for address in members.values() {
         let message = &message;
-        promises.push(Box::pin(async move {
-            match request(core, client, address, message).await? {
-                Response::Status(status) => Some(Status::from(status)),
-                _ => None,
-            }
-        }));
+        promises.push(Box::pin(request_status(core, client, address, message)));
     }
     let is_promised = collect(promises, PEER_TIMEOUT.into(), |status| {
         core.replication().observe(&status.promised);
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -134,11 +134,6 @@
         }
     }
 
-    /// Returns the name of this instance.
-    pub fn own(&self) -> &str {
-        &self.own
-    }
-
     /// Returns the newest state that this instance has received.
     pub fn stored(&self) -> &State {
         &self.stored
@@ -164,6 +159,12 @@
         &self.promised
     }
 
+    /// Returns whether the highest ballot that this complete instance knows is its own, so that it
+    /// leads as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.is_complete() && self.promised.instance == self.own
+    }
+
     /// Returns whether this instance counts for quorums.
     pub fn is_complete(&self) -> bool {
         self.standing == Standing::Complete
--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -24,6 +24,8 @@
 use crate::timeout::within;
 use crate::traffic::Pool;
 
+use super::items::members;
+
 /// The number of other nodes that keep departures beside all control instances.
 const KEEPER_NODES: usize = 3;
 
@@ -111,21 +113,11 @@
     let mut keepers: Vec<SocketAddr> = shared.control().iter().copied().collect();
     let seeds = shared.settings.gossip_seeds().into_iter();
     keepers.extend(seeds.filter_map(|seed| seed.parse::<SocketAddr>().ok()));
-    let mut nodes = Vec::new();
-    for known in shared.cluster.membership().gossip.table().members() {
-        let Ok(address) = known.record.peers.parse::<SocketAddr>() else { continue };
-        if known.record.node == shared.settings.node {
-            continue;
-        }
-        // A control instance has no listener for callers.
-        match known.record.callers.is_empty() {
-            true => keepers.push(address),
-            false => {
-                let pair = format!("{} {}", shared.settings.node, known.record.node);
-                nodes.push((hash::of_bytes(pair.as_bytes()), address));
-            }
-        }
-    }
+    let (control, nodes) = members(shared);
+    keepers.extend(control);
+    let rank = |node: &str| hash::of_bytes(format!("{} {node}", shared.settings.node).as_bytes());
+    let mut nodes: Vec<(u64, SocketAddr)> =
+        nodes.into_iter().map(|(node, address)| (rank(&node), address)).collect();
     nodes.sort_unstable();
     keepers.extend(nodes.into_iter().take(KEEPER_NODES).map(|(_, address)| address));
     keepers.retain(|address| *address != shared.settings.peers);
--- a/crates/arbutuslane_node/src/cluster/items/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuslane_core::id::NodeId;
 use arbutuslane_core::time::Time;
 use arbutuslane_item::border;
 use arbutuslane_item::transfer::Pull;
@@ -170,6 +171,18 @@
 /// Returns the known control instances in a fixed order, or the configured ones when none is known,
 /// and the nodes in random order.
 fn peer_addresses(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let (mut control, nodes) = members(shared);
+    let mut nodes: Vec<SocketAddr> = nodes.into_iter().map(|(_, address)| address).collect();
+    if control.is_empty() {
+        control.extend(shared.control().iter());
+    }
+    control.sort_unstable();
+    nodes.shuffle(&mut rand::rng());
+    (control, nodes)
+}
+
+/// Returns the control instances and the other nodes that gossip knows.
+pub(crate) fn members(shared: &Shared) -> (Vec<SocketAddr>, Vec<(NodeId, SocketAddr)>) {
     let (mut control, mut nodes) = (Vec::new(), Vec::new());
     for known in shared.cluster.membership().gossip.table().members() {
         let Ok(address) = known.record.peers.parse() else { continue };
@@ -179,13 +192,8 @@
         // A control instance has no listener for callers.
         match known.record.callers.is_empty() {
             true => control.push(address),
-            false => nodes.push(address),
+            false => nodes.push((known.record.node.clone(), address)),
         }
     }
-    if control.is_empty() {
-        control.extend(shared.control().iter());
-    }
-    control.sort_unstable();
-    nodes.shuffle(&mut rand::rng());
     (control, nodes)
 }
