--- a/review/standin-2/support.rs
+++ b/review/standin-2/support.rs
@@ -92,13 +92,23 @@
     let id = std::process::id();
     let second = u8::try_from(id % 200 + 20).unwrap_or(20);
     let third = u8::try_from(id / 200 % 250 + 1).unwrap_or(1);
-    let listener = TcpListener::bind(SocketAddr::from(([127, second, third, machine], 0)));
-    match listener.and_then(|listener| listener.local_addr()) {
-        Ok(address) => address,
-        Err(error) => cannot_run(&format!("no free port: {error}")),
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let listener = TcpListener::bind(SocketAddr::from(([127, second, third, machine], 0)));
+        match listener.and_then(|listener| listener.local_addr()) {
+            Ok(address) if given.contains(&address) => {}
+            Ok(address) => {
+                given.push(address);
+                return address;
+            }
+            Err(error) => cannot_run(&format!("no free port: {error}")),
+        }
     }
 }
 
+/// The addresses that this case uses.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+
 /// The folder of this run.
 static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
