--- a/review/standin-2/departure.rs
+++ b/review/standin-2/departure.rs
@@ -48,6 +48,7 @@
             service: "s-a".to_string(),
             address: node.app,
             born: unix_ms(),
+            slots: 5,
         };
         let (runs, id) = (Arc::clone(&runs), identity.id.clone());
         let handler = move |request: &Message| {
--- a/review/standin-2/other_writer.rs
+++ b/review/standin-2/other_writer.rs
@@ -37,6 +37,7 @@
             service: service.to_string(),
             address: node.app,
             born: unix_ms(),
+            slots: 5,
         };
         let (runs, service) = (Arc::clone(&runs), service.to_string());
         let handler = move |request: &Message| {
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -55,6 +55,7 @@
             service: "s-a".to_string(),
             address: node.app,
             born: unix_ms(),
+            slots: 5,
         };
         let (seen, log_of_server, name) = (Arc::clone(&seen), log.clone(), node.name.clone());
         let handler = move |request: &Message| {
--- a/review/standin-2/support.rs
+++ b/review/standin-2/support.rs
@@ -597,14 +597,15 @@
     pub service: String,
     pub address: SocketAddr,
     pub born: u64,
+    pub slots: u32,
 }
 
 impl Identity {
     /// Returns the body of a heartbeat.
     pub fn beat(&self, state: &str, sequence: u64) -> String {
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":5,"state":"{state}","cold_remaining_s":0,"seq":{sequence},"born":{}}}"#,
-            self.service, self.address, self.born
+            r#"{{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":{},"state":"{state}","cold_remaining_s":0,"seq":{sequence},"born":{}}}"#,
+            self.service, self.address, self.slots, self.born
         )
     }
 
@@ -787,6 +788,13 @@
             match (self.handler)(&request) {
                 Action::Respond { status, after, body } => {
                     thread::sleep(after);
+                    if is_closed(&writer) {
+                        self.log.write(&format!(
+                            "the channel of {id} was closed before {} answered",
+                            identity.id
+                        ));
+                        return;
+                    }
                     let mut bytes = head_of(&identity, &id, status, body.len()).into_bytes();
                     bytes.extend_from_slice(&body);
                     if writer.write_all(&bytes).is_err() {
@@ -812,6 +820,17 @@
     }
 }
 
+/// Returns whether the other side has closed a channel.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let is_closed = match stream.peek(&mut [0]) {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    is_closed
+}
+
 /// Returns the head of a server's response to the request `id`.
 fn head_of(identity: &Identity, id: &str, status: u16, length: usize) -> String {
     format!(
