--- a/crates/arbutuslane_control/src/items/agreement.rs
+++ b/crates/arbutuslane_control/src/items/agreement.rs
@@ -8,6 +8,7 @@
 use arbutuslane_item::border::agreement::{self, Kind, Request, Response};
 use arbutuslane_item::prelude::{Item, Update};
 use arbutuslane_item::replication::Status;
+use arbutuslane_item::voter;
 use arbutuslane_wire::codec;
 use arbutuslane_wire::peer::{Answer, Message};
 use futures_util::StreamExt;
@@ -63,7 +64,9 @@
 
 async fn store(core: &Core, update: &Update) -> Response {
     match core.store(update).await {
-        Ok(true) => Response::Stored(core.settings.name.clone()),
+        // Earlier releases know no voters, and lead only while there are none.
+        Ok(true) if update.electorate.is_empty() => Response::Stored(core.settings.name.clone()),
+        Ok(true) => Response::StoredBy(agreement::Voter::from(core.replication().own())),
         Ok(false) => Response::Unavailable,
         Err(refusal) => Response::Refused(refusal.into()),
     }
@@ -132,7 +135,21 @@
     let mut statuses = vec![own];
     collect(requests, STATUS_TIMEOUT, |status| {
         statuses.push(status);
-        statuses.iter().filter(|status| status.is_complete).count() >= quorum
+        voter::is_quorum(&statuses, quorum)
+    })
+    .await;
+    statuses
+}
+
+/// Returns the statuses of this instance and of all others that respond in time.
+pub(super) async fn collect_all_statuses(core: &Arc<Core>, client: &Client) -> Vec<Status> {
+    let members = core.members().control;
+    let requests =
+        members.values().map(|address| request_status(core, client, address, &Request::Status));
+    let mut statuses = vec![core.status()];
+    collect(requests, STATUS_TIMEOUT, |status| {
+        statuses.push(status);
+        false
     })
     .await;
     statuses
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -112,7 +112,6 @@
     for job in jobs {
         all.updates.append(&mut job.record.updates);
         all.promised = all.promised.max(job.record.promised.take());
-        all.complete |= job.record.complete;
     }
     let Err(error) = writer.write(&all) else { return true };
     if was_writable {
@@ -137,7 +136,9 @@
 mod tests {
     use std::sync::Arc;
 
-    use arbutuslane_item::prelude::{Ballot, Item, Key, Position, Source, State, Update};
+    use arbutuslane_item::prelude::{
+        Ballot, Electorate, Item, Key, Position, Source, State, Update,
+    };
 
     use super::*;
 
@@ -159,7 +160,14 @@
             state.table.set_all(vec![Arc::clone(item)]);
             let digest = state.table.digest();
             let items = vec![Arc::clone(item)];
-            Update { position: state.position, replaced: Vec::new(), items, digest }
+            let replaced = Vec::new();
+            Update {
+                position: state.position,
+                replaced,
+                items,
+                digest,
+                electorate: Electorate::default(),
+            }
         };
         let updates = |round: u64, item: &Arc<Item>| Record {
             updates: vec![update(round, item)],
--- a/crates/arbutuslane_control/src/items/durable.rs
+++ b/crates/arbutuslane_control/src/items/durable.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use arbutuslane_item::election::{Deposed, Proposal};
-use arbutuslane_item::prelude::{Ballot, Candidate, Item, Leader, Position, Update};
+use arbutuslane_item::prelude::{Ballot, Candidate, Electorate, Item, Leader, Update};
 use arbutuslane_item::replication::{Refusal, Status};
 
 use super::core::{Core, Step};
@@ -29,8 +29,10 @@
             let record = Record { promised: Some(ballot.clone()), ..Record::default() };
             (status, self.disk.write(record))
         };
-        let is_durable = written.await;
-        Status { is_complete: is_durable, ..status }
+        match written.await {
+            true => status,
+            false => Status { promised: Ballot::default(), ..status },
+        }
     }
 
     /// Stores a state that a leader proposes; returns whether it is on disk.
@@ -45,7 +47,7 @@
             replication.store(update)?;
             self.disk.write(updates(is_new.then(|| update.clone())))
         };
-        Ok(self.record_write(written, &update.position, update.digest).await)
+        Ok(self.record_write(written, update).await)
     }
 
     /// Takes over an accepted state of another instance; returns whether it is on disk here.
@@ -58,7 +60,7 @@
             }
             self.disk.write(updates(is_new.then(|| update.clone())))
         };
-        self.record_write(written, &update.position, update.digest).await
+        self.record_write(written, update).await
     }
 
     /// Adopts a state as a candidate; returns whether this instance has it.
@@ -68,36 +70,20 @@
         source: &Status,
         update: &Update,
     ) -> bool {
-        let (written, position, digest) = {
+        let (written, adopted) = {
             let mut replication = self.replication();
             let before = replication.stored().table.buckets().to_vec();
             if !candidate.adopt(&mut replication, source, update) {
                 return false;
             }
             let adopted = replication.stored().update_for(&before);
-            let (position, digest) = (adopted.position.clone(), adopted.digest);
-            (self.disk.write(updates(Some(adopted))), position, digest)
+            (self.disk.write(updates(Some(adopted.clone()))), adopted)
         };
-        let is_durable = self.record_write(written, &position, digest).await;
-        // The disk of an instance that counts already may fail for a while.
+        let is_durable = self.record_write(written, &adopted).await;
+        // The disk of an instance that knows the voters may fail for a while.
         is_durable || self.replication().is_complete()
     }
 
-    /// Leads after an election; returns `None` if another instance has a higher ballot, or if the disk
-    /// cannot record that this instance counts for quorums from now on.
-    pub(super) async fn elect(&self, candidate: Candidate) -> Option<Leader> {
-        if !self.replication().is_complete() {
-            let promised = Some(candidate.ballot().clone());
-            let record = Record { promised, complete: true, ..Record::default() };
-            if !self.disk.write(record).await {
-                return None;
-            }
-            let instances = self.replication().quorum();
-            tracing::info!(event = "recovered", instances);
-        }
-        candidate.elect(&mut self.replication()).ok()
-    }
-
     /// Applies changes as the leader. The future returns whether the resulting state is on the disk
     /// of this instance.
     ///
@@ -112,26 +98,42 @@
         let mut replication = self.replication();
         let before = replication.stored().position.clone();
         let proposal = leader.propose(&mut replication, changes)?;
-        let update = &proposal.update;
-        let is_new = update.position > before;
-        let written = self.disk.write(updates(is_new.then(|| update.clone())));
-        let (core, position, digest) = (Arc::clone(self), update.position.clone(), update.digest);
-        let stored = async move { core.record_write(written, &position, digest).await };
+        let is_new = proposal.update.position > before;
+        let written = self.disk.write(updates(is_new.then(|| proposal.update.clone())));
+        let stored = self.record_own_write(written, proposal.update.clone());
         Ok((proposal, stored))
     }
 
-    /// Records the outcome of a write of the state at `position`, and its duration.
-    async fn record_write(
-        &self,
-        written: impl Future<Output = bool>,
-        position: &Position,
-        digest: u64,
-    ) -> bool {
+    /// Proposes another electorate as the leader, or returns `None` if it must not follow now. The future is
+    /// that of [`Core::propose`].
+    pub(super) fn propose_electorate(
+        self: &Arc<Self>,
+        leader: &mut Leader,
+        next: &Electorate,
+    ) -> Option<(Proposal, impl Future<Output = bool> + use<>)> {
+        let mut replication = self.replication();
+        let proposal = leader.propose_electorate(&mut replication, next)?;
+        let written = self.disk.write(updates(Some(proposal.update.clone())));
+        let stored = self.record_own_write(written, proposal.update.clone());
+        Some((proposal, stored))
+    }
+
+    fn record_own_write<W: Future<Output = bool>>(
+        self: &Arc<Self>,
+        written: W,
+        update: Update,
+    ) -> impl Future<Output = bool> + use<W> {
+        let core = Arc::clone(self);
+        async move { core.record_write(written, &update).await }
+    }
+
+    /// Records the outcome of the write of an update, and its duration.
+    async fn record_write(&self, written: impl Future<Output = bool>, update: &Update) -> bool {
         let started_at = Instant::now();
         let is_durable = written.await;
         self.counters.record_step(Step::Store, started_at.elapsed());
         if is_durable {
-            self.replication().record_durable(position, digest);
+            self.replication().record_durable(update);
         }
         is_durable
     }
--- a/crates/arbutuslane_control/src/items/leader.rs
+++ b/crates/arbutuslane_control/src/items/leader.rs
@@ -6,8 +6,9 @@
 use arbutuslane_item::border;
 use arbutuslane_item::border::agreement::{self, Kind, Request, Response};
 use arbutuslane_item::election::Proposal;
-use arbutuslane_item::prelude::{Ballot, Candidate, Item, Leader, Update};
+use arbutuslane_item::prelude::{Ballot, Candidate, Item, Leader, Update, Voter};
 use arbutuslane_item::replication::{Refusal, Status};
+use arbutuslane_item::voter;
 use futures_util::future::{self, Either, LocalBoxFuture};
 use ntex::client::Client;
 use ntex::time::sleep;
@@ -17,6 +18,7 @@
 use super::agreement::{collect, collect_statuses, fetch, request, request_status};
 use super::core::Core;
 use super::push::{self, PEER_TIMEOUT};
+use super::voters;
 
 /// The longest wait for the leader's decision. Operators' clients try another instance after about a
 /// second, and this one then leads itself.
@@ -117,6 +119,11 @@
             // The sender of the order may no longer wait for the reply.
             let _ = order.reply.send(decision);
         }
+        // Instances that need a place among the voters send changes without items.
+        let is_asked = changes.iter().any(Vec::is_empty);
+        if is_asked || voters::lack_first_list(&core) {
+            voters::update(&core, &client, &mut leader).await;
+        }
     }
 }
 
@@ -158,8 +165,7 @@
         for status in &statuses {
             replication.observe(&status.promised);
         }
-        let complete = statuses.iter().filter(|status| status.is_complete).count();
-        (complete >= replication.quorum())
+        voter::is_quorum(&statuses, replication.quorum())
             .then(|| Candidate::begin(&mut replication, core.incarnation))?
     };
     let ballot = candidate.ballot().clone();
@@ -179,36 +185,36 @@
         return None;
     }
     for source in candidate.sources() {
-        if source.instance == core.settings.name {
+        if *source.instance() == core.settings.name {
             continue;
         }
-        let address = members.get(&source.instance)?;
+        let address = members.get(source.instance())?;
         let update = fetch(core, client, address, Kind::Stored).await?;
         if !core.adopt(&candidate, source, &update).await {
             return None;
         }
     }
-    let leader = core.elect(candidate).await?;
+    let leader = candidate.elect(&mut core.replication()).ok()?;
     tracing::info!(event = "leading", round = ballot.round);
     Some(leader)
 }
 
 /// What became of a proposal.
 #[derive(Debug, Default)]
-struct Outcome {
-    is_accepted: bool,
+pub(super) struct Outcome {
+    pub(super) is_accepted: bool,
     /// Whether an instance has promised to follow a higher ballot.
-    is_deposed: bool,
+    pub(super) is_deposed: bool,
 }
 
 /// The response of an instance to a proposal.
 enum Reply {
-    Stored(String),
+    Stored(Voter),
     Deposed(Ballot),
 }
 
 /// Sends a proposal to all instances, and waits until a quorum has stored it.
-async fn store_everywhere(
+pub(super) async fn store_everywhere(
     core: &Arc<Core>,
     client: &Client,
     proposal: &mut Proposal,
@@ -225,7 +231,7 @@
             }
         });
     }
-    let own = core.settings.name.clone();
+    let own = core.replication().own().clone();
     ntex::rt::spawn(async move {
         if stored.await {
             let _ = replies.send(Reply::Stored(own));
@@ -262,7 +268,11 @@
     for _ in 0..MAX_SENDS {
         let message = Request::Store(agreement::Update::from(&update));
         let refusal = match request(core, client, address, &message).await? {
-            Response::Stored(instance) => return Some(Reply::Stored(instance)),
+            Response::StoredBy(voter) => return Some(Reply::Stored(voter.into())),
+            Response::Stored(instance) => {
+                let disk = voter::UNKNOWN_DISK;
+                return Some(Reply::Stored(Voter { instance, disk }));
+            }
             Response::Refused(refusal) => Refusal::from(refusal),
             _ => return None,
         };
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -17,4 +17,5 @@
 mod server;
 pub mod settings;
 mod settle;
+mod voters;
 mod writer;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -60,13 +60,15 @@
     let counters = &core.counters;
     let mut text = String::new();
     let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-    let (held, accepted, pending, complete) = {
+    let (held, accepted, pending, complete, voters, is_voter) = {
         let replication = core.replication();
         (
             replication.stored().table.len(),
             replication.accepted().len(),
             replication.pending_count(),
             replication.is_complete(),
+            replication.stored().electorate.voters.len(),
+            replication.stored().electorate.voters.binary_search(replication.own()).is_ok(),
         )
     };
     let members = core.members();
@@ -79,6 +81,8 @@
         ("items_accepted", "gauge", accepted as u64),
         ("items_pending", "gauge", pending as u64),
         ("complete", "gauge", u64::from(complete)),
+        ("voters", "gauge", voters as u64),
+        ("voter", "gauge", u64::from(is_voter)),
         ("control_members", "gauge", members.control.len() as u64 + 1),
         ("nodes", "gauge", members.nodes.len() as u64),
         ("disk_writable", "gauge", u64::from(core.disk.is_writable())),
--- a/crates/arbutuslane_control/src/items/settle.rs
+++ b/crates/arbutuslane_control/src/items/settle.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arbutuslane_item::border::agreement::Kind;
 use arbutuslane_item::replication::Settlement;
@@ -11,7 +11,7 @@
 
 use super::agreement::{collect_statuses, fetch};
 use super::core::Core;
-use super::{leader, push};
+use super::{leader, push, voters};
 
 /// The time between two repair rounds.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(300);
@@ -68,6 +68,7 @@
 pub(super) async fn run_repair(core: Arc<Core>) {
     let client = Client::new().await;
     let mut round = 0_u32;
+    let mut asked_at = Instant::now();
     while !core.is_stopping() {
         let (is_settled, has_pending_state) = {
             let replication = core.replication();
@@ -75,6 +76,14 @@
         };
         sleep(if is_settled { REPAIR_INTERVAL } else { START_INTERVAL }).await;
         round = round.wrapping_add(1);
+        let is_alive = |instance: &str| voters::is_alive(&core, instance);
+        if asked_at.elapsed() >= voters::REQUEST_INTERVAL
+            && core.replication().wants_place(is_alive)
+        {
+            sleep(core.jitter(REPAIR_INTERVAL)).await;
+            voters::request_place(&core, &client).await;
+            asked_at = Instant::now();
+        }
         let is_due = core.repair_soon.swap(false, Ordering::Relaxed)
             || !is_settled
             || has_pending_state
--- /dev/null
+++ b/crates/arbutuslane_control/src/items/voters.rs
@@ -0,0 +1,86 @@
+//! Changes the voters while this instance leads, and asks for a place among them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutuslane_item::prelude::{Electorate, Leader, Voter};
+use arbutuslane_item::voter;
+use ntex::client::Client;
+
+use super::agreement::collect_all_statuses;
+use super::core::Core;
+use super::{leader, push};
+
+/// The time between two requests of an instance for a place among the voters.
+pub(super) const REQUEST_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The longest wait for the leader's response to a request for a place.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The largest number of changes in a row; the instances that still lack a place ask again.
+const MAX_CHANGES: usize = 4;
+
+/// Gives places among the voters to instances that need one, as far as `leader` may.
+pub(super) async fn update(core: &Arc<Core>, client: &Client, leader: &mut Option<Leader>) {
+    for _ in 0..MAX_CHANGES {
+        if leader.is_none() || core.is_stopping() {
+            return;
+        }
+        let present = collect_all_statuses(core, client).await;
+        let (electorate, quorum) = {
+            let replication = core.replication();
+            (replication.stored().electorate.clone(), replication.quorum())
+        };
+        let is_alive = |instance: &str| is_alive(core, instance);
+        let Some(next) = electorate.next(&present, quorum, is_alive) else { return };
+        if !propose(core, client, leader, &next).await {
+            return;
+        }
+        let (voters, replaced) = (names(&next.voters), names(&next.replaced));
+        tracing::info!(event = "voters-changed", voters, replaced);
+    }
+}
+
+/// Returns whether no state names voters yet, although all founders may be there.
+pub(super) fn lack_first_list(core: &Core) -> bool {
+    let replication = core.replication();
+    let max = voter::max_voters(replication.quorum());
+    replication.stored().electorate.is_empty() && core.members().control.len() + 1 >= max
+}
+
+/// Returns whether gossip considers an instance alive.
+pub(super) fn is_alive(core: &Core, instance: &str) -> bool {
+    instance == core.settings.name || core.members().control.contains_key(instance)
+}
+
+/// Has another electorate accepted; returns whether it is.
+async fn propose(
+    core: &Arc<Core>,
+    client: &Client,
+    leader: &mut Option<Leader>,
+    next: &Electorate,
+) -> bool {
+    let Some(mut current) = leader.take() else { return false };
+    let Some((mut proposal, stored)) = core.propose_electorate(&mut current, next) else {
+        *leader = Some(current);
+        return false;
+    };
+    let outcome = leader::store_everywhere(core, client, &mut proposal, stored).await;
+    if !outcome.is_deposed {
+        *leader = Some(current);
+    }
+    if outcome.is_accepted {
+        push::announce_accepted(core, client, &proposal.update.position);
+    }
+    outcome.is_accepted
+}
+
+/// Asks the leader for a place among the voters.
+pub(super) async fn request_place(core: &Arc<Core>, client: &Client) {
+    leader::decide(core, client, &[], REQUEST_TIMEOUT).await;
+}
+
+fn names(voters: &[Voter]) -> String {
+    let names: Vec<&str> = voters.iter().map(|voter| voter.instance.as_str()).collect();
+    names.join(",")
+}
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -3,9 +3,11 @@
 
 use std::sync::Arc;
 
+use arbutuslane_event::clock::wall_ms;
 use arbutuslane_item::border::{self, agreement};
-use arbutuslane_item::prelude::{Ballot, Item, Position, State, Table, Update};
+use arbutuslane_item::prelude::{Ballot, Item, State, Table, Update};
 use arbutuslane_item::replication::{self, Standing};
+use arbutuslane_item::voter::{DiskId, UNKNOWN_DISK};
 use arbutuslane_storage::prelude::*;
 use arbutuslane_wire::codec;
 use serde::{Deserialize, Serialize};
@@ -40,11 +42,14 @@
 /// The metadata stored beside the items.
 #[derive(Debug, Serialize, Deserialize)]
 struct Meta {
-    /// Whether the disk has kept what the instance promised and stored.
+    /// Whether the disk has kept everything since the first start of the fleet.
     complete: bool,
     /// The highest ballot that the instance promised to follow; earlier releases have none.
     #[serde(default)]
     promised: agreement::Ballot,
+    /// The time at which the disk was first used; earlier releases have none.
+    #[serde(default)]
+    disk: DiskId,
 }
 
 /// What has to become durable together.
@@ -54,8 +59,6 @@
     pub(super) updates: Vec<Update>,
     /// A ballot that the instance promises to follow.
     pub(super) promised: Option<Ballot>,
-    /// Whether the disk has what the instance needs to count for quorums.
-    pub(super) complete: bool,
 }
 
 /// Writes states to a folder.
@@ -72,6 +75,7 @@
     next_index: u64,
     entries_since_snapshot: u64,
     complete: bool,
+    disk: DiskId,
 }
 
 impl<F: Folder> Writer<F> {
@@ -108,7 +112,7 @@
         let (mut writer, mut recovered) =
             Self::with_log(folder, log, &empty, State::default(), false)?;
         // With an entry missing, the items belong to no position.
-        writer.state = State { position: Position::default(), table: read_items(&readable)? };
+        writer.state = State { table: read_items(&readable)?, ..State::default() };
         if writer.log.is_some() {
             writer.save_snapshot()?;
         }
@@ -139,13 +143,19 @@
             None => None,
         };
         let complete = meta.as_ref().is_some_and(|meta| meta.complete) || (is_new && first_start);
+        let known_disk = meta.as_ref().map_or(UNKNOWN_DISK, |meta| meta.disk);
+        let disk = if known_disk == UNKNOWN_DISK { wall_ms() } else { known_disk };
         let promised: Ballot = meta.map(|meta| meta.promised.into()).unwrap_or_default();
         let standing = match complete {
             true => Standing::Complete,
             false => Standing::Recovering,
         };
-        let replication =
-            replication::Recovered { standing, promised: promised.clone(), state: state.clone() };
+        let replication = replication::Recovered {
+            standing,
+            promised: promised.clone(),
+            state: state.clone(),
+            disk,
+        };
         let mut writer = Self {
             folder,
             log: Some(log),
@@ -154,6 +164,7 @@
             next_index,
             entries_since_snapshot: 0,
             complete,
+            disk,
         };
         match writer.write_meta() {
             Err(error) if error.is_full() || matches!(error, Error::Stopped) => writer.log = None,
@@ -188,9 +199,7 @@
         if let Some(ballot) = record.promised.as_ref().filter(|_| is_promise) {
             self.promised = ballot.clone();
         }
-        let becomes_complete = !self.complete && record.complete;
-        self.complete |= becomes_complete;
-        let result = self.append(&record.updates, becomes_complete || is_promise);
+        let result = self.append(&record.updates, is_promise);
         if result.is_err() {
             self.log = None;
         }
@@ -241,7 +250,7 @@
 
     fn meta(&self) -> Result<Vec<u8>, Error> {
         let promised = agreement::Ballot::from(&self.promised);
-        encode(&Meta { complete: self.complete, promised })
+        encode(&Meta { complete: self.complete, promised, disk: self.disk })
     }
 
     fn save_snapshot(&mut self) -> Result<(), Error> {
--- a/crates/arbutuslane_control/src/items/writer/tests.rs
+++ b/crates/arbutuslane_control/src/items/writer/tests.rs
@@ -29,6 +29,7 @@
         replaced: Vec::new(),
         items: vec![Arc::clone(item)],
         digest: state.table.digest(),
+        electorate: state.electorate,
     };
     Record { updates: vec![update], ..Record::default() }
 }
--- a/crates/arbutuslane_item/src/border/agreement.rs
+++ b/crates/arbutuslane_item/src/border/agreement.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Item;
-use crate::{ballot, replication, state};
+use crate::{ballot, replication, state, voter};
 
 /// A request from one control instance to another.
 #[derive(Debug, Serialize, Deserialize)]
@@ -43,8 +43,10 @@
     /// The status of the instance. In response to [`Request::Promise`], it says whether the promise
     /// was given.
     Status(Status),
-    /// The instance has the state on its disk.
+    /// The instance has the state, which names no voters, on its disk.
     Stored(String),
+    /// The instance has the state on the disk that it names.
+    StoredBy(Voter),
     /// The instance does not store the state.
     Refused(Refusal),
     /// The update that was requested.
@@ -72,6 +74,20 @@
     change: u64,
 }
 
+/// See [`voter::Voter`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Voter {
+    instance: String,
+    disk: u64,
+}
+
+/// See [`voter::Electorate`].
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Electorate {
+    voters: Vec<Voter>,
+    replaced: Vec<Voter>,
+}
+
 /// See [`state::Update`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
@@ -79,17 +95,26 @@
     replaced: Vec<usize>,
     items: Vec<Item>,
     digest: u64,
+    /// Earlier releases have none.
+    #[serde(default)]
+    electorate: Electorate,
 }
 
 /// See [`replication::Status`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Status {
     instance: String,
-    is_complete: bool,
+    #[serde(rename = "is_complete")]
+    is_founder: bool,
     promised: Ballot,
     position: Position,
     digest: u64,
     accepted: Option<Position>,
+    /// Earlier releases state none.
+    #[serde(default)]
+    disk: Option<u64>,
+    #[serde(default)]
+    electorate: Electorate,
 }
 
 /// See [`replication::Refusal`].
@@ -131,6 +156,36 @@
     }
 }
 
+impl From<&voter::Voter> for Voter {
+    fn from(voter: &voter::Voter) -> Self {
+        Self { instance: voter.instance.clone(), disk: voter.disk }
+    }
+}
+
+impl From<Voter> for voter::Voter {
+    fn from(voter: Voter) -> Self {
+        Self { instance: voter.instance, disk: voter.disk }
+    }
+}
+
+impl From<&voter::Electorate> for Electorate {
+    fn from(electorate: &voter::Electorate) -> Self {
+        Self {
+            voters: electorate.voters.iter().map(Voter::from).collect(),
+            replaced: electorate.replaced.iter().map(Voter::from).collect(),
+        }
+    }
+}
+
+impl From<Electorate> for voter::Electorate {
+    fn from(electorate: Electorate) -> Self {
+        Self {
+            voters: electorate.voters.into_iter().map(Into::into).collect(),
+            replaced: electorate.replaced.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
 impl From<&state::Update> for Update {
     fn from(update: &state::Update) -> Self {
         Self {
@@ -138,6 +193,7 @@
             replaced: update.replaced.clone(),
             items: super::encode(&update.items),
             digest: update.digest,
+            electorate: Electorate::from(&update.electorate),
         }
     }
 }
@@ -149,6 +205,7 @@
             replaced: update.replaced,
             items: super::decode(update.items),
             digest: update.digest,
+            electorate: update.electorate.into(),
         }
     }
 }
@@ -156,12 +213,14 @@
 impl From<&replication::Status> for Status {
     fn from(status: &replication::Status) -> Self {
         Self {
-            instance: status.instance.clone(),
-            is_complete: status.is_complete,
+            instance: status.voter.instance.clone(),
+            is_founder: status.is_founder,
             promised: Ballot::from(&status.promised),
             position: Position::from(&status.position),
             digest: status.digest,
             accepted: status.accepted.as_ref().map(Position::from),
+            disk: Some(status.voter.disk),
+            electorate: Electorate::from(&status.electorate),
         }
     }
 }
@@ -169,12 +228,16 @@
 impl From<Status> for replication::Status {
     fn from(status: Status) -> Self {
         Self {
-            instance: status.instance,
-            is_complete: status.is_complete,
+            voter: voter::Voter {
+                instance: status.instance,
+                disk: status.disk.unwrap_or(voter::UNKNOWN_DISK),
+            },
+            is_founder: status.is_founder,
             promised: status.promised.into(),
             position: status.position.into(),
             digest: status.digest,
             accepted: status.accepted.map(ballot::Position::from),
+            electorate: status.electorate.into(),
         }
     }
 }
--- a/crates/arbutuslane_item/src/election.rs
+++ b/crates/arbutuslane_item/src/election.rs
@@ -5,13 +5,14 @@
 
 use std::sync::Arc;
 
-use arbutuslane_core::id::{Incarnation, NodeId};
+use arbutuslane_core::id::Incarnation;
 
 use crate::ballot::{Ballot, Position};
 use crate::check;
 use crate::item::Item;
 use crate::replication::{Replication, Status};
 use crate::state::Update;
+use crate::voter::{self, Electorate, Voter};
 
 /// An instance that collects the promises of a quorum.
 #[derive(Debug, Clone)]
@@ -37,7 +38,9 @@
     /// accepted.
     pub verdicts: Vec<Result<(), check::Error>>,
     quorum: usize,
-    holders: Vec<NodeId>,
+    holders: Vec<Voter>,
+    /// The leader, if its own copy does not count.
+    uncounted: Option<Voter>,
 }
 
 /// Another instance has a higher ballot.
@@ -57,13 +60,14 @@
         &self.ballot
     }
 
-    /// Records the durable promise of an instance; returns whether a quorum has promised.
+    /// Records the durable promise of an instance; returns whether a quorum has promised, of the voters
+    /// that the newest of the promised states names.
     pub fn record_promise(&mut self, status: Status) -> bool {
-        let is_known = self.promises.iter().any(|known| known.instance == status.instance);
-        if status.is_complete && status.promised == self.ballot && !is_known {
+        let is_known = self.promises.iter().any(|known| known.voter == status.voter);
+        if status.promised == self.ballot && !is_known {
             self.promises.push(status);
         }
-        self.promises.len() >= self.quorum
+        voter::is_quorum(&self.promises, self.quorum)
     }
 
     /// Returns the instances whose states this one has to adopt: that with the newest state, or all
@@ -98,7 +102,6 @@
         if *replication.promised() != self.ballot {
             return Err(Deposed(replication.promised().clone()));
         }
-        replication.complete();
         Ok(Leader { ballot: self.ballot, last_change: 0 })
     }
 }
@@ -140,18 +143,57 @@
         if self.last_change == 0 || !new_items.is_empty() {
             self.last_change += 1;
         }
+        let electorate = replication.stored().electorate.clone();
+        Ok(self.next_proposal(replication, new_items, electorate, verdicts))
+    }
+
+    /// Returns the same items with another electorate, or `None` if it must not follow now: this instance
+    /// does not lead, no state with the present one is accepted under its ballot, or quorums of the two
+    /// may share no voter.
+    pub fn propose_electorate(
+        &mut self,
+        replication: &mut Replication,
+        next: &Electorate,
+    ) -> Option<Proposal> {
+        let stored = replication.stored();
+        let accepted = replication.accepted_state().map(|state| &state.position);
+        let is_accepted =
+            accepted == Some(&stored.position) && stored.position.ballot == self.ballot;
+        let may_follow = stored.electorate.may_become(next, replication.quorum());
+        if !self.is_current(replication) || !is_accepted || !may_follow {
+            return None;
+        }
+        self.last_change += 1;
+        Some(self.next_proposal(replication, Vec::new(), next.clone(), Vec::new()))
+    }
+
+    fn next_proposal(
+        &self,
+        replication: &mut Replication,
+        items: Vec<Arc<Item>>,
+        electorate: Electorate,
+        verdicts: Vec<Result<(), check::Error>>,
+    ) -> Proposal {
         let position = Position { ballot: self.ballot.clone(), change: self.last_change };
-        let update = replication.advance(position, new_items);
-        Ok(Proposal { update, verdicts, quorum: replication.quorum(), holders: Vec::new() })
+        let is_counted = replication.is_founder() || !electorate.is_empty();
+        let uncounted = (!is_counted).then(|| replication.own().clone());
+        let update = replication.advance(position, items, electorate);
+        let quorum = replication.quorum();
+        Proposal { update, verdicts, quorum, holders: Vec::new(), uncounted }
     }
 }
 
 impl Proposal {
     /// Records that an instance has the state on disk; returns whether it is accepted.
-    pub fn record_stored(&mut self, instance: &str) -> bool {
-        if !self.holders.iter().any(|holder| holder == instance) {
-            self.holders.push(instance.to_string());
+    pub fn record_stored(&mut self, holder: &Voter) -> bool {
+        if !self.holders.contains(holder) && self.uncounted.as_ref() != Some(holder) {
+            self.holders.push(holder.clone());
+        }
+        let electorate = &self.update.electorate;
+        match electorate.is_empty() {
+            // Of the other instances, only founders store such states.
+            true => self.holders.len() >= self.quorum,
+            false => electorate.is_quorum(|voter| self.holders.contains(voter), self.quorum),
         }
-        self.holders.len() >= self.quorum
     }
 }
--- a/crates/arbutuslane_item/src/lib.rs
+++ b/crates/arbutuslane_item/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod state;
 pub mod table;
 pub mod transfer;
+pub mod voter;
 
 /// Re-exports the commonly used types of this crate.
 pub mod prelude {
@@ -38,4 +39,5 @@
     pub use crate::replication::Replication;
     pub use crate::state::{State, Update};
     pub use crate::table::Table;
+    pub use crate::voter::{Electorate, Voter};
 }
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -8,11 +8,10 @@
 //! is valid, and an instance that was down or frozen cannot confirm what contradicts it, because no
 //! quorum stores it.
 //!
-//! [`Replication`] holds what an instance has promised and stored, and which state it knows to be
-//! accepted. [`election`](crate::election) holds what an instance needs to lead. An instance that lost
-//! its disk is [`Standing::Recovering`]: it promises and stores nothing until it has taken a state
-//! over from a quorum of the others as a candidate, whose higher ballot also voids what the instance
-//! confirmed before the loss.
+//! Which instances count is a part of each state, see [`voter`]. [`Replication`] holds what an instance
+//! has promised and stored, and which state it knows to be accepted. [`election`](crate::election) holds
+//! what an instance needs to lead. An instance that lost its disk is [`Standing::Recovering`]: it counts
+//! only once an accepted state names it with its new disk.
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -23,13 +22,14 @@
 use crate::item::Item;
 use crate::state::{State, Update};
 use crate::table::Table;
+use crate::voter::{self, DiskId, Electorate, Voter};
 
 /// Whether an instance has kept what it promised and stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
-    /// The instance counts for quorums.
+    /// The disk has everything since the first start of the fleet: the instance is a founder.
     Complete,
-    /// The instance started with an empty or damaged disk and has not taken over a state yet.
+    /// The instance started with an empty or damaged disk.
     Recovering,
 }
 
@@ -42,21 +42,25 @@
     pub promised: Ballot,
     /// The last state that the instance stored.
     pub state: State,
+    /// The disk.
+    pub disk: DiskId,
 }
 
 /// What an instance reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Status {
-    /// The instance.
-    pub instance: NodeId,
-    /// Whether the instance counts for quorums.
-    pub is_complete: bool,
+    /// The instance and its disk.
+    pub voter: Voter,
+    /// Whether the instance counts for states without voters.
+    pub is_founder: bool,
     /// The highest ballot that the instance promised to follow.
     pub promised: Ballot,
     /// The position of the state on its disk.
     pub position: Position,
     /// The digest of the state on its disk.
     pub digest: u64,
+    /// The instances that count for that state.
+    pub electorate: Electorate,
     /// The position of the newest state that it knows to be accepted.
     pub accepted: Option<Position>,
 }
@@ -71,10 +75,22 @@
     /// The update was made for another state than the instance's, which has these hashes of its
     /// buckets.
     Behind(Vec<u64>),
-    /// The instance does not count for quorums.
+    /// The instance does not count for states without voters.
     Recovering,
 }
 
+impl Status {
+    /// Returns the name of the instance.
+    pub fn instance(&self) -> &NodeId {
+        &self.voter.instance
+    }
+
+    /// Returns the disk of the instance.
+    pub fn disk(&self) -> DiskId {
+        self.voter.disk
+    }
+}
+
 /// What an instance has to do to know the newest accepted state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Settlement {
@@ -93,15 +109,16 @@
 /// One control instance's state of the catalogue.
 #[derive(Debug, Clone)]
 pub struct Replication {
-    own: NodeId,
-    /// The number of instances that must store a state before it is accepted.
+    own: Voter,
+    /// The number of voters that must store a state before it is accepted.
     quorum: usize,
-    standing: Standing,
+    /// Whether this instance counts for states without voters.
+    is_founder: bool,
     promised: Ballot,
     /// The newest state that this instance has received as a part of the agreement.
     stored: State,
-    /// The position and the digest of the newest state that is on the disk.
-    durable: (Position, u64),
+    /// The newest state that is on the disk.
+    durable: Durable,
     /// The newest state that is known to be accepted.
     accepted: Option<State>,
     /// Whether `accepted` contains every state that was accepted before this instance started.
@@ -112,21 +129,37 @@
     empty: Table,
 }
 
+/// What identifies a state on the disk.
+#[derive(Debug, Clone)]
+struct Durable {
+    position: Position,
+    digest: u64,
+    electorate: Electorate,
+}
+
+impl Durable {
+    fn of(state: &State) -> Self {
+        Self {
+            position: state.position.clone(),
+            digest: state.table.digest(),
+            electorate: state.electorate.clone(),
+        }
+    }
+}
+
 impl Replication {
-    /// Returns the state of the instance `own` after a start; a state is accepted when `quorum`
-    /// instances have it on disk.
-    ///
-    /// Of 2 `quorum` - 1 instances, any two quorums share one.
+    /// Returns the state of the instance `own` after a start; a state is accepted when `quorum` of its
+    /// voters have it on disk.
     pub fn new(own: &str, quorum: usize, recovered: Recovered) -> Self {
         let stored = recovered.state;
         let promised = recovered.promised.max(stored.position.ballot.clone());
         Self {
-            own: own.to_string(),
+            own: Voter { instance: own.to_string(), disk: recovered.disk },
             quorum: quorum.max(1),
-            standing: recovered.standing,
+            is_founder: recovered.standing == Standing::Complete,
             highest_round: promised.round,
             promised,
-            durable: (stored.position.clone(), stored.table.digest()),
+            durable: Durable::of(&stored),
             stored,
             accepted: None,
             is_settled: false,
@@ -154,6 +187,26 @@
         self.quorum
     }
 
+    /// Returns whether this instance counts for states without voters.
+    pub(crate) fn is_founder(&self) -> bool {
+        self.is_founder
+    }
+
+    /// Returns this instance with its disk.
+    pub fn own(&self) -> &Voter {
+        &self.own
+    }
+
+    /// Returns whether this instance should ask the leader for a place among the voters, with `is_alive`
+    /// telling which instances are.
+    pub fn wants_place(&self, is_alive: impl Fn(&str) -> bool) -> bool {
+        let electorate = &self.stored.electorate;
+        match electorate.is_empty() {
+            true => !self.is_founder,
+            false => electorate.lacks(&self.own, self.quorum, is_alive),
+        }
+    }
+
     /// Returns the highest ballot that this instance has promised to follow.
     pub fn promised(&self) -> &Ballot {
         &self.promised
@@ -162,12 +215,14 @@
     /// Returns whether the highest ballot that this complete instance knows is its own, so that it
     /// leads as far as it knows.
     pub fn leads(&self) -> bool {
-        self.is_complete() && self.promised.instance == self.own
+        self.is_complete() && self.promised.instance == self.own.instance
     }
 
-    /// Returns whether this instance counts for quorums.
+    /// Returns whether this instance is a founder or knows the voters.
+    ///
+    /// Whether its promises and copies count is decided by those who ask for them.
     pub fn is_complete(&self) -> bool {
-        self.standing == Standing::Complete
+        self.is_founder || !self.stored.electorate.is_empty()
     }
 
     /// Returns whether [`Replication::accepted`] contains every item that was accepted before this
@@ -176,7 +231,7 @@
     /// A node that mistakes an incomplete set for the whole catalogue denies requests on all missing
     /// routes.
     pub fn knows_all_accepted(&self) -> bool {
-        self.is_complete() && self.is_settled
+        self.is_settled
     }
 
     /// Returns whether the newest state of this instance is not known to be accepted.
@@ -203,13 +258,14 @@
 
     /// Returns what this instance reports of itself.
     pub fn status(&self) -> Status {
-        let (position, digest) = self.durable.clone();
+        let Durable { position, digest, electorate } = self.durable.clone();
         Status {
-            instance: self.own.clone(),
-            is_complete: self.is_complete(),
+            voter: self.own.clone(),
+            is_founder: self.is_founder,
             promised: self.promised.clone(),
             position,
             digest,
+            electorate,
             accepted: self.accepted.as_ref().map(|state| state.position.clone()),
         }
     }
@@ -217,7 +273,7 @@
     /// Returns a ballot that is higher than each one that this instance knows.
     pub(crate) fn next_ballot(&mut self, incarnation: u64) -> Ballot {
         self.highest_round += 1;
-        Ballot { round: self.highest_round, instance: self.own.clone(), incarnation }
+        Ballot { round: self.highest_round, instance: self.own.instance.clone(), incarnation }
     }
 
     /// Takes note of a ballot of another instance.
@@ -227,15 +283,15 @@
 
     /// Promises to refuse states of lower ballots, and returns the status with the state that this
     /// instance has stored until then. The caller sends it once the promise is on disk, and with it
-    /// all that was written before. Returns `None` if this instance cannot promise.
+    /// all that was written before. Returns `None` if this instance has promised to follow a higher ballot.
     pub fn promise(&mut self, ballot: &Ballot) -> Option<Status> {
         self.observe(ballot);
-        if !self.is_complete() || *ballot < self.promised {
+        if *ballot < self.promised {
             return None;
         }
         self.promised = ballot.clone();
-        let (position, digest) = (self.stored.position.clone(), self.stored.table.digest());
-        Some(Status { position, digest, ..self.status() })
+        let Durable { position, digest, electorate } = Durable::of(&self.stored);
+        Some(Status { position, digest, electorate, ..self.status() })
     }
 
     /// Stores a state that a leader proposes. The caller writes the update to disk, and then calls
@@ -247,7 +303,7 @@
     pub fn store(&mut self, update: &Update) -> Result<(), Refusal> {
         let ballot = &update.position.ballot;
         self.observe(ballot);
-        if !self.is_complete() {
+        if update.electorate.is_empty() && !self.is_founder {
             return Err(Refusal::Recovering);
         }
         if *ballot < self.promised {
@@ -263,11 +319,16 @@
         Ok(())
     }
 
-    /// Records that the state at `position`, with the digest of its table, is on disk.
-    pub fn record_durable(&mut self, position: &Position, digest: u64) {
-        if *position >= self.durable.0 {
-            self.durable = (position.clone(), digest);
+    /// Records that the state that results from `update` is on disk.
+    pub fn record_durable(&mut self, update: &Update) {
+        if update.position < self.durable.position {
+            return;
         }
+        self.durable = Durable {
+            position: update.position.clone(),
+            digest: update.digest,
+            electorate: update.electorate.clone(),
+        };
     }
 
     /// Records that the state at `position` is accepted; returns the items that this instance did not
@@ -289,7 +350,7 @@
     /// because a quorum stores it.
     pub fn install(&mut self, update: &Update) -> bool {
         self.observe(&update.position.ballot);
-        if !self.is_complete() || update.position < self.stored.position {
+        if update.position < self.stored.position {
             return false;
         }
         if update.position > self.stored.position && !self.stored.apply(update) {
@@ -305,17 +366,10 @@
         for status in statuses {
             self.observe(&status.promised);
         }
-        let complete: Vec<&Status> = statuses.iter().filter(|status| status.is_complete).collect();
-        let Some(newest) = complete.iter().max_by(|left, right| left.position.cmp(&right.position))
-        else {
-            return Settlement::Wait;
-        };
-        if complete.len() < self.quorum {
+        if !voter::is_quorum(statuses, self.quorum) {
             return Settlement::Wait;
         }
-        if !self.is_complete() {
-            return Settlement::Propose;
-        }
+        let Some(newest) = voter::newest(statuses) else { return Settlement::Wait };
         let knows = |position: &Position| {
             self.accepted.as_ref().is_some_and(|known| known.position >= *position)
         };
@@ -323,14 +377,15 @@
             self.is_settled = true;
             return Settlement::Settled;
         }
-        let holds_newest = |status: &&&Status| {
-            status.position == newest.position && status.digest == newest.digest
-        };
+        let holds_newest =
+            |status: &Status| status.position == newest.position && status.digest == newest.digest;
+        let is_newest_accepted =
+            voter::counts(&newest.electorate, statuses, self.quorum, &holds_newest);
         let reported = statuses.iter().max_by(|left, right| left.accepted.cmp(&right.accepted));
         let reported =
-            reported.and_then(|status| Some((status.accepted.as_ref()?, &status.instance)));
-        let accepted = match complete.iter().filter(holds_newest).count() >= self.quorum {
-            true => Some((&newest.position, &newest.instance)),
+            reported.and_then(|status| Some((status.accepted.as_ref()?, status.instance())));
+        let accepted = match is_newest_accepted {
+            true => Some((&newest.position, newest.instance())),
             false => reported,
         };
         let Some((position, instance)) = accepted.filter(|(position, _)| !knows(position)) else {
@@ -352,7 +407,10 @@
         if self.promised > *ballot {
             return false;
         }
-        let is_newer = !self.is_complete() || update.position > self.stored.position;
+        if update.position < self.stored.position {
+            return false;
+        }
+        let is_newer = update.position > self.stored.position;
         if update.position == Position::default() {
             self.stored.table.merge_all(update.items.clone());
         } else if is_newer && !self.stored.apply(update) {
@@ -362,15 +420,17 @@
         true
     }
 
-    /// Counts for quorums from now on, after a state was adopted and written to disk.
-    pub(crate) fn complete(&mut self) {
-        self.standing = Standing::Complete;
-    }
-
     /// Replaces the state by the next one of the leader, which is this instance.
-    pub(crate) fn advance(&mut self, position: Position, items: Vec<Arc<Item>>) -> Update {
+    pub(crate) fn advance(
+        &mut self,
+        position: Position,
+        items: Vec<Arc<Item>>,
+        electorate: Electorate,
+    ) -> Update {
         self.stored.table.set_all(items.clone());
         self.stored.position = position.clone();
-        Update { position, replaced: Vec::new(), items, digest: self.stored.table.digest() }
+        self.stored.electorate = electorate.clone();
+        let digest = self.stored.table.digest();
+        Update { position, replaced: Vec::new(), items, digest, electorate }
     }
 }
--- a/crates/arbutuslane_item/src/state.rs
+++ b/crates/arbutuslane_item/src/state.rs
@@ -5,6 +5,7 @@
 use crate::ballot::Position;
 use crate::item::Item;
 use crate::table::Table;
+use crate::voter::Electorate;
 
 /// The content of the catalogue at a position.
 #[derive(Debug, Clone, Default)]
@@ -13,6 +14,8 @@
     pub position: Position,
     /// The items.
     pub table: Table,
+    /// The instances that count for this state.
+    pub electorate: Electorate,
 }
 
 /// The difference between two states, as instances send it and write it to disk.
@@ -26,6 +29,8 @@
     pub items: Vec<Arc<Item>>,
     /// The digest of the resulting table.
     pub digest: u64,
+    /// The instances that count for the resulting state.
+    pub electorate: Electorate,
 }
 
 impl State {
@@ -38,7 +43,11 @@
         if table.digest() != update.digest {
             return false;
         }
-        *self = Self { position: update.position.clone(), table };
+        *self = Self {
+            position: update.position.clone(),
+            table,
+            electorate: update.electorate.clone(),
+        };
         true
     }
 
@@ -49,6 +58,7 @@
             replaced: self.table.differing_buckets(buckets),
             items: self.table.difference(buckets).items().cloned().collect(),
             digest: self.table.digest(),
+            electorate: self.electorate.clone(),
         }
     }
 }
--- a/crates/arbutuslane_item/tests/replication.rs
+++ b/crates/arbutuslane_item/tests/replication.rs
@@ -13,6 +13,11 @@
 use group::Group;
 use support::name;
 
+/// Returns an instance with its first disk.
+fn voter(index: usize) -> Voter {
+    Voter { instance: name(index), disk: 1 }
+}
+
 fn removal(name: u8, version: u8) -> Arc<Item> {
     Arc::new(Item::removal(Key::Route(format!("r{}", name % 4)), u64::from(version)))
 }
@@ -86,7 +91,8 @@
     group.lose_disk(0);
     let mut candidate = Candidate::begin(&mut group.instances[0], 2);
     let ballot = candidate.ballot().clone();
-    assert_eq!(group.instances[0].promise(&ballot), None);
+    let own = group.instances[0].promise(&ballot).unwrap();
+    assert!(!candidate.record_promise(own));
     let promises: Vec<_> =
         (1..4).map(|index| group.instances[index].promise(&ballot).unwrap()).collect();
     assert!(!candidate.record_promise(promises[0].clone()));
@@ -108,12 +114,12 @@
     let mut leader = group.elect(0, &[0, 1, 4]).unwrap();
     let changes = [vec![removal(1, 4)]];
     let mut proposal = leader.propose(&mut group.instances[0], &changes).unwrap();
-    assert!(!proposal.record_stored("c0"));
-    assert!(!proposal.record_stored("c0"));
-    assert!(!proposal.record_stored("c1"));
+    assert!(!proposal.record_stored(&voter(0)));
+    assert!(!proposal.record_stored(&voter(0)));
+    assert!(!proposal.record_stored(&voter(1)));
     assert!(!group.instances[0].are_accepted(&changes[0]));
     assert_eq!(group.instances[0].pending_count(), 1);
-    assert!(proposal.record_stored("c4"));
+    assert!(proposal.record_stored(&voter(4)));
     assert_eq!(group.instances[0].learn(&proposal.update.position), changes[0]);
     assert!(group.instances[0].are_accepted(&changes[0]));
     assert_eq!(group.instances[0].pending_count(), 0);
--- a/crates/arbutuslane_item/tests/world/changes.rs
+++ b/crates/arbutuslane_item/tests/world/changes.rs
@@ -11,18 +11,19 @@
 /// The number of items of each kind.
 const NAMES: u32 = 3;
 
-/// The highest version.
-const VERSIONS: u64 = 12;
+/// The number of versions that changes use.
+pub(super) const VERSIONS: Version = 12;
 
-/// Returns a change with one or two items. Different changes may set one version differently.
-pub(super) fn random(rng: &mut Rng) -> Vec<Arc<Item>> {
+/// Returns a change with one or two items of versions above `old`. Different changes may set one version
+/// differently.
+pub(super) fn random(rng: &mut Rng, old: Version) -> Vec<Arc<Item>> {
     let count = rng.random_range(1..=2);
-    (0..count).map(|_| Arc::new(random_item(rng))).collect()
+    (0..count).map(|_| Arc::new(random_item(rng, old))).collect()
 }
 
-fn random_item(rng: &mut Rng) -> Item {
+fn random_item(rng: &mut Rng, old: Version) -> Item {
     let name = rng.random_range(0..NAMES);
-    let version = rng.random_range(1..=VERSIONS);
+    let version = old + rng.random_range(1..=VERSIONS);
     let other = rng.random_range(0..NAMES);
     let is_removal = rng.random_range(0..3) == 0;
     let (key, content) = match rng.random_range(0..3) {
--- a/crates/arbutuslane_item/tests/world/check.rs
+++ b/crates/arbutuslane_item/tests/world/check.rs
@@ -9,6 +9,8 @@
 pub(super) struct History {
     seed: u64,
     newest: Position,
+    /// The electorate of the newest accepted state.
+    electorate: Electorate,
     accepted_count: u64,
     /// The content of each version of each item.
     versions: BTreeMap<(Key, Version), Arc<Item>>,
@@ -23,6 +25,7 @@
         Self {
             seed,
             newest: Position::default(),
+            electorate: Electorate::default(),
             accepted_count: 0,
             versions: BTreeMap::new(),
             digests: BTreeMap::new(),
@@ -39,10 +42,16 @@
         self.newest.clone()
     }
 
-    /// Records that the state at `position` is accepted.
-    pub(super) fn record_accepted(&mut self, position: &Position) {
+    /// Returns the electorate of the newest accepted state.
+    pub(super) fn electorate(&self) -> &Electorate {
+        &self.electorate
+    }
+
+    /// Records that the state at `position`, with this electorate, is accepted.
+    pub(super) fn record_accepted(&mut self, position: &Position, electorate: &Electorate) {
         if *position > self.newest {
             self.newest = position.clone();
+            self.electorate = electorate.clone();
             self.accepted_count += 1;
         }
     }
--- a/crates/arbutuslane_item/tests/world/mod.rs
+++ b/crates/arbutuslane_item/tests/world/mod.rs
@@ -1,7 +1,8 @@
-//! Five control instances with their disks and a network, and the checks after each step.
+//! Control instances with their disks and a network, and the checks after each step.
 
 mod changes;
 mod check;
+mod membership;
 
 use std::sync::Arc;
 
@@ -21,6 +22,10 @@
     disk: Recovered,
     incarnation: u64,
     is_frozen: bool,
+    /// Whether the instance was removed for good.
+    is_gone: bool,
+    /// Whether the instance is in the second half during a split.
+    is_in_second_half: bool,
     candidate: Option<Candidate>,
     leader: Option<Leader>,
     proposals: Vec<Proposal>,
@@ -39,7 +44,7 @@
     Promise(Ballot),
     Promised(Status),
     Store(Update),
-    Stored(Position),
+    Stored(Position, Voter),
     Refused(Position, Refusal),
     Accepted(Position),
 }
@@ -51,6 +56,14 @@
     instances: Vec<Instance>,
     messages: Vec<Message>,
     history: History,
+    /// The number of disks that were used.
+    disks: u64,
+    /// Whether messages between the halves wait.
+    is_split: bool,
+    /// Whether instances join, leave and are split into halves.
+    has_replacements: bool,
+    /// The versions that changes do not use any more.
+    old_versions: Version,
 }
 
 impl Instance {
@@ -60,6 +73,8 @@
             disk,
             incarnation,
             is_frozen: false,
+            is_gone: false,
+            is_in_second_half: false,
             candidate: None,
             leader: None,
             proposals: Vec::new(),
@@ -70,12 +85,20 @@
     /// Writes the newest state to the disk.
     fn sync(&mut self) {
         let state = self.replication.stored().clone();
-        self.replication.record_durable(&state.position, state.table.digest());
-        let standing = match self.replication.is_complete() {
-            true => Standing::Complete,
-            false => Standing::Recovering,
-        };
-        self.disk = Recovered { standing, promised: self.replication.promised().clone(), state };
+        self.replication.record_durable(&state.update_for(state.table.buckets()));
+        let promised = self.replication.promised().clone();
+        self.disk = Recovered { promised, state, ..self.disk.clone() };
+    }
+
+    /// Starts the instance again with its disk.
+    fn restart(&mut self, index: usize) {
+        let is_in_second_half = self.is_in_second_half;
+        *self = Self::start(index, self.incarnation + 1, self.disk.clone());
+        self.is_in_second_half = is_in_second_half;
+    }
+
+    fn is_running(&self) -> bool {
+        !self.is_gone && !self.is_frozen
     }
 }
 
@@ -85,6 +108,7 @@
             standing: Standing::Complete,
             promised: Ballot::default(),
             state: State::default(),
+            disk: 1,
         };
         let instances = (0..INSTANCES).map(|index| Instance::start(index, 0, empty.clone()));
         Self {
@@ -93,9 +117,23 @@
             instances: instances.collect(),
             messages: Vec::new(),
             history: History::new(seed),
+            disks: 1,
+            is_split: false,
+            has_replacements: false,
+            old_versions: 0,
         }
     }
 
+    /// Returns a world in which instances also join, leave and are split into halves.
+    pub(super) fn with_replacements(seed: u64) -> Self {
+        Self { has_replacements: true, ..Self::new(seed) }
+    }
+
+    /// Returns the electorate of the newest accepted state.
+    pub(super) fn electorate(&self) -> &Electorate {
+        self.history.electorate()
+    }
+
     /// Returns the number of states that were accepted.
     pub(super) fn accepted_count(&self) -> u64 {
         self.history.accepted_count()
@@ -107,6 +145,9 @@
             0 => self.crash_all(),
             1..3 => self.lose_disk(),
             3..5 => self.restart(),
+            12..16 if self.has_replacements => self.join(),
+            16..20 if self.has_replacements => self.leave(),
+            20..23 if self.has_replacements => self.split(),
             5..8 => {
                 let index = self.random_instance();
                 self.instances[index].is_frozen = !self.instances[index].is_frozen;
@@ -122,13 +163,16 @@
         match self.rng.random_range(0..40) {
             0 => self.submit(),
             1 => self.settle(),
+            2..4 => self.update_voters(),
             _ => self.deliver(),
         }
         self.check();
     }
 
-    /// Thaws all instances.
+    /// Thaws all instances and ends a split. Later changes have versions that no earlier one had.
     pub(super) fn end_faults(&mut self) {
+        self.old_versions = changes::VERSIONS;
+        self.is_split = false;
         for instance in &mut self.instances {
             instance.is_frozen = false;
         }
@@ -143,40 +187,27 @@
     }
 
     fn random_instance(&mut self) -> usize {
-        self.rng.random_range(0..INSTANCES)
+        loop {
+            let index = self.rng.random_range(0..self.instances.len());
+            if !self.instances[index].is_gone {
+                return index;
+            }
+        }
     }
 
     fn restart(&mut self) {
         let index = self.random_instance();
-        let instance = &self.instances[index];
-        self.instances[index] =
-            Instance::start(index, instance.incarnation + 1, instance.disk.clone());
+        self.instances[index].restart(index);
     }
 
     fn crash_all(&mut self) {
         for (index, instance) in self.instances.iter_mut().enumerate() {
-            *instance = Instance::start(index, instance.incarnation + 1, instance.disk.clone());
+            if !instance.is_gone {
+                instance.restart(index);
+            }
         }
     }
 
-    /// Restarts an instance with an empty disk, unless two have not recovered from that yet.
-    fn lose_disk(&mut self) {
-        let index = self.random_instance();
-        let lost = |instance: &&Instance| !instance.replication.is_complete();
-        let lost_count = self.instances.iter().filter(lost).count();
-        let is_lost = !self.instances[index].replication.is_complete();
-        if lost_count + 1 >= QUORUM && !is_lost {
-            return;
-        }
-        let empty = Recovered {
-            standing: Standing::Recovering,
-            promised: Ballot::default(),
-            state: State::default(),
-        };
-        let incarnation = self.instances[index].incarnation + 1;
-        self.instances[index] = Instance::start(index, incarnation, empty);
-    }
-
     fn drop_message(&mut self) {
         if !self.messages.is_empty() {
             let index = self.rng.random_range(0..self.messages.len());
@@ -189,25 +220,30 @@
     }
 
     fn send_to_others(&mut self, from: usize, body: &Body) {
-        for to in (0..INSTANCES).filter(|to| *to != from) {
-            self.send(from, to, body.clone());
+        for to in 0..self.instances.len() {
+            if to != from && !self.instances[to].is_gone {
+                self.send(from, to, body.clone());
+            }
         }
     }
 
     /// Gives a random change to an instance, which leads or tries to: mostly to the one that a random
     /// instance takes for the leader.
     fn submit(&mut self) {
+        let Some(index) = self.assumed_leader() else { return };
+        let change = changes::random(&mut self.rng, self.old_versions);
+        self.instances[index].waiting.push(change);
+        self.lead(index);
+    }
+
+    /// Returns a random instance, or mostly the one that it takes for the leader, if it runs.
+    fn assumed_leader(&mut self) -> Option<usize> {
         let mut index = self.random_instance();
         let promised = &self.instances[index].replication.promised().instance;
         if !promised.is_empty() && self.rng.random_range(0..5) > 0 {
             index = index_of(promised);
         }
-        if self.instances[index].is_frozen {
-            return;
-        }
-        let change = changes::random(&mut self.rng);
-        self.instances[index].waiting.push(change);
-        self.lead(index);
+        self.instances[index].is_running().then_some(index)
     }
 
     /// Proposes the waiting changes of an instance, or begins an election.
@@ -219,12 +255,18 @@
             instance.leader = None;
             return;
         };
+        self.send_proposal(index, proposal);
+    }
+
+    fn send_proposal(&mut self, index: usize, proposal: Proposal) {
+        let instance = &mut self.instances[index];
         let update = proposal.update.clone();
         instance.proposals.push(proposal);
         // An instance may end before its state is on the disk.
         if self.rng.random_range(0..20) > 0 {
             self.instances[index].sync();
-            self.record_stored(index, index, &update.position);
+            let own = self.instances[index].replication.own().clone();
+            self.record_stored(index, &own, &update.position);
         }
         self.send_to_others(index, &Body::Store(update));
     }
@@ -246,7 +288,12 @@
             return;
         }
         let picked = self.rng.random_range(0..self.messages.len());
-        if self.instances[self.messages[picked].to].is_frozen {
+        let (from, to) = (self.messages[picked].from, self.messages[picked].to);
+        if self.instances[to].is_gone {
+            self.messages.swap_remove(picked);
+            return;
+        }
+        if self.instances[to].is_frozen || !self.is_connected(from, to) {
             return;
         }
         let is_repeated = self.rng.random_range(0..30) == 0;
@@ -278,11 +325,12 @@
             Body::Store(update) => match instance.replication.store(&update) {
                 Ok(()) => {
                     instance.sync();
-                    self.send(to, from, Body::Stored(update.position));
+                    let own = instance.replication.own().clone();
+                    self.send(to, from, Body::Stored(update.position, own));
                 }
                 Err(refusal) => self.send(to, from, Body::Refused(update.position, refusal)),
             },
-            Body::Stored(position) => self.record_stored(to, from, &position),
+            Body::Stored(position, holder) => self.record_stored(to, &holder, &position),
             Body::Refused(position, refusal) => self.receive_refusal(to, from, &position, refusal),
             Body::Accepted(position) => drop(instance.replication.learn(&position)),
         }
@@ -309,11 +357,11 @@
     fn finish_election(&mut self, index: usize) {
         let Some(candidate) = self.instances[index].candidate.take() else { return };
         for source in candidate.sources() {
-            let from = index_of(&source.instance);
+            let from = index_of(source.instance());
             if from == index {
                 continue;
             }
-            if self.instances[from].is_frozen {
+            if !self.instances[from].is_running() || !self.is_connected(index, from) {
                 return;
             }
             let buckets = self.instances[index].replication.stored().table.buckets().to_vec();
@@ -331,16 +379,17 @@
         }
     }
 
-    fn record_stored(&mut self, leader: usize, holder: usize, position: &Position) {
+    fn record_stored(&mut self, leader: usize, holder: &Voter, position: &Position) {
         let instance = &mut self.instances[leader];
         let mut proposals = instance.proposals.iter_mut();
         let found = proposals.find(|proposal| proposal.update.position == *position);
         let Some(proposal) = found else { return };
-        if !proposal.record_stored(&name(holder)) {
+        if !proposal.record_stored(holder) {
             return;
         }
+        let electorate = proposal.update.electorate.clone();
         instance.proposals.retain(|proposal| proposal.update.position != *position);
-        self.history.record_accepted(position);
+        self.history.record_accepted(position, &electorate);
         instance.replication.learn(position);
         self.send_to_others(leader, &Body::Accepted(position.clone()));
     }
@@ -348,12 +397,15 @@
     /// Has a random instance find the newest accepted state with a random set of the others.
     fn settle(&mut self) {
         let index = self.random_instance();
-        if self.instances[index].is_frozen {
+        if !self.instances[index].is_running() {
             return;
         }
         let mut statuses = vec![self.instances[index].replication.status()];
-        for other in (0..INSTANCES).filter(|other| *other != index) {
-            if !self.instances[other].is_frozen && self.rng.random_range(0..4) > 0 {
+        for other in 0..self.instances.len() {
+            let is_reached = other != index
+                && self.instances[other].is_running()
+                && self.is_connected(index, other);
+            if is_reached && self.rng.random_range(0..4) > 0 {
                 statuses.push(self.instances[other].replication.status());
             }
         }
@@ -366,7 +418,8 @@
             }
             Settlement::Learn(position) => {
                 self.instances[index].replication.learn(&position);
-                self.history.record_accepted(&position);
+                let electorate = &self.instances[index].replication.stored().electorate;
+                self.history.record_accepted(&position, electorate);
             }
             Settlement::Fetch(source) => self.fetch(index, index_of(&source)),
             Settlement::Propose => self.lead(index),
