Confirm a departure once a quorum of control instances has it on disk

Cause: the confirmation waited for two copies, all of which were in memory, and after its start the node took two responses for the truth, from instances that had started themselves and knew nothing. A repeated departure was confirmed without any wait.

Change: control instances for items sync departures and drains to a log of their own before they respond, and say for which quorum of voters they count. A node confirms when a quorum has the departure and otherwise answers 503 after 0.6 s; the server gets no new work either way. After its start, a node believes announcements once a quorum of voters has responded whose disks kept everything. Two quorums share an instance, and lost disks do not count, so that the departure is among the responses. Control instances of earlier releases count as before while none of this release responds.

Ruled out: a rule on what an announcement states. It has no time of sending; a heartbeat of before the kill looks like one after it.

All tests of node, control, member and platform pass.

--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -15,7 +15,6 @@
 use arbutuslane_item::distribution::Receiver;
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
 use arbutuslane_item::prelude::{Item, Position, Replication, Table as ItemTable};
-use arbutuslane_member::departure::Keeper;
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::table::Table;
 use rand::RngExt;
@@ -26,6 +25,7 @@
 use crate::gossip::{GossipDelegate, MemberChange};
 use crate::token::Tokens;
 
+use super::departures::Departures;
 use super::disk::DiskHandle;
 use super::leader::{Decision, Order};
 use super::outbox::Outbox;
@@ -49,7 +49,7 @@
     replication: Mutex<Replication>,
     members: Mutex<Members>,
     /// The departures of servers that this instance keeps for nodes.
-    departures: Mutex<Keeper>,
+    pub(super) departures: Departures,
     pub(super) clock: Clock,
     /// The accepted items that nodes have yet to be told of.
     pub(super) outbox: Outbox,
@@ -127,6 +127,7 @@
     pub(super) fn new(
         settings: Settings,
         disk: DiskHandle,
+        departures: Departures,
         replication: Replication,
         events: Events,
         incarnation: Incarnation,
@@ -146,8 +147,8 @@
             recovered: replication.stored().table.clone(),
             replication: Mutex::new(replication),
             members: Mutex::default(),
-            departures: Mutex::default(),
-            clock: Clock::start_counting_suspension(),
+            clock: departures.clock(),
+            departures,
             outbox: Outbox::default(),
             orders,
             incarnation,
@@ -171,11 +172,6 @@
         items
     }
 
-    /// Locks the departures that this instance keeps for nodes.
-    pub(super) fn departures(&self) -> MutexGuard<'_, Keeper> {
-        self.departures.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the members that gossip considers alive.
     pub(super) fn members(&self) -> Members {
         self.members.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use arbutuslane_core::time::Clock;
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
@@ -22,6 +23,7 @@
 use crate::gossip;
 
 use super::core::Core;
+use super::departures::Departures;
 use super::interface::OperatorFormat;
 use super::leader::Order;
 use super::settings::Settings;
@@ -82,6 +84,8 @@
             return Err(error.into());
         }
     };
+    let is_new = recovered.is_emptied || recovered.damage.is_some();
+    let departures = Departures::start(&settings.data, is_new, Clock::start_counting_suspension())?;
     let mut listeners = Vec::new();
     for address in std::iter::once(&settings.listen).chain(&settings.metrics) {
         let listener = TcpListener::bind(address)
@@ -100,7 +104,15 @@
     let record = Record::new(&settings.name, incarnation, advertised, &settings.domain);
     let seeds = settings.other_seeds();
     let (orders, orders_inbox) = unbounded_channel();
-    let core = Core::new(settings, disk, replication, Arc::clone(&events), incarnation, orders);
+    let core = Core::new(
+        settings,
+        disk,
+        departures,
+        replication,
+        Arc::clone(&events),
+        incarnation,
+        orders,
+    );
     let (gossip, inbox) = gossip::channel();
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
     let version = env!("CARGO_PKG_VERSION").to_string();
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -8,6 +8,8 @@
 mod compare;
 mod core;
 pub mod daemon;
+mod departure_log;
+mod departures;
 mod disk;
 mod durable;
 pub mod interface;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -19,6 +19,7 @@
 use crate::gossip::GossipHandle;
 
 use super::core::{Core, Step};
+use super::departures::OfNode;
 use super::interface::{OperatorFormat, OperatorRequest};
 use super::leader::{self, Decision};
 use super::{agreement, compare, settle};
@@ -123,15 +124,11 @@
         Message::FetchItems { hashes, unaccepted } => {
             compare::requested_items(&shared.core, &hashes, unaccepted)
         }
-        Message::KeepDepartures { node, departures } => {
+        Message::KeepDepartures { node, departures, on_disk } => {
             let departures = departures.into_iter().map(Into::into).collect();
-            shared.core.departures().keep(&node, departures, shared.core.clock.now());
-            Answer::Done
-        }
-        Message::FetchDepartures { node } => {
-            let kept = shared.core.departures().departures(&node, shared.core.clock.now());
-            Answer::Departures(kept.into_iter().map(Into::into).collect())
+            keep_departures(&shared.core, (node, departures), on_disk).await
         }
+        Message::FetchDepartures { node, on_disk } => kept_departures(&shared.core, &node, on_disk),
         Message::ItemAgreement(bytes) => match agreement::handle(&shared.core, &bytes).await {
             Some(answer) => answer,
             None => return HttpResponse::BadRequest().finish(),
@@ -144,6 +141,26 @@
     }
 }
 
+/// Keeps departures for a node. Nodes of earlier releases learn only that they are kept.
+async fn keep_departures(core: &Core, departures: OfNode, on_disk: bool) -> Answer {
+    let is_durable = core.departures.keep(departures, core.clock.now()).await;
+    match on_disk {
+        true if is_durable => Answer::DeparturesKept { quorum: core.replication().own_quorum() },
+        true => Answer::Unsupported,
+        false => Answer::Done,
+    }
+}
+
+fn kept_departures(core: &Core, node: &str, on_disk: bool) -> Answer {
+    let now = core.clock.now();
+    let departures = core.departures.of_node(node, now).into_iter().map(Into::into).collect();
+    if !on_disk {
+        return Answer::Departures(departures);
+    }
+    let quorum = core.replication().own_quorum().filter(|_| core.departures.is_complete(now));
+    Answer::DeparturesOnDisk { departures, quorum }
+}
+
 /// Handles requests to all paths without a route, which form the operators' interface.
 pub(super) async fn handle_operator_request(
     request: HttpRequest,
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -37,6 +37,8 @@
     pub(super) replication: replication::Recovered,
     /// Why the files of the log were set aside.
     pub(super) damage: Option<String>,
+    /// Whether the folder was empty although this was not the first start of the fleet.
+    pub(super) is_emptied: bool,
 }
 
 /// The metadata stored beside the items.
@@ -170,7 +172,8 @@
             Err(error) if error.is_full() || matches!(error, Error::Stopped) => writer.log = None,
             result => result?,
         }
-        Ok((writer, Recovered { replication, damage: None }))
+        let is_emptied = is_new && !first_start;
+        Ok((writer, Recovered { replication, damage: None, is_emptied }))
     }
 
     /// Returns whether the last write succeeded, or the log has been reopened since.
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -187,6 +187,16 @@
         self.quorum
     }
 
+    /// Returns the number of voters of a quorum, if this instance is one of them.
+    pub fn own_quorum(&self) -> Option<usize> {
+        let electorate = &self.stored.electorate;
+        let is_voter = match electorate.is_empty() {
+            true => self.is_founder,
+            false => electorate.voters.binary_search(&self.own).is_ok(),
+        };
+        is_voter.then_some(self.quorum)
+    }
+
     /// Returns whether this instance counts for states without voters.
     pub(crate) fn is_founder(&self) -> bool {
         self.is_founder
--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -141,11 +141,19 @@
     }
     if let Some(server) = server {
         record_event(shared, &server.service, name, kind);
-        departures::confirm(shared, pool, name, incarnation, stage).await;
+        if !departures::confirm(shared, pool, name, incarnation, stage).await {
+            return refuse_departure();
+        }
     }
     Response::new(StatusCode::NO_CONTENT)
 }
 
+/// Refuses to confirm a departure, which this node keeps to but may forget with a restart.
+fn refuse_departure() -> Response {
+    let error = "the server gets no new work, but too few control instances keep that yet";
+    refuse(StatusCode::SERVICE_UNAVAILABLE, error, "send it again")
+}
+
 fn record_event(shared: &Shared, service: &str, server: &str, kind: Kind) {
     shared.events.record(Draft::new(kind).service(service).server(server));
 }
@@ -196,7 +204,9 @@
             Kind::ServerLeft { incarnation: server.incarnation },
         );
     }
-    departures::confirm(shared, pool, name, departed, Stage::Left).await;
+    if !departures::confirm(shared, pool, name, departed, Stage::Left).await {
+        return refuse_departure();
+    }
     Response::build(StatusCode::OK).json(&Acknowledged {})
 }
 
@@ -242,7 +252,9 @@
     }
     if announcement.draining {
         let (server, incarnation) = (&announcement.server, announcement.incarnation);
-        departures::confirm(shared, pool, server, incarnation, Stage::Draining).await;
+        if !departures::confirm(shared, pool, server, incarnation, Stage::Draining).await {
+            return refuse_departure();
+        }
     }
     let lease = Duration::from_millis(shared.settings.lease_ms);
     let lease = Lease {
--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -12,7 +12,7 @@
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_member::departure::{
     CONFIRMATION_TIMEOUT, Confirmation, Departure, FULL_RECOVERY_TIMEOUT, Keeper, MAX_DEPARTURES,
-    RETENTION, Recovery, Stage,
+    Policy, RETENTION, Recovery, Stage, Storage,
 };
 use arbutuslane_wire::peer::{Answer, Message};
 use futures_util::StreamExt;
@@ -20,6 +20,7 @@
 use ntex::time::sleep;
 
 use crate::peers;
+use crate::settings::Source;
 use crate::shared::Shared;
 use crate::timeout::within;
 use crate::traffic::Pool;
@@ -41,27 +42,33 @@
 /// How often a waiting announcement checks whether this node knows its departures.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The departures that this node has confirmed, and those that it keeps for others.
+/// The departures of servers of this node, and those that it keeps for others.
 #[derive(Debug, Default)]
 pub(crate) struct Departures {
+    policy: Policy,
     keeper: Mutex<Keeper>,
-    confirmed: Mutex<Vec<Confirmed>>,
+    own: Mutex<Vec<Own>>,
     recovery: Mutex<Recovery>,
 }
 
-/// A departure that this node has confirmed since its start.
+/// A departure that this node has confirmed, or is about to.
 #[derive(Debug)]
-struct Confirmed {
+struct Own {
     departure: Departure,
     at: Time,
-    /// The instances that keep it.
-    keepers: Vec<SocketAddr>,
+    confirmation: Confirmation,
 }
 
 impl Departures {
     /// Returns the state of a node that has just started.
-    pub(crate) fn new(now: Time) -> Self {
-        Self { recovery: Mutex::new(Recovery::new(now)), ..Self::default() }
+    pub(crate) fn new(source: Source, now: Time) -> Self {
+        let policy = match source {
+            Source::Items => Policy::Disk,
+            // The control instances of a catalogue keep no departures.
+            Source::Catalogue => Policy::Memory,
+        };
+        let recovery = Mutex::new(Recovery::new(policy, now));
+        Self { policy, recovery, ..Self::default() }
     }
 
     /// Keeps departures for another node.
@@ -74,31 +81,42 @@
         lock(&self.keeper).departures(node, now)
     }
 
-    /// Records a departure that is about to be confirmed; returns whether it is new.
-    fn add(&self, departure: &Departure, now: Time) -> bool {
-        let mut confirmed = lock(&self.confirmed);
-        if confirmed.iter().any(|known| known.departure == *departure) {
-            return false;
+    /// Begins to have a departure kept by `asked` instances, or begins again.
+    fn begin(&self, departure: &Departure, asked: usize, now: Time) {
+        let mut own = lock(&self.own);
+        if let Some(known) = own.iter_mut().find(|known| known.departure == *departure) {
+            known.confirmation.restart(asked, now);
+            return;
         }
-        confirmed.push(Confirmed { departure: departure.clone(), at: now, keepers: Vec::new() });
-        let excess = confirmed.len().saturating_sub(MAX_DEPARTURES);
-        confirmed.drain(..excess);
-        true
+        let confirmation = Confirmation::new(self.policy, asked, now);
+        own.push(Own { departure: departure.clone(), at: now, confirmation });
+        let excess = own.len().saturating_sub(MAX_DEPARTURES);
+        own.drain(..excess);
     }
 
-    fn record_kept(&self, departures: &[Departure], keeper: SocketAddr) {
-        for known in lock(&self.confirmed).iter_mut() {
-            if departures.contains(&known.departure) && !known.keepers.contains(&keeper) {
-                known.keepers.push(keeper);
+    fn record_kept(&self, departures: &[Departure], keeper: SocketAddr, storage: Storage) {
+        let keeper = keeper.to_string();
+        for known in lock(&self.own).iter_mut() {
+            if departures.contains(&known.departure) {
+                known.confirmation.record_kept(&keeper, storage);
             }
         }
     }
 
+    /// Returns what `read` finds about a departure that is about to be confirmed, or `None` if newer
+    /// ones took its place.
+    fn read<T>(&self, departure: &Departure, read: impl FnOnce(&Confirmation) -> T) -> Option<T> {
+        let own = lock(&self.own);
+        let known = own.iter().find(|known| known.departure == *departure)?;
+        Some(read(&known.confirmation))
+    }
+
     /// Returns the departures that the instance at `keeper` does not keep yet.
     fn missing_at(&self, keeper: SocketAddr, now: Time) -> Vec<Departure> {
-        let mut confirmed = lock(&self.confirmed);
-        confirmed.retain(|known| now < known.at + RETENTION);
-        let missing = confirmed.iter().filter(|known| !known.keepers.contains(&keeper));
+        let keeper = keeper.to_string();
+        let mut own = lock(&self.own);
+        own.retain(|known| now < known.at + RETENTION);
+        let missing = own.iter().filter(|known| !known.confirmation.is_kept_by(&keeper));
         missing.map(|known| known.departure.clone()).collect()
     }
 }
@@ -126,23 +144,24 @@
     keepers
 }
 
-/// Returns once a departure may be confirmed: other instances keep it, or do not respond in time.
+/// Has a departure kept by other instances; returns whether this node confirms it.
 pub(crate) async fn confirm(
     shared: &Arc<Shared>,
     pool: &Rc<Pool>,
     server: &str,
     incarnation: Incarnation,
     stage: Stage,
-) {
+) -> bool {
     let departure = Departure { server: server.to_string(), incarnation, stage };
     let started_at = shared.clock.now();
-    if !shared.departures.add(&departure, started_at) {
-        return;
-    }
     let keepers = keepers(shared);
-    let mut confirmation = Confirmation::new(keepers.len(), started_at);
+    shared.departures.begin(&departure, keepers.len(), started_at);
     let (replies, mut inbox) = tokio::sync::mpsc::unbounded_channel();
     for keeper in keepers {
+        let is_kept = |confirmation: &Confirmation| confirmation.is_kept_by(&keeper.to_string());
+        if shared.departures.read(&departure, is_kept) != Some(false) {
+            continue;
+        }
         let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
         let (departures, replies) = ([departure.clone()], replies.clone());
         // After the confirmation, too, all others are to keep the departure at once.
@@ -151,19 +170,21 @@
         });
     }
     drop(replies);
+    let is_due = |confirmation: &Confirmation| confirmation.is_due(shared.clock.now());
     let waiting = async {
-        while !confirmation.is_due(shared.clock.now()) {
-            match inbox.recv().await {
-                Some(true) => confirmation.record_kept(),
-                Some(false) => {}
-                None => return,
+        while shared.departures.read(&departure, is_due) == Some(false) {
+            if inbox.recv().await.is_none() {
+                return;
             }
         }
     };
     // The control thread sends the departure again to those that have not responded.
     let _ = within(CONFIRMATION_TIMEOUT, waiting).await;
+    let is_granted = shared.departures.read(&departure, Confirmation::is_granted).unwrap_or(false);
     let took_ms = (shared.clock.now() - started_at).as_millis();
-    tracing::info!(event = "departure-kept", server, ?stage, took_ms);
+    let event = if is_granted { "departure-kept" } else { "departure-not-kept" };
+    tracing::info!(event, server, ?stage, took_ms);
+    is_granted
 }
 
 /// Has departures kept by the instance at `keeper`; returns whether it does.
@@ -176,13 +197,27 @@
     let message = Message::KeepDepartures {
         node: shared.settings.node.clone(),
         departures: departures.iter().cloned().map(Into::into).collect(),
+        on_disk: true,
     };
     let answer = peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await;
-    let is_kept = matches!(answer, Ok(Answer::Done));
-    if is_kept {
-        shared.departures.record_kept(departures, keeper);
-    }
-    is_kept
+    let storage = match answer {
+        Ok(Answer::Done) => memory_of(shared, keeper),
+        Ok(Answer::DeparturesKept { quorum }) => storage_of(quorum),
+        _ => return false,
+    };
+    shared.departures.record_kept(departures, keeper, storage);
+    true
+}
+
+/// Returns the storage of an instance that states which quorum it counts for.
+fn storage_of(quorum: Option<usize>) -> Storage {
+    quorum.map_or(Storage::Memory, |quorum| Storage::Disk { quorum })
+}
+
+/// Returns the storage of the instance at `address`, which keeps departures in its memory.
+fn memory_of(shared: &Shared, address: SocketAddr) -> Storage {
+    let is_control = shared.control().contains(&address) || members(shared).0.contains(&address);
+    if is_control { Storage::ControlMemory } else { Storage::Memory }
 }
 
 /// Returns whether this node knows which departures it confirmed before its start, after a short wait
@@ -227,18 +262,22 @@
     // The clock starts with the node; later, nobody keeps a departure from before.
     let is_recent = shared.clock.now() < RETENTION;
     if is_recent && !lock(&shared.departures.recovery).has_responded(&address) {
-        let message = Message::FetchDepartures { node: shared.settings.node.clone() };
-        match peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await {
-            Ok(Answer::Departures(departures)) => {
-                for departure in departures {
-                    apply(shared, &departure.into());
+        let node = shared.settings.node.clone();
+        let message = Message::FetchDepartures { node, on_disk: true };
+        let (departures, storage) =
+            match peers::send(shared, pool, keeper, &message, CONFIRMATION_TIMEOUT).await {
+                Ok(Answer::Departures(departures)) => (departures, memory_of(shared, keeper)),
+                Ok(Answer::DeparturesOnDisk { departures, quorum }) => {
+                    (departures, storage_of(quorum))
                 }
-            }
-            // Instances of another kind or release keep none.
-            Ok(_) => {}
-            Err(_) => return false,
+                // Instances of another kind or release keep none.
+                Ok(_) => (Vec::new(), Storage::Memory),
+                Err(_) => return false,
+            };
+        for departure in departures {
+            apply(shared, &departure.into());
         }
-        lock(&shared.departures.recovery).record_response(&address);
+        lock(&shared.departures.recovery).record_response(&address, storage);
     }
     let missing = shared.departures.missing_at(keeper, shared.clock.now());
     missing.is_empty() || send(shared, pool, keeper, &missing).await
@@ -249,6 +288,8 @@
     let Departure { server, incarnation, stage } = departure;
     tracing::info!(event = "departure-recovered", server, incarnation, ?stage);
     let now = shared.clock.now();
+    // Instances that have taken the place of others do not keep it yet.
+    shared.departures.begin(departure, 0, now);
     match stage {
         Stage::Left => {
             let known = shared.servers.get(server);
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -163,12 +163,12 @@
             }
             None => peer::Answer::Unsupported,
         },
-        peer::Message::KeepDepartures { node, departures } => {
+        peer::Message::KeepDepartures { node, departures, .. } => {
             let departures = departures.into_iter().map(Into::into).collect();
             shared.departures.keep(&node, departures, shared.clock.now());
             peer::Answer::Done
         }
-        peer::Message::FetchDepartures { node } => {
+        peer::Message::FetchDepartures { node, .. } => {
             let kept = shared.departures.kept(&node, shared.clock.now());
             peer::Answer::Departures(kept.into_iter().map(Into::into).collect())
         }
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -160,6 +160,7 @@
             .map(|allowance| Allowances::new(allowance, &settings.node, incarnation));
         let server_body_bytes = settings.server_body_bytes();
         let body_memory = Memory::new(settings.body_bytes());
+        let departures = Departures::new(settings.source, clock.now());
         Arc::new(Self {
             settings,
             interface,
@@ -183,7 +184,7 @@
             repeated_runs: RecentIds::default(),
             repeats: Repeats::new(retry_limit, clock.now()),
             stop: Stop::default(),
-            departures: Departures::new(clock.now()),
+            departures,
             announced: Announced::default(),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -94,11 +94,17 @@
         node: String,
         /// The departures.
         departures: Vec<departure::Departure>,
+        /// Whether the sender understands [`Answer::DeparturesKept`].
+        #[serde(default)]
+        on_disk: bool,
     },
     /// Requests the departures that the receiver keeps for a node.
     FetchDepartures {
         /// The node.
         node: String,
+        /// Whether the sender understands [`Answer::DeparturesOnDisk`].
+        #[serde(default)]
+        on_disk: bool,
     },
 }
 
@@ -179,4 +185,18 @@
     },
     /// The response to [`Message::FetchDepartures`].
     Departures(Vec<departure::Departure>),
+    /// The response of a control instance to [`Message::KeepDepartures`]: they are on its disk.
+    DeparturesKept {
+        /// The number of control instances that must have them on their disks; none if the sender is
+        /// not one of those that count.
+        quorum: Option<usize>,
+    },
+    /// The response of a control instance to [`Message::FetchDepartures`].
+    DeparturesOnDisk {
+        /// The departures.
+        departures: Vec<departure::Departure>,
+        /// The number of control instances that must respond so; none if the sender is not one of
+        /// those that count, or may lack departures.
+        quorum: Option<usize>,
+    },
 }
