Keep a silent attempt at work until another one has an answer

Cause: an attempt whose server is silent was given up 50 ms after the next one began, on the guess that an owner which has not refused by then has accepted. Whether it might be given up was decided when it began, before the SIGTERM of its node. The second server was beside a node that ended before its answer.

Change: an attempt is given up only once another one of the request has an answer (hedge.rs). All silent attempts stay at work, not only the last.

Ruled out: to ask again at the signal whether the attempt may be given up. The second node may get its own signal after that, and a second server may fail without any. An owner that states that it has accepted would not tell either whether it will answer.

--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -51,15 +51,12 @@
         services::select_server(worker, service, routed.class, tried, plan.server.as_ref());
     let Some((selected, attempt_guard)) = chosen else {
         let error = format!("no server of {service} accepts requests");
-        return SendResult::Ended(Err(Refusal {
-            try_other_server: false,
-            ..Refusal::not_run(error)
-        }));
+        let refusal = Refusal { try_other_server: false, ..Refusal::not_run(error) };
+        return SendResult::Ended(Box::new(Err(refusal)));
     };
     let server = selected.server.clone();
     tried.push(server.clone());
-    // A planned stop cuts nothing: an attempt that is given up for another one may be the one that
-    // would have succeeded.
+    // The node of another server may be stopping as well, and that server would run for nothing.
     let may_switch =
         routed.class.is_repeatable() && effort == Effort::Ordinary && !worker.shared.is_stopping();
     let abandons_silent = may_switch && Mechanism::SilentAttempts.is_on();
@@ -73,15 +70,17 @@
         let result = run_on_server(worker, routed, selected, plan, may_switch).await;
         record_result(worker, routed, &attempt_log, attempt_guard, result)
     });
-    let Some(silence_timeout) = silence_timeout else { return SendResult::Ended(running.await) };
+    let Some(silence_timeout) = silence_timeout else {
+        return SendResult::Ended(Box::new(running.await));
+    };
     if let Ok(result) = within(silence_timeout, running.as_mut()).await {
-        return SendResult::Ended(result);
+        return SendResult::Ended(Box::new(result));
     }
     // The response may still arrive in time, and no other attempt can be made.
     if !services::has_retry_budget(worker, service)
         || !services::untried(worker, service, tried).any
     {
-        return SendResult::Ended(running.await);
+        return SendResult::Ended(Box::new(running.await));
     }
     log_failure(worker, routed, &attempt, &silence_refusal());
     services::avoid_server(worker, service, &server, Avoidance::Overloaded);
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use futures_util::future::Either;
 use ntex::http::{self, Method, Response, StatusCode, Version};
 use ntex::io::IoRef;
 
@@ -21,6 +22,7 @@
 use super::answer::ServerResponse;
 use super::attempt::{self, AttemptPlan};
 use super::fields;
+use super::hedge::Hedge;
 use super::intake;
 use super::outcome;
 use super::owner::{self, Repeat};
@@ -30,7 +32,7 @@
 use super::resume;
 use super::route::{IncomingRequest, RoutedRequest, route};
 use super::services;
-use super::silent::{self, SendResult};
+use super::silent::SendResult;
 use super::worker::Worker;
 
 /// Responds to a caller's request that is not pipelined.
@@ -158,7 +160,7 @@
         .with_max_owners(services::max_owners(worker, &routed.service));
     let mut effort = attempts.first_effort();
     let mut tried = TriedServers::default();
-    let mut silent_attempt = None;
+    let mut at_work = Hedge::default();
     let mut earlier_response = None;
     loop {
         let server = tried.shortest_wait(effort);
@@ -168,13 +170,13 @@
         };
         let plan = AttemptPlan { effort, server, repeat };
         let sent = attempt::send(worker, routed, tried.exclusions(effort), plan);
-        let result = match silent::send_alongside(sent, &mut silent_attempt, effort).await {
-            SendResult::Ended(result) => result,
-            SendResult::Silent(silent) => {
-                silent_attempt = Some(silent);
+        let result = match at_work.race(sent).await {
+            Either::Left(SendResult::Ended(result)) => *result,
+            Either::Left(SendResult::Silent(silent)) => {
+                at_work.add(silent);
                 Err(attempt::silence_refusal())
             }
-            SendResult::Earlier(server, earlier) => return (Ok(earlier), tried.with_last(server)),
+            Either::Right((server, earlier)) => return (Ok(earlier), tried.with_last(server)),
         };
         let failure = attempt_failure(&result);
         let next = failure.and_then(|failure| {
@@ -185,9 +187,7 @@
         tried.record_wait(failure, result.as_ref().err().and_then(|refusal| refusal.wait));
         let Some(next) = next else {
             let is_unsuccessful = result.as_ref().map_or(true, is_failure);
-            if let Some(silent) = silent_attempt.take().filter(|_| is_unsuccessful)
-                && let Some((server, response)) = silent.wait_for_response().await
-            {
+            if is_unsuccessful && let Some((server, response)) = at_work.first_answer().await {
                 return (Ok(response), tried.with_last(server));
             }
             if is_unsuccessful {
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod fields;
 mod handshake;
+mod hedge;
 mod http1_pipeline;
 mod intake;
 mod limiter;
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -110,7 +110,8 @@
             let plan =
                 AttemptPlan { effort: Effort::Insist, server: None, repeat: Repeat::Consequence };
             let sent = attempt::send(&worker, &routed, &mut tried, plan).await;
-            let SendResult::Ended(Ok(response)) = sent else { return None };
+            let SendResult::Ended(result) = sent else { return None };
+            let response = result.ok()?;
             is_continuation(&response, &etag, received, length).then_some((response.body, tried))
         }));
     }
--- a/crates/arbutuslane_node/tests/faults/silence.rs
+++ b/crates/arbutuslane_node/tests/faults/silence.rs
@@ -1,7 +1,7 @@
 //! Servers that stop responding, on established connections only or on all of them.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -118,3 +118,33 @@
         assert_eq!(thread.join().unwrap(), 200);
     }
 }
+
+/// Guards against a lookup that fails because its attempt at a slow server was given up when another server
+/// had accepted it, which then ends without a response.
+#[test]
+fn silence_second_cut() {
+    let node = Node::start(&[]);
+    let slow_runs = Arc::new(AtomicUsize::new(0));
+    let start = |name: &str| {
+        let slow_runs = Arc::clone(&slow_runs);
+        Server::start(&node, "slots", name, move |received, stream| {
+            if !received.path.contains("slow") {
+                return write(stream, &received.build_ok_response("free"));
+            }
+            if slow_runs.fetch_add(1, Ordering::Relaxed) > 0 {
+                sleep(Duration::from_millis(200));
+                return false;
+            }
+            sleep(Duration::from_millis(900));
+            write(stream, &received.build_ok_response("slow"))
+        })
+    };
+    let _servers = [start("s1"), start("s2")];
+    for _ in 0..20 {
+        assert_eq!(node.call("GET", "/slots", &[], b"").status, 200);
+    }
+    let deadline = [("arbutuslane-deadline-ms", "3000")];
+    let response = node.call("GET", "/slots/slow", &deadline, b"");
+    assert_eq!((response.status, response.text().as_str()), (200, "slow"));
+    assert_eq!(slow_runs.load(Ordering::Relaxed), 2, "no other server was tried");
+}
