Count a crash of a server at whichever byte of its response it comes

Cause: strikes were recorded only for exchanges that fail before the response head, and the head cleared the strikes of a request and released its claim.

Change: owner::Execution gets every end of a request at a server: a failed exchange, a body that breaks off, the end of a body, and the end of its reader. The check for a crash is a task of its own and is over before the failure is passed on, so that a download is not resumed at the next server before its strike is known. A body that ends with its connection is followed by one probe. Where no claims are granted, the second strike refuses a request and not the first, because requests beside the crash get one too.

Ruled out: to count at the entry, which cannot tell a crash from a broken relay.

--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -1,7 +1,9 @@
 //! Protects backend servers from requests that crash them.
 //!
 //! A request that crashed a server has a strike at every owner of its service: it runs one at a
-//! time in the fleet, under a claim, and is quarantined after the second strike.
+//! time in the fleet, under a claim, and is quarantined after the second strike. Where nobody grants
+//! claims, it runs without one until then: requests that ran beside it at the crash have a strike too,
+//! and lose it with the first run that does not end in a crash.
 
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +19,7 @@
 
 use crate::announce::Server;
 use crate::peers;
+use crate::settings::Source;
 use crate::shared::Shared;
 use crate::traffic::{Failure, Pool, Refusal, RefusalCause, Worker};
 
@@ -39,6 +42,10 @@
     Duration::from_millis(100),
 ];
 
+/// The delay before the probe connection after a response that ended with its connection, as most such
+/// responses of a sound server do.
+const CLOSE_PROBE_DELAYS: [Duration; 1] = [Duration::from_millis(100)];
+
 /// The fingerprint of a request whose entry sent none.
 const NO_FINGERPRINT: u64 = 0;
 
@@ -85,6 +92,18 @@
     }
 }
 
+/// Returns whether a request has a strike.
+pub(crate) fn has_strike(worker: &Worker, fingerprint: u64) -> bool {
+    let now = worker.shared.clock.now();
+    worker.shared.cluster.strikes.lock().verdict(now, fingerprint) != Verdict::Unrestricted
+}
+
+/// Returns whether claims can be granted: by register groups, which only the control instances of a
+/// catalogue assign.
+fn has_claims(shared: &Shared) -> bool {
+    shared.settings.source == Source::Catalogue
+}
+
 /// Refuses a quarantined request; returns whether the request needs an exclusive claim to run.
 pub(crate) fn requires_claim(worker: &Worker, fingerprint: u64) -> Result<bool, Refusal> {
     if fingerprint == NO_FINGERPRINT {
@@ -93,7 +112,7 @@
     let now = worker.shared.clock.now();
     match worker.shared.cluster.strikes.lock().verdict(now, fingerprint) {
         Verdict::Unrestricted => Ok(false),
-        Verdict::Exclusive => Ok(true),
+        Verdict::Exclusive => Ok(has_claims(&worker.shared)),
         Verdict::Quarantined { until } => Err(quarantined(until.saturating_sub(now))),
     }
 }
@@ -128,39 +147,87 @@
 }
 
 /// Clears the strikes of a request that ran without a crash, here and at the other owners.
-pub(crate) fn clear_strikes(worker: &Worker, service: &str, fingerprint: u64) {
-    worker.shared.cluster.strikes.lock().clear(fingerprint);
+pub(crate) fn clear_strikes(
+    shared: &Arc<Shared>,
+    pool: &Rc<Pool>,
+    service: &str,
+    fingerprint: u64,
+) {
+    shared.cluster.strikes.lock().clear(fingerprint);
     let message = peer::Message::ClearStrikes { service: service.to_string(), fingerprint };
-    let (shared, pool) = (Arc::clone(&worker.shared), Rc::clone(&worker.pool));
+    let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
     let service = service.to_string();
     let _task = ntex::rt::spawn(async move { broadcast(&shared, &pool, &service, &message).await });
 }
 
-/// Returns whether the process of a server whose connection broke has ended; if so, records a
-/// strike against the request at every owner of the service.
-pub(crate) async fn strike_if_crashed(worker: &Worker, server: &Server, fingerprint: u64) -> bool {
-    if fingerprint == NO_FINGERPRINT {
-        return false;
+/// A check whether the process of a server has ended, after the end of a connection to it.
+pub(crate) struct CrashCheck {
+    shared: Arc<Shared>,
+    pool: Rc<Pool>,
+    server: Arc<Server>,
+    probe_delays: &'static [Duration],
+}
+
+impl CrashCheck {
+    /// Returns the check after a connection that broke during an exchange.
+    pub(crate) fn after_failure(
+        shared: &Arc<Shared>,
+        pool: &Rc<Pool>,
+        server: &Arc<Server>,
+    ) -> Self {
+        let (shared, pool, server) = (Arc::clone(shared), Rc::clone(pool), Arc::clone(server));
+        Self { shared, pool, server, probe_delays: &PROBE_DELAYS }
     }
-    let shared = &worker.shared;
-    if !has_ended(worker, server).await {
-        return false;
+
+    /// Returns the check after a connection whose end was the end of a response.
+    pub(crate) fn after_close(shared: &Arc<Shared>, pool: &Rc<Pool>, server: &Arc<Server>) -> Self {
+        let probe_delays = &CLOSE_PROBE_DELAYS;
+        Self { probe_delays, ..Self::after_failure(shared, pool, server) }
     }
-    let now = shared.clock.now();
-    shared.cluster.strikes.lock().strike(now, fingerprint, &server.id, server.incarnation);
-    let verdict = shared.cluster.strikes.lock().verdict(now, fingerprint);
-    record_strike(shared, server, fingerprint, verdict, now);
-    let message = peer::Message::Strike {
-        service: server.service.clone(),
-        server: server.id.clone(),
-        incarnation: server.incarnation,
-        fingerprints: vec![fingerprint],
-    };
-    let broadcast = broadcast(shared, &worker.pool, &server.service, &message);
-    if timeout_checked(BROADCAST_TIMEOUT, broadcast).await.is_err() {
-        tracing::warn!(event = "strike-late", server = server.id);
+
+    /// Records a strike against a request at every owner of the service if the process has ended;
+    /// returns whether it has.
+    pub(crate) async fn strike_if_crashed(self, fingerprint: u64) -> bool {
+        if fingerprint == NO_FINGERPRINT || !self.has_ended().await {
+            return false;
+        }
+        let Self { shared, pool, server, .. } = self;
+        let now = shared.clock.now();
+        shared.cluster.strikes.lock().strike(now, fingerprint, &server.id, server.incarnation);
+        let verdict = shared.cluster.strikes.lock().verdict(now, fingerprint);
+        record_strike(&shared, &server, fingerprint, verdict, now);
+        let message = peer::Message::Strike {
+            service: server.service.clone(),
+            server: server.id.clone(),
+            incarnation: server.incarnation,
+            fingerprints: vec![fingerprint],
+        };
+        let broadcast = broadcast(&shared, &pool, &server.service, &message);
+        if timeout_checked(BROADCAST_TIMEOUT, broadcast).await.is_err() {
+            tracing::warn!(event = "strike-late", server = server.id);
+        }
+        true
+    }
+
+    /// Returns whether the process has ended: it refuses connections or has a newer incarnation. A
+    /// probe without an answer proves no crash, because a server that is slow or cut off by the
+    /// network does not answer either.
+    async fn has_ended(&self) -> bool {
+        let Self { shared, pool, server, probe_delays } = self;
+        for delay in *probe_delays {
+            sleep(*delay).await;
+            let current = shared.servers.get(&server.id);
+            if current.is_some_and(|current| current.incarnation > server.incarnation) {
+                return true;
+            }
+            match pool.connect(server.address, PROBE_CONNECT_TIMEOUT).await {
+                Err(Failure::Connect(_)) => return true,
+                Err(_) => return false,
+                Ok(_) => {}
+            }
+        }
+        false
     }
-    true
 }
 
 /// Records the events of a strike and of the quarantine that follows it.
@@ -178,25 +245,6 @@
     }
 }
 
-/// Returns whether the process of a server has ended: it refuses connections or has a newer
-/// incarnation. A probe without an answer proves no crash, because a server that is slow or cut off
-/// by the network does not answer either.
-async fn has_ended(worker: &Worker, server: &Server) -> bool {
-    for delay in PROBE_DELAYS {
-        sleep(delay).await;
-        let current = worker.shared.servers.get(&server.id);
-        if current.is_some_and(|current| current.incarnation > server.incarnation) {
-            return true;
-        }
-        match worker.pool.connect(server.address, PROBE_CONNECT_TIMEOUT).await {
-            Err(Failure::Connect(_)) => return true,
-            Err(_) => return false,
-            Ok(_) => {}
-        }
-    }
-    false
-}
-
 /// Records strikes that another owner reported.
 pub(crate) fn record_reported(
     shared: &Shared,
--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -1,6 +1,9 @@
 //! The response of a backend server on its way to the caller.
 
-use std::task::{Context, Poll};
+use std::fmt::{self, Debug, Formatter};
+use std::future::ready;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use ntex::http::{HeaderMap, Method, StatusCode};
@@ -9,11 +12,9 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_limit::deadline::Deadline;
 
-use crate::condition::RunningRequest;
-
-use super::admission::Permit;
 use super::client::{Body, Failure, ReceivedResponse};
 use super::fields;
+use super::owner::Execution;
 use super::services::AttemptGuard;
 
 /// The response of a backend server whose body is still to be read.
@@ -34,14 +35,14 @@
     pub(crate) fn new(
         received: ReceivedResponse,
         method: &Method,
-        server_guards: Option<(Permit, RunningRequest)>,
+        execution: Option<Execution>,
     ) -> Self {
         let head_content_length =
             (method == Method::HEAD).then(|| fields::content_length(&received.headers)).flatten();
         Self {
             status: received.status,
             headers: fields::end_to_end(&received.headers),
-            body: ResponseStream::new(received.body, server_guards),
+            body: ResponseStream::new(received.body, execution),
             head_content_length,
             latency: Duration::ZERO,
         }
@@ -56,18 +57,38 @@
     }
 }
 
-/// The body of a response with the guards that are held until its end.
+/// The body of a response, which occupies a slot of its server until the end.
 #[derive(Debug)]
 pub(crate) struct ResponseStream {
     body: Body,
-    server_guards: Option<(Permit, RunningRequest)>,
+    /// The execution at the server of this node; `None` after its end, and at other nodes.
+    execution: Option<Execution>,
     attempt_guard: Option<AttemptGuard>,
+    /// The failure of the body while the check for a crash of the server runs.
+    failed: Option<Failed>,
+}
+
+/// A failure of a body that is passed on once it is known whether the server crashed: another server may
+/// get the request for the rest of the body then.
+struct Failed {
+    failure: Failure,
+    check: Pin<Box<dyn Future<Output = bool>>>,
+}
+
+impl Debug for Failed {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_tuple("Failed").field(&self.failure).finish()
+    }
 }
 
 impl ResponseStream {
     /// Returns a stream that occupies a slot of the server until its end.
-    fn new(body: Body, server_guards: Option<(Permit, RunningRequest)>) -> Self {
-        Self { body, server_guards, attempt_guard: None }
+    fn new(body: Body, execution: Option<Execution>) -> Self {
+        let mut stream = Self { body, execution, attempt_guard: None, failed: None };
+        if stream.body.length() == Some(0) {
+            stream.complete();
+        }
+        stream
     }
 
     /// Counts the attempt as in flight at the entry until the end of the stream.
@@ -85,15 +106,40 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Failure>>> {
-        let next = self.body.poll_next(cx);
-        if matches!(next, Poll::Ready(None | Some(Err(_)))) {
-            let failed =
-                matches!(&next, Poll::Ready(Some(Err(failure))) if failure.blames_server());
-            if let Some((_, running)) = self.server_guards.take().filter(|_| failed) {
-                running.record_broken_body();
+        loop {
+            if let Some(failed) = &mut self.failed {
+                ready!(failed.check.as_mut().poll(cx));
+                return Poll::Ready(self.failed.take().map(|failed| Err(failed.failure)));
             }
-            self.attempt_guard = None;
+            match ready!(self.body.poll_next(cx)) {
+                Some(Ok(bytes)) => return Poll::Ready(Some(Ok(bytes))),
+                Some(Err(failure)) => self.fail(failure),
+                None => {
+                    self.complete();
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn complete(&mut self) {
+        self.attempt_guard = None;
+        if let Some(execution) = self.execution.take() {
+            execution.complete(self.body.is_close_delimited());
         }
-        next
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        self.attempt_guard = None;
+        let check: Pin<Box<dyn Future<Output = bool>>> = match self.execution.take() {
+            Some(execution) => {
+                if failure.blames_server() {
+                    execution.record_broken_body();
+                }
+                Box::pin(execution.fail(&failure))
+            }
+            None => Box::pin(ready(false)),
+        };
+        self.failed = Some(Failed { failure, check });
     }
 }
--- a/crates/arbutuslane_node/src/traffic/client/body.rs
+++ b/crates/arbutuslane_node/src/traffic/client/body.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns whether the end of the connection ends the body, which may be cut without notice.
+    pub(crate) fn is_close_delimited(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
     /// Polls for the next bytes; returns `None` after the verified end of the body.
     pub(crate) fn poll_next(
         &mut self,
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod bodies;
 mod exchange;
+mod execution;
 mod repeats;
 mod statement;
 mod work;
@@ -23,7 +24,6 @@
 
 use crate::announce::Server;
 use crate::cluster::strikes::{self, ExclusiveClaim};
-use crate::condition::RunningRequest;
 use crate::metrics::{Stage, count};
 use crate::settings;
 
@@ -38,6 +38,7 @@
 use admission::{admission_refusal, log_refusal};
 pub(crate) use exchange::count_connection;
 use exchange::{implies_not_run, send, shed_refusal};
+pub(crate) use execution::Execution;
 pub(crate) use repeats::{Repeat, Repeats};
 pub(crate) use statement::parse_limit;
 pub(crate) use work::ServerRequest;
@@ -208,7 +209,7 @@
         server.health.record(*source, *summary);
     }
     let running = server.health.begin(server_request.class, server_request.is_trial, route, caller);
-    let Some(mut running) = running else {
+    let Some(running) = running else {
         return Err(Refusal::stale("the server is ejected and accepts trial requests only"));
     };
     if let Some(claim) = &mut claim {
@@ -216,21 +217,13 @@
     }
     remember_run(worker, &server_request);
     repeats::count(worker, &server.service, &server_request);
+    let fingerprint = server_request.fingerprint;
+    let mut execution = Execution::new(worker, &server, fingerprint, running, permit);
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
         Ok(received) => received,
-        Err(failure) => {
-            return Err(exchange_refusal(
-                worker,
-                &server,
-                &server_request,
-                failure,
-                running,
-                claim,
-            )
-            .await);
-        }
+        Err(failure) => return Err(exchange_refusal(worker, failure, execution, claim).await),
     };
     statement::apply(worker, &server, &received.headers);
     let latency = clock.now().saturating_sub(dispatched_at);
@@ -260,17 +253,15 @@
         return Err(refusal);
     }
     if dialect.statuses_guarantee_not_run && implies_not_run(received.status) {
-        running.finish(false);
+        execution.running().finish(false);
         let error = format!(
             "the server responded with {} without stating that it did not run the request",
             received.status
         );
         return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, error));
     }
-    if let Some(claim) = claim {
-        strikes::clear_strikes(worker, &server.service, server_request.fingerprint);
-        claim.release();
-    }
+    execution.hold_claim(claim);
+    let running = execution.running();
     let is_failed = received.status.is_server_error();
     let is_timeout = received.status == StatusCode::GATEWAY_TIMEOUT
         && deadline.remaining(clock.now()) < RESPONSE_MARGIN;
@@ -283,7 +274,7 @@
     }
     Ok(ServerResponse {
         latency,
-        ..ServerResponse::new(received, &server_request.request.method, Some((permit, running)))
+        ..ServerResponse::new(received, &server_request.request.method, Some(execution))
     })
 }
 
@@ -301,25 +292,23 @@
     }
 }
 
-/// Returns the refusal for a failed exchange; records a strike against the request if it crashed
-/// the server.
+/// Returns the refusal for an exchange that failed before the response head; records a strike against
+/// the request if it crashed the server.
 async fn exchange_refusal(
     worker: &Worker,
-    server: &Server,
-    server_request: &ServerRequest,
     failure: Failure,
-    mut running: RunningRequest,
+    mut execution: Execution,
     claim: Option<ExclusiveClaim>,
 ) -> Refusal {
     match failure {
-        Failure::Deadline => running.run_out_of_time(),
-        _ if failure.blames_server() => running.finish(false),
+        Failure::Deadline => execution.running().run_out_of_time(),
+        _ if failure.blames_server() => execution.running().finish(false),
         _ => {}
     }
     if matches!(failure, Failure::WrongExchange) {
         count(&worker.shared.metrics.wrong_exchange);
     }
-    tracing::debug!(event = "dispatch-failed", server = server.id, %failure);
+    tracing::debug!(event = "dispatch-failed", ?execution, %failure);
     let refusal = Refusal::from_failure(&failure);
     if refusal.outcome == Outcome::NotRun {
         if let Some(claim) = claim {
@@ -327,9 +316,7 @@
         }
         return refusal;
     }
-    let is_broken = matches!(failure, Failure::Closed(_));
-    match is_broken && strikes::strike_if_crashed(worker, server, server_request.fingerprint).await
-    {
+    match execution.fail(&failure).await {
         true => Refusal { cause: RefusalCause::Final, try_other_server: false, ..refusal },
         false => refusal,
     }
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -15,15 +15,18 @@
 use crate::support::server::write;
 use crate::support::{Node, Server, call, caller, encode_request, open_connection};
 
-/// Starts a server for lookups at `node` that simulates a crash on a request for `/slots/crash`.
-///
-/// It then closes the connection at once and its listening socket after `listener_close_delay`.
-fn start_crashing_server(
-    node: &Node,
-    name: &str,
-    crashes: &Arc<AtomicUsize>,
+/// How a server crashes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Crash {
+    /// The head fields and the part of the body that it sends before the crash; `None` if it sends
+    /// nothing.
+    response: Option<(&'static str, &'static str)>,
+    /// The time between the ends of the connection and of the listening socket.
     listener_close_delay: Duration,
-) {
+}
+
+/// Starts a server for lookups at `node` that simulates a crash on a request for `/slots/crash`.
+fn start_crashing_server(node: &Node, name: &str, crashes: &Arc<AtomicUsize>, crash: Crash) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (crashes, exited) = (Arc::clone(crashes), Arc::new(AtomicUsize::new(0)));
@@ -34,16 +37,22 @@
             let mut head = vec![0; 8 << 10];
             let length = stream.read(&mut head).unwrap_or(0);
             let head = String::from_utf8_lossy(&head[..length]).into_owned();
+            let exchange_header =
+                head.lines().find(|line| line.starts_with("arbutuslane-exchange"));
+            let exchange_header = exchange_header.unwrap_or_default();
             if head.starts_with("GET /slots/crash") {
                 crashes.fetch_add(1, Ordering::Relaxed);
                 exit_flag.store(1, Ordering::Relaxed);
+                if let Some((fields, body)) = crash.response {
+                    let head = format!("HTTP/1.1 200 OK\r\n{exchange_header}\r\n{fields}\r\n\r\n");
+                    let _ = write!(stream, "{head}{body}");
+                    // The bytes arrive before the end of the connection.
+                    sleep(Duration::from_millis(50));
+                }
                 drop(stream);
-                sleep(listener_close_delay);
+                sleep(crash.listener_close_delay);
                 return;
             }
-            let exchange_header =
-                head.lines().find(|line| line.starts_with("arbutuslane-exchange"));
-            let exchange_header = exchange_header.unwrap_or_default();
             let _ = write!(
                 stream,
                 "HTTP/1.1 200 OK\r\n{exchange_header}\r\ncontent-length: 1\r\n\r\nx"
@@ -74,7 +83,7 @@
 /// that the fleet may also retry.
 #[test]
 fn crashed_resent() {
-    check_resends(Duration::ZERO);
+    check_resends(Crash::default());
 }
 
 /// Guards against a crash that is mistaken for a broken connection because an exiting process
@@ -82,22 +91,32 @@
 /// crashes.
 #[test]
 fn crashed_slow_exit() {
-    check_resends(Duration::from_millis(30));
+    check_resends(Crash { listener_close_delay: Duration::from_millis(30), ..Crash::default() });
+}
+
+/// Guards against a request that crashes servers without end, because they crash after the head of
+/// their response: at any byte, and whatever frames the body.
+#[test]
+fn crashed_in_body() {
+    for response in [
+        ("content-length: 9", ""),
+        ("content-length: 9", "12345678"),
+        ("transfer-encoding: chunked", ""),
+        ("transfer-encoding: chunked", "4\r\n1234\r\n4\r\n12"),
+        ("transfer-encoding: chunked", "4\r\n1234\r\n0\r\n"),
+    ] {
+        check_resends(Crash { response: Some(response), ..Crash::default() });
+    }
 }
 
 /// Sends a crashing request 12 times through three nodes and checks that it crashes exactly two of
 /// six servers.
-fn check_resends(listener_close_delay: Duration) {
+fn check_resends(crash: Crash) {
     let nodes = start_fleet(3);
     let crashes = Arc::new(AtomicUsize::new(0));
     for (index, node) in nodes.iter().enumerate() {
         for server_index in 0..2 {
-            start_crashing_server(
-                node,
-                &format!("s{index}{server_index}"),
-                &crashes,
-                listener_close_delay,
-            );
+            start_crashing_server(node, &format!("s{index}{server_index}"), &crashes, crash);
         }
     }
     wait_until(|| nodes.iter().all(|node| node.metric("arbutuslane_remote_servers") == 4));
