Keep the stream of a silent download until another server has the rest

Change: the stream stays open until another server sends the rest, and its next bytes end that request.

--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use ntex::http::StatusCode;
@@ -36,6 +36,9 @@
 type Continuation = Pin<Box<dyn Future<Output = Option<(ResponseStream, Vec<ServerId>)>>>>;
 
 /// A download that is resumed from another server if it is interrupted.
+///
+/// The stream of a silent server stays open until another server has the rest: that one may refuse, and
+/// the silent one may go on.
 struct ResumableDownload {
     worker: Rc<Worker>,
     routed: RoutedRequest,
@@ -82,20 +85,44 @@
 }
 
 impl ResumableDownload {
-    /// Polls the current stream; fails if no bytes arrive within [`SILENCE_TIMEOUT`].
+    /// Polls the current stream, and requests the rest from another server if no bytes arrive within
+    /// [`SILENCE_TIMEOUT`].
     fn poll_stream(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
-        let Some(stream) = &mut self.stream else { return Poll::Ready(None) };
+        let Some(stream) = &mut self.stream else { return Poll::Pending };
         if let Poll::Ready(next) = stream.poll_next(cx) {
-            self.silence_timer.reset(ntex::time::Millis::from(SILENCE_TIMEOUT));
+            self.restart_silence_timer();
             return Poll::Ready(next);
         }
-        ready!(self.silence_timer.poll_elapsed(cx));
-        Poll::Ready(Some(Err(Failure::Stalled)))
+        let may_resume = self.continuation.is_none() && self.resumptions < MAX_RESUMPTIONS;
+        if may_resume && self.silence_timer.poll_elapsed(cx).is_ready() {
+            self.start_continuation();
+        }
+        Poll::Pending
+    }
+
+    /// Polls the request for the rest; takes the place of the current stream with its response. Fails if
+    /// no server can send the rest and there is no current stream.
+    fn poll_continuation(&mut self, cx: &mut Context<'_>) -> Result<(), Failure> {
+        let Some(continuation) = &mut self.continuation else { return Ok(()) };
+        let Poll::Ready(resumed) = continuation.as_mut().poll(cx) else { return Ok(()) };
+        self.continuation = None;
+        self.restart_silence_timer();
+        if let Some((stream, tried)) = resumed {
+            count(&self.worker.shared.metrics.resumed);
+            (self.stream, self.tried) = (Some(stream), tried);
+        }
+        match self.stream {
+            Some(_) => Ok(()),
+            None => Err(Failure::Closed("no server can resume the download".to_string())),
+        }
+    }
+
+    fn restart_silence_timer(&mut self) {
+        self.silence_timer.reset(ntex::time::Millis::from(SILENCE_TIMEOUT));
     }
 
     /// Starts the request for the missing bytes to another server.
     fn start_continuation(&mut self) {
-        self.stream = None;
         self.resumptions += 1;
         let mut routed = self.routed.clone();
         fields::set(&mut routed.request.headers, "range", &format!("bytes={}-", self.received));
@@ -105,7 +132,7 @@
         routed.deadline = Deadline::after(now, SILENCE_TIMEOUT);
         let worker = Rc::clone(&self.worker);
         let (etag, length, received) = (self.etag.clone(), self.length, self.received);
-        let mut tried = std::mem::take(&mut self.tried);
+        let mut tried = self.tried.clone();
         self.continuation = Some(Box::pin(async move {
             let plan =
                 AttemptPlan { effort: Effort::Insist, server: None, repeat: Repeat::Consequence };
@@ -124,28 +151,30 @@
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
         loop {
-            if let Some(continuation) = &mut self.continuation {
-                let resumed = ready!(continuation.as_mut().poll(cx));
-                self.continuation = None;
-                let Some((stream, tried)) = resumed else {
-                    return Poll::Ready(Some(Err(Failure::Closed(
-                        "no server can resume the download".to_string(),
-                    ))));
-                };
-                count(&self.worker.shared.metrics.resumed);
-                (self.stream, self.tried) = (Some(stream), tried);
-                self.silence_timer.reset(ntex::time::Millis::from(SILENCE_TIMEOUT));
+            let had_continuation = self.continuation.is_some();
+            if let Err(failure) = self.poll_continuation(cx) {
+                return Poll::Ready(Some(Err(failure)));
             }
-            match ready!(self.poll_stream(cx)) {
-                Some(Ok(bytes)) => {
+            match self.poll_stream(cx) {
+                Poll::Ready(Some(Ok(bytes))) => {
+                    // The rest that was requested begins with these bytes.
+                    self.continuation = None;
                     self.received += bytes.len() as u64;
                     return Poll::Ready(Some(Ok(bytes)));
                 }
-                None => return Poll::Ready(None),
-                Some(Err(failure)) if self.resumptions >= MAX_RESUMPTIONS => {
-                    return Poll::Ready(Some(Err(failure)));
+                Poll::Ready(Some(Err(failure))) => {
+                    self.stream = None;
+                    if self.continuation.is_some() {
+                        continue;
+                    }
+                    if self.resumptions >= MAX_RESUMPTIONS {
+                        return Poll::Ready(Some(Err(failure)));
+                    }
+                    self.start_continuation();
                 }
-                Some(Err(_)) => self.start_continuation(),
+                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Pending if self.continuation.is_some() && !had_continuation => {}
+                Poll::Pending => return Poll::Pending,
             }
         }
     }
--- a/crates/arbutuslane_node/tests/faults/download.rs
+++ b/crates/arbutuslane_node/tests/faults/download.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
 
 use crate::support::server::write;
 use crate::support::{Node, ReceivedRequest, Server};
@@ -92,6 +94,36 @@
     assert_eq!(request_count.load(Ordering::Relaxed), 2);
 }
 
+/// Guards against a download that is cut because its server is silent for a while and no other one has the
+/// same file.
+#[test]
+fn download_silent() {
+    let node = Node::start(&[]);
+    let request_count = Arc::new(AtomicU64::new(0));
+    let _servers: Vec<Server> = ["s1", "s2"]
+        .into_iter()
+        .map(|name| {
+            let request_count = Arc::clone(&request_count);
+            Server::start(&node, "reports", name, move |received, stream| {
+                let version = request_count.fetch_add(1, Ordering::Relaxed);
+                let (bytes, _) =
+                    respond_to_range(received, &format!("\"v{version}\""), CONTENT_BYTES);
+                let (first, rest) = bytes.split_at(bytes.len() / 2);
+                write(stream, first);
+                if version == 0 {
+                    sleep(Duration::from_millis(5_600));
+                }
+                write(stream, rest)
+            })
+        })
+        .collect();
+    let response = node.call("GET", "/download/x", &[], b"");
+    assert!(response.is_complete);
+    assert!(response.body == content());
+    assert_eq!(request_count.load(Ordering::Relaxed), 2, "no other server was tried");
+    assert_eq!(node.metric("arbutuslane_resumed_downloads_total"), 0);
+}
+
 /// Guards against resuming a download that has only a weak entity tag, with which the bytes may
 /// differ.
 #[test]
