Accept only the status of a final response from servers, peers and kept responses

What callers could see: an answer with status 101 or 600 went through unchanged, and a response kept for an idempotency key whose status is none was repeated as 200 (replay_status).

Cause: the range of a final status was checked nowhere.

Change: a response to a node has 200 to 599, else the exchange has failed (502, unknown). A kept response without such a status is refused, and a refusal by an owner cannot have the status of a success.

Tests: status_odd (14 forms, at the owner and through another node) failed before at 101 and 600. Bytes without end: tests for a head that comes a byte at a time, chunk extensions without end and 12 such servers at once against 64 MB of memory; none showed a fault. The tests need more than 254 nodes by now, which share loopback addresses with other ports.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -18,7 +18,10 @@
 use crate::peers;
 use crate::shared::Shared;
 use crate::timeout::within;
-use crate::traffic::{self, Outcome, Pool, Refusal, RoutedRequest, ServerResponse, Worker};
+use crate::traffic::{self, Outcome, Pool, Refusal, RoutedRequest, ServerResponse, Worker, status};
+
+#[cfg(test)]
+mod tests;
 
 /// The longest wait for a majority of replicas: many times the round trip between failure domains.
 pub(crate) const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -67,7 +70,7 @@
         return Ok(KeyClaim::Held(ClaimedKey { coordinator }));
     }
     match decision {
-        Some(Decision::Replay(stored)) => Ok(KeyClaim::Replay(replay(&stored))),
+        Some(Decision::Replay(stored)) => Ok(KeyClaim::Replay(replay(&stored)?)),
         Some(Decision::Unknown) => {
             let error = "an earlier request with this idempotency key runs or has run";
             let refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, error);
@@ -159,7 +162,7 @@
                 stored.headers.push((name.as_str().to_string(), value.to_string()));
             }
         }
-        let response = respond(&stored).finish_with(body);
+        let response = respond(&stored)?.finish_with(body);
         let request = self.coordinator.complete(Some(stored));
         drop(send(&worker.shared, &worker.pool, &group, &request));
         Ok(KeyedResponse::Whole(response))
@@ -239,8 +242,13 @@
     }
 }
 
-fn respond(stored: &StoredResponse) -> BufferedResponse {
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+/// Returns a kept response, or the refusal if what is kept is none.
+fn respond(stored: &StoredResponse) -> Result<BufferedResponse, Refusal> {
+    let Some(status) = status::of_final(stored.status) else {
+        let error = format!("the response that is kept has the status {}", stored.status);
+        let refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, error);
+        return Err(Refusal { try_other_server: false, ..refusal });
+    };
     let mut builder = Response::build(status);
     for (name, value) in &stored.headers {
         // The response builder sets the length from the body.
@@ -249,11 +257,11 @@
         }
     }
     builder.set_header(header::OUTCOME, header::OUTCOME_ANSWERED);
-    BufferedResponse(builder)
+    Ok(BufferedResponse(builder))
 }
 
-fn replay(stored: &StoredResponse) -> Response {
-    let mut response = respond(stored);
+fn replay(stored: &StoredResponse) -> Result<Response, Refusal> {
+    let mut response = respond(stored)?;
     response.0.set_header(header::REPLAYED, "true");
-    response.finish_with(Bytes::copy_from_slice(&stored.body))
+    Ok(response.finish_with(Bytes::copy_from_slice(&stored.body)))
 }
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -18,6 +18,7 @@
 use arbutuslane_wire::header;
 
 use crate::traffic::fields;
+use crate::traffic::status;
 use crate::traffic::worker::new_exchange_id;
 
 use super::body::{Body, Framing, PoolReturn};
@@ -234,6 +235,8 @@
         };
         driver.allowance.end();
         let (head, incoming) = response.into_parts();
+        let code = head.status.as_u16();
+        let status = status::of_final(code).ok_or(Failure::Status(code))?;
         let mut headers = HeaderMap::with_capacity(head.headers.len());
         for (name, value) in &head.headers {
             let value = HeaderValue::from_bytes(value.as_bytes());
@@ -245,7 +248,7 @@
             None if echo == Echo::Unknown && !is_reused => false,
             _ => return Err(Failure::WrongExchange),
         };
-        let framing = Framing::of(&method, head.status, &headers);
+        let framing = Framing::of(&method, status, &headers);
         let framing = match framing {
             None if allows_close_delimited => Framing::until_close(&headers),
             framing => framing,
@@ -258,7 +261,7 @@
         let pool_return = PoolReturn { pool, address, used_ids, peer_timeout: idle };
         let pool_return = (keep_alive && echoed).then_some(pool_return);
         let body = Body::new(sender, driver, incoming, framing, upload, pool_return);
-        Ok(ReceivedResponse { status: head.status, headers, body, echoed })
+        Ok(ReceivedResponse { status, headers, body, echoed })
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/client/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/client/mod.rs
@@ -48,6 +48,9 @@
     /// The response has another exchange id, or none although the sender always echoes it.
     #[error("response does not belong to this request")]
     WrongExchange,
+    /// The response has a status that no final response has.
+    #[error("response has the status {0}, which is none of a final response")]
+    Status(u16),
     /// The end of the response body cannot be distinguished from a truncation.
     #[error("response has no single length or chunks, so it cannot be checked for completeness")]
     Unframed,
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -31,6 +31,7 @@
 mod routes;
 mod services;
 mod silent;
+pub(crate) mod status;
 mod worker;
 mod workspace;
 
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -16,7 +16,7 @@
 use super::refusal::{Outcome, Refusal, RefusalCause};
 use super::worker::Worker;
 use super::workspace::Importance;
-use super::{deadline, fields, services};
+use super::{deadline, fields, services, status};
 
 /// The size from which a body is offered before it is sent. A smaller one crosses a link of a few
 /// megabits per second in some tens of milliseconds, which is not worth a second round trip.
@@ -208,6 +208,7 @@
 /// Returns the refusal that a response of an owner contains.
 async fn read_refusal(received: ReceivedResponse, outcome: Outcome) -> Refusal {
     let status = received.status;
+    let refused_status = status::of_error(status, StatusCode::SERVICE_UNAVAILABLE);
     let cause = match fields::text(&received.headers, header::REFUSAL) {
         Some(header::REFUSAL_STALE) => RefusalCause::Stale,
         Some(header::REFUSAL_SHED) => RefusalCause::Shed,
@@ -231,7 +232,7 @@
     match outcome {
         Outcome::NotRun => {
             let refusal = Refusal { cause, try_other_server, wait, ..Refusal::not_run(error) };
-            Refusal { status, retry_after, ..refusal }
+            Refusal { status: refused_status, retry_after, ..refusal }
         }
         // A response without the outcome header field does not prove that the request was answered.
         Outcome::Unknown if status.is_success() => Refusal::unknown(
--- a/crates/arbutuslane_node/tests/faults/endless.rs
+++ b/crates/arbutuslane_node/tests/faults/endless.rs
@@ -95,6 +95,25 @@
     }
 }
 
+/// Guards against a head that arrives a byte at a time and keeps its caller waiting or its slot in use.
+#[test]
+fn head_trickling() {
+    let node = Node::start(&[]);
+    let _server = Server::start(&node, "slots", "s1", |_, stream| {
+        let mut is_open = write(stream, b"HTTP/1.1 200 OK\r\nx-field: ");
+        while is_open {
+            sleep(Duration::from_millis(5));
+            is_open = write(stream, b"a");
+        }
+        false
+    });
+    let memory_before = node.peak_memory();
+    let response = node.call("GET", "/slots", &[("arbutuslane-deadline-ms", DEADLINE_MS)], b"");
+    assert_eq!((response.status, response.outcome()), (504, "unknown"));
+    assert_freed(&node, memory_before);
+    assert_blamed(&node, "slots");
+}
+
 /// Guards against a body without end that fills the memory, keeps its caller or its slot beyond the
 /// deadline, or looks complete.
 #[test]
@@ -103,6 +122,7 @@
     let cases = [
         ("/slots", "slots", "", chunk()),
         ("/slots", "slots", "0\r\n", trailer),
+        ("/slots", "slots", "4;x=", "a".repeat(1_000)),
         ("/download/x", "reports", "", chunk()),
     ];
     for (path, service, start, unit) in cases {
@@ -167,3 +187,33 @@
     }
     assert!(server.received_requests().iter().all(|received| received.request_index == 0));
 }
+
+/// Guards against many bodies without end at once that together use more memory than the node has for
+/// bodies, while their callers read slowly.
+#[test]
+fn body_endless_many() {
+    let memory_mb = 64;
+    let node = Node::start_with_memory(&[], memory_mb);
+    let block = chunk().into_bytes();
+    let servers: Vec<Server> = (0..12)
+        .map(|number| {
+            let block = block.clone();
+            Server::start(&node, "reports", &format!("s{number}"), move |received, stream| {
+                let mut is_open = write(stream, chunked_head(received).as_bytes());
+                while is_open {
+                    is_open = write(stream, &block);
+                }
+                false
+            })
+        })
+        .collect();
+    let mut callers: Vec<TcpStream> =
+        (0..36).map(|number| send_request(&node, &format!("/download/{number}"))).collect();
+    let mut bytes = vec![0; 4 << 10];
+    for caller in &mut callers {
+        let _ = caller.read(&mut bytes);
+    }
+    wait_until(|| node.metric("arbutuslane_in_flight") == 0);
+    assert!(node.peak_memory() < u64::from(memory_mb) << 20, "{} bytes", node.peak_memory());
+    drop(servers);
+}
--- a/crates/arbutuslane_node/tests/faults/main.rs
+++ b/crates/arbutuslane_node/tests/faults/main.rs
@@ -24,6 +24,7 @@
 mod silence;
 mod silent_machine;
 mod stated;
+mod status;
 mod stop;
 mod stop_fleet;
 mod stop_late;
--- a/crates/arbutuslane_node/tests/faults/support/node.rs
+++ b/crates/arbutuslane_node/tests/faults/support/node.rs
@@ -230,14 +230,21 @@
     command.arg(settings).stdout(output).stderr(Stdio::null()).spawn().unwrap()
 }
 
+/// The number of loopback addresses of the nodes of a test process.
+const NODES_PER_PORT: u32 = 250;
+
+/// The distance of the ports of nodes that have the same loopback address.
+const PORT_STEP: u16 = 100;
+
 /// Returns the address of a listener of node `number`, counted from 0 in this test process.
 ///
 /// Each node has its own loopback address and ports below the ephemeral range, so that tests
 /// running at the same time do not conflict over ports.
 fn listener_address(node_number: u32, port: u16) -> SocketAddr {
     let process = std::process::id().to_be_bytes();
-    let host = [127, process[2].max(1), process[3], u8::try_from(node_number + 1).unwrap()];
-    SocketAddr::from((host, port))
+    let host = u8::try_from(node_number % NODES_PER_PORT + 1).unwrap();
+    let port_offset = u16::try_from(node_number / NODES_PER_PORT).unwrap() * PORT_STEP;
+    SocketAddr::from(([127, process[2].max(1), process[3], host], port + port_offset))
 }
 
 /// Polls `condition` every 10 ms until it is true; panics after 20 s so that a fault cannot hang a
