--- a/crates/arbutuslane_node/src/admin.rs
+++ b/crates/arbutuslane_node/src/admin.rs
@@ -227,6 +227,10 @@
     shared.raise_awaited_revision(announcement.revision);
     let previous = shared.servers.get(&announcement.server);
     let was_draining = previous.as_ref().is_some_and(|server| server.is_draining());
+    if moves_to_unknown_service(shared, announcement) {
+        let error = format!("service {} is not declared", announcement.service);
+        return refuse(StatusCode::CONFLICT, &error, "declare the service, or correct the name");
+    }
     let result = shared.servers.announce(announcement, shared.clock.now());
     shared.metrics.count_announcement(*result.as_ref().unwrap_or(&AnnouncementOutcome::Refused));
     match result {
@@ -265,6 +269,21 @@
     Response::build(StatusCode::OK).json(&lease)
 }
 
+/// Returns whether an announcement would take a server from its service to one that is not declared. It
+/// may come from another program; a server's start with a service that is declared later announces
+/// itself again.
+fn moves_to_unknown_service(shared: &Shared, announcement: &Announcement) -> bool {
+    let configuration = shared.configuration();
+    if configuration.declares(&announcement.service) {
+        return false;
+    }
+    shared.servers.all().iter().any(|known| {
+        let is_same =
+            known.id == announcement.server || known.address.to_string() == announcement.address;
+        is_same && known.service != announcement.service && configuration.declares(&known.service)
+    })
+}
+
 /// Handles a readiness check: an error status says that the node accepts no requests.
 fn health(shared: &Shared) -> Response {
     if shared.is_stopping() {
--- a/crates/arbutuslane_node/src/configuration.rs
+++ b/crates/arbutuslane_node/src/configuration.rs
@@ -15,7 +15,7 @@
 use arbutuslane_catalogue::entry::{Class, Entry, Limits};
 use arbutuslane_core::id::{Revision, ServiceName};
 use arbutuslane_item::item;
-use arbutuslane_item::prelude::{Content, Table};
+use arbutuslane_item::prelude::{Content, Key, Table};
 use arbutuslane_limit::retry;
 use arbutuslane_wire::{codec, peer};
 
@@ -107,6 +107,12 @@
         index.ok().map(|index| &self.entries[index])
     }
 
+    /// Returns whether a service is declared.
+    pub(crate) fn declares(&self, service: &str) -> bool {
+        let item = self.items.get(&Key::Service(service.to_string()));
+        self.entry(service).is_some() || item.is_some_and(|item| item.content.is_some())
+    }
+
     /// Returns whether requests on routes that are not public need an API key.
     pub(crate) fn requires_keys(&self) -> bool {
         !self.workspaces.is_empty()
