--- a/crates/arbutuslane_control/src/items/departure_log.rs
+++ b/crates/arbutuslane_control/src/items/departure_log.rs
@@ -92,7 +92,7 @@
     ///
     /// After an error the departures may be on the disk or not, and nothing is written before
     /// [`reopen`](DepartureLog::reopen).
-    pub(super) fn write(&mut self, departures: &[(&OfNode, Time)]) -> Result<(), Error> {
+    pub(super) fn write(&mut self, departures: &[(OfNode, Time)]) -> Result<(), Error> {
         for ((node, departures), now) in departures {
             self.keeper.keep(node, departures.clone(), *now);
         }
@@ -115,7 +115,7 @@
         }
     }
 
-    fn append(&mut self, departures: &[(&OfNode, Time)]) -> Result<(), Error> {
+    fn append(&mut self, departures: &[(OfNode, Time)]) -> Result<(), Error> {
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
         let Some((_, now)) = departures.last() else { return Ok(()) };
         let mut batch = Batch::default();
@@ -123,7 +123,7 @@
             batch.entries.push(Entry {
                 index,
                 term: 1,
-                payload: encode(&Record::from(*departures))?,
+                payload: encode(&Record::from(departures))?,
             });
         }
         let entries = batch.entries.len() as u64;
--- a/crates/arbutuslane_control/src/items/departure_log/tests.rs
+++ b/crates/arbutuslane_control/src/items/departure_log/tests.rs
@@ -45,7 +45,7 @@
                 }
                 _ => {
                     let written = of_node(number);
-                    if log.write(&[(&written, now)]).is_ok() {
+                    if log.write(&[(written.clone(), now)]).is_ok() {
                         durable.push(written);
                     }
                 }
@@ -62,7 +62,7 @@
     let later = Time::ZERO + RETENTION;
     for number in 0..=ENTRIES_BEFORE_SNAPSHOT {
         let now = if number < ENTRIES_BEFORE_SNAPSHOT - 1 { Time::ZERO } else { later };
-        log.write(&[(&of_node(number), now)]).unwrap();
+        log.write(&[(of_node(number), now)]).unwrap();
     }
     drop(log);
     let (_, recovered) = DepartureLog::open(disk, later).unwrap();
@@ -75,7 +75,7 @@
     let disk = disk::Fake::new(3);
     let (mut log, _) = DepartureLog::open(disk.clone(), Time::ZERO).unwrap();
     for number in 0..20 {
-        log.write(&[(&of_node(number), Time::ZERO)]).unwrap();
+        log.write(&[(of_node(number), Time::ZERO)]).unwrap();
     }
     drop(log);
     let name = disk.names().unwrap().pop().unwrap();
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -4,32 +4,27 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::thread;
-use std::time::{Duration, Instant};
 
 use arbutuslane_event::kind::Kind;
 use arbutuslane_storage::prelude::*;
-use tokio::sync::oneshot;
 
 use crate::store::open_disk;
 
 use super::core::Events;
+use super::disk_thread::{self, Handle, Target};
 use super::writer::{Folder, Record, Recovered, Writer};
 
-/// The time between two attempts to reopen a disk that failed.
-const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
-
-/// A write request to the disk thread; the reply says whether the write is durable.
-struct Job {
-    record: Record,
-    reply: oneshot::Sender<bool>,
-}
-
 /// Sends write requests to the disk thread.
 #[derive(Clone)]
 pub(super) struct DiskHandle {
-    jobs: Sender<Job>,
+    thread: Handle<Record>,
+    is_writable: Arc<AtomicBool>,
+}
+
+/// The writer on the disk thread, which records when the disk fails and when it takes writes again.
+struct Watched {
+    writer: Writer<DataFolder>,
+    events: Events,
     is_writable: Arc<AtomicBool>,
 }
 
@@ -42,9 +37,7 @@
     /// Queues a record after those queued before it. The future returns whether it and all records
     /// before it are durable.
     pub(super) fn write(&self, record: Record) -> impl Future<Output = bool> + use<> {
-        let (reply, result) = oneshot::channel();
-        let is_queued = self.jobs.send(Job { record, reply }).is_ok();
-        async move { is_queued && result.await.unwrap_or(false) }
+        self.thread.write(record)
     }
 }
 
@@ -64,60 +57,49 @@
         });
     }
     let is_writable = Arc::new(AtomicBool::new(writer.is_writable()));
-    let (jobs, inbox) = channel();
-    let shared = Arc::clone(&is_writable);
-    thread::spawn(move || run(writer, &inbox, &events, &shared));
-    Ok((DiskHandle { jobs, is_writable }, recovered))
+    let watched = Watched { writer, events, is_writable: Arc::clone(&is_writable) };
+    Ok((DiskHandle { thread: disk_thread::start(watched), is_writable }, recovered))
 }
 
-/// Serves write requests until all handles are dropped.
-fn run(
-    mut writer: Writer<DataFolder>,
-    inbox: &Receiver<Job>,
-    events: &Events,
-    is_writable: &AtomicBool,
-) {
-    let mut last_attempt_at = Instant::now();
-    loop {
-        let mut jobs = match inbox.recv_timeout(REOPEN_INTERVAL) {
-            Ok(job) => vec![job],
-            Err(RecvTimeoutError::Timeout) => Vec::new(),
-            Err(RecvTimeoutError::Disconnected) => return,
-        };
-        // All queued jobs share one sync.
-        jobs.extend(inbox.try_iter());
-        if !writer.is_writable() && last_attempt_at.elapsed() >= REOPEN_INTERVAL {
-            last_attempt_at = Instant::now();
-            writer.reopen();
-        }
-        let is_durable = jobs.is_empty() || write(&mut writer, &mut jobs, events);
-        if writer.is_writable() && !is_writable.swap(true, Ordering::Relaxed) {
-            events.record(Kind::DiskRegained { items: writer.item_count() });
-        }
-        if !writer.is_writable() {
-            is_writable.store(false, Ordering::Relaxed);
+impl Target for Watched {
+    type Record = Record;
+
+    fn is_writable(&self) -> bool {
+        self.writer.is_writable()
+    }
+
+    fn reopen(&mut self) {
+        self.writer.reopen();
+    }
+
+    fn write(&mut self, records: Vec<Record>) -> bool {
+        let is_durable = records.is_empty() || self.write_all(records);
+        if self.writer.is_writable() && !self.is_writable.swap(true, Ordering::Relaxed) {
+            self.events.record(Kind::DiskRegained { items: self.writer.item_count() });
         }
-        for job in jobs {
-            // The sender of the job may no longer wait for the reply.
-            let _ = job.reply.send(is_durable);
+        if !self.writer.is_writable() {
+            self.is_writable.store(false, Ordering::Relaxed);
         }
+        is_durable
     }
 }
 
-/// Writes the records of `jobs`; returns whether they are durable. Records the first failure after a
-/// time without one.
-fn write(writer: &mut Writer<DataFolder>, jobs: &mut [Job], events: &Events) -> bool {
-    let was_writable = writer.is_writable();
-    let mut all = Record::default();
-    for job in jobs {
-        all.updates.append(&mut job.record.updates);
-        all.promised = all.promised.max(job.record.promised.take());
-    }
-    let Err(error) = writer.write(&all) else { return true };
-    if was_writable {
-        events.record(Kind::DiskFault { detail: error.to_string() });
+impl Watched {
+    /// Writes records; returns whether they are durable. Records the first failure after a time without
+    /// one.
+    fn write_all(&mut self, records: Vec<Record>) -> bool {
+        let was_writable = self.writer.is_writable();
+        let mut all = Record::default();
+        for mut record in records {
+            all.updates.append(&mut record.updates);
+            all.promised = all.promised.max(record.promised);
+        }
+        let Err(error) = self.writer.write(&all) else { return true };
+        if was_writable {
+            self.events.record(Kind::DiskFault { detail: error.to_string() });
+        }
+        false
     }
-    false
 }
 
 /// The data folder in the file system.
@@ -135,6 +117,7 @@
 #[cfg(test)]
 mod tests {
     use std::sync::Arc;
+    use std::time::Duration;
 
     use arbutuslane_item::prelude::{
         Ballot, Electorate, Item, Key, Position, Source, State, Update,
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -11,6 +11,7 @@
 mod departure_log;
 mod departures;
 mod disk;
+mod disk_thread;
 mod durable;
 pub mod interface;
 mod leader;
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -13,16 +13,19 @@
 //! what an instance needs to lead. An instance that lost its disk is [`Standing::Recovering`]: it counts
 //! only once an accepted state names it with its new disk.
 
-use std::cmp::Ordering;
-use std::sync::Arc;
+mod settlement;
+mod status;
 
-use arbutuslane_core::id::NodeId;
+use std::sync::Arc;
 
 use crate::ballot::{Ballot, Position};
 use crate::item::Item;
 use crate::state::{State, Update};
 use crate::table::Table;
-use crate::voter::{self, DiskId, Electorate, Voter};
+use crate::voter::{DiskId, Electorate, Voter};
+
+pub use settlement::Settlement;
+pub use status::Status;
 
 /// Whether an instance has kept what it promised and stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,25 +49,6 @@
     pub disk: DiskId,
 }
 
-/// What an instance reports of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Status {
-    /// The instance and its disk.
-    pub voter: Voter,
-    /// Whether the instance counts for states without voters.
-    pub is_founder: bool,
-    /// The highest ballot that the instance promised to follow.
-    pub promised: Ballot,
-    /// The position of the state on its disk.
-    pub position: Position,
-    /// The digest of the state on its disk.
-    pub digest: u64,
-    /// The instances that count for that state.
-    pub electorate: Electorate,
-    /// The position of the newest state that it knows to be accepted.
-    pub accepted: Option<Position>,
-}
-
 /// Why an instance does not store an update.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
@@ -79,33 +63,6 @@
     Recovering,
 }
 
-impl Status {
-    /// Returns the name of the instance.
-    pub fn instance(&self) -> &NodeId {
-        &self.voter.instance
-    }
-
-    /// Returns the disk of the instance.
-    pub fn disk(&self) -> DiskId {
-        self.voter.disk
-    }
-}
-
-/// What an instance has to do to know the newest accepted state.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Settlement {
-    /// Nothing; [`Replication::accepted`] is the newest accepted state.
-    Settled,
-    /// Fetch the accepted state of an instance.
-    Fetch(NodeId),
-    /// Call [`Replication::learn`] with this position.
-    Learn(Position),
-    /// Have a leader propose the newest state again, because it may be accepted or not.
-    Propose,
-    /// Wait for more instances to respond.
-    Wait,
-}
-
 /// One control instance's state of the catalogue.
 #[derive(Debug, Clone)]
 pub struct Replication {
@@ -370,44 +327,6 @@
         true
     }
 
-    /// Decides from the reports of instances, including this one, what it takes to know the newest
-    /// accepted state.
-    pub fn settle(&mut self, statuses: &[Status]) -> Settlement {
-        for status in statuses {
-            self.observe(&status.promised);
-        }
-        if !voter::is_quorum(statuses, self.quorum) {
-            return Settlement::Wait;
-        }
-        let Some(newest) = voter::newest(statuses) else { return Settlement::Wait };
-        let knows = |position: &Position| {
-            self.accepted.as_ref().is_some_and(|known| known.position >= *position)
-        };
-        if knows(&newest.position) {
-            self.is_settled = true;
-            return Settlement::Settled;
-        }
-        let holds_newest =
-            |status: &Status| status.position == newest.position && status.digest == newest.digest;
-        let is_newest_accepted =
-            voter::counts(&newest.electorate, statuses, self.quorum, &holds_newest);
-        let reported = statuses.iter().max_by(|left, right| left.accepted.cmp(&right.accepted));
-        let reported =
-            reported.and_then(|status| Some((status.accepted.as_ref()?, status.instance())));
-        let accepted = match is_newest_accepted {
-            true => Some((&newest.position, newest.instance())),
-            false => reported,
-        };
-        let Some((position, instance)) = accepted.filter(|(position, _)| !knows(position)) else {
-            return Settlement::Propose;
-        };
-        match self.stored.position.cmp(position) {
-            Ordering::Less => Settlement::Fetch(instance.clone()),
-            Ordering::Equal => Settlement::Learn(position.clone()),
-            Ordering::Greater => Settlement::Propose,
-        }
-    }
-
     /// Starts from the newest state that a quorum has promised, as a candidate; returns whether this
     /// instance has it now. The caller writes the update to disk.
     ///
--- a/crates/arbutuslane_item/tests/world/mod.rs
+++ b/crates/arbutuslane_item/tests/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod check;
+mod faults;
 mod membership;
 
 use std::sync::Arc;
@@ -139,25 +140,6 @@
         self.history.accepted_count()
     }
 
-    /// Takes a random step, which may be a fault, and checks what was promised.
-    pub(super) fn step(&mut self) {
-        match self.rng.random_range(0..400) {
-            0 => self.crash_all(),
-            1..3 => self.lose_disk(),
-            3..5 => self.restart(),
-            12..16 if self.has_replacements => self.join(),
-            16..20 if self.has_replacements => self.leave(),
-            20..23 if self.has_replacements => self.split(),
-            5..8 => {
-                let index = self.random_instance();
-                self.instances[index].is_frozen = !self.instances[index].is_frozen;
-            }
-            8..12 => self.drop_message(),
-            _ => self.step_without_faults(),
-        }
-        self.check();
-    }
-
     /// Takes a random step that is no fault.
     pub(super) fn step_without_faults(&mut self) {
         match self.rng.random_range(0..40) {
@@ -169,15 +151,6 @@
         self.check();
     }
 
-    /// Thaws all instances and ends a split. Later changes have versions that no earlier one had.
-    pub(super) fn end_faults(&mut self) {
-        self.old_versions = changes::VERSIONS;
-        self.is_split = false;
-        for instance in &mut self.instances {
-            instance.is_frozen = false;
-        }
-    }
-
     fn check(&mut self) {
         for instance in &self.instances {
             if let Some(state) = instance.replication.accepted_state() {
@@ -195,26 +168,6 @@
         }
     }
 
-    fn restart(&mut self) {
-        let index = self.random_instance();
-        self.instances[index].restart(index);
-    }
-
-    fn crash_all(&mut self) {
-        for (index, instance) in self.instances.iter_mut().enumerate() {
-            if !instance.is_gone {
-                instance.restart(index);
-            }
-        }
-    }
-
-    fn drop_message(&mut self) {
-        if !self.messages.is_empty() {
-            let index = self.rng.random_range(0..self.messages.len());
-            self.messages.swap_remove(index);
-        }
-    }
-
     fn send(&mut self, from: usize, to: usize, body: Body) {
         self.messages.push(Message { from, to, body });
     }
