Keep in the log that departures may be missing on an emptied or damaged disk

A control instance that was emptied did not count for 60 s as one that has all departures, but did so at once after another start within that time, because its log existed by then: after the loss of a disk and the end of all processes a confirmed departure could be missed. Found by reading; the metadata of the log says now whether it is complete (open_emptied, open_damaged).

--- a/crates/arbutuslane_control/src/items/departure_log.rs
+++ b/crates/arbutuslane_control/src/items/departure_log.rs
@@ -23,13 +23,11 @@
     departures: Vec<departure::Departure>,
 }
 
-/// What a log contained.
-#[derive(Debug, Default)]
-pub(super) struct Recovered {
-    /// The departures, in the order in which they were written.
-    pub(super) departures: Vec<OfNode>,
-    /// Whether some may be missing.
-    pub(super) is_damaged: bool,
+/// The metadata of the log.
+#[derive(Debug, Serialize, Deserialize)]
+struct Meta {
+    /// Whether the log has all departures that matter.
+    complete: bool,
 }
 
 /// Writes departures to a folder.
@@ -44,16 +42,18 @@
     keeper: Keeper,
     next_index: u64,
     entries_since_snapshot: u64,
+    is_complete: bool,
 }
 
 impl<F: Folder> DepartureLog<F> {
-    /// Opens the folder and reads its departures, which all are kept anew from `now` on. A damaged log
-    /// is set aside.
+    /// Opens the folder and reads its departures, which all are kept anew from `now` on and are returned
+    /// in the order in which they were written. A damaged log is set aside. `is_new` states whether the
+    /// disk was empty or damaged, so that departures may be missing.
     ///
     /// # Errors
     ///
     /// Returns an error if the folder cannot be read.
-    pub(super) fn open(folder: F, now: Time) -> Result<(Self, Recovered), Error> {
+    pub(super) fn open(folder: F, is_new: bool, now: Time) -> Result<(Self, Vec<OfNode>), Error> {
         let opened = Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES);
         let (log, found, is_damaged) = match opened {
             Ok((log, found)) => (log, found, false),
@@ -72,13 +72,34 @@
         for (node, departures) in &departures {
             keeper.keep(node, departures.clone(), now);
         }
-        let next_index = if is_damaged { 1 } else { last_index + 1 };
-        let mut opened =
-            Self { folder, log: Some(log), keeper, next_index, entries_since_snapshot: 0 };
-        if is_damaged && opened.save_snapshot(now).is_err() {
+        let meta: Option<Meta> = found.meta.as_deref().map(decode).transpose()?;
+        let mut opened = Self {
+            folder,
+            log: Some(log),
+            keeper,
+            next_index: if is_damaged { 1 } else { last_index + 1 },
+            entries_since_snapshot: 0,
+            // Also in the starts that follow, until those that are missing no longer matter.
+            is_complete: !is_new && !is_damaged && meta.is_none_or(|meta| meta.complete),
+        };
+        let written = opened.write_meta();
+        if written.is_err() || is_damaged && opened.save_snapshot(now).is_err() {
             opened.log = None;
         }
-        Ok((opened, Recovered { departures, is_damaged }))
+        Ok((opened, departures))
+    }
+
+    /// Returns whether the log has all departures that matter.
+    pub(super) fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Records that departures which may be missing no longer matter.
+    pub(super) fn set_complete(&mut self) {
+        self.is_complete = true;
+        if self.write_meta().is_err() {
+            self.log = None;
+        }
     }
 
     /// Returns whether the last write succeeded, or the log has been reopened since.
@@ -110,11 +131,17 @@
         let opened = opened.and_then(|disk| Log::open(disk, log::DEFAULT_SEGMENT_BYTES));
         let Ok((log, _)) = opened else { return };
         self.log = Some(log);
-        if self.save_snapshot(now).is_err() {
+        if self.write_meta().and_then(|()| self.save_snapshot(now)).is_err() {
             self.log = None;
         }
     }
 
+    fn write_meta(&mut self) -> Result<(), Error> {
+        let meta = encode(&Meta { complete: self.is_complete })?;
+        let Some(log) = &mut self.log else { return Err(Error::Stopped) };
+        log.append(&Batch { meta: Some(meta), entries: Vec::new() })
+    }
+
     fn append(&mut self, departures: &[(OfNode, Time)]) -> Result<(), Error> {
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
         let Some((_, now)) = departures.last() else { return Ok(()) };
--- a/crates/arbutuslane_control/src/items/departure_log/tests.rs
+++ b/crates/arbutuslane_control/src/items/departure_log/tests.rs
@@ -22,7 +22,7 @@
         let mut rng = rng::seeded(seed);
         let disk = disk::Fake::new(seed);
         let now = Time::ZERO;
-        let (mut log, _) = DepartureLog::open(disk.clone(), now).unwrap();
+        let (mut log, _) = DepartureLog::open(disk.clone(), false, now).unwrap();
         let mut durable = Vec::new();
         for number in 0..60 {
             match rng.random_range(0..10) {
@@ -32,11 +32,11 @@
                 3 => {
                     drop(log);
                     disk.crash();
-                    let (opened, recovered) = DepartureLog::open(disk.clone(), now).unwrap();
+                    let (opened, recovered) = DepartureLog::open(disk.clone(), false, now).unwrap();
                     log = opened;
-                    assert!(!recovered.is_damaged, "seed {seed}");
+                    assert!(log.is_complete(), "seed {seed}");
                     for known in &durable {
-                        let is_found = recovered.departures.iter().any(|found: &OfNode| {
+                        let is_found = recovered.iter().any(|found: &OfNode| {
                             let (node, departures): &OfNode = known;
                             found.0 == *node && departures.iter().all(|one| found.1.contains(one))
                         });
@@ -58,22 +58,22 @@
 #[test]
 fn write_snapshot() {
     let disk = disk::Fake::new(1);
-    let (mut log, _) = DepartureLog::open(disk.clone(), Time::ZERO).unwrap();
+    let (mut log, _) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
     let later = Time::ZERO + RETENTION;
     for number in 0..=ENTRIES_BEFORE_SNAPSHOT {
         let now = if number < ENTRIES_BEFORE_SNAPSHOT - 1 { Time::ZERO } else { later };
         log.write(&[(of_node(number), now)]).unwrap();
     }
     drop(log);
-    let (_, recovered) = DepartureLog::open(disk, later).unwrap();
-    assert_eq!(recovered.departures, [of_node(1_023), of_node(1_024)]);
+    let (_, recovered) = DepartureLog::open(disk, false, later).unwrap();
+    assert_eq!(recovered, [of_node(1_023), of_node(1_024)]);
 }
 
 /// Guards against a damaged log that counts as whole, or that keeps the instance from starting.
 #[test]
 fn open_damaged() {
     let disk = disk::Fake::new(3);
-    let (mut log, _) = DepartureLog::open(disk.clone(), Time::ZERO).unwrap();
+    let (mut log, _) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
     for number in 0..20 {
         log.write(&[(of_node(number), Time::ZERO)]).unwrap();
     }
@@ -81,10 +81,32 @@
     let name = disk.names().unwrap().pop().unwrap();
     let middle = disk.read(&name).unwrap().len() / 2;
     disk.flip(&name, middle);
-    let (_, recovered) = DepartureLog::open(disk.clone(), Time::ZERO).unwrap();
-    assert!(recovered.is_damaged);
-    assert_eq!(recovered.departures.len(), 19);
+    let (log, recovered) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
+    assert!(!log.is_complete());
+    assert_eq!(recovered.len(), 19);
     disk.crash();
-    let (_, recovered) = DepartureLog::open(disk, Time::ZERO).unwrap();
-    assert!(!recovered.is_damaged);
+    check_completion(&disk);
+}
+
+/// Guards against an emptied disk that counts as whole after the next start, although departures from
+/// before the loss still matter.
+#[test]
+fn open_emptied() {
+    let disk = disk::Fake::new(4);
+    let (log, _) = DepartureLog::open(disk.clone(), true, Time::ZERO).unwrap();
+    assert!(!log.is_complete());
+    drop(log);
+    disk.crash();
+    check_completion(&disk);
+}
+
+/// Checks that an incomplete log stays so in later starts until it is set complete.
+fn check_completion(disk: &disk::Fake) {
+    let (mut log, _) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
+    assert!(!log.is_complete());
+    log.set_complete();
+    drop(log);
+    disk.crash();
+    let (log, _) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
+    assert!(log.is_complete());
 }
--- a/crates/arbutuslane_control/src/items/departures.rs
+++ b/crates/arbutuslane_control/src/items/departures.rs
@@ -37,6 +37,7 @@
 struct TimedLog {
     log: DepartureLog<LogFolder>,
     clock: Clock,
+    complete_from: Time,
 }
 
 /// The folder of the log in the file system.
@@ -60,14 +61,13 @@
     /// Returns an error if the log cannot be read.
     pub(super) fn start(data: &Path, is_new: bool, clock: Clock) -> Result<Self, Error> {
         let now = clock.now();
-        let (log, recovered) = DepartureLog::open(LogFolder(data.join(FOLDER)), now)?;
+        let (log, recovered) = DepartureLog::open(LogFolder(data.join(FOLDER)), is_new, now)?;
         let mut keeper = Keeper::default();
-        for (node, departures) in recovered.departures {
+        for (node, departures) in recovered {
             keeper.keep(&node, departures, now);
         }
-        let may_lack = is_new || recovered.is_damaged;
-        let complete_from = if may_lack { now + RETENTION } else { now };
-        let thread = disk_thread::start(TimedLog { log, clock });
+        let complete_from = if log.is_complete() { now } else { now + RETENTION };
+        let thread = disk_thread::start(TimedLog { log, clock, complete_from });
         Ok(Self { keeper: Mutex::new(keeper), thread, clock, complete_from })
     }
 
@@ -109,6 +109,9 @@
     }
 
     fn write(&mut self, records: Vec<Timed>) -> bool {
+        if !self.log.is_complete() && self.clock.now() >= self.complete_from {
+            self.log.set_complete();
+        }
         self.log.write(&records).is_ok()
     }
 }
