--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -188,7 +188,15 @@
     /// Records that the state at `position` is accepted; returns the items that this instance did not
     /// know to be accepted.
     pub(super) fn learn(&self, position: &Position) -> Vec<Arc<Item>> {
-        let new_items = self.replication().learn(position);
+        let (new_items, has_recovered, instances) = {
+            let mut replication = self.replication();
+            let was_left_out = replication.is_left_out();
+            let new_items = replication.learn(position);
+            (new_items, was_left_out && !replication.is_left_out(), replication.quorum())
+        };
+        if has_recovered {
+            tracing::info!(event = "recovered", instances);
+        }
         log_accepted(&new_items);
         new_items
     }
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -154,6 +154,14 @@
         is_voter.then_some(self.quorum)
     }
 
+    /// Returns whether the newest state that is known to be accepted names voters, but not this instance.
+    pub fn is_left_out(&self) -> bool {
+        self.accepted.as_ref().is_some_and(|state| {
+            let voters = &state.electorate.voters;
+            !voters.is_empty() && voters.binary_search(&self.own).is_err()
+        })
+    }
+
     /// Returns whether this instance counts for states without voters.
     pub(crate) fn is_founder(&self) -> bool {
         self.is_founder
--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -182,8 +182,10 @@
     let _ = within(CONFIRMATION_TIMEOUT, waiting).await;
     let is_granted = shared.departures.read(&departure, Confirmation::is_granted).unwrap_or(false);
     let took_ms = (shared.clock.now() - started_at).as_millis();
-    let event = if is_granted { "departure-kept" } else { "departure-not-kept" };
-    tracing::info!(event, server, ?stage, took_ms);
+    match is_granted {
+        true => tracing::info!(event = "departure-kept", server, ?stage, took_ms),
+        false => tracing::info!(event = "departure-not-kept", server, ?stage, took_ms),
+    }
     is_granted
 }
 
