Give the place of a voter that stops or has ended to another instance at once

Change: a voter whose planned stop begins says so and asks the leader, which gives its place to an instance that has none. A voter that does not respond and whose machine refuses connections has ended and gives way too.

--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -27,7 +27,7 @@
 use super::interface::OperatorFormat;
 use super::leader::Order;
 use super::settings::Settings;
-use super::{disk, leader, push, server, settle};
+use super::{disk, leader, push, server, settle, voters};
 
 /// The log filter that applies without the argument `--log`.
 const DEFAULT_LOG_FILTER: &str = "info,ntex_server=warn,ntex_rt=warn,ntex=warn";
@@ -173,6 +173,7 @@
         }
     })
     .await;
+    voters::hand_over(&core).await;
     core.stop();
     core.events.record(Kind::Stop { in_flight: 0 });
     server.stop(true).await;
--- a/crates/arbutuslane_control/src/items/settle.rs
+++ b/crates/arbutuslane_control/src/items/settle.rs
@@ -76,10 +76,7 @@
         };
         sleep(if is_settled { REPAIR_INTERVAL } else { START_INTERVAL }).await;
         round = round.wrapping_add(1);
-        let is_alive = |instance: &str| voters::is_alive(&core, instance);
-        if asked_at.elapsed() >= voters::REQUEST_INTERVAL
-            && core.replication().wants_place(is_alive)
-        {
+        if asked_at.elapsed() >= voters::REQUEST_INTERVAL && core.replication().wants_place() {
             sleep(core.jitter(REPAIR_INTERVAL)).await;
             voters::request_place(&core, &client).await;
             asked_at = Instant::now();
--- a/crates/arbutuslane_control/src/items/voters.rs
+++ b/crates/arbutuslane_control/src/items/voters.rs
@@ -1,11 +1,15 @@
 //! Changes the voters while this instance leads, and asks for a place among them.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutuslane_core::id::NodeId;
 use arbutuslane_item::prelude::{Electorate, Leader, Voter};
+use arbutuslane_item::replication::Status;
 use arbutuslane_item::voter;
 use ntex::client::Client;
+use tokio::net::TcpStream;
 
 use super::agreement::collect_all_statuses;
 use super::core::Core;
@@ -17,6 +21,12 @@
 /// The longest wait for the leader's response to a request for a place.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The longest time that a planned stop waits until another instance has the place of this one.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest wait for a connection to a voter that does not respond.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The largest number of changes in a row; the instances that still lack a place ask again.
 const MAX_CHANGES: usize = 4;
 
@@ -31,7 +41,11 @@
             let replication = core.replication();
             (replication.stored().electorate.clone(), replication.quorum())
         };
-        let is_alive = |instance: &str| is_alive(core, instance);
+        let ended = ended_voters(core, &electorate, &present).await;
+        let is_alive = |instance: &str| {
+            let is_member = core.members().control.contains_key(instance);
+            is_member && ended.iter().all(|other| other != instance)
+        };
         let Some(next) = electorate.next(&present, quorum, is_alive) else { return };
         if !propose(core, client, leader, &next).await {
             return;
@@ -48,9 +62,35 @@
     replication.stored().electorate.is_empty() && core.members().control.len() + 1 >= max
 }
 
-/// Returns whether gossip considers an instance alive.
-pub(super) fn is_alive(core: &Core, instance: &str) -> bool {
-    instance == core.settings.name || core.members().control.contains_key(instance)
+/// Returns the voters that do not respond and whose processes have ended, which their machines tell before
+/// gossip does.
+async fn ended_voters(core: &Core, electorate: &Electorate, present: &[Status]) -> Vec<NodeId> {
+    let mut ended = Vec::new();
+    let members = core.members().control;
+    for voter in &electorate.voters {
+        if present.iter().any(|status| status.voter == *voter) {
+            continue;
+        }
+        let Some(address) = members.get(&voter.instance) else { continue };
+        let connected = ntex::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        if let Ok(Err(error)) = connected
+            && error.kind() == ErrorKind::ConnectionRefused
+        {
+            ended.push(voter.instance.clone());
+        }
+    }
+    ended
+}
+
+/// Gives the place of this instance among the voters to another one, if there is one without, before a
+/// planned stop.
+pub(super) async fn hand_over(core: &Arc<Core>) {
+    core.replication().leave();
+    if core.replication().own_quorum().is_none() {
+        return;
+    }
+    let client = Client::new().await;
+    leader::decide(core, &client, &[], HANDOVER_TIMEOUT).await;
 }
 
 /// Has another electorate accepted; returns whether it is.
--- a/crates/arbutuslane_item/src/border/agreement.rs
+++ b/crates/arbutuslane_item/src/border/agreement.rs
@@ -115,6 +115,8 @@
     disk: Option<u64>,
     #[serde(default)]
     electorate: Electorate,
+    #[serde(default)]
+    is_leaving: bool,
 }
 
 /// See [`replication::Refusal`].
@@ -221,6 +223,7 @@
             accepted: status.accepted.as_ref().map(Position::from),
             disk: Some(status.voter.disk),
             electorate: Electorate::from(&status.electorate),
+            is_leaving: status.is_leaving,
         }
     }
 }
@@ -238,6 +241,7 @@
             digest: status.digest,
             accepted: status.accepted.map(ballot::Position::from),
             electorate: status.electorate.into(),
+            is_leaving: status.is_leaving,
         }
     }
 }
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -82,6 +82,8 @@
     is_settled: bool,
     /// The highest round that this instance has heard of.
     highest_round: u64,
+    /// Whether a planned stop has begun.
+    is_leaving: bool,
     /// The table of [`Replication::accepted`] while no state is known to be accepted.
     empty: Table,
 }
@@ -120,6 +122,7 @@
             stored,
             accepted: None,
             is_settled: false,
+            is_leaving: false,
             empty: Table::default(),
         }
     }
@@ -172,13 +175,17 @@
         &self.own
     }
 
-    /// Returns whether this instance should ask the leader for a place among the voters, with `is_alive`
-    /// telling which instances are.
-    pub fn wants_place(&self, is_alive: impl Fn(&str) -> bool) -> bool {
+    /// Records that a planned stop has begun, so that another instance may take the place of this one.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns whether this instance should ask the leader for a place among the voters.
+    pub fn wants_place(&self) -> bool {
         let electorate = &self.stored.electorate;
         match electorate.is_empty() {
             true => !self.is_founder,
-            false => electorate.lacks(&self.own, self.quorum, is_alive),
+            false => electorate.lacks(&self.own),
         }
     }
 
@@ -242,6 +249,7 @@
             digest,
             electorate,
             accepted: self.accepted.as_ref().map(|state| state.position.clone()),
+            is_leaving: self.is_leaving,
         }
     }
 
--- a/crates/arbutuslane_item/src/replication/status.rs
+++ b/crates/arbutuslane_item/src/replication/status.rs
@@ -22,6 +22,8 @@
     pub electorate: Electorate,
     /// The position of the newest state that it knows to be accepted.
     pub accepted: Option<Position>,
+    /// Whether a planned stop of the instance has begun.
+    pub is_leaving: bool,
 }
 
 impl Status {
--- a/crates/arbutuslane_item/src/voter.rs
+++ b/crates/arbutuslane_item/src/voter.rs
@@ -71,27 +71,19 @@
         has_room && follows
     }
 
-    /// Returns whether an instance should ask the leader for a place among the voters, with `is_alive`
-    /// telling which instances are.
-    pub(crate) fn lacks(
-        &self,
-        own: &Voter,
-        quorum: usize,
-        is_alive: impl Fn(&str) -> bool,
-    ) -> bool {
-        if self.voters.binary_search(own).is_ok() {
-            // Only a leader can end a change that another one began.
-            return !self.replaced.is_empty();
-        }
-        let is_free = |voter: &Voter| voter.instance == own.instance || !is_alive(&voter.instance);
-        self.voters.len() < max_voters(quorum) || self.voters.iter().any(is_free)
+    /// Returns whether an instance should ask the leader for a place among the voters. The leader knows
+    /// whether one of them gives way.
+    pub(crate) fn lacks(&self, own: &Voter) -> bool {
+        // Only a leader can end a change that another one began.
+        self.voters.binary_search(own).is_err() || !self.replaced.is_empty()
     }
 
     /// Returns the electorate that replaces this one, or `None` if it stays.
     ///
     /// `present` are the reports of all instances that respond, and `is_alive` tells which of the others
-    /// may only be slow. A voter gives way only to an instance that responds: while there is none to
-    /// replace it, it may come back with all that it stored.
+    /// may only be slow. A voter that leaves, is gone or has lost its disk gives way, and only to an
+    /// instance that responds and stays: while there is none to replace it, it may come back with all
+    /// that it stored.
     pub fn next(
         &self,
         present: &[Status],
@@ -105,7 +97,8 @@
         if !self.replaced.is_empty() {
             return Some(Self { voters: self.voters.clone(), replaced: Vec::new() });
         }
-        let mut newcomers: Vec<&Voter> = present.iter().map(|status| &status.voter).collect();
+        let staying: Vec<&Status> = present.iter().filter(|status| !status.is_leaving).collect();
+        let mut newcomers: Vec<&Voter> = staying.iter().map(|status| &status.voter).collect();
         newcomers.retain(|voter| {
             voter.disk != UNKNOWN_DISK && self.voters.binary_search(voter).is_err()
         });
@@ -113,7 +106,7 @@
         let mut voters = self.voters.clone();
         for newcomer in newcomers {
             if voters.len() >= max_voters(quorum) {
-                let Some(index) = replaceable(&voters, present, &is_alive) else { break };
+                let Some(index) = replaceable(&voters, &staying, present, &is_alive) else { break };
                 voters.remove(index);
             }
             let index = voters.binary_search(newcomer).unwrap_or_else(|index| index);
@@ -123,18 +116,23 @@
     }
 }
 
-/// Returns the index of a voter that has lost its disk or is gone.
+/// Returns the index of a voter that has lost its disk, leaves or is gone.
 fn replaceable(
     voters: &[Voter],
+    staying: &[&Status],
     present: &[Status],
     is_alive: impl Fn(&str) -> bool,
 ) -> Option<usize> {
-    let responds = |voter: &Voter| present.iter().any(|status| status.voter == *voter);
-    let has_lost_disk = |voter: &Voter| {
-        !responds(voter) && present.iter().any(|status| *status.instance() == voter.instance)
+    let stays = |voter: &Voter| staying.iter().any(|status| status.voter == *voter);
+    let has_another_disk = |voter: &Voter| {
+        !stays(voter) && staying.iter().any(|status| *status.instance() == voter.instance)
     };
-    let is_gone = |voter: &Voter| !responds(voter) && !is_alive(&voter.instance);
-    voters.iter().position(has_lost_disk).or_else(|| voters.iter().position(is_gone))
+    let leaves =
+        |voter: &Voter| present.iter().any(|status| status.voter == *voter && status.is_leaving);
+    let is_gone = |voter: &Voter| !stays(voter) && !is_alive(&voter.instance);
+    let found = voters.iter().position(has_another_disk);
+    let found = found.or_else(|| voters.iter().position(leaves));
+    found.or_else(|| voters.iter().position(is_gone))
 }
 
 /// Returns the first voters: the founders, once all of them respond or another instance needs a place.
--- a/crates/arbutuslane_item/tests/voters.rs
+++ b/crates/arbutuslane_item/tests/voters.rs
@@ -20,6 +20,7 @@
         digest: 0,
         electorate: Electorate::default(),
         accepted: None,
+        is_leaving: false,
     }
 }
 
@@ -69,6 +70,19 @@
     assert_eq!(ended, Electorate { replaced: Vec::new(), ..next });
 }
 
+/// Guards against a planned stop after which a place stays empty although an instance without one runs, and
+/// against a place for an instance that leaves as well.
+#[test]
+fn next_leaving() {
+    let mut all = present(&["a", "b", "c", "d", "e"]);
+    all[1].is_leaving = true;
+    assert_eq!(five().next(&all, QUORUM, |_| true), None);
+    all.push(newcomer("f", 1));
+    assert_eq!(names(five().next(&all, QUORUM, |_| true)), "a1c1d1e1f1");
+    all[5].is_leaving = true;
+    assert_eq!(five().next(&all, QUORUM, |_| true), None);
+}
+
 /// Guards against an instance that counts after it has forgotten what it promised and stored.
 #[test]
 fn next_disk_lost() {
--- a/crates/arbutuslane_item/tests/world/membership.rs
+++ b/crates/arbutuslane_item/tests/world/membership.rs
@@ -105,7 +105,7 @@
         let instance = &mut self.instances[index];
         let electorate = instance.replication.stored().electorate.clone();
         let Some(leader) = &mut instance.leader else {
-            if instance.replication.wants_place(is_alive) && self.rng.random_range(0..3) == 0 {
+            if instance.replication.wants_place() && self.rng.random_range(0..3) == 0 {
                 self.lead(index);
             }
             return;
