Report health only once a control instance that lost its disk counts again, and let it ask at once

Cause, from the logs: an emptied instance answered /health with 200 as soon as it knew the voters, and asked for a place 0.6 s after its start only. It was killed 0.5 s after its start, before it was a voter, and the next disk was lost: two of three disks were gone at once, while the health said otherwise.

Change: /health is 503 while a place among the voters is free for the instance or is held by its lost disk. It asks for the place as soon as it knows the voters. A further instance, for which no place is free, is healthy.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -50,9 +50,13 @@
 }
 
 async fn health(shared: State) -> HttpResponse {
-    match shared.core.is_stopping() || !shared.core.replication().is_complete() {
-        true => HttpResponse::ServiceUnavailable().finish(),
-        false => HttpResponse::Ok().finish(),
+    let is_ready = {
+        let replication = shared.core.replication();
+        replication.is_complete() && !replication.awaits_place()
+    };
+    match is_ready && !shared.core.is_stopping() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
--- a/crates/arbutuslane_control/src/items/settle.rs
+++ b/crates/arbutuslane_control/src/items/settle.rs
@@ -68,7 +68,7 @@
 pub(super) async fn run_repair(core: Arc<Core>) {
     let client = Client::new().await;
     let mut round = 0_u32;
-    let mut asked_at = Instant::now();
+    let mut next_request_at = Instant::now();
     while !core.is_stopping() {
         let (is_settled, has_pending_state) = {
             let replication = core.replication();
@@ -76,10 +76,9 @@
         };
         sleep(if is_settled { REPAIR_INTERVAL } else { START_INTERVAL }).await;
         round = round.wrapping_add(1);
-        if asked_at.elapsed() >= voters::REQUEST_INTERVAL && core.replication().wants_place() {
-            sleep(core.jitter(REPAIR_INTERVAL)).await;
+        if Instant::now() >= next_request_at && voters::wants_place(&core) {
             voters::request_place(&core, &client).await;
-            asked_at = Instant::now();
+            next_request_at = Instant::now() + voters::REQUEST_INTERVAL;
         }
         let is_due = core.repair_soon.swap(false, Ordering::Relaxed)
             || !is_settled
--- a/crates/arbutuslane_control/src/items/voters.rs
+++ b/crates/arbutuslane_control/src/items/voters.rs
@@ -21,6 +21,9 @@
 /// The longest wait for the leader's response to a request for a place.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long an instance has after its start to learn of the voters.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The longest time that a planned stop waits until another instance has the place of this one.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -115,6 +118,14 @@
     outcome.is_accepted
 }
 
+/// Returns whether this instance should ask for a place among the voters. Until it knows them, it first
+/// has [`START_TIMEOUT`] to fetch the state of the others, because it would have to lead in order to ask.
+pub(super) fn wants_place(core: &Core) -> bool {
+    let replication = core.replication();
+    let knows_voters = replication.is_complete() || core.clock.now() >= START_TIMEOUT;
+    knows_voters && replication.wants_place()
+}
+
 /// Asks the leader for a place among the voters.
 pub(super) async fn request_place(core: &Arc<Core>, client: &Client) {
     leader::decide(core, client, &[], REQUEST_TIMEOUT).await;
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -22,7 +22,7 @@
 use crate::item::Item;
 use crate::state::{State, Update};
 use crate::table::Table;
-use crate::voter::{DiskId, Electorate, Voter};
+use crate::voter::{self, DiskId, Electorate, Voter};
 
 pub use settlement::Settlement;
 pub use status::Status;
@@ -157,6 +157,15 @@
         is_voter.then_some(self.quorum)
     }
 
+    /// Returns whether a place among the voters is free for this instance, or held by its lost disk: until
+    /// it has that place, fewer disks than usual may be lost.
+    pub fn awaits_place(&self) -> bool {
+        let voters = &self.stored.electorate.voters;
+        let is_free = voters.len() < voter::max_voters(self.quorum)
+            || voters.iter().any(|voter| voter.instance == self.own.instance);
+        !voters.is_empty() && voters.binary_search(&self.own).is_err() && is_free
+    }
+
     /// Returns whether the newest state that is known to be accepted names voters, but not this instance.
     pub fn is_left_out(&self) -> bool {
         self.accepted.as_ref().is_some_and(|state| {
