--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -8,7 +8,7 @@
 //! is valid, and an instance that was down or frozen cannot confirm what contradicts it, because no
 //! quorum stores it.
 //!
-//! Which instances count is a part of each state, see [`voter`](crate::voter). [`Replication`] holds what an instance
+//! Which instances count is a part of each state, see [`voter`]. [`Replication`] holds what an instance
 //! has promised and stored, and which state it knows to be accepted. [`election`](crate::election) holds
 //! what an instance needs to lead. An instance that lost its disk is [`Standing::Recovering`]: it counts
 //! only once an accepted state names it with its new disk.
