--- a/crates/arbutuslane_soak/src/lib.rs
+++ b/crates/arbutuslane_soak/src/lib.rs
@@ -5,9 +5,17 @@
 //! what callers sent, what servers ran and what callers received. The ledger decides which
 //! guarantees were violated. The header names and formats of requests are up to the test that uses
 //! this crate.
+//!
+//! A [`Crowd`](crowd::Crowd) of clients that don't keep to the protocol or to its limits sends what a
+//! [`Script`](script::Script) says, while a [`Watch`](usage::Watch) records what a process holds.
 
+pub mod crowd;
 pub mod fault;
 pub mod http;
+pub mod http2;
 pub mod ledger;
+pub mod local;
 pub mod process;
 pub mod proxy;
+pub mod script;
+pub mod usage;
--- a/crates/arbutuslane_soak/src/process.rs
+++ b/crates/arbutuslane_soak/src/process.rs
@@ -15,6 +15,8 @@
     folder: PathBuf,
     child: Option<Child>,
     starts: u32,
+    /// The limit on its open descriptors; that of this process when absent.
+    max_descriptors: Option<u32>,
 }
 
 impl Process {
@@ -24,10 +26,22 @@
         folder: &Path,
         name: &str,
         settings: &serde_json::Value,
+    ) -> Self {
+        Self::start_limited(program, folder, name, settings, None)
+    }
+
+    /// Starts `program` as [`start`](Self::start) does, with at most `max_descriptors` open
+    /// descriptors.
+    pub fn start_limited(
+        program: &'static str,
+        folder: &Path,
+        name: &str,
+        settings: &serde_json::Value,
+        max_descriptors: Option<u32>,
     ) -> Self {
         std::fs::write(folder.join(format!("{name}.json")), settings.to_string()).unwrap();
         let (name, folder) = (name.to_string(), folder.to_path_buf());
-        let mut process = Self { name, program, folder, child: None, starts: 0 };
+        let mut process = Self { name, program, folder, child: None, starts: 0, max_descriptors };
         process.ensure_running();
         process
     }
@@ -40,7 +54,8 @@
         self.starts += 1;
         let log = self.log_path();
         let errors = self.folder.join(format!("{}-{}.err", self.name, self.starts));
-        let child = Command::new(self.program)
+        let child = self
+            .command()
             .arg(self.folder.join(format!("{}.json", self.name)))
             .stdout(File::create(log).unwrap())
             .stderr(File::create(errors).unwrap())
@@ -50,6 +65,19 @@
         self.child = Some(child);
     }
 
+    /// Returns the command that runs the program with its limits.
+    fn command(&self) -> Command {
+        let Some(limit) = self.max_descriptors else { return Command::new(self.program) };
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {limit} && exec \"$0\" \"$@\""), self.program]);
+        command
+    }
+
+    /// Returns the id of the process, or `None` while it does not run.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     fn log_path(&self) -> PathBuf {
         self.folder.join(format!("{}-{}.log", self.name, self.starts))
     }
