Bound the connections and bodies that a control instance holds for its clients

Seen: 30 clients that send changes without end, stop within an announced one or call something that does not exist took a control instance to 774 to 955 MB of 256 MB (tests control_chunked_endless, control_announced_unfinished, control_announced_over_limit, control_unknown_call, control_peer_endless, control_refusal_ignored). With 256 descriptors, 300 unused connections took all of them (control_idle, control_metrics_idle), and pipelined reads whose responses nobody took kept ordinary changes out for longer than 10 s (control_items_unread).

Cause: each request buffered up to 64 MiB before anything was decided about it, any number at once and without a time limit; the acceptor of the library took connections without a bound; and a connection was served until it had no further request, before any other.

Change: arbutuslane_listen opens listeners with small receive buffers, accepts a connection only when it has a place, and closes the least useful one when another needs its place (connections::Table decides). Bodies are received into one memory, the largest gives way (receiving::Receiving), within 10 s; a stated length over the limit is refused before anything is read. Large changes take turns. A connection with further requests lets others go first. New settings memory_mb and descriptors; one body may have a sixteenth of the memory (16 MB of 256 MB; a change of 24,000 routes has 5 MB).

--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -15,12 +15,15 @@
 use arbutuslane_item::distribution::Receiver;
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
 use arbutuslane_item::prelude::{Item, Position, Replication, Table as ItemTable};
+use arbutuslane_limit::memory::Memory;
+use arbutuslane_listen::bodies::Bodies;
+use arbutuslane_listen::connections;
 use arbutuslane_member::gossip::Gossip;
 use arbutuslane_member::table::Table;
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::gossip::{GossipDelegate, MemberChange};
 use crate::token::Tokens;
@@ -40,6 +43,12 @@
 /// State shared by the threads of a control instance.
 pub(super) struct Core {
     pub(super) settings: Settings,
+    /// The bodies of requests that are being received.
+    pub(super) bodies: Arc<Bodies>,
+    /// Lets one large change be handled at a time.
+    pub(super) large_changes: Semaphore,
+    /// The connections that were closed for want of room.
+    pub(super) connections: Arc<connections::Counters>,
     pub(super) tokens: Arc<Tokens>,
     pub(super) disk: DiskHandle,
     pub(super) events: Events,
@@ -139,6 +148,9 @@
         };
         let seed = hash::of_bytes(settings.name.as_bytes()) ^ incarnation;
         Arc::new(Self {
+            bodies: Bodies::new(Memory::new(settings.body_bytes())),
+            large_changes: Semaphore::new(1),
+            connections: Arc::default(),
             settings,
             tokens: Arc::new(tokens),
             disk,
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -1,8 +1,6 @@
 //! Starts and stops a control instance for items.
 
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::sync::Arc;
 
 use arbutuslane_core::time::Clock;
@@ -14,9 +12,8 @@
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
-use ntex::client::Client;
 use ntex::rt::{DefaultRuntime, System};
-use ntex::web::{self, App, HttpServer};
+use ntex::time::Seconds;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use crate::daemon::Error;
@@ -26,8 +23,9 @@
 use super::departures::Departures;
 use super::interface::OperatorFormat;
 use super::leader::Order;
+use super::listener::{self, Opened, ServerState};
 use super::settings::Settings;
-use super::{disk, leader, push, server, settle, voters};
+use super::{disk, leader, push, settle, voters};
 
 /// The log filter that applies without the argument `--log`.
 const DEFAULT_LOG_FILTER: &str = "info,ntex_server=warn,ntex_rt=warn,ntex=warn";
@@ -86,12 +84,7 @@
     };
     let is_new = recovered.is_emptied || recovered.damage.is_some();
     let departures = Departures::start(&settings.data, is_new, Clock::start_counting_suspension())?;
-    let mut listeners = Vec::new();
-    for address in std::iter::once(&settings.listen).chain(&settings.metrics) {
-        let listener = TcpListener::bind(address)
-            .map_err(|source| Error::Listen { address: address.clone(), source })?;
-        listeners.push(listener);
-    }
+    let listeners = listener::open_all(&settings)?;
     let quorum = settings.lost_disks + 1;
     let replication = Replication::new(&settings.name, quorum, recovered.replication);
     tracing::info!(
@@ -137,31 +130,14 @@
     core: Arc<Core>,
     gossip: gossip::GossipHandle,
     operators: Arc<dyn OperatorFormat>,
-    listeners: Vec<TcpListener>,
+    listeners: Vec<Opened>,
     orders: UnboundedReceiver<Order>,
 ) -> std::io::Result<()> {
     let worker_core = Arc::clone(&core);
     let reload_gossip = gossip.clone();
     let stop_s = usize::try_from(core.settings.stop_ms / 1_000).unwrap_or(1).max(1);
-    let mut server = HttpServer::new(async move || {
-        let shared = Rc::new(server::Shared {
-            core: Arc::clone(&worker_core),
-            gossip: gossip.clone(),
-            operators: Arc::clone(&operators),
-            client: Client::new().await,
-        });
-        App::new()
-            .state(shared)
-            .configure(server::configure)
-            .default_service(web::route().to(server::handle_operator_request))
-    })
-    .workers(1)
-    .disable_signals()
-    .shutdown_timeout(ntex::time::Seconds::checked_new(stop_s));
-    for listener in listeners {
-        server = server.listen(listener)?;
-    }
-    let server = server.run();
+    let state = ServerState { core: worker_core, gossip, operators };
+    let server = listener::serve(listeners, state, Seconds::checked_new(stop_s))?;
     let _leader_task = ntex::rt::spawn(leader::run(Arc::clone(&core), orders));
     let _push_task = ntex::rt::spawn(push::run(Arc::clone(&core)));
     let _repair_task = ntex::rt::spawn(settle::run_repair(Arc::clone(&core)));
--- a/crates/arbutuslane_control/src/items/mod.rs
+++ b/crates/arbutuslane_control/src/items/mod.rs
@@ -15,6 +15,7 @@
 mod durable;
 pub mod interface;
 mod leader;
+mod listener;
 mod outbox;
 mod push;
 mod server;
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -9,13 +9,16 @@
 use arbutuslane_core::time::millis;
 use arbutuslane_event::metric::Text;
 use arbutuslane_item::prelude::{Item, check};
+use arbutuslane_listen::connections::{Connections, Request as CountedRequest};
+use arbutuslane_listen::receive::{self, Bounds, Error, Received};
 use arbutuslane_wire::peer::{Answer, Message};
 use arbutuslane_wire::{codec, header, operator};
 use ntex::client::Client;
 use ntex::http::StatusCode;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::time::timeout_checked;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::body;
 use crate::gossip::GossipHandle;
 
 use super::core::{Core, Step};
@@ -24,8 +27,12 @@
 use super::leader::{self, Decision};
 use super::{agreement, compare, settle};
 
-/// The largest accepted request body.
-const MAX_BODY_BYTES: usize = 64 << 20;
+/// The time in which a request body has to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The size in bytes from which a change is handled alone, because its items need several times the
+/// bytes of their text.
+const LARGE_CHANGE_BYTES: usize = 256 << 10;
 
 /// The longest wait for the copies of a change. Operators' clients try another instance after about
 /// a second; a change that has been accepted by then is acknowledged when it is sent again.
@@ -37,6 +44,14 @@
     pub(super) gossip: GossipHandle,
     pub(super) operators: Arc<dyn OperatorFormat>,
     pub(super) client: Client,
+    /// The connections of the listener.
+    pub(super) connections: Connections,
+}
+
+/// A request body that was received; its connection does not give way until this is dropped.
+struct Body {
+    received: Received,
+    _counted: Option<CountedRequest>,
 }
 
 type State = web::types::State<Rc<Shared>>;
@@ -82,6 +97,9 @@
         ("changes_invalid_total", "counter", load(&counters.invalid)),
         ("changes_unconfirmed_total", "counter", load(&counters.unconfirmed)),
         ("push_failures_total", "counter", load(&counters.push_failures)),
+        ("connections_replaced_total", "counter", load(&core.connections.replaced)),
+        ("connections_refused_total", "counter", load(&core.connections.refused)),
+        ("bodies_gave_way_total", "counter", core.bodies.gave_way()),
         ("items_held", "gauge", held as u64),
         ("items_accepted", "gauge", accepted as u64),
         ("items_pending", "gauge", pending as u64),
@@ -110,11 +128,11 @@
     if shared.core.tokens.holder(presented.unwrap_or_default()).is_none() {
         return HttpResponse::Unauthorized().finish();
     }
-    let bytes = match body::read(&mut payload, MAX_BODY_BYTES).await {
-        Ok(bytes) => bytes,
-        Err(status) => return HttpResponse::build(status).finish(),
+    let body = match receive(&shared, &request, &mut payload).await {
+        Ok(body) => body,
+        Err(error) => return HttpResponse::build(status_of(&error)).finish(),
     };
-    let Ok(message) = codec::decode::<Message>(&bytes) else {
+    let Ok(message) = codec::decode::<Message>(&body.received.bytes) else {
         return HttpResponse::BadRequest().finish();
     };
     let answer = match message {
@@ -171,18 +189,22 @@
     shared: State,
     mut payload: web::types::Payload,
 ) -> HttpResponse {
-    let bytes = match body::read(&mut payload, MAX_BODY_BYTES).await {
-        Ok(bytes) => bytes,
-        Err(status) => {
-            return refuse(
-                status,
-                "the request body is incomplete or too large",
-                "send the whole body, within the size limit",
-            );
+    let body = match receive(&shared, &request, &mut payload).await {
+        Ok(body) => body,
+        Err(error) => {
+            let remedy = "send the whole body, within the size limit";
+            return refuse(status_of(&error), &error.to_string(), remedy);
         }
     };
+    let _turn = match body.received.bytes.len() >= LARGE_CHANGE_BYTES {
+        false => None,
+        true => match timeout_checked(ACCEPT_TIMEOUT, shared.core.large_changes.acquire()).await {
+            Ok(turn) => Some(turn),
+            Err(()) => return unavailable("this instance handles another large change"),
+        },
+    };
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-    match shared.operators.read(request.method().as_str(), target, &bytes) {
+    match shared.operators.read(request.method().as_str(), target, &body.received.bytes) {
         OperatorRequest::Change(Ok(items)) => handle_change(&shared, items).await,
         OperatorRequest::Change(Err(error)) => refuse_invalid(&shared.core, &error.to_string()),
         OperatorRequest::Read => read_items(&shared).await,
@@ -192,6 +214,32 @@
     }
 }
 
+/// Receives the body of a request.
+async fn receive(
+    shared: &Shared,
+    request: &HttpRequest,
+    payload: &mut web::types::Payload,
+) -> Result<Body, Error> {
+    let counted = request.io().and_then(|io| shared.connections.begin(io));
+    let length = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let length = length.and_then(|text| text.parse().ok());
+    let limit = shared.core.settings.max_body_bytes();
+    let bounds = Bounds { limit, length, time: BODY_TIMEOUT };
+    let received =
+        receive::receive(&shared.core.bodies, &mut payload.0, counted.as_ref(), bounds).await?;
+    Ok(Body { received, _counted: counted })
+}
+
+/// Returns the status of the response to a body that was not received.
+fn status_of(error: &Error) -> StatusCode {
+    match error {
+        Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Error::Incomplete(_) => StatusCode::BAD_REQUEST,
+        Error::Late => StatusCode::REQUEST_TIMEOUT,
+        Error::GaveWay => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 async fn handle_change(shared: &Shared, items: Vec<Item>) -> HttpResponse {
     let started_at = Instant::now();
     let items: Vec<Arc<Item>> = items.into_iter().map(Arc::new).collect();
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -40,6 +40,12 @@
     /// An additional IP address and port that serves metrics.
     #[serde(default)]
     pub metrics: Option<String>,
+    /// The memory that this process may use, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
+    /// The most descriptors that this process may have open; what the system allows when absent.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
     /// The file that the settings were read from; `None` for settings built in code.
     #[serde(skip)]
     pub path: Option<PathBuf>,
@@ -48,10 +54,29 @@
     pub stop_ms: u64,
 }
 
+/// The least memory with which an instance works, in megabytes.
+const MIN_MEMORY_MB: u32 = 64;
+
+/// The fewest descriptors with which an instance works.
+const MIN_DESCRIPTORS: u32 = 64;
+
+/// The number of bytes in a megabyte of the settings.
+const BYTES_PER_MEGABYTE: usize = 1 << 20;
+
+/// The part of the memory that holds request bodies: one in this many.
+const BODY_MEMORY_DIVISOR: usize = 8;
+
+/// The part of the memory that one request body may have: one in this many.
+const MAX_BODY_DIVISOR: usize = 16;
+
 fn default_stop_ms() -> u64 {
     5_000
 }
 
+fn default_memory_mb() -> u32 {
+    256
+}
+
 impl Settings {
     /// Reads and checks the file at `path`.
     ///
@@ -81,6 +106,17 @@
         self.advertise.as_deref().unwrap_or(&self.listen)
     }
 
+    /// Returns the number of bytes of request bodies that the instance may hold at a time.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.memory_mb as usize * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR
+    }
+
+    /// Returns the largest request body in bytes. The items of a change need several times the
+    /// bytes of their text.
+    pub(super) fn max_body_bytes(&self) -> usize {
+        self.memory_mb as usize * BYTES_PER_MEGABYTE / MAX_BODY_DIVISOR
+    }
+
     /// Returns the seeds without the addresses of this instance.
     pub(super) fn other_seeds(&self) -> Vec<String> {
         let own = [self.listen.as_str(), self.advertised()];
@@ -103,6 +139,14 @@
             let remedy = "write an IP address and port, such as 192.0.2.1:7100";
             return Err(refuse("advertise", "not an IP address and port", remedy));
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            let remedy = "state the megabytes that the process may use, at least 64";
+            return Err(refuse("memory_mb", "too small", remedy));
+        }
+        if self.descriptors.is_some_and(|descriptors| descriptors < MIN_DESCRIPTORS) {
+            let remedy = "let the process have at least 64 descriptors open";
+            return Err(refuse("descriptors", "too few", remedy));
+        }
         if self.token_file.is_none() && !self.open_network {
             let remedy = "name a file with a secret, or set `open_network` if untrusted clients \
                           cannot reach the network";
--- a/crates/arbutuslane_limit/src/lib.rs
+++ b/crates/arbutuslane_limit/src/lib.rs
@@ -12,7 +12,9 @@
 //! [`BodyWatch`](body_watch::BodyWatch) for each response that it passes on.
 //! [`SlowReaders`](slow_readers::SlowReaders) chooses the response that is cut when that memory is
 //! used up, and an owner bounds the request bodies of each server by
-//! [`ServerBodies`](server_bodies::ServerBodies).
+//! [`ServerBodies`](server_bodies::ServerBodies). Each listener has a
+//! [`Table`](connections::Table) of its connections, which decides which of them gives way to another
+//! one.
 //!
 //! ```
 //! use std::time::Duration;
@@ -38,11 +40,14 @@
 pub mod bucket;
 pub mod budget;
 pub mod connect_time;
+pub mod connections;
 pub mod deadline;
 pub mod gate;
 pub mod memory;
 pub mod pace;
+pub mod places;
 pub mod rank_load;
+pub mod receiving;
 pub mod repeats;
 pub mod resend;
 pub mod retry;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub use arbutuslane_health as health;
 pub use arbutuslane_item as item;
 pub use arbutuslane_limit as limit;
+pub use arbutuslane_listen as listen;
 pub use arbutuslane_member as member;
 pub use arbutuslane_node as node;
 pub use arbutuslane_record as record;
