Bound the connections and bodies that a node holds before a request is accepted

Seen: with 64 MB, 300 clients with bodies took a node to 116 to 226 MB, 300 to 1,000 with heads to 163 MB, messages to its peers' listener to 650 MB; with 256 descriptors, 300 idle connections kept ordinary callers out until they left. In these cases a chunk extension without end grew the read buffer without a limit and was parsed again with every read.

Cause: no listener had a bound on its connections, the acceptor took them until no descriptor was left, each connection had buffers of 64 KiB and a receive buffer of the system's choice, bodies beyond the memory for them kept their start and were streamed without a limit, and messages were buffered before anything was compared with their limit.

Change: the listeners of a node use arbutuslane_listen, as those of control instances do, with shares of memory_mb and of the new setting descriptors. A request is accepted once its body has been received; a connection without an accepted request may give way to another, and its request is refused as not run. Bodies and messages are received into their memory, where the largest gives way; at most 16 are streamed, and they take half of the slots of a server. A connection that sends 192 KiB that no request takes is closed, and one with more than 64 KiB that cannot be parsed. Dials wait for a descriptor.

Why it works: connections x bytes of each stay within the shares, and ordinary requests need little and go first.

--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -11,6 +11,7 @@
 use arbutuslane_core::id::{Incarnation, ServerId};
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_limit::gate::Order;
+use arbutuslane_limit::places::Places;
 use arbutuslane_wire::announce::Announcement;
 
 use crate::condition::ServerHealth;
@@ -166,6 +167,7 @@
                 Admission::new(announcement.slots, self.clock).with_order(self.order),
             ),
             bodies: self.server_body_bytes.map(|limit| Arc::new(BodyAdmission::new(limit))),
+            streams: Places::new(usize::MAX),
             health: ServerHealth::new(&announcement.server, self.clock, self.tries_suspects_last),
             lease: self.lease,
             renewed_ms: AtomicU64::new(0),
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -8,6 +8,7 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::id::{Incarnation, ServerId, ServiceName};
 use arbutuslane_core::time::{Time, millis};
+use arbutuslane_limit::places::Places;
 use arbutuslane_limit::reuse::Reuse;
 use arbutuslane_wire::announce::Announcement;
 use arbutuslane_wire::load::{Report, Serving};
@@ -30,6 +31,8 @@
     pub(crate) admission: Arc<Admission>,
     /// The admission of request bodies, if the bytes that the server is given are bounded.
     pub(crate) bodies: Option<Arc<BodyAdmission>>,
+    /// The requests at the server whose bodies are streamed from their senders.
+    pub(crate) streams: Arc<Places>,
     /// The health of the server as this node sees it.
     pub(crate) health: Arc<ServerHealth>,
     pub(super) lease: Duration,
--- a/crates/arbutuslane_node/src/metrics/mod.rs
+++ b/crates/arbutuslane_node/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod render;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -30,6 +31,8 @@
     pub(crate) rejected_by_owner: AtomicU64,
     /// Requests that this node dispatched to its backend servers.
     pub(crate) dispatched: AtomicU64,
+    /// Connections of callers, peers and others that were closed for want of room.
+    pub(crate) connections: Arc<arbutuslane_listen::connections::Counters>,
     /// Connections that were opened for requests.
     pub(crate) connections_opened: AtomicU64,
     /// Exchanges on a reused connection.
--- a/crates/arbutuslane_node/src/metrics/render.rs
+++ b/crates/arbutuslane_node/src/metrics/render.rs
@@ -31,6 +31,8 @@
         ("stale_retries", &metrics.stale_retries),
         ("turned_away", &metrics.rejected_by_owner),
         ("dispatched", &metrics.dispatched),
+        ("connections_replaced", &metrics.connections.replaced),
+        ("connections_refused", &metrics.connections.refused),
         ("connections_opened", &metrics.connections_opened),
         ("connections_reused", &metrics.connections_reused),
         ("wrong_exchange", &metrics.wrong_exchange),
@@ -51,8 +53,12 @@
         ("allowance_refused", &metrics.allowance_refused),
         ("allowance_refused_base_share", &metrics.base_share_refused),
     ];
-    for (name, counter) in counters {
-        let value = counter.load(Ordering::Relaxed);
+    let gave_way = [
+        ("bodies_gave_way", shared.bodies.gave_way()),
+        ("messages_gave_way", shared.message_bodies.gave_way()),
+    ];
+    let counters = counters.map(|(name, counter)| (name, counter.load(Ordering::Relaxed)));
+    for (name, value) in counters.into_iter().chain(gave_way) {
         let _ = writeln!(text, "# TYPE arbutuslane_{name}_total counter");
         let _ = writeln!(text, "arbutuslane_{name}_total {value}");
     }
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -22,9 +22,16 @@
 /// The part of the grace time in which a node closes its listeners and writes its last log lines.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
+/// The fewest descriptors with which a node works.
+const MIN_DESCRIPTORS: u32 = 64;
+
 /// The part of the memory that holds request bodies: one in this many.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// The part of the memory that holds messages of peers, servers and operators while they are
+/// received: one in this many.
+const MESSAGE_MEMORY_DIVISOR: usize = 16;
+
 /// The settings of one node.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -109,6 +116,9 @@
     /// request bodies.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// The most descriptors that this process may have open; what the system allows when absent.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
     /// Whether responses are read from their servers into the memory for bodies while their readers
     /// are slow.
     #[serde(default)]
@@ -249,6 +259,9 @@
         if settings.memory_mb == 0 {
             return Err(Error::Value { key: "memory_mb", reason: "must be at least 1" });
         }
+        if settings.descriptors.is_some_and(|descriptors| descriptors < MIN_DESCRIPTORS) {
+            return Err(Error::Value { key: "descriptors", reason: "must be at least 64" });
+        }
         if settings.server_body_mb == Some(0) {
             return Err(Error::Value { key: "server_body_mb", reason: "must be at least 1" });
         }
@@ -292,6 +305,11 @@
         (self.memory_mb as usize) * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns the number of bytes of messages to the node itself that it may receive at a time.
+    pub(crate) fn message_bytes(&self) -> usize {
+        (self.memory_mb as usize) * BYTES_PER_MEGABYTE / MESSAGE_MEMORY_DIVISOR
+    }
+
     /// Returns the number of bytes of request bodies that a server is given at a time.
     pub(crate) fn server_body_bytes(&self) -> Option<u64> {
         self.server_body_mb.map(|megabytes| u64::from(megabytes) * BYTES_PER_MEGABYTE as u64)
@@ -360,6 +378,7 @@
             ("heartbeat_s", r#""heartbeat_s": -1.5"#),
             ("memory_mb", r#""memory_mb": 0"#),
             ("server_body_mb", r#""server_body_mb": 0"#),
+            ("descriptors", r#""descriptors": 63"#),
             ("retry_budget", r#""retry_budget": {"ratio": -0.1, "slack": 1, "window_s": 10}"#),
             ("retry_budget", r#""retry_budget": {"ratio": 0.1, "slack": 1, "window_s": 0}"#),
             ("allowance", r#""allowance": {"window_s": 5, "overshoot": 0, "slack": 20}"#),
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -17,9 +17,11 @@
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::memory::Memory;
+use arbutuslane_limit::places::Places;
 use arbutuslane_limit::repeats;
 use arbutuslane_limit::resend::RecentFailures;
 use arbutuslane_limit::slow_readers::SlowReaders;
+use arbutuslane_listen::bodies::Bodies;
 
 use crate::announce::ServerTable;
 use crate::cluster::Cluster;
@@ -45,6 +47,10 @@
 /// The most events that a node holds in memory for `/v1/events`.
 const MAX_EVENTS: usize = 4_096;
 
+/// The most requests whose bodies are streamed at a time. A streamed body occupies a slot of its
+/// server for as long as its sender takes.
+const MAX_STREAMS: usize = 16;
+
 /// A backend server that another node owns.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RemoteServer {
@@ -85,6 +91,12 @@
     pub(crate) cluster: Cluster,
     /// The memory for the bodies that this node holds as an entry and as an owner.
     pub(crate) body_memory: Arc<Memory>,
+    /// The request bodies that are being received into that memory.
+    pub(crate) bodies: Arc<Bodies>,
+    /// The bodies of messages to this node itself that are being received.
+    pub(crate) message_bodies: Arc<Bodies>,
+    /// The requests whose bodies are streamed because that memory is used up.
+    pub(crate) streams: Arc<Places>,
     /// The responses that are held in that memory because their readers are slow.
     pub(crate) slow_readers: Mutex<SlowReaders>,
     /// The rate limiter of this node as an entry.
@@ -160,6 +172,9 @@
             .map(|allowance| Allowances::new(allowance, &settings.node, incarnation));
         let server_body_bytes = settings.server_body_bytes();
         let body_memory = Memory::new(settings.body_bytes());
+        let bodies = Bodies::new(Arc::clone(&body_memory));
+        let message_bodies = Bodies::new(Memory::new(settings.message_bytes()));
+        let streams = Places::new(MAX_STREAMS);
         let departures = Departures::new(settings.source, clock.now());
         Arc::new(Self {
             settings,
@@ -174,6 +189,9 @@
             events,
             cluster,
             body_memory,
+            bodies,
+            message_bodies,
+            streams,
             slow_readers: Mutex::default(),
             limiter: Limiter::default(),
             allowances,
--- a/crates/arbutuslane_node/src/traffic/client/connection.rs
+++ b/crates/arbutuslane_node/src/traffic/client/connection.rs
@@ -11,9 +11,10 @@
 use hyper_util::rt::TokioIo;
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HeaderMap, Method, StatusCode};
+use rustix::io::Errno;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{sleep, timeout};
 
 use arbutuslane_wire::header;
 
@@ -34,7 +35,18 @@
 const MAX_HEADER_FIELDS: usize = 96;
 
 /// The maximum size of a connection's buffer in bytes; limits the memory that a long body uses.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
+/// The size of a connection's receive buffer in bytes, as it is set: what a response may add to the
+/// memory of this machine while its reader takes nothing.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
+/// How long to wait for a descriptor: the time in which a listener closes connections beyond its
+/// share.
+const DESCRIPTOR_WAIT: Duration = Duration::from_millis(10);
+
+/// How often to wait for a descriptor.
+const MAX_DESCRIPTOR_WAITS: u32 = 20;
 
 /// How long sent bytes may stay unacknowledged: several retransmissions on a link that loses
 /// packets.
@@ -149,7 +161,7 @@
         silence_limit: SilenceLimit,
         pool: Rc<Pool>,
     ) -> Result<Self, Failure> {
-        let connecting = timeout(limit.max(MIN_TIMEOUT), TcpStream::connect(address));
+        let connecting = timeout(limit.max(MIN_TIMEOUT), dial(address));
         let stream = connecting.await.map_err(|_| Failure::ConnectTimeout)?;
         let stream = stream.map_err(Failure::Connect)?;
         stream.set_nodelay(true).map_err(Failure::Connect)?;
@@ -327,3 +339,24 @@
     }
     builder.body(request.upload.outgoing()).map_err(request_failure)
 }
+
+/// Opens a connection with a small receive buffer; waits for a descriptor if there is none.
+async fn dial(address: SocketAddr) -> std::io::Result<TcpStream> {
+    for _ in 0..MAX_DESCRIPTOR_WAITS {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        match socket {
+            Ok(socket) => {
+                socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+                return socket.connect(address).await;
+            }
+            Err(error) if Errno::from_io_error(&error) == Some(Errno::MFILE) => {
+                sleep(DESCRIPTOR_WAIT).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Err(std::io::Error::other("all descriptors of this process are in use"))
+}
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use arbutuslane_core::experiment::Mechanism;
+use arbutuslane_limit::places::Place;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use ntex::http::Payload;
 
@@ -37,6 +38,8 @@
     has_started: Cell<bool>,
     sent: Cell<u64>,
     error: Cell<Option<UploadError>>,
+    /// Its place among the bodies that are streamed.
+    _place: Place,
 }
 
 /// The reason why a body could not be sent completely.
@@ -69,6 +72,7 @@
         payload: Payload,
         length: Option<u64>,
         limit: u64,
+        place: Place,
     ) -> Self {
         Self::Stream(Rc::new(StreamedBody {
             prefix,
@@ -79,6 +83,7 @@
             has_started: Cell::new(false),
             sent: Cell::new(0),
             error: Cell::new(None),
+            _place: place,
         }))
     }
 
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -14,6 +14,7 @@
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::retry;
 use arbutuslane_limit::tried::TriedServers;
+use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_wire::header;
 
 use crate::cluster::keyed::{self, KeyClaim, KeyedResponse};
@@ -36,14 +37,18 @@
 use super::worker::Worker;
 
 /// Responds to a caller's request that is not pipelined.
-pub(crate) async fn handle(worker: Rc<Worker>, mut request: http::Request) -> Response {
+pub(crate) async fn handle(
+    worker: Rc<Worker>,
+    mut request: http::Request,
+    counted: Option<CountedRequest>,
+) -> Response {
     let is_http2 = request.version() == Version::HTTP_2;
     if is_http2 && worker.shared.is_stopping() {
         request.io().into_iter().for_each(protocol::send_go_away);
     }
     // A truncated body resets its HTTP/2 stream, but has to close an HTTP/1.1 connection.
     let io = request.io().filter(|_| !is_http2).cloned();
-    let incoming = IncomingRequest::from(&mut request);
+    let incoming = IncomingRequest { counted, ..IncomingRequest::from(&mut request) };
     respond(worker, incoming, io).await
 }
 
@@ -58,8 +63,10 @@
     let dialect = worker.shared.interface.dialect();
     let id = owner::request_id(dialect, &incoming.headers).to_string();
     let mut destination = Destination::default();
-    let response = process_request(&worker, incoming, &mut destination);
+    let mut incoming = incoming;
+    let response = process_request(&worker, &mut incoming, &mut destination);
     let response = worker.shared.stop.unless_given_up(response).await;
+    let counted = incoming.counted.take();
     let result = response.unwrap_or_else(|| Err(Refusal::unanswered_at_stop()));
     let elapsed = worker.shared.clock.now().saturating_sub(started_at);
     outcome::record_failed_call(&worker, &id, &result);
@@ -77,6 +84,7 @@
     };
     let deadline = response.body_deadline(routed.class, routed.deadline);
     let delivery = Delivery::new(&worker.shared, in_flight, &id)
+        .with_counted(counted)
         .with_io(io)
         .with_pipeline()
         .with_deadline(deadline)
@@ -102,16 +110,17 @@
 /// route and service.
 async fn process_request(
     worker: &Worker,
-    mut incoming: IncomingRequest,
+    incoming: &mut IncomingRequest,
     destination: &mut Destination,
 ) -> Result<FinalResponse, Refusal> {
     let routed = match worker.shared.stop.has_intake_ended() {
         true => Err(Refusal::not_run("this node is about to stop")),
-        false => route(worker, &mut incoming).await,
+        false => route(worker, incoming).await,
     };
     let routed = match routed {
         Ok(routed) => routed,
         Err(refusal) => {
+            incoming.counted.iter().for_each(CountedRequest::reject);
             intake::discard(&mut incoming.payload).await;
             return Err(refusal);
         }
--- a/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
+++ b/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
@@ -27,6 +27,8 @@
 use ntex::time::sleep;
 use ntex::util::{Bytes, Stream};
 
+use arbutuslane_listen::connections::{Connections, Request as CountedRequest};
+
 use super::entry;
 use super::route::IncomingRequest;
 use super::worker::Worker;
@@ -158,10 +160,16 @@
 }
 
 /// Responds to a caller's request, and starts the requests that are pipelined after it.
-pub(crate) async fn handle(worker: Rc<Worker>, mut request: http::Request) -> Response {
+pub(crate) async fn handle(
+    worker: Rc<Worker>,
+    connections: &Connections,
+    mut request: http::Request,
+) -> Response {
     let is_http1 = request.version() != Version::HTTP_2;
     let Some(io) = request.io().filter(|_| is_http1).cloned() else {
-        return entry::handle(worker, request).await;
+        let counted = request.io().and_then(|io| connections.begin(io));
+        meter(counted.as_ref(), &mut request);
+        return Box::pin(entry::handle(worker, request, counted)).await;
     };
     let mut started = worker.pipelined.borrow_mut().take(&io);
     let mut response = match started.front().is_some_and(|first| first.matches(&request)) {
@@ -179,7 +187,12 @@
         Some(PendingResponse::Running(running)) => running,
         Some(PendingResponse::Ready(response)) => Box::pin(std::future::ready(response)),
         None => {
-            let mut incoming = IncomingRequest::from(&mut request);
+            let counted = connections.begin(&io);
+            if let Some(counted) = &counted {
+                counted.take_turn().await;
+            }
+            meter(counted.as_ref(), &mut request);
+            let mut incoming = IncomingRequest { counted, ..IncomingRequest::from(&mut request) };
             body_end = TrackedBody::track(&mut incoming.payload);
             Box::pin(entry::respond(Rc::clone(&worker), incoming, Some(io.clone())))
         }
@@ -195,10 +208,14 @@
         }
         while buffer_check.poll_elapsed(cx).is_ready() {
             buffer_check = sleep(BUFFER_CHECK_INTERVAL);
-            if !body_end.is_reached() {
+            if !body_end.is_reached() || started.len() >= MAX_EARLY_REQUESTS {
                 continue;
             }
-            for incoming in new_requests(&worker, &io, started.len(), caller) {
+            for mut incoming in new_requests(&worker, &io, started.len(), caller) {
+                incoming.counted = connections.try_begin(&io);
+                if incoming.counted.is_none() {
+                    break;
+                }
                 let mut next = start_request(&worker, incoming, &io);
                 next.poll(cx);
                 started.push_back(next);
@@ -217,6 +234,14 @@
     response
 }
 
+/// Counts the bytes that are taken from the body of `request`.
+pub(super) fn meter(counted: Option<&CountedRequest>, request: &mut http::Request) {
+    if let Some(counted) = counted {
+        let payload = counted.metered(request.take_payload());
+        request.replace_payload(payload);
+    }
+}
+
 /// Closes the caller's connection after `response` while the node stops, so that the caller connects to
 /// another node.
 fn close_if_stopping(worker: &Worker, response: &mut Response) {
@@ -247,7 +272,7 @@
     });
     let configuration = worker.shared.configuration();
     let mut eligible = Vec::new();
-    for (index, mut incoming) in requests.into_iter().enumerate().take(MAX_EARLY_REQUESTS) {
+    for (index, mut incoming) in requests.into_iter().enumerate() {
         let host = incoming.headers.get("host").and_then(|host| host.to_str().ok());
         let rule = configuration.route(host, incoming.uri.path());
         if rule.is_none_or(|rule| !rule.class.is_repeatable()) {
@@ -262,10 +287,10 @@
 }
 
 /// Parses requests without bodies from the start of `bytes`, up to the first one that is incomplete
-/// or of another kind.
+/// or of another kind, and at most as many as are started early.
 fn parse(mut bytes: &[u8]) -> Vec<IncomingRequest> {
     let mut requests = Vec::new();
-    loop {
+    while requests.len() < MAX_EARLY_REQUESTS {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut head = httparse::Request::new(&mut fields);
         let Ok(httparse::Status::Complete(length)) = head.parse(bytes) else { return requests };
@@ -280,9 +305,11 @@
             headers,
             payload: Payload::None,
             caller: None,
+            counted: None,
         });
         bytes = &bytes[length..];
     }
+    requests
 }
 
 /// Returns the header fields, or `None` if they announce a body or concern the connection.
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -3,9 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use ntex::http::{Payload, StatusCode};
 use ntex::time::timeout_checked;
 
+use arbutuslane_listen::bodies::IncomingBody;
+use arbutuslane_listen::connections::Request as CountedRequest;
+
 use crate::cluster::keyed;
 use crate::metrics::count;
 use crate::shared::Shared;
@@ -23,13 +27,15 @@
 
 /// What a request body may be.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Bounds {
+pub(super) struct Bounds<'a> {
     /// The maximum size in bytes.
     pub(super) limit: u64,
     /// The size that the sender stated, if it did.
     pub(super) length: Option<u64>,
     /// The time in which the body has to arrive.
     pub(super) time: Duration,
+    /// The request on its connection, which may have to give way to another one meanwhile.
+    pub(super) counted: Option<&'a CountedRequest>,
 }
 
 /// Why a body was not read.
@@ -37,6 +43,8 @@
     TooLarge,
     /// The sender closed the connection, sent too few bytes or framed them wrongly.
     Incomplete,
+    /// The memory or the connection is needed for other requests.
+    GaveWay,
 }
 
 /// Holds a body in the memory of the node, so that a slow sender occupies no slot of a server and the body can be
@@ -49,7 +57,7 @@
 pub(super) async fn read_upload(
     shared: &Shared,
     payload: Payload,
-    bounds: Bounds,
+    bounds: Bounds<'_>,
 ) -> Result<Upload, Refusal> {
     if bounds.length.is_some_and(|length| length > bounds.limit) {
         return Err(body_too_large(bounds.limit));
@@ -57,7 +65,8 @@
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    match within(bounds.time, hold(shared, payload, bounds)).await {
+    match within(bounds.time, unless_given_way(bounds.counted, hold(shared, payload, bounds))).await
+    {
         Ok(Ok(upload)) => {
             if matches!(upload, Upload::Stream(_)) {
                 count(&shared.metrics.streamed_bodies);
@@ -66,6 +75,7 @@
         }
         Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
         Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
+        Ok(Err(ReadError::GaveWay)) => Err(gave_way()),
         Err(Elapsed) => Err(late_body()),
     }
 }
@@ -86,22 +96,58 @@
     let _ = timeout_checked(DISCARD_TIMEOUT, reading).await;
 }
 
+/// Receives a body unless its connection gives way to another one.
+async fn unless_given_way(
+    counted: Option<&CountedRequest>,
+    receiving: impl Future<Output = Result<Upload, ReadError>>,
+) -> Result<Upload, ReadError> {
+    let Some(counted) = counted else { return receiving.await };
+    let (receiving, gave_way) = (std::pin::pin!(receiving), std::pin::pin!(counted.gave_way()));
+    match select(receiving, gave_way).await {
+        Either::Left((received, _)) => received,
+        Either::Right(_) => Err(ReadError::GaveWay),
+    }
+}
+
+/// Accepts a request whose head and body have been received: from now on its connection does not
+/// give way to another one.
+///
+/// # Errors
+///
+/// Refuses the request if the connection has given way before.
+pub(super) fn accept(counted: Option<&CountedRequest>) -> Result<(), Refusal> {
+    counted.map_or(Ok(()), |counted| counted.accept().map_err(|_| gave_way()))
+}
+
+/// Reads a body until it ends or the memory is used up, unless it has to give way to a smaller one.
+async fn hold(shared: &Shared, payload: Payload, bounds: Bounds<'_>) -> Result<Upload, ReadError> {
+    // Dropped after the bytes, so that others wake when the memory is free.
+    let incoming = shared.bodies.begin();
+    let held = incoming.unless_given_way(hold_in(shared, &incoming, payload, bounds)).await;
+    held.unwrap_or(Err(ReadError::GaveWay))
+}
+
 /// Reads a body until it ends or the memory is used up. The bytes that the fingerprint covers are
 /// read in any case.
-async fn hold(shared: &Shared, mut payload: Payload, bounds: Bounds) -> Result<Upload, ReadError> {
+async fn hold_in(
+    shared: &Shared,
+    incoming: &IncomingBody,
+    mut payload: Payload,
+    bounds: Bounds<'_>,
+) -> Result<Upload, ReadError> {
     let mut body = HeldBody::new(&shared.body_memory);
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| ReadError::Incomplete)?;
         if (body.len() + chunk.len()) as u64 > bounds.limit {
             return Err(ReadError::TooLarge);
         }
-        if body.push(&chunk) {
+        if push(shared, incoming, &mut body, &chunk).await {
             continue;
         }
-        relay::cut_slowest(shared);
+        let place = shared.streams.take().ok_or(ReadError::GaveWay)?;
         body.push_unreserved(&chunk);
         if body.len() >= keyed::FINGERPRINT_BODY_BYTES {
-            return Ok(Upload::stream(body, payload, bounds.length, bounds.limit));
+            return Ok(Upload::stream(body, payload, bounds.length, bounds.limit, place));
         }
     }
     match bounds.length.is_none_or(|length| length == body.len() as u64) {
@@ -110,6 +156,26 @@
     }
 }
 
+/// Appends `chunk` to `body`. Returns false if the memory is used up and no larger body gives way.
+async fn push(shared: &Shared, incoming: &IncomingBody, body: &mut HeldBody, chunk: &[u8]) -> bool {
+    while !body.push(chunk) {
+        relay::cut_slowest(shared);
+        if !incoming.make_room(body.len() + chunk.len()).await {
+            return false;
+        }
+    }
+    incoming.record(body.len());
+    true
+}
+
+/// Returns the refusal of a request that is refused so that others can be served.
+pub(super) fn gave_way() -> Refusal {
+    Refusal {
+        try_other_server: false,
+        ..Refusal::not_run("the memory and the connections of this node are needed for others")
+    }
+}
+
 fn body_too_large(limit: u64) -> Refusal {
     let error = format!("request body exceeds the {limit} bytes that the service allows");
     let remedy = "send a smaller body or raise the limit in the catalogue";
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,13 +9,16 @@
 use ntex::SharedCfg;
 use ntex::http::h1::control::Reason;
 use ntex::http::h1::{Control, ControlAck};
-use ntex::http::{HttpService, HttpServiceConfig, Payload, Request, Response, StatusCode};
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response, StatusCode};
 use ntex::io::{Base, IoConfig};
-use ntex::server::{Server, ServerBuilder, build, create_tcp_listener};
 use ntex::service::fn_service;
-use ntex::time::{Seconds, timeout_checked};
-use ntex::util::{Bytes, BytesMut};
+use ntex::time::Seconds;
 
+use arbutuslane_listen::budget::{Budget, MAX_HEAD_BYTES, READ_BUFFER_BYTES, Share};
+use arbutuslane_listen::connections::Connections;
+use arbutuslane_listen::gate::Gate;
+use arbutuslane_listen::server::{self, ConnectionService, Listener, Server, ServiceBuilder};
+use arbutuslane_listen::socket;
 use arbutuslane_wire::header;
 
 use crate::shared::Shared;
@@ -25,7 +27,7 @@
 use super::handshake::ListenerHandles;
 use super::protocol::ProtocolSelector;
 use super::worker::Worker;
-use super::{fields, http1_pipeline, owner};
+use super::{fields, http1_pipeline, message, owner};
 
 /// How long an idle connection is kept open.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
@@ -33,21 +35,21 @@
 /// The timeout for receiving a request head.
 const HEAD_TIMEOUT: Seconds = Seconds(5);
 
-/// The maximum size of a request head in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+/// The size of the unused part below which a buffer grows, in bytes.
+const LOW_BUFFER_BYTES: usize = 4 << 10;
 
-/// The size of the read and write buffers of a connection in bytes.
-pub(super) const BUFFER_BYTES: usize = 64 << 10;
+/// The number of unused buffers that each thread keeps.
+const KEPT_BUFFERS: usize = 32;
 
-/// The timeout for receiving the body of a message to `peers` or `admin`.
-const MESSAGE_BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// The size of the write buffer of a connection in bytes.
+pub(super) const WRITE_BUFFER_BYTES: usize = 32 << 10;
+
+/// The size of the receive buffer that is set for each connection, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
 /// How often idle connections are checked.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The maximum number of connections that wait to be accepted.
-const ACCEPT_BACKLOG: i32 = 1_024;
-
 /// The purpose of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Purpose {
@@ -56,6 +58,21 @@
     Admin,
 }
 
+impl Purpose {
+    /// Returns the part of the node's memory and descriptors that the connections of one listener
+    /// may use. The rest is for bodies and responses, for connections to servers, peers and control
+    /// instances, and for the node itself.
+    fn share(self) -> Share {
+        let receive_buffer = RECEIVE_BUFFER_BYTES;
+        match self {
+            Self::Callers => Share { memory: 12, descriptors: 16, receive_buffer },
+            Self::Peers => Share { memory: 8, descriptors: 12, receive_buffer },
+            // There may be three of these listeners.
+            Self::Admin => Share { memory: 1, descriptors: 2, receive_buffer },
+        }
+    }
+}
+
 thread_local! {
     /// The state of this traffic thread, which all its listeners share.
     static WORKER: RefCell<Option<Rc<Worker>>> = const { RefCell::new(None) };
@@ -64,13 +81,6 @@
 /// Opens the listeners and starts the traffic threads.
 pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<(Server, ListenerHandles)> {
     let settings = &shared.settings;
-    let stop_timeout =
-        Seconds::checked_new(usize::try_from(settings.stop_limit().as_secs()).unwrap_or(60));
-    let mut builder = build()
-        .workers(settings.traffic_threads)
-        .backlog(ACCEPT_BACKLOG)
-        .disable_signals()
-        .shutdown_timeout(stop_timeout);
     let mut listeners = vec![
         ("callers", Purpose::Callers, settings.callers),
         ("peers", Purpose::Peers, settings.peers),
@@ -79,50 +89,59 @@
     for (name, address) in [("readiness", settings.readiness), ("metrics", settings.metrics)] {
         listeners.extend(address.map(|address| (name, Purpose::Admin, address)));
     }
+    let budget = Budget::new(settings.memory_mb, settings.descriptors);
     let mut handles = ListenerHandles::default();
+    let mut served = Vec::new();
     for (name, purpose, address) in listeners {
-        let listener = open_listener(name, address)?;
-        handles.add(&listener)?;
-        builder = add_listener(builder, shared, name, purpose, listener)?;
+        let limit = budget.connections(purpose.share());
+        let socket = socket::open(address, budget.backlog(limit), RECEIVE_BUFFER_BYTES).map_err(
+            |error| std::io::Error::new(error.kind(), format!("{name} {address}: {error}")),
+        )?;
+        handles.add(&socket)?;
+        let service = service_builder(shared, purpose, limit.div_ceil(settings.traffic_threads));
+        served.push(Listener { socket, limit, config: connection_config(), service });
     }
-    Ok((builder.run(), handles))
-}
-
-/// Opens a listener on `address`.
-fn open_listener(name: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
-    create_tcp_listener(address, ACCEPT_BACKLOG)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("{name} {address}: {error}")))
+    let stop_timeout =
+        Seconds::checked_new(usize::try_from(settings.stop_limit().as_secs()).unwrap_or(60));
+    Ok((server::start(served, settings.traffic_threads, stop_timeout)?, handles))
 }
 
-/// Adds a listener to the server.
-fn add_listener(
-    builder: ServerBuilder,
-    shared: &Arc<Shared>,
-    name: &str,
-    purpose: Purpose,
-    listener: TcpListener,
-) -> std::io::Result<ServerBuilder> {
-    let shared = Arc::clone(shared);
+/// Returns the configuration of the connections.
+fn connection_config() -> SharedCfg {
     let http = HttpServiceConfig::new()
         .set_keepalive(KEEP_ALIVE_TIMEOUT)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_buf_size(MAX_HEAD_BYTES);
-    let io = IoConfig::new().set_read_buf(BUFFER_BYTES, 4 << 10, 32).set_write_buf(
-        BUFFER_BYTES,
-        4 << 10,
-        32,
-    );
-    let builder = builder.listen(name, listener, async move |_| {
-        let worker = thread_worker(&shared);
-        let service = fn_service(async move |request: Request| {
-            Ok::<_, std::io::Error>(serve(Rc::clone(&worker), purpose, request).await)
-        });
-        let http1 = HttpService::h1(service.clone())
-            .control(fn_service(async |control| Ok::<_, Infallible>(handle_control(control))));
-        let http2 = HttpService::h2(service);
-        ProtocolSelector { http1, http2, accepts_http2: purpose == Purpose::Callers }
-    })?;
-    Ok(builder.config(name, SharedCfg::new("incoming").add(http).add(io)))
+    let io = IoConfig::new()
+        .set_read_buf(READ_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS)
+        .set_write_buf(WRITE_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS);
+    SharedCfg::new("incoming").add(http).add(io).into()
+}
+
+/// Returns what builds the service of a listener in a thread, with at most `limit` connections.
+fn service_builder(shared: &Arc<Shared>, purpose: Purpose, limit: usize) -> ServiceBuilder {
+    let shared = Arc::clone(shared);
+    Arc::new(move || {
+        let service = build_service(&shared, purpose, limit);
+        Box::pin(std::future::ready(service))
+    })
+}
+
+/// Builds the service of a listener for this thread.
+fn build_service(shared: &Arc<Shared>, purpose: Purpose, limit: usize) -> ConnectionService {
+    let worker = thread_worker(shared);
+    let connections = Connections::new(limit, Arc::clone(&shared.metrics.connections));
+    let known = connections.clone();
+    let service = fn_service(async move |request: Request| {
+        let worker = Rc::clone(&worker);
+        Ok::<_, std::io::Error>(serve(worker, purpose, &known, request).await)
+    });
+    let http1 = HttpService::h1(service.clone())
+        .control(fn_service(async |control| Ok::<_, Infallible>(handle_control(control))));
+    let http2 = HttpService::h2(service);
+    let accepts_http2 = purpose == Purpose::Callers;
+    let selector = ProtocolSelector { http1, http2, accepts_http2 };
+    server::boxed_service(Gate { inner: selector, connections })
 }
 
 /// Returns the state of this traffic thread; creates it on first use.
@@ -184,69 +203,66 @@
 }
 
 /// Responds to a request according to the purpose of its listener.
-async fn serve(worker: Rc<Worker>, purpose: Purpose, mut request: Request) -> Response {
+///
+/// The library reserves memory for this function with each request that it parses, so that it is
+/// kept small.
+async fn serve(
+    worker: Rc<Worker>,
+    purpose: Purpose,
+    connections: &Connections,
+    request: Request,
+) -> Response {
     match purpose {
-        Purpose::Callers => http1_pipeline::handle(worker, request).await,
-        Purpose::Peers => {
-            let token = request.headers().get(header::TOKEN).map(|token| token.as_bytes());
-            if !worker.shared.accepts_token(token.unwrap_or_default()) {
-                let remedy = "send the fleet's token in the header arbutuslane-token";
-                return admin::refuse(
-                    StatusCode::UNAUTHORIZED,
-                    "token is missing or wrong",
-                    remedy,
-                );
-            }
-            if request.path().starts_with(owner::OFFER) {
-                return owner::handle_offer(&worker, &request);
-            }
-            if request.path().starts_with(owner::FORWARD) {
-                return owner::handle(worker, request).await;
-            }
-            let mut response =
-                match read_body(request.take_payload(), peers::MAX_MESSAGE_BYTES).await {
-                    Ok(body) => {
-                        peers::handle(&worker.shared, &worker.pool, request.path(), &body).await
-                    }
-                    Err(response) => response,
-                };
-            // Messages share pooled connections with forwarded requests, whose exchange id must be
-            // echoed.
-            if let Some(exchange) = fields::text(request.headers(), header::EXCHANGE) {
-                fields::set(response.headers_mut(), header::EXCHANGE, exchange);
-            }
-            response
-        }
-        Purpose::Admin => match read_body(request.take_payload(), admin::MAX_BODY_BYTES).await {
-            Ok(body) => {
-                let (method, uri) = (request.method(), request.uri());
-                admin::handle(&worker.shared, &worker.pool, method, uri, &body).await
-            }
-            Err(response) => response,
-        },
+        Purpose::Callers => Box::pin(http1_pipeline::handle(worker, connections, request)).await,
+        Purpose::Peers => Box::pin(serve_peer(worker, connections, request)).await,
+        Purpose::Admin => Box::pin(serve_admin(worker, connections, request)).await,
     }
 }
 
-/// Reads a whole body of at most `limit` bytes.
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Response> {
-    let reading = async {
-        let mut buffer = BytesMut::new();
-        while let Some(chunk) = payload.recv().await {
-            let remedy = "send the complete body";
-            let chunk = chunk.map_err(|error| {
-                admin::refuse(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
-            })?;
-            buffer.extend_from_slice(&chunk);
-            if buffer.len() > limit {
-                let remedy = "send a smaller body";
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                return Err(admin::refuse(status, "body is too large", remedy));
-            }
-        }
-        Ok(buffer.freeze())
+/// Responds to a request of another node or of a control instance.
+async fn serve_peer(
+    worker: Rc<Worker>,
+    connections: &Connections,
+    mut request: Request,
+) -> Response {
+    let counted = request.io().and_then(|io| connections.begin(io));
+    let token = request.headers().get(header::TOKEN).map(|token| token.as_bytes());
+    if !worker.shared.accepts_token(token.unwrap_or_default()) {
+        let remedy = "send the fleet's token in the header arbutuslane-token";
+        return admin::refuse(StatusCode::UNAUTHORIZED, "token is missing or wrong", remedy);
+    }
+    if request.path().starts_with(owner::OFFER) {
+        return owner::handle_offer(&worker, &request);
+    }
+    if request.path().starts_with(owner::FORWARD) {
+        return owner::handle(worker, request, counted).await;
+    }
+    let limit = peers::MAX_MESSAGE_BYTES;
+    let body = message::receive(&worker.shared, &mut request, counted.as_ref(), limit);
+    let mut response = match body.await {
+        Ok(body) => peers::handle(&worker.shared, &worker.pool, request.path(), &body.bytes).await,
+        Err(response) => response,
     };
-    timeout_checked(MESSAGE_BODY_TIMEOUT, reading).await.unwrap_or_else(|()| {
-        let remedy = "send the body within 5 s";
-        Err(admin::refuse(StatusCode::REQUEST_TIMEOUT, "the body was not received in time", remedy))
-    })
+    // Messages share pooled connections with forwarded requests, whose exchange id must be echoed.
+    if let Some(exchange) = fields::text(request.headers(), header::EXCHANGE) {
+        fields::set(response.headers_mut(), header::EXCHANGE, exchange);
+    }
+    response
+}
+
+/// Responds to a request of a server, an operator or a check.
+async fn serve_admin(
+    worker: Rc<Worker>,
+    connections: &Connections,
+    mut request: Request,
+) -> Response {
+    let counted = request.io().and_then(|io| connections.begin(io));
+    let limit = admin::MAX_BODY_BYTES;
+    match message::receive(&worker.shared, &mut request, counted.as_ref(), limit).await {
+        Ok(body) => {
+            let (method, uri) = (request.method(), request.uri());
+            admin::handle(&worker.shared, &worker.pool, method, uri, &body.bytes).await
+        }
+        Err(response) => response,
+    }
 }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod intake;
 mod limiter;
 pub(crate) mod listener;
+mod message;
 mod outcome;
 mod owner;
 mod protocol;
--- a/crates/arbutuslane_node/src/traffic/owner/bodies.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/bodies.rs
@@ -4,10 +4,13 @@
 
 use ntex::http::StatusCode;
 
+use arbutuslane_limit::places::Place;
+
 use super::ServerRequest;
 use crate::announce::Server;
 use crate::metrics::count;
 use crate::traffic::body_admission::{BodyPermit, Denied};
+use crate::traffic::client::Upload;
 use crate::traffic::refusal::{Refusal, RefusalCause};
 use crate::traffic::worker::Worker;
 
@@ -56,3 +59,14 @@
     let wait = Some(RETRY_AFTER);
     Refusal { cause: RefusalCause::Full, retry_after, wait, ..Refusal::not_run(error) }
 }
+
+/// Takes a place at `server` for a body that is streamed from its sender, who may take its time.
+/// Other requests keep half of the slots. Returns `None` for a body that this node holds.
+pub(super) fn enter_stream(server: &Server, upload: &Upload) -> Result<Option<Place>, Refusal> {
+    if !matches!(upload, Upload::Stream(_)) {
+        return Ok(None);
+    }
+    let (_, _, slots) = server.admission.occupancy();
+    let limit = (slots as usize / 2).max(1);
+    server.streams.take_below(limit).map(Some).ok_or_else(refusal)
+}
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -19,6 +19,7 @@
 use arbutuslane_core::hash;
 use arbutuslane_core::time::millis;
 use arbutuslane_limit::gate::Arrival;
+use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_wire::dialect::{Dialect, ResponseMatching};
 use arbutuslane_wire::header;
 
@@ -33,7 +34,7 @@
 use super::relay::{Delivery, InFlight};
 use super::worker::Worker;
 use super::workspace::Importance;
-use super::{deadline, fields};
+use super::{deadline, fields, http1_pipeline};
 
 use admission::{admission_refusal, log_refusal};
 pub(crate) use exchange::count_connection;
@@ -96,12 +97,19 @@
 }
 
 /// Responds to a request that an entry forwarded.
-pub(crate) async fn handle(worker: Rc<Worker>, mut incoming: http::Request) -> Response {
+pub(crate) async fn handle(
+    worker: Rc<Worker>,
+    mut incoming: http::Request,
+    counted: Option<CountedRequest>,
+) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
     let io = incoming.io().cloned();
     let request_id = request_id(worker.shared.interface.dialect(), incoming.headers()).to_string();
     let mut delivery = Delivery::new(&worker.shared, in_flight, &request_id).with_io(io);
-    let result = match receive_request(&worker, &mut incoming).await {
+    http1_pipeline::meter(counted.as_ref(), &mut incoming);
+    let received = receive_request(&worker, &mut incoming, counted.as_ref()).await;
+    delivery = delivery.with_counted(counted);
+    let result = match received {
         Ok(server_request) => {
             let (class, deadline) = (server_request.class, server_request.deadline);
             delivery = delivery.with_idempotent(class.is_repeatable());
@@ -176,6 +184,7 @@
     let deadline = server_request.deadline;
     let arrived_at = clock.now();
     let may_wait = server_request.must_accept || server_request.is_offered;
+    let _stream = bodies::enter_stream(&server, &server_request.request.upload)?;
     let body_permit = bodies::enter(worker, &server, &server_request, may_wait).await?;
     let predicted_wait = server.admission.predicted_wait(&arrival);
     let permit = match may_wait {
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -10,6 +10,7 @@
 use arbutuslane_health::peers::Summary;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::gate::Arrival;
+use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_wire::header;
 
 use super::{FORWARD, OFFER, Repeat, statement};
@@ -67,14 +68,16 @@
 pub(super) async fn receive_request(
     worker: &Worker,
     incoming: &mut http::Request,
+    counted: Option<&CountedRequest>,
 ) -> Result<ServerRequest, Refusal> {
     let mut server_request = parse_request(worker, incoming)?;
     let length = fields::content_length(incoming.headers());
     // The entry has already enforced the body limit of the service.
     let time = server_request.deadline.remaining(worker.shared.clock.now());
-    let bounds = Bounds { limit: u64::MAX, length, time };
+    let bounds = Bounds { limit: u64::MAX, length, time, counted };
     let payload = incoming.take_payload();
     server_request.request.upload = intake::read_upload(&worker.shared, payload, bounds).await?;
+    intake::accept(counted)?;
     Ok(server_request)
 }
 
--- a/crates/arbutuslane_node/src/traffic/relay.rs
+++ b/crates/arbutuslane_node/src/traffic/relay.rs
@@ -18,6 +18,7 @@
 
 use arbutuslane_limit::body_watch::BodyWatch;
 use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_wire::header;
 
 use crate::metrics::count;
@@ -64,6 +65,8 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     is_finished: bool,
+    /// The request on its connection.
+    counted: Option<CountedRequest>,
 }
 
 /// The body that a response to a HEAD request omits, with its length in bytes.
@@ -105,6 +108,12 @@
         }
     }
 
+    /// Keeps the request counted on its connection until the response was delivered.
+    pub(crate) fn with_counted(mut self, counted: Option<CountedRequest>) -> Self {
+        self.in_flight.counted = counted;
+        self
+    }
+
     /// Leaves it to the pipeline of the connection whether the response is its last one.
     pub(crate) fn with_pipeline(self) -> Self {
         Self { closes_at_stop: false, ..self }
@@ -143,6 +152,7 @@
         source: Box<dyn BodySource>,
     ) -> Response {
         let Self { shared, in_flight, io, closes_at_stop, deadline, is_idempotent, request } = self;
+        in_flight.counted.iter().for_each(CountedRequest::answer);
         let mut builder = Response::build(status);
         for (name, value) in headers {
             builder.header(name.clone(), value.clone());
@@ -209,7 +219,12 @@
     /// Counts a request as in flight.
     pub(crate) fn begin(shared: &Arc<Shared>) -> Self {
         shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { shared: Arc::clone(shared), is_finished: false }
+        Self { shared: Arc::clone(shared), is_finished: false, counted: None }
+    }
+
+    /// Records that the caller has read a part of the response.
+    fn record_read(&self) {
+        self.counted.iter().for_each(CountedRequest::record_read);
     }
 
     /// Records that the request has its final response.
--- a/crates/arbutuslane_node/src/traffic/relay/reading.rs
+++ b/crates/arbutuslane_node/src/traffic/relay/reading.rs
@@ -21,7 +21,7 @@
 use crate::metrics::count;
 use crate::shared::Shared;
 use crate::traffic::client::Failure;
-use crate::traffic::listener::BUFFER_BYTES as LISTENER_BUFFER_BYTES;
+use crate::traffic::listener::WRITE_BUFFER_BYTES;
 
 /// The bytes of a response that are held without a part of the memory for bodies, which leaves room
 /// for one such buffer for each connection. The end of a shorter body is seen at once.
@@ -113,6 +113,7 @@
     ) -> Poll<Option<Result<Bytes, Failure>>> {
         self.read_at = now;
         if let Some(chunk) = self.chunks.pop_front() {
+            self.in_flight.iter().for_each(InFlight::record_read);
             self.taken += chunk.len();
             self.bytes -= chunk.len() + CHUNK_OVERHEAD_BYTES;
             let unused = self.reservation.bytes().saturating_sub(self.reserved_bytes());
@@ -302,7 +303,7 @@
         if let Some(in_flight) = buffer.in_flight.take() {
             in_flight.finish();
         }
-        let is_alone = buffer.taken > LISTENER_BUFFER_BYTES;
+        let is_alone = buffer.taken > WRITE_BUFFER_BYTES;
         drop(buffer);
         // Before that, bytes of an earlier response may still be in the connection's buffer. The
         // reader then gets the failure when it asks for more bytes.
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -11,6 +11,7 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_listen::connections::Request as CountedRequest;
 
 use crate::cluster::keyed;
 use crate::configuration::{Configuration, Workspace};
@@ -45,6 +46,8 @@
     pub(crate) payload: Payload,
     /// The IP address of the caller.
     pub(crate) caller: Option<IpAddr>,
+    /// The request on its connection.
+    pub(crate) counted: Option<CountedRequest>,
 }
 
 impl From<&mut http::Request> for IncomingRequest {
@@ -55,6 +58,7 @@
             headers: request.headers().clone(),
             payload: request.take_payload(),
             caller: request.peer_addr().map(|caller| caller.ip()),
+            counted: None,
         }
     }
 }
@@ -168,8 +172,11 @@
     let now = worker.shared.clock.now();
     let length = fields::content_length(&incoming.headers);
     let payload = std::mem::take(&mut incoming.payload);
-    let bounds = intake::Bounds { limit: rule.body_bytes, length, time: deadline.remaining(now) };
+    let counted = incoming.counted.as_ref();
+    let time = deadline.remaining(now);
+    let bounds = intake::Bounds { limit: rule.body_bytes, length, time, counted };
     let upload = intake::read_upload(&worker.shared, payload, bounds).await?;
+    intake::accept(counted)?;
     let target = incoming.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut headers = fields::end_to_end(&incoming.headers);
     if !headers.contains_key(HOST) {
