Cut responses whose readers take nothing while others wait for their slots or memory

Seen: 300 clients that request 4 MB and read nothing, or a byte at a time, kept ordinary lookups out for longer than 10 s (response_unread, response_bytewise, forwarded_responses, pipelined_downloads).

Cause: a response that is not read occupies a slot of its server until it has been unread for 30 s, and up to 64 KiB in each of two buffers, with what the system holds on both connections; nothing bounded how many of them there are.

Change: each response that waits for its reader is known to the node and to the server whose slot it occupies. A connection whose response is not read for 2 s may give way to another one.

Why it works: slots and memory beyond the bound come back within seconds, and a reader that takes bytes keeps its response.

The crowd of response_bytewise counts a client as arrived once it has read 40 bytes. Before, such a client arrived only when it was blocked or closed, which a node that answers it does not do; crowd, settings and bounds are as they were.

--- a/crates/arbutuslane_limit/src/slow_readers.rs
+++ b/crates/arbutuslane_limit/src/slow_readers.rs
@@ -11,6 +11,13 @@
 /// 400 kB/s empties a third of 2 MB, after which the system takes more bytes, in 1.7 s.
 pub const MIN_UNREAD: Duration = Duration::from_secs(2);
 
+/// How long a reader has to have taken nothing before its response may be cut while very many
+/// responses wait for their readers.
+pub const MIN_UNREAD_IN_CROWD: Duration = Duration::from_millis(200);
+
+/// How many times the limit make very many responses.
+const CROWD_FACTOR: usize = 2;
+
 /// The responses that a node holds because their readers are slow.
 ///
 /// When the memory is used up, the response whose reader has taken nothing for the longest time is
@@ -91,6 +98,33 @@
         Some(chosen.id)
     }
 
+    /// Chooses the responses to cut so that at most `limit` are held: those whose readers have taken
+    /// nothing for the longest time. Returns how many were chosen.
+    ///
+    /// A reader that has taken bytes lately keeps its response, also beyond the limit; far beyond
+    /// it, [`MIN_UNREAD_IN_CROWD`] decides what lately is.
+    pub fn choose_beyond(&mut self, limit: usize, now: Time) -> usize {
+        let held = self.readers.iter().filter(|reader| !reader.is_cut).count();
+        let excess = held.saturating_sub(limit);
+        let min_unread = match held > limit * CROWD_FACTOR {
+            true => MIN_UNREAD_IN_CROWD,
+            false => MIN_UNREAD,
+        };
+        let is_unread = |reader: &Reader| now.saturating_sub(reader.read_at) >= min_unread;
+        let mut candidates: Vec<&mut Reader> = Vec::new();
+        for reader in &mut self.readers {
+            if excess > 0 && !reader.is_cut && is_unread(reader) {
+                candidates.push(reader);
+            }
+        }
+        candidates.sort_by_key(|reader| (!reader.is_idempotent, reader.read_at));
+        candidates.truncate(excess);
+        for reader in &mut candidates {
+            reader.is_cut = true;
+        }
+        candidates.len()
+    }
+
     /// Returns the number of responses that are held.
     pub fn len(&self) -> usize {
         self.readers.len()
--- a/crates/arbutuslane_node/src/announce/mod.rs
+++ b/crates/arbutuslane_node/src/announce/mod.rs
@@ -168,6 +168,7 @@
             ),
             bodies: self.server_body_bytes.map(|limit| Arc::new(BodyAdmission::new(limit))),
             streams: Places::new(usize::MAX),
+            unread: Default::default(),
             health: ServerHealth::new(&announcement.server, self.clock, self.tries_suspects_last),
             lease: self.lease,
             renewed_ms: AtomicU64::new(0),
--- a/crates/arbutuslane_node/src/announce/server.rs
+++ b/crates/arbutuslane_node/src/announce/server.rs
@@ -14,7 +14,7 @@
 use arbutuslane_wire::load::{Report, Serving};
 
 use crate::condition::ServerHealth;
-use crate::traffic::{Admission, BodyAdmission, Failure};
+use crate::traffic::{Admission, BodyAdmission, Failure, Readers};
 
 /// One backend server that this node owns.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     pub(crate) bodies: Option<Arc<BodyAdmission>>,
     /// The requests at the server whose bodies are streamed from their senders.
     pub(crate) streams: Arc<Places>,
+    /// The responses of the server that wait for their readers.
+    pub(crate) unread: Readers,
     /// The health of the server as this node sees it.
     pub(crate) health: Arc<ServerHealth>,
     pub(super) lease: Duration,
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -28,6 +28,14 @@
 /// The part of the memory that holds request bodies: one in this many.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// The part of the memory that holds responses whose readers are slow, beside the memory for bodies:
+/// one in this many.
+const UNREAD_MEMORY_DIVISOR: usize = 8;
+
+/// What a response holds that waits for its reader: the buffers of both connections, the bytes
+/// between them, and those that the system has received.
+const UNREAD_RESPONSE_BYTES: usize = 160 << 10;
+
 /// The part of the memory that holds messages of peers, servers and operators while they are
 /// received: one in this many.
 const MESSAGE_MEMORY_DIVISOR: usize = 16;
@@ -305,6 +313,12 @@
         (self.memory_mb as usize) * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns the most responses that may wait for their readers at a time.
+    pub(crate) fn max_unread_responses(&self) -> usize {
+        let memory = (self.memory_mb as usize) * BYTES_PER_MEGABYTE / UNREAD_MEMORY_DIVISOR;
+        (memory / UNREAD_RESPONSE_BYTES).max(1)
+    }
+
     /// Returns the number of bytes of messages to the node itself that it may receive at a time.
     pub(crate) fn message_bytes(&self) -> usize {
         (self.memory_mb as usize) * BYTES_PER_MEGABYTE / MESSAGE_MEMORY_DIVISOR
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -20,7 +20,6 @@
 use arbutuslane_limit::places::Places;
 use arbutuslane_limit::repeats;
 use arbutuslane_limit::resend::RecentFailures;
-use arbutuslane_limit::slow_readers::SlowReaders;
 use arbutuslane_listen::bodies::Bodies;
 
 use crate::announce::ServerTable;
@@ -34,7 +33,7 @@
 use crate::settings::{Settings, Source};
 use crate::state_file::StateFile;
 use crate::stop::Stop;
-use crate::traffic::{Allowances, Importance, Limiter, Repeats};
+use crate::traffic::{Allowances, Importance, Limiter, Readers, Repeats};
 
 /// The most summaries of peers' health that a node attaches to forwarded requests per second, which
 /// bounds the bytes that summaries add.
@@ -98,7 +97,7 @@
     /// The requests whose bodies are streamed because that memory is used up.
     pub(crate) streams: Arc<Places>,
     /// The responses that are held in that memory because their readers are slow.
-    pub(crate) slow_readers: Mutex<SlowReaders>,
+    pub(crate) slow_readers: Readers,
     /// The rate limiter of this node as an entry.
     pub(crate) limiter: Limiter,
     /// The allowances of workspaces, if the settings declare how exactly they are kept.
@@ -192,7 +191,7 @@
             bodies,
             message_bodies,
             streams,
-            slow_readers: Mutex::default(),
+            slow_readers: Readers::default(),
             limiter: Limiter::default(),
             allowances,
             summaries: Mutex::new(Bucket::new(SUMMARIES_PER_SECOND, SUMMARY_BURST, clock.now())),
--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Debug, Formatter};
 use std::future::ready;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_limit::deadline::Deadline;
 
+use crate::announce::Server;
+
 use super::client::{Body, Failure, ReceivedResponse};
 use super::fields;
 use super::owner::Execution;
@@ -101,6 +104,11 @@
         self.body.length()
     }
 
+    /// Returns the server of this node that sends the body.
+    pub(crate) fn server(&self) -> Option<&Arc<Server>> {
+        self.execution.as_ref().map(Execution::server)
+    }
+
     /// Polls for the next bytes; returns `None` after the verified end of the body.
     pub(crate) fn poll_next(
         &mut self,
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) use limiter::Limiter;
 pub(crate) use owner::Repeats;
 pub(crate) use refusal::{Outcome, Refusal, RefusalCause};
-pub(crate) use relay::held_responses;
+pub(crate) use relay::{Readers, held_responses};
 pub(crate) use route::RoutedRequest;
 pub(crate) use worker::Worker;
 pub(crate) use workspace::Importance;
--- a/crates/arbutuslane_node/src/traffic/owner/execution.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/execution.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns the server.
+    pub(crate) fn server(&self) -> &Arc<Server> {
+        &self.server
+    }
+
     /// Holds `claim` until the end of the execution, whose response has begun.
     pub(super) fn hold_claim(&mut self, claim: Option<ExclusiveClaim>) {
         self.claim = claim;
--- a/crates/arbutuslane_node/src/traffic/relay.rs
+++ b/crates/arbutuslane_node/src/traffic/relay.rs
@@ -21,6 +21,7 @@
 use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_wire::header;
 
+use crate::announce::Server;
 use crate::metrics::count;
 use crate::shared::Shared;
 
@@ -29,7 +30,7 @@
 use closing::close_when_sent;
 use reading::{Buffer, Reading};
 
-pub(crate) use held::{cut_slowest, held_responses};
+pub(crate) use held::{Readers, cut_slowest, held_responses};
 
 /// A body that can be streamed.
 pub(crate) trait BodySource: 'static {
@@ -38,6 +39,11 @@
 
     /// Polls for the next bytes; returns `None` after the verified end of the body.
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>>;
+
+    /// Returns the server of this node of which the body occupies a slot, if it is one of this node.
+    fn server(&self) -> Option<&Arc<Server>> {
+        None
+    }
 }
 
 /// The body of a response to a caller or an entry.
@@ -87,6 +93,10 @@
         ResponseStream::length(self)
     }
 
+    fn server(&self) -> Option<&Arc<Server>> {
+        ResponseStream::server(self)
+    }
+
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
         ResponseStream::poll_next(self, cx)
     }
--- a/crates/arbutuslane_node/src/traffic/relay/held.rs
+++ b/crates/arbutuslane_node/src/traffic/relay/held.rs
@@ -1,53 +1,72 @@
 //! The responses that this node holds because their readers are slow.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::slow_readers::{ReaderId, SlowReaders};
 
+use crate::announce::Server;
 use crate::shared::Shared;
 
 /// One of the responses that a node holds; dropping it removes the response from them.
 #[derive(Debug)]
 pub(super) struct HeldResponse {
-    shared: Arc<Shared>,
+    readers: Readers,
     id: ReaderId,
 }
 
+/// The responses that wait for their readers in one memory, or at one server.
+pub(crate) type Readers = Arc<Mutex<SlowReaders>>;
+
 impl HeldResponse {
-    /// Adds a response to those that the node holds.
-    pub(super) fn new(shared: &Arc<Shared>, is_idempotent: bool, now: Time) -> Self {
-        let id = with_readers(shared, |readers| readers.add(is_idempotent, now));
-        Self { shared: Arc::clone(shared), id }
+    /// Adds a response to `readers`.
+    pub(super) fn new(readers: &Readers, is_idempotent: bool, now: Time) -> Self {
+        let id = lock(readers).add(is_idempotent, now);
+        Self { readers: Arc::clone(readers), id }
     }
 
     /// Records that the reader has taken bytes.
     pub(super) fn record_read(&self, now: Time) {
-        with_readers(&self.shared, |readers| readers.record_read(self.id, now));
+        lock(&self.readers).record_read(self.id, now);
     }
 
     /// Returns whether the response has to be cut.
     pub(super) fn is_cut(&self) -> bool {
-        with_readers(&self.shared, |readers| readers.is_cut(self.id))
+        lock(&self.readers).is_cut(self.id)
     }
 }
 
 impl Drop for HeldResponse {
     fn drop(&mut self) {
-        with_readers(&self.shared, |readers| readers.remove(self.id));
+        lock(&self.readers).remove(self.id);
     }
 }
 
 /// Makes the response whose reader has taken nothing for the longest time release its memory.
 pub(crate) fn cut_slowest(shared: &Shared) {
-    with_readers(shared, |readers| readers.choose(shared.clock.now()));
+    lock(&shared.slow_readers).choose(shared.clock.now());
+}
+
+/// Cuts the responses beyond the limit whose readers have taken nothing for the longest time.
+pub(super) fn cut_beyond_limit(shared: &Shared) {
+    let limit = shared.settings.max_unread_responses();
+    lock(&shared.slow_readers).choose_beyond(limit, shared.clock.now());
 }
 
 /// Returns the number of responses that are held.
 pub(crate) fn held_responses(shared: &Shared) -> u64 {
-    with_readers(shared, |readers| readers.len()) as u64
+    lock(&shared.slow_readers).len() as u64
+}
+
+/// Cuts responses that occupy slots of `server` for their readers while other requests wait, so that
+/// those have half of the slots.
+pub(super) fn cut_at_full_server(server: &Server, now: Time) {
+    let (in_flight, _, slots) = server.admission.occupancy();
+    if in_flight >= slots {
+        lock(&server.unread).choose_beyond((slots as usize / 2).max(1), now);
+    }
 }
 
-fn with_readers<T>(shared: &Shared, apply: impl FnOnce(&mut SlowReaders) -> T) -> T {
-    apply(&mut shared.slow_readers.lock().unwrap_or_else(PoisonError::into_inner))
+fn lock(readers: &Readers) -> MutexGuard<'_, SlowReaders> {
+    readers.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/arbutuslane_node/src/traffic/relay/reading.rs
+++ b/crates/arbutuslane_node/src/traffic/relay/reading.rs
@@ -47,8 +47,10 @@
     bytes: usize,
     /// The part of the memory for bodies that is used beyond [`FREE_BYTES`].
     reservation: Reservation,
-    /// Set while the response uses that memory because its reader is slow.
+    /// Set while the response waits for its reader, and may have to give way to others.
     held: Option<HeldResponse>,
+    /// Set while the response occupies a slot of a server of this node for its reader.
+    slot: Option<HeldResponse>,
     is_idempotent: bool,
     /// How the body ended, until the reader takes it.
     end: Option<Result<(), Failure>>,
@@ -94,6 +96,7 @@
             bytes: 0,
             reservation: shared.body_memory.reserve(),
             held: None,
+            slot: None,
             is_idempotent,
             end: None,
             read_at: now,
@@ -118,9 +121,12 @@
             self.bytes -= chunk.len() + CHUNK_OVERHEAD_BYTES;
             let unused = self.reservation.bytes().saturating_sub(self.reserved_bytes());
             self.reservation.shrink(unused);
-            match self.reserved_bytes() {
-                0 => self.held = None,
-                _ => self.held.iter().for_each(|held| held.record_read(now)),
+            match self.bytes < FREE_BYTES {
+                true => (self.held, self.slot) = (None, None),
+                false => {
+                    let held = self.held.iter().chain(&self.slot);
+                    held.for_each(|held| held.record_read(now));
+                }
             }
             wake(&mut self.reading);
             return Poll::Ready(Some(Ok(chunk)));
@@ -158,7 +164,7 @@
     fn clear(&mut self) {
         self.chunks.clear();
         self.bytes = 0;
-        self.held = None;
+        (self.held, self.slot) = (None, None);
         self.reservation.shrink(usize::MAX);
     }
 
@@ -244,7 +250,7 @@
         if buffer.is_dropped {
             return None;
         }
-        if buffer.held.as_ref().is_some_and(HeldResponse::is_cut) {
+        if buffer.held.iter().chain(&buffer.slot).any(HeldResponse::is_cut) {
             drop(buffer);
             count(&self.shared.metrics.cut_for_memory);
             self.cut(Failure::MemoryUsedUp, now);
@@ -267,13 +273,25 @@
     fn has_room(&self, buffer: &mut Buffer, now: Time) -> bool {
         let is_buffered = self.shared.settings.buffer_responses;
         let is_late = self.watch.reads_ahead(now) && buffer.bytes < MAX_LATE_BYTES;
+        if buffer.bytes >= FREE_BYTES && buffer.held.is_none() {
+            let held =
+                HeldResponse::new(&self.shared.slow_readers, buffer.is_idempotent, buffer.read_at);
+            buffer.held = Some(held);
+        }
+        if buffer.held.is_some() {
+            held::cut_beyond_limit(&self.shared);
+        }
+        if buffer.bytes >= FREE_BYTES
+            && let Some(server) = self.source.as_ref().and_then(|source| source.server())
+        {
+            let (is_idempotent, read_at) = (buffer.is_idempotent, buffer.read_at);
+            let add = || HeldResponse::new(&server.unread, is_idempotent, read_at);
+            buffer.slot.get_or_insert_with(add);
+            held::cut_at_full_server(server, now);
+        }
         if !is_late && (!is_buffered || buffer.bytes >= self.max_buffered_bytes) {
             return buffer.bytes < FREE_BYTES;
         }
-        if buffer.reserved_bytes() > 0 && buffer.held.is_none() {
-            let held = HeldResponse::new(&self.shared, buffer.is_idempotent, buffer.read_at);
-            buffer.held = Some(held);
-        }
         let is_reserved = buffer.reserve();
         if !is_reserved && is_buffered {
             held::cut_slowest(&self.shared);
@@ -284,7 +302,9 @@
     /// Releases the server's slot, and tells the reader how the body ended.
     fn end(&mut self, end: Result<(), Failure>) {
         self.source = None;
-        self.buffer.borrow_mut().set_end(end);
+        let mut buffer = self.buffer.borrow_mut();
+        buffer.slot = None;
+        buffer.set_end(end);
     }
 
     /// Ends the body as incomplete, and releases its slot, its memory and its connections.
--- a/crates/arbutuslane_node/src/traffic/resume.rs
+++ b/crates/arbutuslane_node/src/traffic/resume.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use arbutuslane_limit::attempts::Effort;
 use arbutuslane_limit::deadline::Deadline;
 
+use crate::announce::Server;
 use crate::metrics::count;
 
 use super::answer::{ResponseStream, ServerResponse};
@@ -145,6 +147,10 @@
 }
 
 impl BodySource for ResumableDownload {
+    fn server(&self) -> Option<&Arc<Server>> {
+        self.stream.as_ref().and_then(ResponseStream::server)
+    }
+
     fn length(&self) -> Option<u64> {
         Some(self.length)
     }
--- a/crates/arbutuslane_soak/src/crowd.rs
+++ b/crates/arbutuslane_soak/src/crowd.rs
@@ -24,7 +24,7 @@
 /// The number of bytes after which a client that is never blocked counts as arrived.
 const ARRIVED_BYTES: usize = 16 << 20;
 
-/// The number of bytes after which a client that sends bytewise counts as arrived.
+/// The number of bytes after which a client that sends or reads bytewise counts as arrived.
 const ARRIVED_BYTEWISE: usize = 40;
 
 /// The most bytes that one client sends in one pass, so that all clients take turns.
@@ -56,6 +56,7 @@
     socket: Option<Socket>,
     is_connected: bool,
     sent: usize,
+    received: usize,
     idle_passes: u32,
     has_arrived: bool,
     has_response: bool,
@@ -142,6 +143,7 @@
             socket: None,
             is_connected: false,
             sent: 0,
+            received: 0,
             idle_passes: 0,
             has_arrived: false,
             has_response: false,
@@ -177,7 +179,8 @@
             Pace::Full => ARRIVED_BYTES.max(script.volume()),
             Pace::Bytewise => ARRIVED_BYTEWISE,
         };
-        if self.idle_passes >= BLOCKED_PASSES || self.sent >= enough {
+        let has_read = script.reading == Reading::Bytewise && self.received >= ARRIVED_BYTEWISE;
+        if self.idle_passes >= BLOCKED_PASSES || self.sent >= enough || has_read {
             self.arrive(state);
         }
     }
@@ -268,6 +271,7 @@
         match socket.read(&mut buffer[..room]) {
             Ok(0) => Progress::Closed,
             Ok(length) => {
+                self.received += length;
                 let mut responses = state.responses.lock().unwrap_or_else(PoisonError::into_inner);
                 if !self.has_response && responses.len() < MAX_RESPONSES {
                     responses.push(buffer[..length].to_vec());
