Bound what HTTP/2 connections hold with their streams

Seen: 100 connections with bodies on 100 streams each took a node of 64 MB to 871 MB, with windows that stay closed to 449 MB; with heads, resets or pings an ordinary request was not answered (tests http2_*).

Cause: a connection has up to 100 streams, each with a head, a window and a request in progress; the library does not enforce the windows that it grants, keeps 5 KB for each frame that it refuses, and reserved the memory of the largest request for each stream.

Change: HTTP/2 connections count as 2 MiB in a table of their own (at least 4), with 64 requests each in progress; a stream without a place is refused at once, as not run, without a buffer. The connection's window is 64 KiB, a head has at most 32 KiB.

Why it works: the number of streams, of which nobody knows what they hold, is bound by the memory.

--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -48,7 +48,7 @@
     }
     // A truncated body resets its HTTP/2 stream, but has to close an HTTP/1.1 connection.
     let io = request.io().filter(|_| !is_http2).cloned();
-    let incoming = IncomingRequest { counted, ..IncomingRequest::from(&mut request) };
+    let incoming = IncomingRequest { counted, is_http2, ..IncomingRequest::from(&mut request) };
     respond(worker, incoming, io).await
 }
 
@@ -121,7 +121,10 @@
         Ok(routed) => routed,
         Err(refusal) => {
             incoming.counted.iter().for_each(CountedRequest::reject);
-            intake::discard(&mut incoming.payload).await;
+            // A stream of HTTP/2 ends without its connection.
+            if !incoming.is_http2 {
+                intake::discard(&mut incoming.payload).await;
+            }
             return Err(refusal);
         }
     };
--- a/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
+++ b/crates/arbutuslane_node/src/traffic/http1_pipeline.rs
@@ -30,6 +30,7 @@
 use arbutuslane_listen::connections::{Connections, Request as CountedRequest};
 
 use super::entry;
+use super::intake;
 use super::route::IncomingRequest;
 use super::worker::Worker;
 
@@ -168,7 +169,11 @@
     let is_http1 = request.version() != Version::HTTP_2;
     let Some(io) = request.io().filter(|_| is_http1).cloned() else {
         let counted = request.io().and_then(|io| connections.begin(io));
+        if counted.as_ref().is_some_and(CountedRequest::is_refused) {
+            return intake::gave_way().response();
+        }
         meter(counted.as_ref(), &mut request);
+        // A stream that is refused needs no memory for the rest of its way.
         return Box::pin(entry::handle(worker, request, counted)).await;
     };
     let mut started = worker.pipelined.borrow_mut().take(&io);
@@ -306,6 +311,7 @@
             payload: Payload::None,
             caller: None,
             counted: None,
+            is_http2: false,
         });
         bytes = &bytes[length..];
     }
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -9,6 +9,7 @@
 use ntex::SharedCfg;
 use ntex::http::h1::control::Reason;
 use ntex::http::h1::{Control, ControlAck};
+use ntex::http::h2::Http2ServiceConfig;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response, StatusCode};
 use ntex::io::{Base, IoConfig};
 use ntex::service::fn_service;
@@ -47,6 +48,21 @@
 /// The size of the receive buffer that is set for each connection, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
+/// The most bytes of bodies that an HTTP/2 connection may have sent and nobody has read.
+const HTTP2_WINDOW_BYTES: i32 = 64 << 10;
+
+/// The parts of the memory, of 64, that HTTP/2 connections may use.
+const HTTP2_MEMORY_PARTS: usize = 4;
+
+/// The requests in progress for each HTTP/2 connection that there may be.
+const HTTP2_REQUESTS: usize = 64;
+
+/// The most streams of an HTTP/2 connection at a time.
+const MAX_STREAMS: u32 = 100;
+
+/// The largest request head of an HTTP/2 stream in bytes, with 32 for each field.
+const MAX_HEADER_LIST_BYTES: u32 = 32 << 10;
+
 /// How often idle connections are checked.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -58,6 +74,15 @@
     Admin,
 }
 
+/// The most connections of a listener in one thread.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// All connections.
+    connections: usize,
+    /// Those of them that carry HTTP/2.
+    http2_connections: usize,
+}
+
 impl Purpose {
     /// Returns the part of the node's memory and descriptors that the connections of one listener
     /// may use. The rest is for bodies and responses, for connections to servers, peers and control
@@ -98,7 +123,13 @@
             |error| std::io::Error::new(error.kind(), format!("{name} {address}: {error}")),
         )?;
         handles.add(&socket)?;
-        let service = service_builder(shared, purpose, limit.div_ceil(settings.traffic_threads));
+        let limits = Limits {
+            connections: limit.div_ceil(settings.traffic_threads),
+            http2_connections: budget
+                .http2_connections(HTTP2_MEMORY_PARTS)
+                .div_ceil(settings.traffic_threads),
+        };
+        let service = service_builder(shared, purpose, limits);
         served.push(Listener { socket, limit, config: connection_config(), service });
     }
     let stop_timeout =
@@ -112,35 +143,51 @@
         .set_keepalive(KEEP_ALIVE_TIMEOUT)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_buf_size(MAX_HEAD_BYTES);
+    let http2 = Http2ServiceConfig::new()
+        .set_initial_connection_window_size(HTTP2_WINDOW_BYTES)
+        .set_max_concurrent_streams(MAX_STREAMS)
+        .set_max_header_list_size(MAX_HEADER_LIST_BYTES);
     let io = IoConfig::new()
         .set_read_buf(READ_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS)
         .set_write_buf(WRITE_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS);
-    SharedCfg::new("incoming").add(http).add(io).into()
+    SharedCfg::new("incoming").add(http).add(http2).add(io).into()
 }
 
-/// Returns what builds the service of a listener in a thread, with at most `limit` connections.
-fn service_builder(shared: &Arc<Shared>, purpose: Purpose, limit: usize) -> ServiceBuilder {
+/// Returns what builds the service of a listener in a thread, with connections within `limits`.
+fn service_builder(shared: &Arc<Shared>, purpose: Purpose, limits: Limits) -> ServiceBuilder {
     let shared = Arc::clone(shared);
     Arc::new(move || {
-        let service = build_service(&shared, purpose, limit);
+        let service = build_service(&shared, purpose, limits);
         Box::pin(std::future::ready(service))
     })
 }
 
 /// Builds the service of a listener for this thread.
-fn build_service(shared: &Arc<Shared>, purpose: Purpose, limit: usize) -> ConnectionService {
+fn build_service(shared: &Arc<Shared>, purpose: Purpose, limits: Limits) -> ConnectionService {
     let worker = thread_worker(shared);
-    let connections = Connections::new(limit, Arc::clone(&shared.metrics.connections));
-    let known = connections.clone();
-    let service = fn_service(async move |request: Request| {
-        let worker = Rc::clone(&worker);
-        Ok::<_, std::io::Error>(serve(worker, purpose, &known, request).await)
-    });
-    let http1 = HttpService::h1(service.clone())
+    let counters = &shared.metrics.connections;
+    let connections = Connections::new(limits.connections, Arc::clone(counters));
+    let http2_connections = Connections::with_extra(
+        limits.http2_connections,
+        limits.http2_connections * HTTP2_REQUESTS,
+        Arc::clone(counters),
+    );
+    let service = |known: &Connections| {
+        let (worker, known) = (Rc::clone(&worker), known.clone());
+        fn_service(async move |request: Request| {
+            let worker = Rc::clone(&worker);
+            Ok::<_, std::io::Error>(serve(worker, purpose, &known, request).await)
+        })
+    };
+    let http1 = HttpService::h1(service(&connections))
         .control(fn_service(async |control| Ok::<_, Infallible>(handle_control(control))));
-    let http2 = HttpService::h2(service);
-    let accepts_http2 = purpose == Purpose::Callers;
-    let selector = ProtocolSelector { http1, http2, accepts_http2 };
+    let http2 = HttpService::h2(service(&http2_connections));
+    let http2 = Gate { inner: http2, connections: http2_connections };
+    let selector = ProtocolSelector {
+        http1,
+        http2,
+        http2_origin: (purpose == Purpose::Callers).then(|| connections.clone()),
+    };
     server::boxed_service(Gate { inner: selector, connections })
 }
 
--- a/crates/arbutuslane_node/src/traffic/protocol.rs
+++ b/crates/arbutuslane_node/src/traffic/protocol.rs
@@ -9,6 +9,8 @@
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 use ntex::time::timeout_checked;
 
+use arbutuslane_listen::connections::Connections;
+
 /// The first bytes of a connection that carries HTTP/2 (RFC 9113, section 3.4).
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
@@ -27,8 +29,9 @@
     pub(super) http1: A,
     /// The service for HTTP/2 connections.
     pub(super) http2: B,
-    /// Whether the listener accepts HTTP/2.
-    pub(super) accepts_http2: bool,
+    /// The connections of a listener that accepts HTTP/2. Those that carry it are counted by their
+    /// own service as well, which decides when they give way.
+    pub(super) http2_origin: Option<Connections>,
 }
 
 impl<A, B> ServiceFactory<Io, SharedCfg> for ProtocolSelector<A, B>
@@ -44,7 +47,7 @@
     async fn create(&self, config: SharedCfg) -> Result<Self::Service, Self::InitError> {
         let http1 = self.http1.create(config.clone()).await?;
         let http2 = self.http2.create(config).await?;
-        Ok(ProtocolSelector { http1, http2, accepts_http2: self.accepts_http2 })
+        Ok(ProtocolSelector { http1, http2, http2_origin: self.http2_origin.clone() })
     }
 }
 
@@ -71,10 +74,15 @@
     }
 
     async fn call(&self, io: Io, ctx: ServiceCtx<'_, Self>) -> Result<(), Self::Error> {
-        match self.accepts_http2 && is_http2(&io).await {
-            true => ctx.call(&self.http2, io).await,
-            false => ctx.call(&self.http1, io).await,
+        let Some(origin) = &self.http2_origin else { return ctx.call(&self.http1, io).await };
+        if !is_http2(&io).await {
+            return ctx.call(&self.http1, io).await;
+        }
+        let in_use = origin.begin(&io.get_ref());
+        if in_use.as_ref().is_some_and(|in_use| in_use.accept().is_err()) {
+            return Ok(());
         }
+        ctx.call(&self.http2, io).await
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -48,6 +48,8 @@
     pub(crate) caller: Option<IpAddr>,
     /// The request on its connection.
     pub(crate) counted: Option<CountedRequest>,
+    /// Whether the request is one of several streams on its connection.
+    pub(crate) is_http2: bool,
 }
 
 impl From<&mut http::Request> for IncomingRequest {
@@ -59,6 +61,7 @@
             payload: request.take_payload(),
             caller: request.peer_addr().map(|caller| caller.ip()),
             counted: None,
+            is_http2: false,
         }
     }
 }
