Turn off the runtime's check of busy threads, which reads the debug information

Cause: wait_for_stop enables the signals of the HTTP library's runtime, and with them its check of threads: when a worker has not responded for a second, it interrupts it, captures the stack and resolves it in this process, which loads the debug information of the program. That takes memory and processor time exactly when a small machine has none.

Change: all threads of the daemons get their runtime from arbutuslane_event::runtime, with the check off. What the trace takes was not measured by itself.

--- a/crates/arbutuslane_control/src/daemon.rs
+++ b/crates/arbutuslane_control/src/daemon.rs
@@ -125,7 +125,7 @@
     });
     let peers_state =
         Arc::new(peers::Shared { engine, fleet: secrets.fleet, control: secrets.control });
-    let system = ntex::rt::System::new("arbutuslane-control", ntex::rt::DefaultRuntime);
+    let system = arbutuslane_event::runtime::system("arbutuslane-control");
     system
         .block_on(async move {
             let mut operators = HttpServer::new(async move || {
--- a/crates/arbutuslane_control/src/gossip.rs
+++ b/crates/arbutuslane_control/src/gossip.rs
@@ -142,7 +142,7 @@
             replies_by_request: BTreeMap::new(),
             next_request: 0,
         };
-        let system = ntex::rt::System::new("gossip", ntex::rt::DefaultRuntime);
+        let system = arbutuslane_event::runtime::system("gossip");
         system.block_on(async move { task.run(inbox).await });
     });
 }
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -8,11 +8,10 @@
 use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::kind::Kind;
 use arbutuslane_event::reload::{self, WatchedFile};
-use arbutuslane_event::{log, output, signal};
+use arbutuslane_event::{log, output, runtime, signal};
 use arbutuslane_item::prelude::Replication;
 use arbutuslane_member::record::Record;
 use clap::{Arg, Command, value_parser};
-use ntex::rt::{DefaultRuntime, System};
 use ntex::time::Seconds;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
@@ -110,7 +109,7 @@
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
     let version = env!("CARGO_PKG_VERSION").to_string();
     events.record(Kind::Start { version, incarnation });
-    let system = System::new("arbutuslane-control", DefaultRuntime);
+    let system = runtime::system("arbutuslane-control");
     system.block_on(serve(core, gossip, operators, listeners, orders_inbox)).map_err(Error::Serve)
 }
 
--- a/crates/arbutuslane_control/src/transport.rs
+++ b/crates/arbutuslane_control/src/transport.rs
@@ -37,7 +37,7 @@
 pub(crate) fn start(token: Arc<Tokens>) -> Outbox {
     let (outbox, inbox) = unbounded_channel();
     thread::spawn(move || {
-        let system = ntex::rt::System::new("transport", ntex::rt::DefaultRuntime);
+        let system = arbutuslane_event::runtime::system("transport");
         system.block_on(distribute(inbox, token));
     });
     outbox
--- a/crates/arbutuslane_event/src/lib.rs
+++ b/crates/arbutuslane_event/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metric;
 pub mod output;
 pub mod reload;
+pub mod runtime;
 pub mod signal;
 
 /// The names that most users of this crate need.
--- a/crates/arbutuslane_node/src/run.rs
+++ b/crates/arbutuslane_node/src/run.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use clap::{Arg, Command, value_parser};
-use ntex::rt::{DefaultRuntime, System};
 use ntex::time::sleep;
 
 use arbutuslane_event::prelude::{Draft, Kind, log};
 use arbutuslane_event::reload::{WatchedFile, install_sighup_handler};
-use arbutuslane_event::{output, signal};
+use arbutuslane_event::{output, runtime, signal};
 
 use crate::cluster;
 use crate::configuration;
@@ -123,9 +122,9 @@
     }
     let control = Arc::clone(&shared);
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
-        System::new("control", DefaultRuntime).block_on(cluster::control::run(control));
+        runtime::system("control").block_on(cluster::control::run(control));
     })?;
-    System::build().name("node").build(DefaultRuntime).block_on(serve(shared))
+    runtime::system("node").block_on(serve(shared))
 }
 
 /// Returns whether requests that are still without a response must be given up within `margin`, so
--- a/crates/arbutuslane_soak/src/process.rs
+++ b/crates/arbutuslane_soak/src/process.rs
@@ -78,6 +78,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Returns the log of the process since its last start.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_path()).unwrap_or_default()
+    }
+
     fn log_path(&self) -> PathBuf {
         self.folder.join(format!("{}-{}.log", self.name, self.starts))
     }
