--- a/crates/arbutuslane_listen/src/connections.rs
+++ b/crates/arbutuslane_listen/src/connections.rs
@@ -1,22 +1,22 @@
 //! The connections of one listener in one thread, and the requests on them.
 
+mod request;
+
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll, Waker, ready};
+use std::task::Waker;
 
 use arbutuslane_core::time::{Clock, Time};
 use arbutuslane_limit::connections::{Opening, Table, Use};
-use ntex::http::Payload;
-use ntex::http::error::PayloadError;
 use ntex::io::{Id, IoRef};
-use ntex::util::{Bytes, Stream};
 
 use crate::budget::MAX_HEAD_BYTES;
 
+use request::Stage;
+pub use request::{GaveWay, Request};
+
 /// The connections that may be open beyond the limit until their requests have been refused: one
 /// in this many.
 const REFUSING_DIVISOR: usize = 8;
@@ -31,12 +31,6 @@
 /// buffers of the library hold, heads of requests without room, and messages of the protocol itself.
 const MAX_UNTAKEN_BYTES: usize = 192 << 10;
 
-/// What the framing of one part of a body may add to its bytes.
-const FRAMING_BYTES: usize = 16;
-
-/// What a peer may send for each part of a response that it reads, such as HTTP/2 window updates.
-const READ_BYTES: usize = 64;
-
 /// The most requests of one connection that wait for their bodies.
 const MAX_UNDECIDED: u32 = 8;
 
@@ -100,50 +94,6 @@
     connection: Rc<Connection>,
 }
 
-/// A request whose head has arrived, until it has its response.
-#[derive(Debug)]
-pub struct Request {
-    state: Rc<State>,
-    connection: Rc<Connection>,
-    /// Whether it has a place beside the first request of its connection.
-    is_extra: bool,
-    stage: Cell<Stage>,
-}
-
-/// What was decided about a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Undecided,
-    Accepted,
-    /// It has its response, which is being delivered.
-    Answered,
-    /// It was refused when it began, or rejected later, and is not counted any more.
-    Refused,
-}
-
-/// The body of a request, which counts the bytes that are taken from it.
-struct Metered {
-    payload: Payload,
-    connection: Rc<Connection>,
-}
-
-impl Stream for Metered {
-    type Item = Result<Bytes, PayloadError>;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let next = ready!(self.payload.poll_recv(cx));
-        if let Some(Ok(bytes)) = &next {
-            self.connection.take(bytes.len() + FRAMING_BYTES);
-            self.connection.held.update(|held| held + bytes.len());
-        }
-        Poll::Ready(next)
-    }
-}
-
-/// The connection of a request has given way to another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GaveWay;
-
 impl Connections {
     /// Returns no connections, with room for `limit`, and for as many requests beside the first one
     /// of each connection.
@@ -271,113 +221,6 @@
     }
 }
 
-impl Request {
-    /// Returns a request for which there is no room.
-    fn refused(state: &Rc<State>, connection: Rc<Connection>) -> Self {
-        let state = Rc::clone(state);
-        Self { state, connection, is_extra: false, stage: Cell::new(Stage::Refused) }
-    }
-
-    /// Lets other connections go first if the peer has sent further requests already. The library
-    /// would serve all of them before any other connection.
-    pub async fn take_turn(&self) {
-        if self.connection.io.with_read_src_buf(|bytes| bytes.is_empty()) {
-            return;
-        }
-        let mut has_yielded = false;
-        poll_fn(|cx| {
-            if std::mem::replace(&mut has_yielded, true) {
-                return Poll::Ready(());
-            }
-            cx.waker().wake_by_ref();
-            Poll::Pending
-        })
-        .await;
-    }
-
-    /// Returns whether the request was refused when it began.
-    pub fn is_refused(&self) -> bool {
-        self.stage.get() == Stage::Refused
-    }
-
-    /// Returns the body of the request as `payload`, and counts the bytes that are taken from it.
-    pub fn metered(&self, payload: Payload) -> Payload {
-        match payload {
-            Payload::None => Payload::None,
-            payload => {
-                Payload::from_stream(Metered { payload, connection: Rc::clone(&self.connection) })
-            }
-        }
-    }
-
-    /// Records that the peer has read a part of the response, for which HTTP/2 sends a few bytes.
-    pub fn record_read(&self) {
-        self.connection.take(READ_BYTES);
-    }
-
-    /// Accepts the request: from now on its connection does not give way.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the connection has given way; the request must then be refused.
-    pub fn accept(&self) -> Result<(), GaveWay> {
-        match self.stage.get() {
-            Stage::Undecided => {}
-            Stage::Accepted | Stage::Answered => return Ok(()),
-            Stage::Refused => return Err(GaveWay),
-        }
-        if self.connection.has_given_way.get()
-            || !self.state.table.borrow_mut().accept(self.connection.id)
-        {
-            return Err(GaveWay);
-        }
-        self.stage.set(Stage::Accepted);
-        self.connection.undecided.update(|count| count - 1);
-        self.connection.held.set(0);
-        Ok(())
-    }
-
-    /// Records that the request has its response, so that only its delivery keeps the connection.
-    pub fn answer(&self) {
-        if self.stage.get() == Stage::Accepted {
-            self.stage.set(Stage::Answered);
-            self.state.table.borrow_mut().answer(self.connection.id);
-        }
-    }
-
-    /// Rejects the request: its response is ready, but the rest of its body is still read so that the
-    /// sender gets the response. The connection gives way like one without a request.
-    pub fn reject(&self) {
-        if self.stage.replace(Stage::Refused) != Stage::Undecided {
-            return;
-        }
-        self.connection.undecided.update(|count| count - 1);
-        self.leave_table(false);
-    }
-
-    /// Ends the request in the table of connections.
-    fn leave_table(&self, was_accepted: bool) {
-        let (state, id) = (&self.state, self.connection.id);
-        if self.is_extra {
-            self.connection.extra.update(|count| count - 1);
-            state.extra.update(|count| count - 1);
-        }
-        state.table.borrow_mut().end(id, was_accepted, state.clock.now());
-    }
-
-    /// Waits until the connection gives way to another one.
-    pub async fn gave_way(&self) -> GaveWay {
-        poll_fn(|cx| {
-            if self.stage.get() == Stage::Refused || self.connection.has_given_way.get() {
-                return Poll::Ready(GaveWay);
-            }
-            self.connection.add_waiting(cx.waker());
-            Poll::Pending
-        })
-        .await
-    }
-}
-
 impl Connection {
     fn current_use(&self, now: Time) -> Use {
         let bytes = self.io.with_write_dst_buf(|bytes| bytes.len());
@@ -401,17 +244,6 @@
     }
 }
 
-impl Drop for Request {
-    fn drop(&mut self) {
-        match self.stage.get() {
-            Stage::Refused => return,
-            Stage::Undecided => self.connection.undecided.update(|count| count - 1),
-            Stage::Accepted | Stage::Answered => {}
-        }
-        self.leave_table(self.stage.get() == Stage::Accepted);
-    }
-}
-
 impl OpenConnection {
     /// Records that `bytes` have arrived, and closes the connection if no request takes them.
     pub(crate) fn record_arrived(&self, bytes: usize) {
