Keep the connection of a response whose reader takes it, also while the server pauses

Cause: once a request had its response, only unread bytes kept its connection. While the server sent nothing and the reader had taken everything, the connection ranked with those that wait for a body.

Change: the table counts requests whose responses are being delivered, and lets their connection give way only if its peer has read nothing for 2 s. Responses that occupy slots are cut only while requests are queued for the server, and after 2 s in any case.

--- a/crates/arbutuslane_limit/src/connections.rs
+++ b/crates/arbutuslane_limit/src/connections.rs
@@ -54,6 +54,17 @@
     pub unread_for: Option<Duration>,
 }
 
+/// What was decided about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestState {
+    /// It may still be refused.
+    Undecided,
+    /// A server may run it.
+    Accepted,
+    /// It has its response, which is being delivered.
+    Answered,
+}
+
 /// The order in which connections give way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -85,8 +96,10 @@
     is_useful: bool,
     /// The requests whose heads have arrived, and which have not ended.
     begun: u32,
-    /// Those of them that were accepted and have no response yet.
+    /// Those of them that were accepted.
     accepted: u32,
+    /// Those of the accepted ones whose responses are being delivered.
+    answered: u32,
 }
 
 impl<K: Copy + Ord> Table<K> {
@@ -120,7 +133,7 @@
                 None => return Opening::Refused,
             },
         };
-        let entry = Entry { id, since: now, is_useful: false, begun: 0, accepted: 0 };
+        let entry = Entry { id, since: now, is_useful: false, begun: 0, accepted: 0, answered: 0 };
         match self.position(id) {
             Ok(index) => self.entries[index] = entry,
             Err(index) => self.entries.insert(index, entry),
@@ -165,27 +178,23 @@
     /// Records that an accepted request has its response, which is to be delivered.
     pub fn answer(&mut self, id: K) {
         if let Ok(index) = self.position(id) {
-            let entry = &mut self.entries[index];
-            entry.accepted = entry.accepted.saturating_sub(1);
+            self.entries[index].answered += 1;
         }
     }
 
-    /// Records the end of a request that has no response yet if it is one that `was_accepted`.
-    pub fn end(&mut self, id: K, was_accepted: bool, now: Time) {
-        if was_accepted {
-            self.answer(id);
-        }
-        self.end_answered(id, now);
-    }
-
-    /// Records the end of a request whose response was delivered, or that was not accepted.
-    pub fn end_answered(&mut self, id: K, now: Time) {
+    /// Records the end of a request in the state `last`.
+    pub fn end(&mut self, id: K, last: RequestState, now: Time) {
         let Ok(index) = self.position(id) else { return };
         let entry = &mut self.entries[index];
         entry.begun = entry.begun.saturating_sub(1);
-        if entry.is_useful {
-            entry.since = now;
+        if last == RequestState::Undecided {
+            return;
+        }
+        entry.accepted = entry.accepted.saturating_sub(1);
+        if last == RequestState::Answered {
+            entry.answered = entry.answered.saturating_sub(1);
         }
+        entry.since = now;
     }
 
     fn position(&self, id: K) -> Result<usize, usize> {
@@ -196,13 +205,14 @@
     fn least_useful(&self, now: Time, use_of: impl Fn(K) -> Use) -> Option<usize> {
         let mut first = None;
         for (index, entry) in self.entries.iter().enumerate() {
-            if entry.accepted > 0 {
+            if entry.accepted > entry.answered {
                 continue;
             }
             let Use { held, unread_for } = use_of(entry.id);
             let rank = match unread_for {
                 Some(unread_for) if unread_for < MAX_UNREAD => continue,
                 Some(_) => Rank::Unread,
+                None if entry.answered > 0 => continue,
                 None => entry.rank(now),
             };
             let key = (rank, Reverse(held), entry.since);
@@ -215,7 +225,8 @@
 }
 
 impl<K> Entry<K> {
-    /// Returns the rank of a connection without an accepted request.
+    /// Returns the rank of a connection without an accepted request, and without a response that is
+    /// being delivered.
     fn rank(&self, now: Time) -> Rank {
         match (self.begun, self.is_useful) {
             (0, false) => Rank::Unused,
--- a/crates/arbutuslane_limit/src/slow_readers.rs
+++ b/crates/arbutuslane_limit/src/slow_readers.rs
@@ -15,9 +15,6 @@
 /// responses wait for their readers.
 pub const MIN_UNREAD_IN_CROWD: Duration = Duration::from_millis(200);
 
-/// How many times the limit make very many responses.
-const CROWD_FACTOR: usize = 2;
-
 /// The responses that a node holds because their readers are slow.
 ///
 /// When the memory is used up, the response whose reader has taken nothing for the longest time is
@@ -99,17 +96,10 @@
     }
 
     /// Chooses the responses to cut so that at most `limit` are held: those whose readers have taken
-    /// nothing for the longest time. Returns how many were chosen.
-    ///
-    /// A reader that has taken bytes lately keeps its response, also beyond the limit; far beyond
-    /// it, [`MIN_UNREAD_IN_CROWD`] decides what lately is.
-    pub fn choose_beyond(&mut self, limit: usize, now: Time) -> usize {
+    /// nothing for the longest time, and for at least `min_unread`. Returns how many were chosen.
+    pub fn choose_beyond(&mut self, limit: usize, min_unread: Duration, now: Time) -> usize {
         let held = self.readers.iter().filter(|reader| !reader.is_cut).count();
         let excess = held.saturating_sub(limit);
-        let min_unread = match held > limit * CROWD_FACTOR {
-            true => MIN_UNREAD_IN_CROWD,
-            false => MIN_UNREAD,
-        };
         let is_unread = |reader: &Reader| now.saturating_sub(reader.read_at) >= min_unread;
         let mut candidates: Vec<&mut Reader> = Vec::new();
         for reader in &mut self.readers {
--- a/crates/arbutuslane_limit/tests/connections.rs
+++ b/crates/arbutuslane_limit/tests/connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
-use arbutuslane_limit::connections::{MAX_UNREAD, Opening, Table, Use};
+use arbutuslane_limit::connections::{MAX_UNREAD, Opening, RequestState, Table, Use};
 use quickcheck::{Gen, QuickCheck};
 
 fn at(seconds: u64) -> Time {
@@ -28,7 +28,7 @@
         assert!(table.begin(id, at(1)) && table.accept(id));
     }
     assert_eq!(table.open(3, at(2), all_read), Opening::Refused);
-    table.end(2, true, at(3));
+    table.end(2, RequestState::Accepted, at(3));
     assert_eq!(table.open(4, at(4), all_read), Opening::Replaced(2));
 }
 
@@ -39,7 +39,7 @@
     let mut table = Table::new(3);
     table.open(1, at(0), all_read);
     assert!(table.begin(1, at(0)) && table.accept(1));
-    table.end(1, true, at(0));
+    table.end(1, RequestState::Accepted, at(0));
     table.open(2, at(1), all_read);
     table.open(3, at(2), all_read);
     assert_eq!(table.open(4, at(3), all_read), Opening::Replaced(2));
@@ -71,7 +71,7 @@
     let held = |id: u64| Use { held: if id == 2 { 9 } else { 1 }, unread_for: None };
     assert_eq!(table.open(4, at(4), held), Opening::Replaced(2));
     assert!(table.begin(4, at(4)));
-    table.end(3, false, at(5));
+    table.end(3, RequestState::Undecided, at(5));
     assert_eq!(table.open(5, at(5), held), Opening::Replaced(3));
 }
 
@@ -83,7 +83,7 @@
     for id in [1, 2] {
         table.open(id, at(0), all_read);
         assert!(table.begin(id, at(0)) && table.accept(id));
-        table.end(id, true, at(id));
+        table.end(id, RequestState::Accepted, at(id));
     }
     assert_eq!(table.open(3, at(2), |id| unread(id == 1)), Opening::Replaced(2));
     assert_eq!(table.open(4, at(2), |_| unread(true)), Opening::Refused);
@@ -93,6 +93,7 @@
     assert!(table.begin(4, at(3)) && table.accept(4));
     assert_eq!(table.open(5, at(9), waiting), Opening::Refused, "servers may run both requests");
     table.answer(4);
+    assert_eq!(table.open(5, at(9), all_read), Opening::Refused, "the response is delivered");
     assert_eq!(table.open(5, at(9), waiting), Opening::Replaced(4));
 }
 
@@ -125,7 +126,7 @@
                     accepted.push(id);
                 }
                 2 if accepted.contains(&id) => {
-                    table.end(id, true, now);
+                    table.end(id, RequestState::Accepted, now);
                     accepted.retain(|known| *known != id);
                 }
                 3 if !accepted.contains(&id) => {
--- a/crates/arbutuslane_listen/src/connections.rs
+++ b/crates/arbutuslane_listen/src/connections.rs
@@ -9,12 +9,11 @@
 use std::task::Waker;
 
 use arbutuslane_core::time::{Clock, Time};
-use arbutuslane_limit::connections::{Opening, Table, Use};
+use arbutuslane_limit::connections::{Opening, RequestState, Table, Use};
 use ntex::io::{Id, IoRef};
 
 use crate::budget::MAX_HEAD_BYTES;
 
-use request::Stage;
 pub use request::{GaveWay, Request};
 
 /// The connections that may be open beyond the limit until their requests have been refused: one
@@ -78,6 +77,8 @@
     undecided: Cell<u32>,
     /// The requests that have begun and have no response yet, beyond the first.
     extra: Cell<usize>,
+    /// Whether another service counts the connection and its bytes from now on.
+    is_delegated: Cell<bool>,
     /// The bytes that have arrived and that no request has taken.
     untaken: Cell<usize>,
     /// The bytes that requests have taken since the last one was accepted.
@@ -146,6 +147,7 @@
             waiting: RefCell::default(),
             undecided: Cell::new(0),
             extra: Cell::new(0),
+            is_delegated: Cell::new(false),
             untaken: Cell::new(0),
             held: Cell::new(0),
             unread: Cell::new(0),
@@ -188,7 +190,12 @@
         }
         connection.undecided.update(|count| count + 1);
         let state = Rc::clone(state);
-        Some(Request { state, connection, is_extra, stage: Cell::new(Stage::Undecided) })
+        Some(Request {
+            listener: state,
+            connection,
+            is_extra,
+            state: Cell::new(Some(RequestState::Undecided)),
+        })
     }
 }
 
@@ -247,6 +254,9 @@
 impl OpenConnection {
     /// Records that `bytes` have arrived, and closes the connection if no request takes them.
     pub(crate) fn record_arrived(&self, bytes: usize) {
+        if self.connection.is_delegated.get() {
+            return;
+        }
         self.connection.untaken.update(|untaken| untaken + bytes);
         if self.connection.untaken.get() > MAX_UNTAKEN_BYTES {
             self.connection.io.terminate();
--- a/crates/arbutuslane_listen/src/connections/request.rs
+++ b/crates/arbutuslane_listen/src/connections/request.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use arbutuslane_limit::connections::RequestState;
 use ntex::http::Payload;
 use ntex::http::error::PayloadError;
 use ntex::util::{Bytes, Stream};
@@ -21,22 +22,12 @@
 /// A request whose head has arrived, until it has its response.
 #[derive(Debug)]
 pub struct Request {
-    pub(super) state: Rc<State>,
+    pub(super) listener: Rc<State>,
     pub(super) connection: Rc<Connection>,
     /// Whether it has a place beside the first request of its connection.
     pub(super) is_extra: bool,
-    pub(super) stage: Cell<Stage>,
-}
-
-/// What was decided about a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Stage {
-    Undecided,
-    Accepted,
-    /// It has its response, which is being delivered.
-    Answered,
-    /// It was refused when it began, or rejected later, and is not counted any more.
-    Refused,
+    /// `None` if it was refused when it began or rejected later, and is not counted any more.
+    pub(super) state: Cell<Option<RequestState>>,
 }
 
 /// The connection of a request has given way to another one.
@@ -64,9 +55,9 @@
 
 impl Request {
     /// Returns a request for which there is no room.
-    pub(super) fn refused(state: &Rc<State>, connection: Rc<Connection>) -> Self {
-        let state = Rc::clone(state);
-        Self { state, connection, is_extra: false, stage: Cell::new(Stage::Refused) }
+    pub(super) fn refused(listener: &Rc<State>, connection: Rc<Connection>) -> Self {
+        let listener = Rc::clone(listener);
+        Self { listener, connection, is_extra: false, state: Cell::new(None) }
     }
 
     /// Lets other connections go first if the peer has sent further requests already. The library
@@ -88,7 +79,7 @@
 
     /// Returns whether the request was refused when it began.
     pub fn is_refused(&self) -> bool {
-        self.stage.get() == Stage::Refused
+        self.state.get().is_none()
     }
 
     /// Returns the body of the request as `payload`, and counts the bytes that are taken from it.
@@ -112,17 +103,17 @@
     ///
     /// Fails if the connection has given way; the request must then be refused.
     pub fn accept(&self) -> Result<(), GaveWay> {
-        match self.stage.get() {
-            Stage::Undecided => {}
-            Stage::Accepted | Stage::Answered => return Ok(()),
-            Stage::Refused => return Err(GaveWay),
+        match self.state.get() {
+            Some(RequestState::Undecided) => {}
+            Some(RequestState::Accepted | RequestState::Answered) => return Ok(()),
+            None => return Err(GaveWay),
         }
         if self.connection.has_given_way.get()
-            || !self.state.table.borrow_mut().accept(self.connection.id)
+            || !self.listener.table.borrow_mut().accept(self.connection.id)
         {
             return Err(GaveWay);
         }
-        self.stage.set(Stage::Accepted);
+        self.state.set(Some(RequestState::Accepted));
         self.connection.undecided.update(|count| count - 1);
         self.connection.held.set(0);
         Ok(())
@@ -130,36 +121,43 @@
 
     /// Records that the request has its response, so that only its delivery keeps the connection.
     pub fn answer(&self) {
-        if self.stage.get() == Stage::Accepted {
-            self.stage.set(Stage::Answered);
-            self.state.table.borrow_mut().answer(self.connection.id);
+        if self.state.get() == Some(RequestState::Accepted) {
+            self.state.set(Some(RequestState::Answered));
+            self.listener.table.borrow_mut().answer(self.connection.id);
         }
     }
 
     /// Rejects the request: its response is ready, but the rest of its body is still read so that the
     /// sender gets the response. The connection gives way like one without a request.
     pub fn reject(&self) {
-        if self.stage.replace(Stage::Refused) != Stage::Undecided {
-            return;
+        if self.state.get() == Some(RequestState::Undecided) {
+            self.end();
         }
-        self.connection.undecided.update(|count| count - 1);
-        self.leave_table(false);
     }
 
-    /// Ends the request in the table of connections.
-    fn leave_table(&self, was_accepted: bool) {
-        let (state, id) = (&self.state, self.connection.id);
+    /// Leaves it to another service to count the bytes of the connection.
+    pub fn delegate(&self) {
+        self.connection.is_delegated.set(true);
+    }
+
+    /// Stops to count the request.
+    fn end(&self) {
+        let Some(last) = self.state.take() else { return };
+        let (listener, connection) = (&self.listener, &self.connection);
+        if last == RequestState::Undecided {
+            connection.undecided.update(|count| count - 1);
+        }
         if self.is_extra {
-            self.connection.extra.update(|count| count - 1);
-            state.extra.update(|count| count - 1);
+            connection.extra.update(|count| count - 1);
+            listener.extra.update(|count| count - 1);
         }
-        state.table.borrow_mut().end(id, was_accepted, state.clock.now());
+        listener.table.borrow_mut().end(connection.id, last, listener.clock.now());
     }
 
     /// Waits until the connection gives way to another one.
     pub async fn gave_way(&self) -> GaveWay {
         poll_fn(|cx| {
-            if self.stage.get() == Stage::Refused || self.connection.has_given_way.get() {
+            if self.state.get().is_none() || self.connection.has_given_way.get() {
                 return Poll::Ready(GaveWay);
             }
             self.connection.add_waiting(cx.waker());
@@ -171,11 +169,6 @@
 
 impl Drop for Request {
     fn drop(&mut self) {
-        match self.stage.get() {
-            Stage::Refused => return,
-            Stage::Undecided => self.connection.undecided.update(|count| count - 1),
-            Stage::Accepted | Stage::Answered => {}
-        }
-        self.leave_table(self.stage.get() == Stage::Accepted);
+        self.end();
     }
 }
--- a/crates/arbutuslane_node/src/traffic/relay/held.rs
+++ b/crates/arbutuslane_node/src/traffic/relay/held.rs
@@ -3,11 +3,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arbutuslane_core::time::Time;
-use arbutuslane_limit::slow_readers::{ReaderId, SlowReaders};
+use arbutuslane_limit::slow_readers::{MIN_UNREAD, MIN_UNREAD_IN_CROWD, ReaderId, SlowReaders};
 
 use crate::announce::Server;
 use crate::shared::Shared;
 
+/// How many times the limit make so many responses that readers have less time.
+const CROWD_FACTOR: usize = 2;
+
 /// One of the responses that a node holds; dropping it removes the response from them.
 #[derive(Debug)]
 pub(super) struct HeldResponse {
@@ -50,7 +53,12 @@
 /// Cuts the responses beyond the limit whose readers have taken nothing for the longest time.
 pub(super) fn cut_beyond_limit(shared: &Shared) {
     let limit = shared.settings.max_unread_responses();
-    lock(&shared.slow_readers).choose_beyond(limit, shared.clock.now());
+    let mut readers = lock(&shared.slow_readers);
+    let min_unread = match readers.len() > limit * CROWD_FACTOR {
+        true => MIN_UNREAD_IN_CROWD,
+        false => MIN_UNREAD,
+    };
+    readers.choose_beyond(limit, min_unread, shared.clock.now());
 }
 
 /// Returns the number of responses that are held.
@@ -61,9 +69,9 @@
 /// Cuts responses that occupy slots of `server` for their readers while other requests wait, so that
 /// those have half of the slots.
 pub(super) fn cut_at_full_server(server: &Server, now: Time) {
-    let (in_flight, _, slots) = server.admission.occupancy();
-    if in_flight >= slots {
-        lock(&server.unread).choose_beyond((slots as usize / 2).max(1), now);
+    let (in_flight, queued, slots) = server.admission.occupancy();
+    if in_flight >= slots && queued > 0 {
+        lock(&server.unread).choose_beyond((slots as usize / 2).max(1), MIN_UNREAD, now);
     }
 }
 
