Count every request of a control instance, and the bytes of an HTTP/2 connection once

HTTP/2 connections would have been closed after 192 KiB.

Cause: a connection is closed when 192 KiB have arrived that no request took. The handlers of /health and /metrics did not say that a request had begun, and the outer of the two services that count an HTTP/2 connection saw its bytes only.

Change: both handlers count their requests, and the outer service leaves the bytes of an HTTP/2 connection to the inner one.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -54,6 +54,13 @@
     _counted: Option<CountedRequest>,
 }
 
+impl Shared {
+    /// Counts a request on its connection.
+    fn begin(&self, request: &HttpRequest) -> Option<CountedRequest> {
+        request.io().and_then(|io| self.connections.begin(io))
+    }
+}
+
 type State = web::types::State<Rc<Shared>>;
 
 /// Adds the routes.
@@ -64,7 +71,8 @@
         .service(web::resource("/health").route(web::get().to(health)));
 }
 
-async fn health(shared: State) -> HttpResponse {
+async fn health(request: HttpRequest, shared: State) -> HttpResponse {
+    let _counted = shared.begin(&request);
     let is_ready = {
         let replication = shared.core.replication();
         replication.is_complete() && !replication.awaits_place()
@@ -75,7 +83,8 @@
     }
 }
 
-async fn metrics(shared: State) -> HttpResponse {
+async fn metrics(request: HttpRequest, shared: State) -> HttpResponse {
+    let _counted = shared.begin(&request);
     let core = &shared.core;
     let counters = &core.counters;
     let mut text = String::new();
@@ -220,7 +229,7 @@
     request: &HttpRequest,
     payload: &mut web::types::Payload,
 ) -> Result<Body, Error> {
-    let counted = request.io().and_then(|io| shared.connections.begin(io));
+    let counted = shared.begin(request);
     let length = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let length = length.and_then(|text| text.parse().ok());
     let limit = shared.core.settings.max_body_bytes();
--- a/crates/arbutuslane_node/src/traffic/protocol.rs
+++ b/crates/arbutuslane_node/src/traffic/protocol.rs
@@ -79,8 +79,11 @@
             return ctx.call(&self.http1, io).await;
         }
         let in_use = origin.begin(&io.get_ref());
-        if in_use.as_ref().is_some_and(|in_use| in_use.accept().is_err()) {
-            return Ok(());
+        if let Some(in_use) = &in_use {
+            if in_use.accept().is_err() {
+                return Ok(());
+            }
+            in_use.delegate();
         }
         ctx.call(&self.http2, io).await
     }
--- a/crates/arbutuslane_soak/src/http2.rs
+++ b/crates/arbutuslane_soak/src/http2.rs
@@ -1,5 +1,9 @@
 //! The HTTP/2 frames of a client (RFC 9113), as bytes.
 
+use std::net::TcpStream;
+
+use crate::http;
+
 /// The preface of a client, and settings without a change.
 pub fn preface() -> Vec<u8> {
     let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
@@ -24,6 +28,7 @@
     pub(super) const RST_STREAM: u8 = 3;
     pub(super) const SETTINGS: u8 = 4;
     pub(super) const PING: u8 = 6;
+    pub(super) const GO_AWAY: u8 = 7;
     pub(super) const CONTINUATION: u8 = 9;
 }
 
@@ -62,6 +67,37 @@
     frame(kind::HEADERS, END_HEADERS | END_STREAM, stream, &payload)
 }
 
+/// Returns the head of a GET request with one more field, whose value has `length` bytes.
+pub fn get_padded(stream: u32, host: &str, path: &str, length: usize) -> Vec<u8> {
+    let mut payload = request_block(true, host, path);
+    push_field(&mut payload, b"x-pad", &vec![b'a'; length]);
+    frame(kind::HEADERS, END_HEADERS | END_STREAM, stream, &payload)
+}
+
+/// Reads frames until one ends the stream `id`; returns false if the stream or the connection ends
+/// otherwise. `rest` holds the bytes that were read beyond the last frame.
+pub fn read_to_end(connection: &mut TcpStream, rest: &mut Vec<u8>, id: u32) -> bool {
+    const HEAD_BYTES: usize = 9;
+    loop {
+        if !http::read_body(connection, rest, HEAD_BYTES) {
+            return false;
+        }
+        let length = u32::from_be_bytes([0, rest[0], rest[1], rest[2]]) as usize;
+        let (kind, flags) = (rest[3], rest[4]);
+        let stream = u32::from_be_bytes([rest[5], rest[6], rest[7], rest[8]]);
+        if !http::read_body(connection, rest, HEAD_BYTES + length) {
+            return false;
+        }
+        rest.drain(..HEAD_BYTES + length);
+        match kind {
+            kind::GO_AWAY => return false,
+            kind::RST_STREAM if stream == id => return false,
+            kind::HEADERS | kind::DATA if stream == id && flags & END_STREAM != 0 => return true,
+            _ => {}
+        }
+    }
+}
+
 /// Returns the head of a POST request.
 pub fn post(stream: u32, host: &str, path: &str, block: Block) -> Vec<u8> {
     let flags = if block == Block::Whole { END_HEADERS } else { 0 };
