--- a/crates/arbutuslane_control/src/items/listener.rs
+++ b/crates/arbutuslane_control/src/items/listener.rs
@@ -26,7 +26,7 @@
 
 /// The share of the listener for operators, nodes and other instances. A large change needs a
 /// larger receive buffer to arrive within seconds.
-const MAIN_SHARE: Share = Share { memory: 16, descriptors: 24, receive_buffer: 64 << 10 };
+const MAIN_SHARE: Share = Share { memory: 24, descriptors: 24, receive_buffer: 32 << 10 };
 
 /// The share of the listener for metrics.
 const METRICS_SHARE: Share = Share { memory: 1, descriptors: 2, receive_buffer: 16 << 10 };
--- a/crates/arbutuslane_soak/src/http2.rs
+++ b/crates/arbutuslane_soak/src/http2.rs
@@ -32,7 +32,7 @@
     pub(super) const CONTINUATION: u8 = 9;
 }
 
-/// Returns whether a header block ends with its frame.
+/// Whether a header block ends with its frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Block {
     /// It ends.
@@ -61,16 +61,9 @@
     frame(kind::PING, 0, 0, &[7; 8])
 }
 
-/// Returns the head of a GET request, which ends the stream.
-pub fn get(stream: u32, host: &str, path: &str) -> Vec<u8> {
-    let payload = request_block(true, host, path);
-    frame(kind::HEADERS, END_HEADERS | END_STREAM, stream, &payload)
-}
-
-/// Returns the head of a GET request with one more field, whose value has `length` bytes.
-pub fn get_padded(stream: u32, host: &str, path: &str, length: usize) -> Vec<u8> {
-    let mut payload = request_block(true, host, path);
-    push_field(&mut payload, b"x-pad", &vec![b'a'; length]);
+/// Returns the head of a GET request with `fields`, which ends the stream.
+pub fn get(stream: u32, host: &str, path: &str, fields: &[(&str, &str)]) -> Vec<u8> {
+    let payload = request_block(true, host, path, fields);
     frame(kind::HEADERS, END_HEADERS | END_STREAM, stream, &payload)
 }
 
@@ -98,10 +91,10 @@
     }
 }
 
-/// Returns the head of a POST request.
-pub fn post(stream: u32, host: &str, path: &str, block: Block) -> Vec<u8> {
+/// Returns the head of a POST request with `fields`.
+pub fn post(stream: u32, host: &str, path: &str, fields: &[(&str, &str)], block: Block) -> Vec<u8> {
     let flags = if block == Block::Whole { END_HEADERS } else { 0 };
-    frame(kind::HEADERS, flags, stream, &request_block(false, host, path))
+    frame(kind::HEADERS, flags, stream, &request_block(false, host, path, fields))
 }
 
 /// Returns a CONTINUATION frame with one field of `length` bytes, after which others follow.
@@ -122,7 +115,7 @@
     frame(kind::RST_STREAM, 0, stream, &CANCEL.to_be_bytes())
 }
 
-fn request_block(is_get: bool, host: &str, path: &str) -> Vec<u8> {
+fn request_block(is_get: bool, host: &str, path: &str, fields: &[(&str, &str)]) -> Vec<u8> {
     /// Indexed fields of the static table (RFC 7541, appendix A).
     const METHOD_GET: u8 = 0x82;
     const METHOD_POST: u8 = 0x83;
@@ -130,8 +123,9 @@
     let mut block = vec![if is_get { METHOD_GET } else { METHOD_POST }, SCHEME_HTTP];
     push_field(&mut block, b":path", path.as_bytes());
     push_field(&mut block, b":authority", host.as_bytes());
-    push_field(&mut block, b"attempt-id", b"crowd");
-    push_field(&mut block, b"deadline-ms", b"3000");
+    for (name, value) in fields {
+        push_field(&mut block, name.as_bytes(), value.as_bytes());
+    }
     block
 }
 
