Release the memory of a streamed body's start as it is sent

A body that is streamed because the memory for bodies is used up kept the bytes that had arrived before until its request ended. Sixteen endless bodies, each about 1 MB long when the memory ran out, so held all of it for as long as they were sent, and none of them is a body that gives way to a shorter one: an ordinary upload was refused (503, not run) for up to 60 s.

The start of a streamed body is sent once and is not needed again but for its first segment, which identifies the request. Its segments are now taken out and released one by one.

--- a/crates/arbutuslane_node/src/traffic/client/held.rs
+++ b/crates/arbutuslane_node/src/traffic/client/held.rs
@@ -1,5 +1,6 @@
 //! A request body, or the start of one, that is held in memory.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use ntex::util::{Bytes, BytesMut};
@@ -21,6 +22,13 @@
     reservation: Option<Reservation>,
 }
 
+/// The start of a body that is sent only once: its memory is released as it is sent.
+#[derive(Debug)]
+pub(super) struct Prefix {
+    segments: VecDeque<Bytes>,
+    reservation: Option<Reservation>,
+}
+
 impl HeldBody {
     /// Returns an empty body that will use a part of `memory`.
     pub(crate) fn new(memory: &Arc<Memory>) -> Self {
@@ -73,6 +81,33 @@
     }
 }
 
+impl Prefix {
+    /// Returns the segment that is sent next, or `None` after the last one.
+    pub(super) fn next_segment(&mut self) -> Option<Bytes> {
+        let segment = self.segments.pop_front()?;
+        if let Some(held) = &mut self.reservation {
+            held.shrink(segment.len());
+        }
+        Some(segment)
+    }
+
+    /// Returns the segment that is sent next, and leaves it in place.
+    pub(super) fn first_segment(&self) -> Bytes {
+        self.segments.front().cloned().unwrap_or_default()
+    }
+}
+
+impl From<HeldBody> for Prefix {
+    fn from(body: HeldBody) -> Self {
+        let HeldBody { full, last, reservation, .. } = body;
+        let mut segments = VecDeque::from(full);
+        if !last.is_empty() {
+            segments.push_back(last.freeze());
+        }
+        Self { segments, reservation }
+    }
+}
+
 impl From<Bytes> for HeldBody {
     fn from(bytes: Bytes) -> Self {
         let length = bytes.len();
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -12,6 +12,7 @@
 
 use crate::traffic::intake;
 
+use super::held::Prefix;
 use super::{Failure, HeldBody};
 
 /// The body of a request.
@@ -28,10 +29,10 @@
 /// A body that is streamed from the caller.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
-    /// The bytes that were received before streaming started.
-    prefix: HeldBody,
-    /// The number of segments of the prefix that were sent.
-    sent_segments: Cell<usize>,
+    /// The first bytes, which identify the request.
+    first_segment: ntex::util::Bytes,
+    /// The bytes that were received before streaming started and have not been sent.
+    prefix: RefCell<Prefix>,
     payload: RefCell<Payload>,
     length: Option<u64>,
     limit: u64,
@@ -74,9 +75,10 @@
         limit: u64,
         place: Place,
     ) -> Self {
+        let prefix = Prefix::from(prefix);
         Self::Stream(Rc::new(StreamedBody {
-            prefix,
-            sent_segments: Cell::new(0),
+            first_segment: prefix.first_segment(),
+            prefix: RefCell::new(prefix),
             payload: RefCell::new(payload),
             length,
             limit,
@@ -110,7 +112,7 @@
         match self {
             Self::Empty => &[],
             Self::Held(body) => body.first_segment(),
-            Self::Stream(stream) => stream.prefix.first_segment(),
+            Self::Stream(stream) => &stream.first_segment,
         }
     }
 
@@ -154,10 +156,9 @@
     /// length.
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
         self.has_started.set(true);
-        if let Some(segment) = self.prefix.segment(self.sent_segments.get()) {
-            self.sent_segments.update(|sent| sent + 1);
+        if let Some(segment) = self.prefix.borrow_mut().next_segment() {
             self.sent.update(|sent| sent + segment.len() as u64);
-            return Poll::Ready(Some(Ok(Bytes::copy_from_slice(segment))));
+            return Poll::Ready(Some(Ok(Bytes::copy_from_slice(&segment))));
         }
         loop {
             let next = ready!(self.payload.borrow_mut().poll_recv(cx));
