State the connections' configuration, the end of a receive and its status once

The listeners of node and control instance each had the same buffer sizes and head limits, both waited for "the body, unless the connection gives way" in code of their own, and each translated a receive error to a status. These are now arbutuslane_listen::config, connections::unless_given_way and receive::Error::status. Crowd::closed and Places::taken had no caller.

--- a/crates/arbutuslane_control/src/items/listener.rs
+++ b/crates/arbutuslane_control/src/items/listener.rs
@@ -4,15 +4,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use arbutuslane_listen::budget::{Budget, MAX_HEAD_BYTES, READ_BUFFER_BYTES, Share};
+use arbutuslane_listen::budget::{Budget, Share};
+use arbutuslane_listen::config;
 use arbutuslane_listen::connections::Connections;
 use arbutuslane_listen::gate::Gate;
 use arbutuslane_listen::server::{self, ConnectionService, Listener, Server, ServiceBuilder};
 use arbutuslane_listen::socket;
 use ntex::SharedCfg;
 use ntex::client::Client;
-use ntex::http::{HttpService, HttpServiceConfig};
-use ntex::io::IoConfig;
+use ntex::http::HttpService;
 use ntex::time::Seconds;
 use ntex::web::{self, App};
 
@@ -34,15 +34,6 @@
 /// The threads that serve requests.
 const THREADS: usize = 1;
 
-/// The size of the write buffer of a connection in bytes.
-const WRITE_BUFFER_BYTES: usize = 32 << 10;
-
-/// The size of the unused part below which a buffer grows, in bytes.
-const LOW_BUFFER_BYTES: usize = 4 << 10;
-
-/// The number of unused buffers that are kept.
-const KEPT_BUFFERS: usize = 32;
-
 /// What the handlers of requests need.
 pub(super) struct ServerState {
     pub(super) core: Arc<Core>,
@@ -107,11 +98,7 @@
 
 /// Returns the configuration of the connections.
 fn connection_config() -> SharedCfg {
-    let http = HttpServiceConfig::new().set_max_buf_size(MAX_HEAD_BYTES);
-    let io = IoConfig::new()
-        .set_read_buf(READ_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS)
-        .set_write_buf(WRITE_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS);
-    SharedCfg::new("control").add(http).add(io).into()
+    SharedCfg::new("control").add(config::http()).add(config::io()).into()
 }
 
 fn parse(address: &str) -> std::io::Result<SocketAddr> {
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -10,7 +10,7 @@
 use arbutuslane_event::metric::Text;
 use arbutuslane_item::prelude::{Item, check};
 use arbutuslane_listen::connections::{Connections, Request as CountedRequest};
-use arbutuslane_listen::receive::{self, Bounds, Error, Received};
+use arbutuslane_listen::receive::{self, Bounds, Received};
 use arbutuslane_wire::peer::{Answer, Message};
 use arbutuslane_wire::{codec, header, operator};
 use ntex::client::Client;
@@ -139,7 +139,7 @@
     }
     let body = match receive(&shared, &request, &mut payload).await {
         Ok(body) => body,
-        Err(error) => return HttpResponse::build(status_of(&error)).finish(),
+        Err(error) => return HttpResponse::build(error.status()).finish(),
     };
     let Ok(message) = codec::decode::<Message>(&body.received.bytes) else {
         return HttpResponse::BadRequest().finish();
@@ -202,7 +202,7 @@
         Ok(body) => body,
         Err(error) => {
             let remedy = "send the whole body, within the size limit";
-            return refuse(status_of(&error), &error.to_string(), remedy);
+            return refuse(error.status(), &error.to_string(), remedy);
         }
     };
     let _turn = match body.received.bytes.len() >= LARGE_CHANGE_BYTES {
@@ -228,7 +228,7 @@
     shared: &Shared,
     request: &HttpRequest,
     payload: &mut web::types::Payload,
-) -> Result<Body, Error> {
+) -> Result<Body, receive::Error> {
     let counted = shared.begin(request);
     let length = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let length = length.and_then(|text| text.parse().ok());
@@ -240,15 +240,6 @@
 }
 
 /// Returns the status of the response to a body that was not received.
-fn status_of(error: &Error) -> StatusCode {
-    match error {
-        Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        Error::Incomplete(_) => StatusCode::BAD_REQUEST,
-        Error::Late => StatusCode::REQUEST_TIMEOUT,
-        Error::GaveWay => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
-
 async fn handle_change(shared: &Shared, items: Vec<Item>) -> HttpResponse {
     let started_at = Instant::now();
     let items: Vec<Arc<Item>> = items.into_iter().map(Arc::new).collect();
--- a/crates/arbutuslane_control/src/items/settings.rs
+++ b/crates/arbutuslane_control/src/items/settings.rs
@@ -2,6 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
+use arbutuslane_limit::memory::BYTES_PER_MEGABYTE;
+use arbutuslane_listen::budget::MIN_DESCRIPTORS;
 use serde::Deserialize;
 
 use crate::settings::{Error, parse_file, parse_text};
@@ -57,12 +59,6 @@
 /// The least memory with which an instance works, in megabytes.
 const MIN_MEMORY_MB: u32 = 64;
 
-/// The fewest descriptors with which an instance works.
-const MIN_DESCRIPTORS: u32 = 64;
-
-/// The number of bytes in a megabyte of the settings.
-const BYTES_PER_MEGABYTE: usize = 1 << 20;
-
 /// The part of the memory that holds request bodies: one in this many.
 const BODY_MEMORY_DIVISOR: usize = 8;
 
--- a/crates/arbutuslane_limit/src/memory.rs
+++ b/crates/arbutuslane_limit/src/memory.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+/// The number of bytes in a megabyte of the settings.
+pub const BYTES_PER_MEGABYTE: usize = 1 << 20;
+
 /// A limit on the bytes of the bodies that a node holds, over all requests and threads.
 ///
-/// A held request body can be sent to another server when the first one refuses it, and a slow sender does
-/// not occupy a slot while it is received. The limit applies to all bodies together: a limit for
+/// A held request body can be sent to another server when the first one refuses it, and a slow
+/// sender does not occupy a slot while it is received. The limit applies to all bodies together: a limit for
 /// each body bounds nothing when many callers send at once.
 ///
 /// ```
--- a/crates/arbutuslane_limit/src/places.rs
+++ b/crates/arbutuslane_limit/src/places.rs
@@ -43,11 +43,6 @@
         self.taken.fetch_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
         Some(Place { places: Arc::clone(self) })
     }
-
-    /// Returns the number of places that are taken.
-    pub fn taken(&self) -> usize {
-        self.taken.load(Ordering::Relaxed)
-    }
 }
 
 impl Drop for Place {
--- a/crates/arbutuslane_listen/src/budget.rs
+++ b/crates/arbutuslane_listen/src/budget.rs
@@ -1,5 +1,6 @@
 //! How many connections each listener of a process may have.
 
+use arbutuslane_limit::memory::BYTES_PER_MEGABYTE;
 use rustix::process::{Resource, getrlimit};
 
 use crate::socket::unread_bytes;
@@ -13,12 +14,12 @@
 /// What the tasks and the state of a connection need, in bytes.
 const STATE_BYTES: usize = 16 << 10;
 
+/// The fewest descriptors with which a process works.
+pub const MIN_DESCRIPTORS: u32 = 64;
+
 /// The fewest connections of a listener, however small the budget is.
 const MIN_CONNECTIONS: usize = 8;
 
-/// The number of bytes in a megabyte.
-const BYTES_PER_MEGABYTE: usize = 1 << 20;
-
 /// The most bytes that an HTTP/2 connection holds with all its streams.
 const HTTP2_CONNECTION_BYTES: usize = 2 << 20;
 
--- a/crates/arbutuslane_listen/src/connections.rs
+++ b/crates/arbutuslane_listen/src/connections.rs
@@ -14,7 +14,7 @@
 
 use crate::budget::MAX_HEAD_BYTES;
 
-pub use request::{GaveWay, Request};
+pub use request::{GaveWay, Request, unless_given_way};
 
 /// The connections that may be open beyond the limit until their requests have been refused: one
 /// in this many.
@@ -168,38 +168,42 @@
     /// share a number of places; a request without a place cannot be accepted.
     pub fn begin(&self, io: &IoRef) -> Option<Request> {
         let connection = self.state.find(io.id())?;
-        Some(self.try_begin(io).unwrap_or_else(|| Request::refused(&self.state, connection)))
+        let begun = self.state.begin(&connection);
+        Some(begun.unwrap_or_else(|| Request::refused(&self.state, connection)))
     }
 
     /// Begins a request as [`begin`](Self::begin) does, or returns `None` if there is no room for
     /// it, so that it has to wait.
     pub fn try_begin(&self, io: &IoRef) -> Option<Request> {
-        let state = &self.state;
-        let connection = state.find(io.id())?;
-        let is_extra = state.table.borrow().begun(connection.id) > 0;
+        let connection = self.state.find(io.id())?;
+        self.state.begin(&connection)
+    }
+}
+
+impl State {
+    /// Begins a request on `connection`, or returns `None` if there is no room for it.
+    fn begin(self: &Rc<Self>, connection: &Rc<Connection>) -> Option<Request> {
+        let is_extra = self.table.borrow().begun(connection.id) > 0;
         let has_room = connection.undecided.get() < MAX_UNDECIDED
-            && (!is_extra || state.has_room_for_extra(&connection))
-            && state.table.borrow_mut().begin(connection.id, state.clock.now());
+            && (!is_extra || self.has_room_for_extra(connection))
+            && self.table.borrow_mut().begin(connection.id, self.clock.now());
         if !has_room {
             return None;
         }
         connection.take(MAX_HEAD_BYTES);
         if is_extra {
             connection.extra.update(|count| count + 1);
-            state.extra.update(|count| count + 1);
+            self.extra.update(|count| count + 1);
         }
         connection.undecided.update(|count| count + 1);
-        let state = Rc::clone(state);
         Some(Request {
-            listener: state,
-            connection,
+            listener: Rc::clone(self),
+            connection: Rc::clone(connection),
             is_extra,
             state: Cell::new(Some(RequestState::Undecided)),
         })
     }
-}
 
-impl State {
     /// Returns whether another request beside the first one has room on `connection`.
     fn has_room_for_extra(&self, connection: &Connection) -> bool {
         let share = (self.extra_limit / EXTRA_SHARE_DIVISOR).max(MIN_EXTRA);
--- a/crates/arbutuslane_listen/src/connections/request.rs
+++ b/crates/arbutuslane_listen/src/connections/request.rs
@@ -2,11 +2,12 @@
 
 use std::cell::Cell;
 use std::future::poll_fn;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use arbutuslane_limit::connections::RequestState;
+use futures_util::future::{Either, select};
 use ntex::http::Payload;
 use ntex::http::error::PayloadError;
 use ntex::util::{Bytes, Stream};
@@ -155,7 +156,7 @@
     }
 
     /// Waits until the connection gives way to another one.
-    pub async fn gave_way(&self) -> GaveWay {
+    async fn gave_way(&self) -> GaveWay {
         poll_fn(|cx| {
             if self.state.get().is_none() || self.connection.has_given_way.get() {
                 return Poll::Ready(GaveWay);
@@ -167,6 +168,23 @@
     }
 }
 
+/// Waits for `receiving`, the rest of `request`, unless its connection gives way to another one
+/// before. A request that is not counted never gives way.
+///
+/// # Errors
+///
+/// Fails if the connection gives way.
+pub async fn unless_given_way<T>(
+    request: Option<&Request>,
+    receiving: impl Future<Output = T>,
+) -> Result<T, GaveWay> {
+    let Some(request) = request else { return Ok(receiving.await) };
+    match select(pin!(receiving), pin!(request.gave_way())).await {
+        Either::Left((received, _)) => Ok(received),
+        Either::Right((gave_way, _)) => Err(gave_way),
+    }
+}
+
 impl Drop for Request {
     fn drop(&mut self) {
         self.end();
--- a/crates/arbutuslane_listen/src/lib.rs
+++ b/crates/arbutuslane_listen/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! A [`Budget`](budget::Budget) holds what a process may use, and gives each listener a number of
 //! connections by its [`Share`](budget::Share). [`socket::open`] opens a listener whose connections
-//! hold few unread bytes, and [`server::start`] accepts and serves them. A [`Gate`](gate::Gate) counts the connections of one listener in one
-//! thread, and closes the least useful one when another one needs its place. The handler of a
-//! request tells the gate about it through [`Connections`](connections::Connections).
+//! hold few unread bytes, and [`server::start`] accepts and serves them. A [`Gate`](gate::Gate)
+//! counts the connections of one listener in one thread, and closes the least useful one when
+//! another one needs its place. The handler of a request tells the gate about it through
+//! [`Connections`](connections::Connections).
 
 pub mod bodies;
 pub mod budget;
+pub mod config;
 pub mod connections;
 pub mod gate;
 pub mod receive;
--- a/crates/arbutuslane_listen/src/receive.rs
+++ b/crates/arbutuslane_listen/src/receive.rs
@@ -1,18 +1,16 @@
 //! Receives whole messages into the memory for them.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
-use ntex::http::Payload;
+use ntex::http::{Payload, StatusCode};
 use ntex::time::timeout_checked;
 use ntex::util::{Bytes, BytesMut};
 
 use arbutuslane_limit::memory::Reservation;
 
 use crate::bodies::{Bodies, IncomingBody};
-use crate::connections::Request;
+use crate::connections::{self, GaveWay, Request};
 
 /// The largest message and the time in which it has to arrive.
 #[derive(Debug, Clone, Copy)]
@@ -50,6 +48,18 @@
     GaveWay,
 }
 
+impl Error {
+    /// Returns the status of the response to the sender.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Incomplete(_) => StatusCode::BAD_REQUEST,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::GaveWay => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
 /// Receives a message.
 ///
 /// # Errors
@@ -71,19 +81,12 @@
     }
     let incoming = bodies.begin();
     let reading = incoming.unless_given_way(read(bodies, &incoming, payload, bounds.limit));
-    let gave_way = async {
-        match counted {
-            Some(counted) => counted.gave_way().await,
-            None => std::future::pending().await,
-        }
-    };
-    let (reading, gave_way) = (pin!(reading), pin!(gave_way));
-    let received = match timeout_checked(bounds.time, select(reading, gave_way)).await {
-        Ok(Either::Left((received, _))) => received,
-        Ok(Either::Right(_)) => None,
+    let reading = connections::unless_given_way(counted, reading);
+    let received = match timeout_checked(bounds.time, reading).await {
+        Ok(Ok(Some(received))) => received?,
+        Ok(Ok(None) | Err(GaveWay)) => return Err(Error::GaveWay),
         Err(()) => return Err(Error::Late),
     };
-    let received = received.unwrap_or(Err(Error::GaveWay))?;
     match counted.is_none_or(|counted| counted.accept().is_ok()) {
         true => Ok(received),
         false => Err(Error::GaveWay),
--- a/crates/arbutuslane_node/src/settings.rs
+++ b/crates/arbutuslane_node/src/settings.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use arbutuslane_limit::gate::Order;
+use arbutuslane_limit::memory::BYTES_PER_MEGABYTE;
+use arbutuslane_listen::budget::MIN_DESCRIPTORS;
 use arbutuslane_wire::allowance::AllowanceSettings;
 use serde::Deserialize;
 
 use crate::experiment::Experiment;
 
-/// The number of bytes in a megabyte of the settings.
-const BYTES_PER_MEGABYTE: usize = 1 << 20;
-
 /// The number of heartbeat intervals in a lease.
 const LEASE_HEARTBEATS: u32 = 4;
 
@@ -22,9 +21,6 @@
 /// The part of the grace time in which a node closes its listeners and writes its last log lines.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
-/// The fewest descriptors with which a node works.
-const MIN_DESCRIPTORS: u32 = 64;
-
 /// The part of the memory that holds request bodies: one in this many.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -55,7 +55,7 @@
 /// Responds to a caller's request; closes the connection `io` if the response body is cut off.
 pub(crate) async fn respond(
     worker: Rc<Worker>,
-    incoming: IncomingRequest,
+    mut incoming: IncomingRequest,
     io: Option<IoRef>,
 ) -> Response {
     let in_flight = InFlight::begin(&worker.shared);
@@ -63,7 +63,6 @@
     let dialect = worker.shared.interface.dialect();
     let id = owner::request_id(dialect, &incoming.headers).to_string();
     let mut destination = Destination::default();
-    let mut incoming = incoming;
     let response = process_request(&worker, &mut incoming, &mut destination);
     let response = worker.shared.stop.unless_given_up(response).await;
     let counted = incoming.counted.take();
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -3,12 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
 use ntex::http::{Payload, StatusCode};
 use ntex::time::timeout_checked;
 
 use arbutuslane_listen::bodies::IncomingBody;
-use arbutuslane_listen::connections::Request as CountedRequest;
+use arbutuslane_listen::connections::{GaveWay, Request as CountedRequest, unless_given_way};
 
 use crate::cluster::keyed;
 use crate::metrics::count;
@@ -65,17 +64,17 @@
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    match within(bounds.time, unless_given_way(bounds.counted, hold(shared, payload, bounds))).await
-    {
-        Ok(Ok(upload)) => {
+    let reading = unless_given_way(bounds.counted, hold(shared, payload, bounds));
+    match within(bounds.time, reading).await {
+        Ok(Ok(Ok(upload))) => {
             if matches!(upload, Upload::Stream(_)) {
                 count(&shared.metrics.streamed_bodies);
             }
             Ok(upload)
         }
-        Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
-        Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
-        Ok(Err(ReadError::GaveWay)) => Err(gave_way()),
+        Ok(Ok(Err(ReadError::TooLarge))) => Err(body_too_large(bounds.limit)),
+        Ok(Ok(Err(ReadError::Incomplete))) => Err(incomplete_body()),
+        Ok(Ok(Err(ReadError::GaveWay)) | Err(GaveWay)) => Err(gave_way()),
         Err(Elapsed) => Err(late_body()),
     }
 }
@@ -96,19 +95,6 @@
     let _ = timeout_checked(DISCARD_TIMEOUT, reading).await;
 }
 
-/// Receives a body unless its connection gives way to another one.
-async fn unless_given_way(
-    counted: Option<&CountedRequest>,
-    receiving: impl Future<Output = Result<Upload, ReadError>>,
-) -> Result<Upload, ReadError> {
-    let Some(counted) = counted else { return receiving.await };
-    let (receiving, gave_way) = (std::pin::pin!(receiving), std::pin::pin!(counted.gave_way()));
-    match select(receiving, gave_way).await {
-        Either::Left((received, _)) => received,
-        Either::Right(_) => Err(ReadError::GaveWay),
-    }
-}
-
 /// Accepts a request whose head and body have been received: from now on its connection does not
 /// give way to another one.
 ///
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -10,12 +10,13 @@
 use ntex::http::h1::control::Reason;
 use ntex::http::h1::{Control, ControlAck};
 use ntex::http::h2::Http2ServiceConfig;
-use ntex::http::{HttpService, HttpServiceConfig, Request, Response, StatusCode};
-use ntex::io::{Base, IoConfig};
+use ntex::http::{HttpService, Request, Response, StatusCode};
+use ntex::io::Base;
 use ntex::service::fn_service;
 use ntex::time::Seconds;
 
-use arbutuslane_listen::budget::{Budget, MAX_HEAD_BYTES, READ_BUFFER_BYTES, Share};
+use arbutuslane_listen::budget::{Budget, Share};
+use arbutuslane_listen::config;
 use arbutuslane_listen::connections::Connections;
 use arbutuslane_listen::gate::Gate;
 use arbutuslane_listen::server::{self, ConnectionService, Listener, Server, ServiceBuilder};
@@ -36,15 +37,6 @@
 /// The timeout for receiving a request head.
 const HEAD_TIMEOUT: Seconds = Seconds(5);
 
-/// The size of the unused part below which a buffer grows, in bytes.
-const LOW_BUFFER_BYTES: usize = 4 << 10;
-
-/// The number of unused buffers that each thread keeps.
-const KEPT_BUFFERS: usize = 32;
-
-/// The size of the write buffer of a connection in bytes.
-pub(super) const WRITE_BUFFER_BYTES: usize = 32 << 10;
-
 /// The size of the receive buffer that is set for each connection, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
@@ -139,18 +131,12 @@
 
 /// Returns the configuration of the connections.
 fn connection_config() -> SharedCfg {
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KEEP_ALIVE_TIMEOUT)
-        .set_client_timeout(HEAD_TIMEOUT)
-        .set_max_buf_size(MAX_HEAD_BYTES);
+    let http = config::http().set_keepalive(KEEP_ALIVE_TIMEOUT).set_client_timeout(HEAD_TIMEOUT);
     let http2 = Http2ServiceConfig::new()
         .set_initial_connection_window_size(HTTP2_WINDOW_BYTES)
         .set_max_concurrent_streams(MAX_STREAMS)
         .set_max_header_list_size(MAX_HEADER_LIST_BYTES);
-    let io = IoConfig::new()
-        .set_read_buf(READ_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS)
-        .set_write_buf(WRITE_BUFFER_BYTES, LOW_BUFFER_BYTES, KEPT_BUFFERS);
-    SharedCfg::new("incoming").add(http).add(http2).add(io).into()
+    SharedCfg::new("incoming").add(http).add(http2).add(config::io()).into()
 }
 
 /// Returns what builds the service of a listener in a thread, with connections within `limits`.
--- a/crates/arbutuslane_node/src/traffic/message.rs
+++ b/crates/arbutuslane_node/src/traffic/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ntex::http::{Request, Response, StatusCode};
+use ntex::http::{Request, Response};
 
 use arbutuslane_listen::connections::Request as CountedRequest;
 use arbutuslane_listen::receive::{self, Bounds, Error, Received};
@@ -39,11 +39,11 @@
     if matches!(error, Error::TooLarge) {
         intake::discard(&mut payload).await;
     }
-    let (status, remedy) = match error {
-        Error::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "send a smaller body"),
-        Error::Incomplete(_) => (StatusCode::BAD_REQUEST, "send the complete body"),
-        Error::Late => (StatusCode::REQUEST_TIMEOUT, "send the body within 5 s"),
-        Error::GaveWay => (StatusCode::SERVICE_UNAVAILABLE, "send the message again"),
+    let remedy = match error {
+        Error::TooLarge => "send a smaller body",
+        Error::Incomplete(_) => "send the complete body",
+        Error::Late => "send the body within 5 s",
+        Error::GaveWay => "send the message again",
     };
-    Err(admin::refuse(status, &error.to_string(), remedy))
+    Err(admin::refuse(error.status(), &error.to_string(), remedy))
 }
--- a/crates/arbutuslane_node/src/traffic/relay/reading.rs
+++ b/crates/arbutuslane_node/src/traffic/relay/reading.rs
@@ -15,13 +15,13 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::body_watch::{Blocked, BodyWatch, Reason, Step};
 use arbutuslane_limit::memory::Reservation;
+use arbutuslane_listen::config::WRITE_BUFFER_BYTES;
 
 use super::held::{self, HeldResponse};
 use super::{BodySource, InFlight};
 use crate::metrics::count;
 use crate::shared::Shared;
 use crate::traffic::client::Failure;
-use crate::traffic::listener::WRITE_BUFFER_BYTES;
 
 /// The bytes of a response that are held without a part of the memory for bodies, which leaves room
 /// for one such buffer for each connection. The end of a shorter body is seen at once.
--- a/crates/arbutuslane_soak/src/crowd.rs
+++ b/crates/arbutuslane_soak/src/crowd.rs
@@ -44,7 +44,6 @@
 #[derive(Debug, Default)]
 struct State {
     arrived: AtomicUsize,
-    closed: AtomicUsize,
     has_vanished: AtomicBool,
     is_over: AtomicBool,
     /// The responses' first bytes, one for each of the first connections that got any.
@@ -90,11 +89,6 @@
         });
     }
 
-    /// Returns how many connections were closed by the other side.
-    pub fn closed(&self) -> usize {
-        self.state.closed.load(Ordering::Relaxed)
-    }
-
     /// Returns the first bytes of some responses.
     pub fn responses(&self) -> Vec<Vec<u8>> {
         self.state.responses.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -170,7 +164,6 @@
             Progress::Some => self.idle_passes = 0,
             Progress::None => self.idle_passes += 1,
             Progress::Closed => {
-                state.closed.fetch_add(1, Ordering::Relaxed);
                 self.close(script);
                 self.arrive(state);
             }
