Let workers get ready only after their pool has seen them, so that stops end

Cause: the worker pool of the server library asks each new worker for its state and then waits for changes. A worker that gets ready between its start and that question is entered twice, once as ready and once for the change. A stop sends both entries a message, the worker answers the first and ends, and the stop waits for the other until the timeout. Seen in a stopping stand-in: the worker thread has ended, timers of the main thread run, the stop does not return.

Workers of our server now get ready only after the pool has seen all of them as not ready, which it tells by its pause callback.

The node's entry was not run again by itself; it has the same pool. A worker that is started again after a panic is not covered.

--- a/crates/arbutuslane_listen/src/server.rs
+++ b/crates/arbutuslane_listen/src/server.rs
@@ -82,7 +82,11 @@
         services.push((service, config));
     }
     let acceptors = Arc::new(Acceptors::default());
-    let workers = Workers { services: Arc::new(services), acceptors: Arc::clone(&acceptors) };
+    let workers = Workers {
+        services: Arc::new(services),
+        acceptors: Arc::clone(&acceptors),
+        enrolment: Arc::new(Enrolment::new(threads)),
+    };
     let server = WorkerPool::new()
         .workers(threads)
         .disable_signals()
@@ -176,6 +180,42 @@
 struct Workers {
     services: Arc<Vec<(ServiceBuilder, SharedCfg)>>,
     acceptors: Arc<Acceptors>,
+    enrolment: Arc<Enrolment>,
+}
+
+/// Makes new workers wait until the pool has seen that they are not ready yet.
+///
+/// The pool asks each worker for its state once and then waits for changes. A worker that gets ready
+/// before it was asked is entered twice, and a stop then waits for its second entry until the
+/// timeout.
+#[derive(Debug)]
+struct Enrolment {
+    workers: usize,
+    /// How often the pool has seen a worker that is not ready, while none was.
+    seen: AtomicUsize,
+    changed: Notify,
+}
+
+impl Enrolment {
+    fn new(workers: usize) -> Self {
+        Self { workers, seen: AtomicUsize::new(0), changed: Notify::new() }
+    }
+
+    fn record(&self) {
+        self.seen.fetch_add(1, Ordering::AcqRel);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the pool has seen all workers.
+    async fn complete(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.seen.load(Ordering::Acquire) >= self.workers {
+                return;
+            }
+            changed.await;
+        }
+    }
 }
 
 /// Builds the services of one worker.
@@ -197,9 +237,14 @@
         for (service, config) in self.services.iter() {
             services.push((service().await, config.clone()));
         }
+        self.enrolment.complete().await;
         Ok(WorkerFactory { services })
     }
 
+    fn paused(&self) {
+        self.enrolment.record();
+    }
+
     fn terminate(&self) {
         self.acceptors.stop();
     }
