--- a/crates/arbutuslane_standin/src/backend/serve.rs
+++ b/crates/arbutuslane_standin/src/backend/serve.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arbutuslane_listen::server::{self, Listener, Server, ServiceBuilder};
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Method, Request, Response, StatusCode};
 use ntex::rt::signals::signal;
 use ntex::rt::{DefaultRuntime, System};
-use ntex::server::{Server, build};
 use ntex::service::fn_service;
 use ntex::time::{Seconds, sleep};
 use ntex::util::BytesMut;
@@ -19,6 +19,9 @@
 use super::work::{self, ResponseSwap};
 use super::{Faults, Settings, announce};
 
+/// The most connections at a time.
+const MAX_CONNECTIONS: usize = 4_096;
+
 /// How long requests in flight may take after the server has left.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(60);
 
@@ -42,21 +45,19 @@
     })
 }
 
-fn start(state: &Arc<State>, listener: TcpListener) -> std::io::Result<Server> {
+fn start(state: &Arc<State>, socket: TcpListener) -> std::io::Result<Server> {
     let state = Arc::clone(state);
     let http = HttpServiceConfig::new().set_keepalive(Seconds(75)).set_client_timeout(Seconds(5));
-    let server = build()
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT)
-        .listen("backend", listener, async move |_| {
-            let (state, swap) = (Arc::clone(&state), Rc::<ResponseSwap>::default());
-            HttpService::h1(fn_service(async move |request: Request| {
-                Ok::<_, std::io::Error>(handle(&state, &swap, request).await)
-            }))
-        })?
-        .config("backend", SharedCfg::new("backend").add(http));
-    Ok(server.run())
+    let service: ServiceBuilder = Arc::new(move || {
+        let (state, swap) = (Arc::clone(&state), Rc::<ResponseSwap>::default());
+        let service = HttpService::h1(fn_service(async move |request: Request| {
+            Ok::<_, std::io::Error>(handle(&state, &swap, request).await)
+        }));
+        Box::pin(std::future::ready(server::boxed_service(service)))
+    });
+    let config = SharedCfg::new("backend").add(http).into();
+    let listener = Listener { socket, limit: MAX_CONNECTIONS, config, service };
+    server::start(vec![listener], 1, SHUTDOWN_TIMEOUT)
 }
 
 /// Responds to the control and health endpoints; handles every other path as work.
