--- a/crates/arbutuslane_limit/src/receiving.rs
+++ b/crates/arbutuslane_limit/src/receiving.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns whether a body is still being received.
+    pub fn contains(&self, id: BodyId) -> bool {
+        self.find(id).is_ok()
+    }
+
     /// Returns whether a body gives way to another one.
     pub fn gives_way(&self, id: BodyId) -> bool {
         self.find(id).is_ok_and(|index| self.bodies[index].gives_way)
--- a/crates/arbutuslane_listen/src/connections.rs
+++ b/crates/arbutuslane_listen/src/connections.rs
@@ -81,7 +81,7 @@
     is_delegated: Cell<bool>,
     /// The bytes that have arrived and that no request has taken.
     untaken: Cell<usize>,
-    /// The bytes that requests have taken since the last one was accepted.
+    /// The bytes that requests have taken since all earlier ones were decided on.
     held: Cell<usize>,
     /// The bytes for the peer that were to be sent when last looked, and since when there are so many.
     unread: Cell<usize>,
@@ -247,6 +247,22 @@
         self.untaken.update(|untaken| untaken.saturating_sub(bytes));
     }
 
+    /// Records that a request has taken `bytes`, which this process holds until it has decided on
+    /// the request.
+    fn hold(&self, bytes: usize) {
+        if self.undecided.get() > 0 {
+            self.held.update(|held| held + bytes);
+        }
+    }
+
+    /// Records that a request was accepted, or has ended without that.
+    fn decide(&self) {
+        self.undecided.update(|count| count - 1);
+        if self.undecided.get() == 0 {
+            self.held.set(0);
+        }
+    }
+
     fn add_waiting(&self, waker: &Waker) {
         let mut waiting = self.waiting.borrow_mut();
         if !waiting.iter().any(|known| known.will_wake(waker)) {
--- a/crates/arbutuslane_listen/src/connections/request.rs
+++ b/crates/arbutuslane_listen/src/connections/request.rs
@@ -48,7 +48,7 @@
         let next = ready!(self.payload.poll_recv(cx));
         if let Some(Ok(bytes)) = &next {
             self.connection.take(bytes.len() + FRAMING_BYTES);
-            self.connection.held.update(|held| held + bytes.len());
+            self.connection.hold(bytes.len());
         }
         Poll::Ready(next)
     }
@@ -115,8 +115,7 @@
             return Err(GaveWay);
         }
         self.state.set(Some(RequestState::Accepted));
-        self.connection.undecided.update(|count| count - 1);
-        self.connection.held.set(0);
+        self.connection.decide();
         Ok(())
     }
 
@@ -146,7 +145,7 @@
         let Some(last) = self.state.take() else { return };
         let (listener, connection) = (&self.listener, &self.connection);
         if last == RequestState::Undecided {
-            connection.undecided.update(|count| count - 1);
+            connection.decide();
         }
         if self.is_extra {
             connection.extra.update(|count| count - 1);
