Keep the memory of a streamed body's first segment reserved

The first segment of a streamed body stays in memory until its request ends, but its part of the memory for bodies was released when it was sent: with 16 streamed bodies at most 1 MB more than the limit. It is now taken out before the segments that are released.

Workers that wait for their pool no longer wait once it has stopped.

Found on reading the diff, not shown by a test.

--- a/crates/arbutuslane_listen/src/server.rs
+++ b/crates/arbutuslane_listen/src/server.rs
@@ -201,11 +201,18 @@
         Self { workers, seen: AtomicUsize::new(0), changed: Notify::new() }
     }
 
+    /// Records that the pool has seen a worker that is not ready.
     fn record(&self) {
         self.seen.fetch_add(1, Ordering::AcqRel);
         self.changed.notify_waiters();
     }
 
+    /// Lets no worker wait any longer, because the pool has stopped.
+    fn end(&self) {
+        self.seen.store(self.workers, Ordering::Release);
+        self.changed.notify_waiters();
+    }
+
     /// Waits until the pool has seen all workers.
     async fn complete(&self) {
         loop {
@@ -247,6 +254,7 @@
 
     fn terminate(&self) {
         self.acceptors.stop();
+        self.enrolment.end();
     }
 
     async fn stop(&self) {
--- a/crates/arbutuslane_node/src/traffic/client/held.rs
+++ b/crates/arbutuslane_node/src/traffic/client/held.rs
@@ -22,10 +22,10 @@
     reservation: Option<Reservation>,
 }
 
-/// The start of a body that is sent only once: its memory is released as it is sent.
+/// The segments of a body that is sent only once: their memory is released as they are sent.
 #[derive(Debug)]
-pub(super) struct Prefix {
-    segments: VecDeque<Bytes>,
+pub(super) struct Segments {
+    unsent: VecDeque<Bytes>,
     reservation: Option<Reservation>,
 }
 
@@ -81,30 +81,30 @@
     }
 }
 
-impl Prefix {
-    /// Returns the segment that is sent next, or `None` after the last one.
-    pub(super) fn next_segment(&mut self) -> Option<Bytes> {
-        let segment = self.segments.pop_front()?;
+impl Segments {
+    /// Removes and returns the first segment. Its memory stays reserved, because its owner keeps it.
+    pub(super) fn take_first(&mut self) -> Bytes {
+        self.unsent.pop_front().unwrap_or_default()
+    }
+
+    /// Removes and returns the segment that is sent next, or `None` after the last one.
+    pub(super) fn next_unsent(&mut self) -> Option<Bytes> {
+        let segment = self.unsent.pop_front()?;
         if let Some(held) = &mut self.reservation {
             held.shrink(segment.len());
         }
         Some(segment)
     }
-
-    /// Returns the segment that is sent next, and leaves it in place.
-    pub(super) fn first_segment(&self) -> Bytes {
-        self.segments.front().cloned().unwrap_or_default()
-    }
 }
 
-impl From<HeldBody> for Prefix {
+impl From<HeldBody> for Segments {
     fn from(body: HeldBody) -> Self {
         let HeldBody { full, last, reservation, .. } = body;
-        let mut segments = VecDeque::from(full);
+        let mut unsent = VecDeque::from(full);
         if !last.is_empty() {
-            segments.push_back(last.freeze());
+            unsent.push_back(last.freeze());
         }
-        Self { segments, reservation }
+        Self { unsent, reservation }
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/client/upload.rs
+++ b/crates/arbutuslane_node/src/traffic/client/upload.rs
@@ -12,7 +12,7 @@
 
 use crate::traffic::intake;
 
-use super::held::Prefix;
+use super::held::Segments;
 use super::{Failure, HeldBody};
 
 /// The body of a request.
@@ -29,10 +29,10 @@
 /// A body that is streamed from the caller.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
-    /// The first bytes, which identify the request.
+    /// The first bytes that were received before streaming started; they identify the request.
     first_segment: ntex::util::Bytes,
-    /// The bytes that were received before streaming started and have not been sent.
-    prefix: RefCell<Prefix>,
+    /// The other bytes that were received before and have not been sent.
+    prefix: RefCell<Segments>,
     payload: RefCell<Payload>,
     length: Option<u64>,
     limit: u64,
@@ -75,9 +75,9 @@
         limit: u64,
         place: Place,
     ) -> Self {
-        let prefix = Prefix::from(prefix);
+        let mut prefix = Segments::from(prefix);
         Self::Stream(Rc::new(StreamedBody {
-            first_segment: prefix.first_segment(),
+            first_segment: prefix.take_first(),
             prefix: RefCell::new(prefix),
             payload: RefCell::new(payload),
             length,
@@ -155,8 +155,11 @@
     /// Polls for the next bytes; fails if the body exceeds its limit or differs from its stated
     /// length.
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
-        self.has_started.set(true);
-        if let Some(segment) = self.prefix.borrow_mut().next_segment() {
+        let unsent = match self.has_started.replace(true) {
+            false => Some(self.first_segment.clone()),
+            true => self.prefix.borrow_mut().next_unsent(),
+        };
+        if let Some(segment) = unsent {
             self.sent.update(|sent| sent + segment.len() as u64);
             return Poll::Ready(Some(Ok(Bytes::copy_from_slice(&segment))));
         }
