Remove a stray doc comment, and flatten the result of a received body

Cause: found on reading the change once more. When status_of went from the control instance's server.rs, its doc comment stayed and described handle_change. read_upload matched three results in each other since unless_given_way is shared; a body whose connection gave way is now the same error as one that gave way itself, before the match. A comment of Memory was over the line width.

No behaviour changes.

--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -239,7 +239,6 @@
     Ok(Body { received, _counted: counted })
 }
 
-/// Returns the status of the response to a body that was not received.
 async fn handle_change(shared: &Shared, items: Vec<Item>) -> HttpResponse {
     let started_at = Instant::now();
     let items: Vec<Arc<Item>> = items.into_iter().map(Arc::new).collect();
--- a/crates/arbutuslane_limit/src/memory.rs
+++ b/crates/arbutuslane_limit/src/memory.rs
@@ -9,8 +9,8 @@
 /// A limit on the bytes of the bodies that a node holds, over all requests and threads.
 ///
 /// A held request body can be sent to another server when the first one refuses it, and a slow
-/// sender does not occupy a slot while it is received. The limit applies to all bodies together: a limit for
-/// each body bounds nothing when many callers send at once.
+/// sender does not occupy a slot while it is received. The limit applies to all bodies together: a
+/// limit for each body bounds nothing when many callers send at once.
 ///
 /// ```
 /// use arbutuslane_limit::memory::Memory;
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -7,7 +7,7 @@
 use ntex::time::timeout_checked;
 
 use arbutuslane_listen::bodies::IncomingBody;
-use arbutuslane_listen::connections::{GaveWay, Request as CountedRequest, unless_given_way};
+use arbutuslane_listen::connections::{Request as CountedRequest, unless_given_way};
 
 use crate::cluster::keyed;
 use crate::metrics::count;
@@ -65,16 +65,17 @@
         return Ok(Upload::Empty);
     }
     let reading = unless_given_way(bounds.counted, hold(shared, payload, bounds));
-    match within(bounds.time, reading).await {
-        Ok(Ok(Ok(upload))) => {
+    let received = within(bounds.time, reading).await;
+    match received.map(|held| held.unwrap_or(Err(ReadError::GaveWay))) {
+        Ok(Ok(upload)) => {
             if matches!(upload, Upload::Stream(_)) {
                 count(&shared.metrics.streamed_bodies);
             }
             Ok(upload)
         }
-        Ok(Ok(Err(ReadError::TooLarge))) => Err(body_too_large(bounds.limit)),
-        Ok(Ok(Err(ReadError::Incomplete))) => Err(incomplete_body()),
-        Ok(Ok(Err(ReadError::GaveWay)) | Err(GaveWay)) => Err(gave_way()),
+        Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
+        Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
+        Ok(Err(ReadError::GaveWay)) => Err(gave_way()),
         Err(Elapsed) => Err(late_body()),
     }
 }
