--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases.
 
 mod crashing_request;
-mod lost_zone;
 mod refused_change;
 mod same_content;
 mod same_path;
+mod silent_download;
 
 use std::sync::Arc;
 
@@ -17,8 +17,8 @@
     match name {
         "refused-change" => Some(refused_change::play),
         "crashing-request" => Some(crashing_request::play),
-        "lost-zone" => Some(lost_zone::play),
         "same-path" => Some(same_path::play),
+        "silent-download" => Some(silent_download::play),
         "same-content" => Some(same_content::play),
         _ => None,
     }
--- a/review/standin-3/cases/same_content.rs
+++ b/review/standin-3/cases/same_content.rs
@@ -13,6 +13,9 @@
 
 const NODES: usize = 6;
 
+/// The path of all requests on the later route.
+const LATER: &str = "/later/free";
+
 /// The servers of one zone; machines are in three zones in turn.
 const ZONE: [usize; 2] = [0, 3];
 
@@ -63,6 +66,11 @@
     }
     sleep(Duration::from_secs(5));
     if has_trouble {
+        // Under the load of a whole deployment this is so at nearly every moment.
+        let runs_both = |number: &usize| servers[*number].running(LATER) > 0;
+        while !ZONE.iter().all(runs_both) {
+            sleep(Duration::from_millis(1));
+        }
         record.say("the servers of one zone crash");
         for number in ZONE {
             servers[number].crash(DOWN);
@@ -103,7 +111,7 @@
         sent += 1;
         let id = format!("q{number}n{sent}");
         let (host, target) = match is_later {
-            true => ("later.example", "/later/free".to_string()),
+            true => ("later.example", LATER.to_string()),
             false => ("first.example", format!("/first/{number}n{sent}")),
         };
         let headers = [("Host", host), ("Attempt-Id", &*id), ("Deadline-Ms", "4000")];
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -19,6 +19,8 @@
 pub enum Act {
     /// Works, and answers with so many bytes.
     Answer { work: Duration, bytes: usize },
+    /// Sends the head at once, and the body in equal parts over the time.
+    Stream { time: Duration, bytes: usize },
     /// Works for a moment and crashes, and is back after a while.
     Crash { work: Duration, down: Duration },
 }
@@ -46,6 +48,7 @@
     record: Arc<Record>,
     lifetime: AtomicU64,
     is_up: AtomicBool,
+    is_dark: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     slots: Mutex<(usize, usize)>,
     freed: Condvar,
@@ -69,6 +72,7 @@
             record: Arc::clone(record),
             lifetime: AtomicU64::new(0),
             is_up: AtomicBool::new(false),
+            is_dark: AtomicBool::new(false),
             connections: Mutex::default(),
             slots: Mutex::default(),
             freed: Condvar::new(),
@@ -78,6 +82,13 @@
         server
     }
 
+    /// Returns how many requests with `target` the server is running.
+    pub fn running(&self, target: &str) -> usize {
+        let runs = self.runs.lock().unwrap();
+        let is_running = |run: &&Run| run.target == target && !run.is_answered && !run.is_crashed;
+        runs.iter().filter(is_running).count()
+    }
+
     fn id(&self, lifetime: u64) -> String {
         format!("i-{:02}{lifetime:04}", self.number)
     }
@@ -125,8 +136,18 @@
         });
     }
 
+    /// Makes the server silent: it reads, writes and announces nothing until it is ended.
+    pub fn go_dark(&self) {
+        self.is_dark.store(true, Ordering::SeqCst);
+        self.record.event(&format!("server at {} is silent", self.machine.name));
+    }
+
     fn accept(self: Arc<Self>, listener: &TcpListener, lifetime: u64) {
         while self.is_current(lifetime) {
+            if self.is_dark.load(Ordering::SeqCst) {
+                sleep(Duration::from_millis(5));
+                continue;
+            }
             let Ok((stream, _)) = listener.accept() else {
                 sleep(Duration::from_millis(1));
                 continue;
@@ -205,6 +226,19 @@
                 writer.write_all(&answer)?;
                 Ok(true)
             }
+            Act::Stream { time, bytes } => {
+                const PARTS: usize = 50;
+                writer.write_all(head(bytes).as_bytes())?;
+                for part in 0..PARTS {
+                    sleep(time / PARTS as u32);
+                    if !self.is_current(lifetime) || !self.wait_while_dark(lifetime) {
+                        return Ok(false);
+                    }
+                    let length = bytes * (part + 1) / PARTS - bytes * part / PARTS;
+                    writer.write_all(&vec![b'x'; length])?;
+                }
+                Ok(true)
+            }
             Act::Crash { work, down } => {
                 sleep(work);
                 if self.is_current(lifetime) {
@@ -215,6 +249,14 @@
         }
     }
 
+    /// Waits until the server is not silent any more; returns whether it still runs.
+    fn wait_while_dark(&self, lifetime: u64) -> bool {
+        while self.is_dark.load(Ordering::SeqCst) && self.is_current(lifetime) {
+            sleep(Duration::from_millis(5));
+        }
+        self.is_current(lifetime)
+    }
+
     fn begin_run(&self, request: &Message, id: &str) -> usize {
         let target = request.target().to_string();
         let caller = request.header("caller-service").unwrap_or_default();
@@ -252,6 +294,10 @@
         let address = machine.address(machine.ports.app);
         let mut seq = 0;
         while self.is_current(lifetime) {
+            if self.is_dark.load(Ordering::SeqCst) {
+                sleep(Duration::from_millis(20));
+                continue;
+            }
             let target = format!("/-/rpc?call=instances.heartbeat&of={}", self.id(lifetime));
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_s\":0,\"seq\":{seq},\"born\":{born}}}",
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -70,16 +70,6 @@
 impl Site {
     /// Lays out 5 core machines and a sidecar machine for each of `services`, and starts nothing.
     pub fn new(services: &[&str], record: &Arc<Record>) -> Self {
-        Self::with_tolerance(services, record, 2, 0)
-    }
-
-    /// Lays out a site that is to bear the loss of so many machines, or of so many zones.
-    pub fn with_tolerance(
-        services: &[&str],
-        record: &Arc<Record>,
-        machines: usize,
-        zones: usize,
-    ) -> Self {
         let folder = std::env::temp_dir().join(format!("arbutuslane-case-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("no temporary folder");
         let pid = std::process::id();
@@ -113,9 +103,7 @@
             set("listen.readiness_addr", text(&format!("{ip}:{}", ports.readiness)));
             set("limits.memory_mb", if is_core { "256" } else { "260" }.to_string());
             set("limits.max_fds", if is_core { "4096" } else { "4100" }.to_string());
-            set("fault_tolerance.machines", machines.to_string());
-            set("fault_tolerance.zones", zones.to_string());
-            set("fault_tolerance.regions", "0".to_string());
+            set("fault_tolerance.machines", "2".to_string());
             set("bounds.grace_s", "6".to_string());
             set("bounds.retry_budget_ratio", "0.2".to_string());
             set("bounds.retry_budget_slack", "64".to_string());
@@ -257,14 +245,6 @@
         self.record.event(&format!("{} has stopped", self.name));
     }
 
-    /// Empties the disk of a machine whose process does not run.
-    pub fn lose_disk(&self) {
-        let data = self.folder.join("data");
-        let _ = fs::remove_dir_all(&data);
-        fs::create_dir_all(&data).expect("no data folder");
-        self.record.event(&format!("{} has lost its disk", self.name));
-    }
-
     /// Returns whether the process runs and was neither started nor stopped within the stability window.
     pub fn is_in_touch(&self) -> bool {
         let state = self.state.lock().unwrap();
