Keep items that may not be accepted apart at nodes, and remember what is accepted

Cause: a node that finds no complete process for 6 s used what single instances had stored, and merged it by version into its accepted items. The refused version was the higher one. An instance could not tell after a restart which of its states was accepted. Change: control instances write to their logs which state is accepted, with the next write or within a second. A node uses the newest accepted state that an instance remembers; only where none does, the stored state with the highest position, whole, kept apart (item::view::View) and dropped once an accepted state is known. Nodes serve accepted items only. Related: the state file of a node recorded workspace versions of a fallback; a control instance did not push accepted items that its disk had under that version or a higher one. Both are gone. Ruled out: a fallback that other nodes take over (they refused it already), and read-backs that rest on it. The test is_source_after_provisional of Completeness is replaced by view::use_stored_until_complete: a node is a source again once it has all accepted items, because its fallback is no longer among them.

--- a/crates/arbutuslane_control/src/items/compare.rs
+++ b/crates/arbutuslane_control/src/items/compare.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use arbutuslane_item::border;
+use arbutuslane_item::border::agreement::Position;
 use arbutuslane_item::prelude::Item;
 use arbutuslane_item::transfer::MAX_HASHES;
 use arbutuslane_wire::codec;
@@ -11,8 +12,8 @@
 use super::core::Core;
 
 /// Returns the items that the requester lacks according to the hashes of its buckets, or their hashes
-/// when there are more than `max_items`. With `unaccepted`, these include items that are not accepted
-/// yet, which nodes use only when too few control instances are left.
+/// when there are more than `max_items`. With `unaccepted`, they are those of a state that may not be
+/// accepted, which nodes use only when too few control instances are left.
 pub(super) fn missing_items(
     core: &Core,
     buckets: &[u64],
@@ -20,27 +21,31 @@
     max_items: Option<usize>,
 ) -> Answer {
     let replication = core.replication();
-    let (differing, complete) = match unaccepted {
-        true => (replication.stored().table.difference(buckets), replication.is_complete()),
+    let (state, complete) = match unaccepted {
+        true => (Some(replication.fallback()), false),
         // A node applies only accepted items. After a restart or the loss of its disk, this
         // instance may not know all of them yet.
-        false => (replication.accepted().difference(buckets), replication.knows_all_accepted()),
+        false => (replication.accepted_state(), replication.knows_all_accepted()),
     };
+    let position = state.map(|state| Position::from(&state.position));
+    let position = position.and_then(|position| codec::encode(&position).ok());
+    let differing = state.map(|state| state.table.difference(buckets)).unwrap_or_default();
     let instance = core.settings.name.clone();
     if max_items.is_none_or(|max| differing.len() <= max) {
         let items = encode(differing.items(), max_items.is_none());
-        return Answer::Items { instance, complete, items, hashes: Vec::new(), more: false };
+        let (hashes, more) = (Vec::new(), false);
+        return Answer::Items { instance, complete, items, hashes, more, position };
     }
     let hashes = differing.first_hashes(MAX_HASHES);
     let more = hashes.len() < differing.len();
-    Answer::Items { instance, complete, items: encode([], true), hashes, more }
+    Answer::Items { instance, complete, items: encode([], true), hashes, more, position }
 }
 
 /// Returns the items with the hashes that a process requests.
 pub(super) fn requested_items(core: &Core, hashes: &[u64], unaccepted: bool) -> Answer {
     let replication = core.replication();
     let table = match unaccepted {
-        true => &replication.stored().table,
+        true => &replication.fallback().table,
         false => replication.accepted(),
     };
     Answer::Fetched(encode(&table.with_hashes(hashes), false))
--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -14,7 +14,7 @@
 use arbutuslane_event::metric::{Histograms, Text};
 use arbutuslane_item::distribution::Receiver;
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
-use arbutuslane_item::prelude::{Item, Position, Replication, Table as ItemTable};
+use arbutuslane_item::prelude::{Item, Position, Replication};
 use arbutuslane_limit::memory::Memory;
 use arbutuslane_listen::bodies::Bodies;
 use arbutuslane_listen::connections;
@@ -33,6 +33,7 @@
 use super::leader::{Decision, Order};
 use super::outbox::Outbox;
 use super::settings::Settings;
+use super::writer::Record;
 
 /// The event timeline.
 pub(super) type Events = Arc<Buffer>;
@@ -53,8 +54,6 @@
     pub(super) disk: DiskHandle,
     pub(super) events: Events,
     pub(super) counters: Counters,
-    /// The items that were on the disk at the start.
-    recovered: ItemTable,
     replication: Mutex<Replication>,
     members: Mutex<Members>,
     /// The departures of servers that this instance keeps for nodes.
@@ -156,7 +155,6 @@
             disk,
             events,
             counters: Counters::default(),
-            recovered: replication.stored().table.clone(),
             replication: Mutex::new(replication),
             members: Mutex::default(),
             clock: departures.clock(),
@@ -175,15 +173,6 @@
         self.replication.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the items that nodes may not have yet.
-    ///
-    /// After a restart, every instance settles anew that the items on its disk are accepted. Nodes
-    /// had them before; those that have restarted as well fetch all items before they serve.
-    pub(super) fn to_push(&self, mut items: Vec<Arc<Item>>) -> Vec<Arc<Item>> {
-        items.retain(|item| !self.recovered.covers(item));
-        items
-    }
-
     /// Returns the members that gossip considers alive.
     pub(super) fn members(&self) -> Members {
         self.members.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -197,13 +186,18 @@
         nodes
     }
 
-    /// Records that the state at `position` is accepted; returns the items that this instance did not
-    /// know to be accepted.
+    /// Records that the state at `position` is accepted, also on the disk; returns the items that this
+    /// instance did not know to be accepted.
     pub(super) fn learn(&self, position: &Position) -> Vec<Arc<Item>> {
         let (new_items, has_recovered, instances) = {
             let mut replication = self.replication();
             let was_left_out = replication.is_left_out();
+            let known = replication.accepted_state().map(|state| state.position.clone());
             let new_items = replication.learn(position);
+            let learned = replication.accepted_state().map(|state| state.position.clone());
+            if let Some(learned) = learned.filter(|learned| known.as_ref() != Some(learned)) {
+                self.disk.write_later(Record::accepted(learned));
+            }
             (new_items, was_left_out && !replication.is_left_out(), replication.quorum())
         };
         if has_recovered {
--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -39,6 +39,12 @@
     pub(super) fn write(&self, record: Record) -> impl Future<Output = bool> + use<> {
         self.thread.write(record)
     }
+
+    /// Queues a record that need not be durable at once: it shares the sync of the next one, or gets its
+    /// own within a second.
+    pub(super) fn write_later(&self, record: Record) {
+        self.thread.write_later(record);
+    }
 }
 
 /// Opens the folder and starts the disk thread. With `first_start`, an empty disk counts as
@@ -91,7 +97,7 @@
         let was_writable = self.writer.is_writable();
         let mut all = Record::default();
         for mut record in records {
-            all.updates.append(&mut record.updates);
+            all.entries.append(&mut record.entries);
             all.promised = all.promised.max(record.promised);
         }
         let Err(error) = self.writer.write(&all) else { return true };
@@ -123,6 +129,7 @@
         Ballot, Electorate, Item, Key, Position, Source, State, Update,
     };
 
+    use super::super::writer::Entry;
     use super::*;
 
     /// Guards against the loss of an accepted item in a restart when a declaration that was stored
@@ -153,7 +160,7 @@
             }
         };
         let updates = |round: u64, item: &Arc<Item>| Record {
-            updates: vec![update(round, item)],
+            entries: vec![Entry::Update(update(round, item))],
             ..Record::default()
         };
         let promised = Ballot { round: 7, instance: "d".to_string(), incarnation: 2 };
--- a/crates/arbutuslane_control/src/items/disk_thread.rs
+++ b/crates/arbutuslane_control/src/items/disk_thread.rs
@@ -29,11 +29,12 @@
 #[derive(Debug)]
 pub(super) struct Handle<R>(Sender<Job<R>>);
 
-/// A record to write; the reply says whether it is durable.
+/// A record to write.
 #[derive(Debug)]
 struct Job<R> {
     record: R,
-    reply: oneshot::Sender<bool>,
+    /// Where to say whether the record is durable; none if it may wait for the next one.
+    reply: Option<oneshot::Sender<bool>>,
 }
 
 impl<R> Clone for Handle<R> {
@@ -47,9 +48,15 @@
     /// before it are durable.
     pub(super) fn write(&self, record: R) -> impl Future<Output = bool> + use<R> {
         let (reply, result) = oneshot::channel();
-        let is_queued = self.0.send(Job { record, reply }).is_ok();
+        let is_queued = self.0.send(Job { record, reply: Some(reply) }).is_ok();
         async move { is_queued && result.await.unwrap_or(false) }
     }
+
+    /// Queues a record that may wait for the next one, for [`REOPEN_INTERVAL`] at most.
+    pub(super) fn write_later(&self, record: R) {
+        // A thread that has ended has no later write either.
+        let _ = self.0.send(Job { record, reply: None });
+    }
 }
 
 /// Starts a thread that writes to `target` until all handles are dropped.
@@ -61,22 +68,32 @@
 
 fn run<T: Target>(mut target: T, inbox: &Receiver<Job<T::Record>>) {
     let mut last_attempt_at = Instant::now();
+    let mut jobs = Vec::new();
     loop {
-        let mut jobs = match inbox.recv_timeout(REOPEN_INTERVAL) {
-            Ok(job) => vec![job],
-            Err(RecvTimeoutError::Timeout) => Vec::new(),
-            Err(RecvTimeoutError::Disconnected) => return,
+        let is_idle = match inbox.recv_timeout(REOPEN_INTERVAL) {
+            Ok(job) => {
+                jobs.push(job);
+                false
+            }
+            Err(RecvTimeoutError::Timeout) => true,
+            Err(RecvTimeoutError::Disconnected) => {
+                target.write(jobs.into_iter().map(|job| job.record).collect());
+                return;
+            }
         };
         // All queued jobs share one sync.
         jobs.extend(inbox.try_iter());
+        if !is_idle && jobs.iter().all(|job| job.reply.is_none()) {
+            continue;
+        }
         if !target.is_writable() && last_attempt_at.elapsed() >= REOPEN_INTERVAL {
             last_attempt_at = Instant::now();
             target.reopen();
         }
         let (records, replies): (Vec<_>, Vec<_>) =
-            jobs.into_iter().map(|job| (job.record, job.reply)).unzip();
+            jobs.drain(..).map(|job| (job.record, job.reply)).unzip();
         let is_durable = target.write(records);
-        for reply in replies {
+        for reply in replies.into_iter().flatten() {
             // The sender of the job may no longer wait for the reply.
             let _ = reply.send(is_durable);
         }
--- a/crates/arbutuslane_control/src/items/durable.rs
+++ b/crates/arbutuslane_control/src/items/durable.rs
@@ -12,7 +12,7 @@
 use arbutuslane_item::replication::{Refusal, Status};
 
 use super::core::{Core, Step};
-use super::writer::Record;
+use super::writer::{Entry, Record};
 
 impl Core {
     /// Returns what this instance reports of itself.
@@ -140,5 +140,5 @@
 }
 
 fn updates(update: Option<Update>) -> Record {
-    Record { updates: update.into_iter().collect(), ..Record::default() }
+    Record { entries: update.into_iter().map(Entry::Update).collect(), ..Record::default() }
 }
--- a/crates/arbutuslane_control/src/items/push.rs
+++ b/crates/arbutuslane_control/src/items/push.rs
@@ -75,7 +75,7 @@
 
 /// Tells nodes of accepted items in the next round.
 pub(super) fn push_accepted(core: &Core, items: Vec<Arc<Item>>) {
-    core.outbox.add(core.to_push(items));
+    core.outbox.add(items);
 }
 
 /// Tells the nodes what is accepted, in rounds, until the instance stops. Items that are accepted while
--- a/crates/arbutuslane_control/src/items/writer.rs
+++ b/crates/arbutuslane_control/src/items/writer.rs
@@ -1,17 +1,18 @@
 //! Writes states of the catalogue and promises to the log and the snapshots of a data folder, and goes
 //! on after a fault.
 
-use std::sync::Arc;
-
 use arbutuslane_event::clock::wall_ms;
-use arbutuslane_item::border::{self, agreement};
-use arbutuslane_item::prelude::{Ballot, Item, State, Table, Update};
+use arbutuslane_item::border::agreement;
+use arbutuslane_item::prelude::{Ballot, Position, State, Table, Update};
 use arbutuslane_item::replication::{self, Standing};
 use arbutuslane_item::voter::{DiskId, UNKNOWN_DISK};
 use arbutuslane_storage::prelude::*;
 use arbutuslane_wire::codec;
 use serde::{Deserialize, Serialize};
 
+use payload::{Mark, States, codec_error, encode, mismatch, read_items, read_states};
+
+mod payload;
 #[cfg(test)]
 mod tests;
 
@@ -57,12 +58,28 @@
 /// What has to become durable together.
 #[derive(Debug, Default)]
 pub(super) struct Record {
-    /// The updates to apply, in their order.
-    pub(super) updates: Vec<Update>,
+    /// The entries, in their order.
+    pub(super) entries: Vec<Entry>,
     /// A ballot that the instance promises to follow.
     pub(super) promised: Option<Ballot>,
 }
 
+/// An entry of the log.
+#[derive(Debug)]
+pub(super) enum Entry {
+    /// An update to the state before it.
+    Update(Update),
+    /// The state before it is accepted, if it is the one at this position.
+    Accepted(Position),
+}
+
+impl Record {
+    /// Returns the record that the state at `position` is accepted.
+    pub(super) fn accepted(position: Position) -> Self {
+        Self { entries: vec![Entry::Accepted(position)], ..Self::default() }
+    }
+}
+
 /// Writes states to a folder.
 ///
 /// After a fault, such as a full disk, nothing is durable until [`reopen`](Writer::reopen) succeeds.
@@ -72,7 +89,7 @@
     folder: F,
     /// `None` after a fault, until the log is reopened.
     log: Option<Log<F::Disk>>,
-    state: State,
+    states: States,
     promised: Ballot,
     next_index: u64,
     entries_since_snapshot: u64,
@@ -93,8 +110,8 @@
     /// served until it takes writes again.
     pub(super) fn open(folder: F, first_start: bool) -> Result<(Self, Recovered), Error> {
         match Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES) {
-            Ok((log, recovered)) => match read_state(&recovered) {
-                Ok(state) => Self::with_log(folder, log, &recovered, state, first_start),
+            Ok((log, recovered)) => match read_states(&recovered) {
+                Ok(states) => Self::with_log(folder, log, &recovered, states, first_start),
                 Err(error) => {
                     drop(log);
                     Self::salvage(folder, error.to_string())
@@ -112,13 +129,13 @@
         Log::set_aside(&mut disk)?;
         let (log, empty) = Log::open(disk, log::DEFAULT_SEGMENT_BYTES)?;
         let (mut writer, mut recovered) =
-            Self::with_log(folder, log, &empty, State::default(), false)?;
+            Self::with_log(folder, log, &empty, States::default(), false)?;
         // With an entry missing, the items belong to no position.
-        writer.state = State { table: read_items(&readable)?, ..State::default() };
+        writer.states.stored = State { table: read_items(&readable)?, ..State::default() };
         if writer.log.is_some() {
             writer.save_snapshot()?;
         }
-        recovered.replication.state = writer.state.clone();
+        recovered.replication.state = writer.states.stored.clone();
         recovered.damage = Some(damage);
         Ok((writer, recovered))
     }
@@ -127,7 +144,7 @@
         folder: F,
         log: Log<F::Disk>,
         recovered: &log::Recovered,
-        state: State,
+        states: States,
         first_start: bool,
     ) -> Result<(Self, Recovered), Error> {
         tracing::info!(
@@ -155,13 +172,14 @@
         let replication = replication::Recovered {
             standing,
             promised: promised.clone(),
-            state: state.clone(),
+            state: states.stored.clone(),
+            accepted: states.accepted.clone(),
             disk,
         };
         let mut writer = Self {
             folder,
             log: Some(log),
-            state,
+            states,
             promised,
             next_index,
             entries_since_snapshot: 0,
@@ -183,7 +201,7 @@
 
     /// Returns the number of items that are or will be written.
     pub(super) fn item_count(&self) -> u64 {
-        self.state.table.len() as u64
+        self.states.stored.table.len() as u64
     }
 
     /// Makes `record` durable.
@@ -193,16 +211,16 @@
     /// After an error the record may be on the disk or not, and nothing is written before
     /// [`reopen`](Writer::reopen).
     pub(super) fn write(&mut self, record: &Record) -> Result<(), Error> {
-        for update in &record.updates {
-            if !self.state.apply(update) {
-                return Err(mismatch(update));
+        for entry in &record.entries {
+            if !self.states.apply(entry) {
+                return Err(mismatch(entry));
             }
         }
         let is_promise = record.promised.as_ref().is_some_and(|ballot| *ballot > self.promised);
         if let Some(ballot) = record.promised.as_ref().filter(|_| is_promise) {
             self.promised = ballot.clone();
         }
-        let result = self.append(&record.updates, is_promise);
+        let result = self.append(&record.entries, is_promise);
         if result.is_err() {
             self.log = None;
         }
@@ -222,16 +240,21 @@
         }
     }
 
-    fn append(&mut self, updates: &[Update], with_meta: bool) -> Result<(), Error> {
+    fn append(&mut self, entries: &[Entry], with_meta: bool) -> Result<(), Error> {
         let meta = with_meta.then(|| self.meta()).transpose()?;
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
-        if meta.is_none() && updates.is_empty() {
+        if meta.is_none() && entries.is_empty() {
             return Ok(());
         }
         let mut batch = Batch { meta, entries: Vec::new() };
-        for (index, update) in (self.next_index..).zip(updates) {
-            let payload = encode(&agreement::Update::from(update))?;
-            batch.entries.push(Entry { index, term: 1, payload });
+        for (index, entry) in (self.next_index..).zip(entries) {
+            let payload = match entry {
+                Entry::Update(update) => encode(&agreement::Update::from(update))?,
+                Entry::Accepted(position) => {
+                    encode(&Mark::Accepted(agreement::Position::from(position)))?
+                }
+            };
+            batch.entries.push(log::Entry { index, term: 1, payload });
         }
         log.append(&batch)?;
         // The index of an entry that was not written is used again. A gap would make the log corrupt
@@ -257,78 +280,20 @@
     }
 
     fn save_snapshot(&mut self) -> Result<(), Error> {
-        let whole = self.state.update_for(Table::default().buckets());
-        let payload = encode(&agreement::Update::from(&whole))?;
+        let States { stored, accepted } = &self.states;
+        let whole = stored.update_for(Table::default().buckets());
+        let whole = agreement::Update::from(&whole);
+        let payload = match accepted {
+            None => encode(&whole)?,
+            Some(accepted) => {
+                let accepted = accepted.update_for(stored.table.buckets());
+                let accepted = agreement::Update::from(&accepted);
+                encode(&Mark::Snapshot { stored: Box::new(whole), accepted: Box::new(accepted) })?
+            }
+        };
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
         log.save_snapshot(&Snapshot { index: self.next_index - 1, term: 1, payload }, false)?;
         self.entries_since_snapshot = 0;
         Ok(())
     }
 }
-
-/// The payload of a log entry or a snapshot.
-enum Payload {
-    /// An update to the state before it.
-    Update(Update),
-    /// Items that an earlier release wrote, which belong to no position.
-    Items(Vec<Arc<Item>>),
-}
-
-/// Returns the state that the updates in a log lead to.
-fn read_state(recovered: &log::Recovered) -> Result<State, Error> {
-    let mut state = State::default();
-    for payload in payloads(recovered) {
-        match decode(payload)? {
-            // A snapshot that was written after a fault may contain the entry after it.
-            Payload::Update(update) if includes(&state, &update) || state.apply(&update) => {}
-            Payload::Update(update) => return Err(mismatch(&update)),
-            // When two declarations have the same version, the accepted one is written last.
-            Payload::Items(items) => drop(state.table.merge_accepted(items)),
-        }
-    }
-    Ok(state)
-}
-
-fn includes(state: &State, update: &Update) -> bool {
-    update.position < state.position
-        || (update.position == state.position && update.digest == state.table.digest())
-}
-
-/// Returns the items of a log with missing entries.
-fn read_items(recovered: &log::Recovered) -> Result<Table, Error> {
-    let mut table = Table::default();
-    for payload in payloads(recovered) {
-        let items = match decode(payload)? {
-            Payload::Update(update) => update.items,
-            Payload::Items(items) => items,
-        };
-        table.merge_accepted(items);
-    }
-    Ok(table)
-}
-
-fn payloads(recovered: &log::Recovered) -> impl Iterator<Item = &Vec<u8>> {
-    let snapshot = recovered.snapshot.iter().map(|snapshot| &snapshot.payload);
-    snapshot.chain(recovered.entries.iter().map(|entry| &entry.payload))
-}
-
-fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
-    codec::encode(value).map_err(|error| codec_error(&error))
-}
-
-fn decode(bytes: &[u8]) -> Result<Payload, Error> {
-    if let Ok(update) = codec::decode::<agreement::Update>(bytes) {
-        return Ok(Payload::Update(update.into()));
-    }
-    let items = codec::decode(bytes).map_err(|error| codec_error(&error))?;
-    Ok(Payload::Items(border::decode(items)))
-}
-
-fn mismatch(update: &Update) -> Error {
-    let reason = format!("the update to {:?} does not follow the state", update.position);
-    Error::Corrupt { file: "items".to_string(), offset: 0, reason }
-}
-
-fn codec_error(error: &codec::Error) -> Error {
-    Error::Corrupt { file: "items".to_string(), offset: 0, reason: error.to_string() }
-}
--- a/crates/arbutuslane_control/src/items/writer/tests.rs
+++ b/crates/arbutuslane_control/src/items/writer/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the writer on a fake disk.
 
+use std::sync::Arc;
+
 use arbutuslane_core::rng;
-use arbutuslane_item::prelude::{Key, Source};
+use arbutuslane_item::prelude::{Item, Key, Source};
 use rand::RngExt;
 
 use super::*;
@@ -21,7 +23,7 @@
 
 /// Returns the next update of the writer's state, which sets `item`.
 fn record<F: Folder>(writer: &Writer<F>, item: &Arc<Item>) -> Record {
-    let mut state = writer.state.clone();
+    let mut state = writer.states.stored.clone();
     state.position.change += 1;
     state.table.set_all(vec![Arc::clone(item)]);
     let update = Update {
@@ -31,7 +33,7 @@
         digest: state.table.digest(),
         electorate: state.electorate,
     };
-    Record { updates: vec![update], ..Record::default() }
+    Record { entries: vec![Entry::Update(update)], ..Record::default() }
 }
 
 /// Guards against an instance that ends at each start because its log is damaged, against one that
@@ -101,3 +103,48 @@
         assert!(writer.write(&record(&writer, &item(9, 60))).is_ok(), "seed {seed}");
     }
 }
+
+/// Guards against a state that counts as accepted after a power loss although only a later or an earlier one
+/// was, and against one that no longer counts although the disk said so, also after a snapshot.
+#[test]
+fn open_accepted() {
+    for seed in 0..300 {
+        let mut rng = rng::seeded(seed);
+        let disk = disk::Fake::new(seed);
+        let (mut writer, _) = Writer::open(disk.clone(), true).unwrap();
+        let mut accepted: Vec<State> = Vec::new();
+        let mut durable = Position::default();
+        for version in 1..60 {
+            match rng.random_range(0..10) {
+                0 => writer.reopen(),
+                1..4 => {
+                    let stored = writer.states.stored.clone();
+                    accepted.push(stored.clone());
+                    writer.write(&Record::accepted(stored.position.clone())).unwrap();
+                    durable = stored.position;
+                    // One that comes late is of no use, because that state was replaced.
+                    let late =
+                        Position { change: durable.change.saturating_sub(1), ..durable.clone() };
+                    writer.write(&Record::accepted(late)).unwrap();
+                }
+                4 => {
+                    drop(writer);
+                    disk.crash();
+                    let (restarted, recovered) = Writer::open(disk.clone(), false).unwrap();
+                    writer = restarted;
+                    let found = recovered.replication.accepted;
+                    let position = found.as_ref().map(|state| state.position.clone());
+                    assert_eq!(position.unwrap_or_default(), durable, "seed {seed}");
+                    let Some(found) = found else { continue };
+                    let known = accepted.iter().find(|known| known.position == found.position);
+                    let known = known.map(|known| known.table.digest());
+                    assert_eq!(known, Some(found.table.digest()), "seed {seed}");
+                }
+                _ => {
+                    let item = item(rng.random_range(0..8), version);
+                    writer.write(&record(&writer, &item)).unwrap();
+                }
+            }
+        }
+    }
+}
--- a/crates/arbutuslane_item/src/lib.rs
+++ b/crates/arbutuslane_item/src/lib.rs
@@ -4,8 +4,9 @@
 //! accepted items in whatever order they arrive. What is accepted is agreed on by the control
 //! instances: each change is checked against the newest state, and the result is accepted when a
 //! quorum has it on disk. [`Table`](table::Table) merges items, [`check`] validates changes,
-//! [`Replication`](replication::Replication) and [`election`] reach the agreement, and
-//! [`Pull`](transfer::Pull) decides in which parts a process fetches the items that it lacks.
+//! [`Replication`](replication::Replication) and [`election`] reach the agreement,
+//! [`Pull`](transfer::Pull) decides in which parts a process fetches the items that it lacks, and
+//! [`View`](view::View) which of the items that a node knows are in force.
 //!
 //! ```
 //! use arbutuslane_item::prelude::*;
@@ -26,6 +27,7 @@
 pub mod state;
 pub mod table;
 pub mod transfer;
+pub mod view;
 pub mod voter;
 
 /// Re-exports the commonly used types of this crate.
--- a/crates/arbutuslane_item/src/replication.rs
+++ b/crates/arbutuslane_item/src/replication.rs
@@ -45,6 +45,8 @@
     pub promised: Ballot,
     /// The last state that the instance stored.
     pub state: State,
+    /// The newest state of which the disk says that it is accepted.
+    pub accepted: Option<State>,
     /// The disk.
     pub disk: DiskId,
 }
@@ -120,7 +122,7 @@
             promised,
             durable: Durable::of(&stored),
             stored,
-            accepted: None,
+            accepted: recovered.accepted,
             is_settled: false,
             is_leaving: false,
             empty: Table::default(),
@@ -142,6 +144,13 @@
         self.accepted.as_ref()
     }
 
+    /// Returns the state that a node may use while too few instances are left to tell what is accepted:
+    /// the newest one that is known to be accepted, or the newest stored one where none is known.
+    pub fn fallback(&self) -> &State {
+        let accepted = self.accepted.as_ref().filter(|state| !state.table.is_empty());
+        accepted.unwrap_or(&self.stored)
+    }
+
     /// Returns the number of instances that must store a state before it is accepted.
     pub fn quorum(&self) -> usize {
         self.quorum
--- a/crates/arbutuslane_item/tests/agreement.rs
+++ b/crates/arbutuslane_item/tests/agreement.rs
@@ -97,3 +97,28 @@
         assert!(world.accepted_count() > before, "seed {seed}: nothing was accepted");
     }
 }
+
+/// Guards against a change that was stored by some instances and refused later, and that is in force for
+/// good at nodes that had to use it in between (review/11), and against a node that uses one although an
+/// instance remembers an accepted state.
+#[test]
+fn schedule_nodes() {
+    let (mut accepted, mut stored) = (0, 0);
+    for seed in 0..seeds() / 3 {
+        let mut world = World::with_nodes(seed);
+        for _ in 0..STEPS {
+            world.step_with_nodes();
+        }
+        stored += world.nodes_with_stored_state();
+        world.end_faults();
+        for _ in 0..STEPS {
+            world.step_without_faults();
+        }
+        world.settle_all();
+        world.check_nodes_at_end();
+        accepted += world.accepted_count();
+    }
+    // Without accepted changes and nodes that use stored ones, the schedules would show nothing.
+    assert!(accepted > 5 * seeds() / 3, "only {accepted} states were accepted");
+    assert!(stored > 0, "no node used a stored state");
+}
--- a/crates/arbutuslane_item/tests/group/mod.rs
+++ b/crates/arbutuslane_item/tests/group/mod.rs
@@ -24,7 +24,8 @@
     state: State,
     disk: u64,
 ) -> Replication {
-    Replication::new(&name(index), QUORUM, Recovered { standing, promised, state, disk })
+    let recovered = Recovered { standing, promised, state, accepted: None, disk };
+    Replication::new(&name(index), QUORUM, recovered)
 }
 
 impl Group {
--- a/crates/arbutuslane_item/tests/world/check.rs
+++ b/crates/arbutuslane_item/tests/world/check.rs
@@ -69,6 +69,16 @@
         self.check_order(state);
     }
 
+    /// Returns whether an item was a part of an accepted state.
+    pub(super) fn has_accepted(&self, item: &Arc<Item>) -> bool {
+        self.versions.get(&(item.key.clone(), item.version)) == Some(item)
+    }
+
+    /// Returns the items of the newest accepted state that an instance reported.
+    pub(super) fn newest_table(&self) -> &Table {
+        &self.newest_table.table
+    }
+
     /// Checks that the content of a version never changes.
     fn check_versions(&mut self, table: &Table) {
         for item in table.items() {
--- a/crates/arbutuslane_item/tests/world/membership.rs
+++ b/crates/arbutuslane_item/tests/world/membership.rs
@@ -52,6 +52,7 @@
             standing: Standing::Recovering,
             promised: Ballot::default(),
             state: State::default(),
+            accepted: None,
             disk: self.disks,
         }
     }
--- a/crates/arbutuslane_item/tests/world/mod.rs
+++ b/crates/arbutuslane_item/tests/world/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod faults;
 mod membership;
+mod nodes;
 
 use std::sync::Arc;
 
@@ -16,6 +17,10 @@
 use crate::support::{INSTANCES, QUORUM, index_of, name};
 
 use self::check::History;
+use self::nodes::Node;
+
+/// The number of times that each instance looks for the newest accepted state at the end.
+const SETTLE_ROUNDS: u32 = 20;
 
 /// A control instance.
 struct Instance {
@@ -56,6 +61,7 @@
     rng: Rng,
     instances: Vec<Instance>,
     messages: Vec<Message>,
+    nodes: Vec<Node>,
     history: History,
     /// The number of disks that were used.
     disks: u64,
@@ -83,12 +89,13 @@
         }
     }
 
-    /// Writes the newest state to the disk.
+    /// Writes the newest state to the disk, and what is known to be accepted.
     fn sync(&mut self) {
         let state = self.replication.stored().clone();
         self.replication.record_durable(&state.update_for(state.table.buckets()));
         let promised = self.replication.promised().clone();
-        self.disk = Recovered { promised, state, ..self.disk.clone() };
+        let accepted = self.replication.accepted_state().cloned();
+        self.disk = Recovered { promised, state, accepted, ..self.disk.clone() };
     }
 
     /// Starts the instance again with its disk.
@@ -109,6 +116,7 @@
             standing: Standing::Complete,
             promised: Ballot::default(),
             state: State::default(),
+            accepted: None,
             disk: 1,
         };
         let instances = (0..INSTANCES).map(|index| Instance::start(index, 0, empty.clone()));
@@ -117,6 +125,7 @@
             rng: rng::seeded(seed),
             instances: instances.collect(),
             messages: Vec::new(),
+            nodes: Vec::new(),
             history: History::new(seed),
             disks: 1,
             is_split: false,
@@ -350,6 +359,23 @@
     /// Has a random instance find the newest accepted state with a random set of the others.
     fn settle(&mut self) {
         let index = self.random_instance();
+        self.settle_at(index);
+    }
+
+    /// Has all instances find the newest accepted state, without further changes.
+    pub(super) fn settle_all(&mut self) {
+        for _ in 0..SETTLE_ROUNDS {
+            for index in 0..self.instances.len() {
+                self.settle_at(index);
+                for _ in 0..self.messages.len() {
+                    self.deliver();
+                }
+            }
+        }
+        self.check();
+    }
+
+    fn settle_at(&mut self, index: usize) {
         if !self.instances[index].is_running() {
             return;
         }
--- a/crates/arbutuslane_node/src/cluster/items/exchange.rs
+++ b/crates/arbutuslane_node/src/cluster/items/exchange.rs
@@ -5,6 +5,7 @@
 
 use arbutuslane_item::border;
 use arbutuslane_item::transfer::MAX_COMPARED_ITEMS;
+use arbutuslane_item::view::View;
 use arbutuslane_wire::{codec, peer};
 
 use super::{Updater, adopt_encoded, late};
@@ -19,8 +20,9 @@
     Complete { fetched: usize },
     /// The process has all items, and some of them are still missing here.
     Behind { fetched: usize, missing: usize },
-    /// The process may lack accepted items itself.
-    Incomplete { fetched: usize },
+    /// The process may lack accepted items itself; `has_state` says whether this node has all of a state
+    /// now that the process knows to be accepted.
+    Incomplete { fetched: usize, has_state: bool },
     /// The response could not be decoded.
     Unreadable,
     /// There was no response.
@@ -54,11 +56,11 @@
     /// Compares the items with those of the process at `address`, and fetches those that differ.
     pub(super) async fn compare_with(&mut self, address: SocketAddr) -> Outcome {
         let started_at = self.shared.clock.now();
-        let outcome = self.exchange_with(address, false).await;
+        let outcome = self.exchange_with(address).await;
         self.shared.metrics.count_comparison(outcome.name());
         let ended_at = self.shared.clock.now();
         let took_ms = ended_at.saturating_sub(started_at).as_millis();
-        let digest = self.shared.configuration().items().digest();
+        let digest = self.shared.view().accepted().digest();
         tracing::info!(event = "compared", peer = %address, ?outcome, took_ms, digest);
         if outcome.is_complete() {
             self.shared.completeness.record_comparison(ended_at);
@@ -66,26 +68,28 @@
         if outcome.is_complete() && !self.shared.completeness.has_all() {
             self.sources.record_compared(address);
             if self.may_rely_on_items() {
-                self.shared.completeness.set_has_all();
+                self.shared.update_view(View::record_complete);
             }
         }
+        if matches!(outcome, Outcome::Incomplete { has_state: true, .. }) {
+            self.shared.update_view(View::record_accepted_state);
+        }
         outcome
     }
 
-    /// Fetches the items that the process at `address` has and this node lacks; with `unaccepted`,
-    /// also those that are not known to be accepted.
-    pub(super) async fn exchange_with(&mut self, address: SocketAddr, unaccepted: bool) -> Outcome {
+    /// Fetches the accepted items that the process at `address` has and this node lacks.
+    async fn exchange_with(&mut self, address: SocketAddr) -> Outcome {
         let mut fetched = 0;
         loop {
             let message = peer::Message::SyncItems {
-                buckets: self.shared.configuration().items().buckets().to_vec(),
-                unaccepted,
+                buckets: self.shared.view().accepted().buckets().to_vec(),
+                unaccepted: false,
                 max_items: Some(MAX_COMPARED_ITEMS),
             };
             let answer = self.send(address, &message).await;
-            let (is_complete, items, hashes, more) = match answer {
-                Ok(peer::Answer::Items { complete, items, hashes, more, .. }) => {
-                    (complete, items, hashes, more)
+            let (is_complete, items, hashes, more, has_state) = match answer {
+                Ok(peer::Answer::Items { complete, items, hashes, more, position, .. }) => {
+                    (complete, items, hashes, more, position.is_some())
                 }
                 Ok(_) => return Outcome::Unreadable,
                 Err(error) => return Outcome::Failed { error },
@@ -95,17 +99,18 @@
             let Some(adopted) = adopt_encoded(&self.shared, &items) else {
                 return Outcome::Unreadable;
             };
-            self.pull.want(self.shared.configuration().items(), &hashes);
-            let parts = self.fetch(&[address], unaccepted).await;
+            self.pull.want(self.shared.view().accepted(), &hashes);
+            let parts = self.fetch(&[address]).await;
             fetched += adopted + parts.fetched;
             // Without a new item, another comparison would name the same ones.
             if more && parts.fetched > 0 && parts.is_whole {
                 continue;
             }
+            let is_whole = parts.is_whole && !more;
             if !is_complete {
-                return Outcome::Incomplete { fetched };
+                return Outcome::Incomplete { fetched, has_state: has_state && is_whole };
             }
-            return match parts.is_whole && !more {
+            return match is_whole {
                 true => Outcome::Complete { fetched },
                 false => Outcome::Behind { fetched, missing: self.pull.missing_count() },
             };
@@ -114,17 +119,17 @@
 
     /// Fetches the missing items from the processes at `addresses` in turn, and puts each part into
     /// force as it arrives.
-    pub(super) async fn fetch(&mut self, addresses: &[SocketAddr], unaccepted: bool) -> Parts {
+    pub(super) async fn fetch(&mut self, addresses: &[SocketAddr]) -> Parts {
         let mut parts = Parts { fetched: 0, is_whole: true };
         let mut failures = 0;
         let mut turn = addresses.iter().cycle();
         loop {
-            self.pull.drop_held(self.shared.configuration().items());
+            self.pull.drop_held(self.shared.view().accepted());
             if self.pull.is_done() {
                 break;
             }
             let Some(address) = turn.next() else { break };
-            match self.fetch_part(*address, unaccepted).await {
+            match self.fetch_part(*address).await {
                 Ok(part) => {
                     failures = 0;
                     parts.fetched += part.fetched;
@@ -144,10 +149,10 @@
         parts
     }
 
-    async fn fetch_part(&mut self, address: SocketAddr, unaccepted: bool) -> Result<Parts, String> {
+    async fn fetch_part(&mut self, address: SocketAddr) -> Result<Parts, String> {
         let started_at = self.shared.clock.now();
         let part = self.pull.next_part();
-        let message = peer::Message::FetchItems { hashes: part.clone(), unaccepted };
+        let message = peer::Message::FetchItems { hashes: part.clone(), unaccepted: false };
         let answer = self.send(address, &message).await?;
         let peer::Answer::Fetched(bytes) = answer else {
             return Err("the peer does not send items in parts".to_string());
@@ -163,7 +168,7 @@
     }
 
     /// Sends a message and waits for the response; one that arrives later still puts items into force.
-    async fn send(
+    pub(super) async fn send(
         &self,
         address: SocketAddr,
         message: &peer::Message,
--- a/crates/arbutuslane_node/src/cluster/items/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/items/mod.rs
@@ -4,6 +4,7 @@
 mod announced;
 mod completeness;
 mod exchange;
+mod fallback;
 mod late;
 mod relay;
 mod serve;
@@ -28,6 +29,7 @@
 
 pub(crate) use announced::Announced;
 pub(crate) use completeness::Completeness;
+use fallback::StoredState;
 pub(crate) use relay::relay;
 pub(crate) use serve::{differing_items, requested_items};
 
@@ -40,6 +42,8 @@
     sources: Sources,
     /// Whether a control instance gave all items in the last comparison.
     got_all_items: bool,
+    /// The states that control instances have stored, as far as they were fetched.
+    stored: Vec<StoredState>,
 }
 
 /// Compares the items in force with those of other processes until this one ends.
@@ -48,7 +52,8 @@
     // well above the number of instances.
     let sources = Sources::new(shared.clock.now(), rand::rng().random_range(0..1_000));
     let pull = Pull::default();
-    let mut updater = Updater { shared, pool, pull, sources, got_all_items: true };
+    let stored = Vec::new();
+    let mut updater = Updater { shared, pool, pull, sources, got_all_items: true, stored };
     loop {
         updater.compare().await;
         updater.wait().await;
@@ -87,8 +92,10 @@
         {
             self.compare_with(*address).await;
         }
-        if !self.shared.is_configured() && self.sources.is_last_resort(self.shared.clock.now()) {
-            self.take_unaccepted(&control).await;
+        if !self.shared.completeness.has_all()
+            && self.sources.is_last_resort(self.shared.clock.now())
+        {
+            self.use_fallback(&control).await;
         }
         if let Some(got_all_items) = reached_control {
             self.record_contact(got_all_items);
@@ -103,21 +110,6 @@
             || self.sources.may_rely_on_keys(&control, self.shared.clock.now())
     }
 
-    /// Puts what the control instances hold into force, whether they know it to be accepted or not.
-    ///
-    /// Too few of them are left to tell, and without this nothing would be served until an operator
-    /// has restored them.
-    async fn take_unaccepted(&mut self, control: &[SocketAddr]) {
-        for address in control {
-            self.exchange_with(*address, true).await;
-        }
-        if !self.shared.configuration().is_empty() {
-            self.shared.completeness.set_provisional();
-            let items = self.shared.configuration().items().len();
-            tracing::warn!(event = "configuration-provisional", items);
-        }
-    }
-
     fn record_contact(&mut self, got_all_items: bool) {
         if got_all_items != self.got_all_items {
             self.got_all_items = got_all_items;
@@ -152,9 +144,9 @@
             if hashes.is_empty() {
                 return;
             }
-            self.pull.want(self.shared.configuration().items(), &hashes);
+            self.pull.want(self.shared.view().accepted(), &hashes);
             let (control, _) = peer_addresses(&self.shared);
-            self.fetch(&self.sources.rotated(&control), false).await;
+            self.fetch(&self.sources.rotated(&control)).await;
         }
     }
 }
--- a/crates/arbutuslane_node/src/cluster/items/serve.rs
+++ b/crates/arbutuslane_node/src/cluster/items/serve.rs
@@ -5,6 +5,7 @@
 use arbutuslane_item::border;
 use arbutuslane_item::prelude::Item;
 use arbutuslane_item::transfer::MAX_HASHES;
+use arbutuslane_item::view::Stage;
 use arbutuslane_wire::codec;
 use arbutuslane_wire::peer::Answer;
 
@@ -17,14 +18,9 @@
     buckets: &[u64],
     max_items: Option<usize>,
 ) -> Answer {
-    let configuration = shared.configuration();
-    // The items of a node that had to use unaccepted ones must not spread to others.
-    let buckets = if shared.completeness.has_only_accepted() {
-        buckets
-    } else {
-        configuration.items().buckets()
-    };
-    let differing = configuration.items().difference(buckets);
+    let view = shared.view();
+    // Items that may not be accepted must not spread to others.
+    let differing = view.accepted().difference(buckets);
     let (items, hashes) = match max_items.is_some_and(|max| differing.len() > max) {
         true => (encode([]), differing.first_hashes(MAX_HASHES)),
         false => (encode(differing.items()), Vec::new()),
@@ -32,17 +28,17 @@
     Answer::Items {
         // The responder may also be a node.
         instance: shared.settings.node.clone(),
-        complete: shared.completeness.is_source(),
+        complete: view.stage() == Stage::Complete,
         items,
         more: !hashes.is_empty() && hashes.len() < differing.len(),
         hashes,
-        // Only control instances use these lists, in comparisons with one another.
+        position: None,
     }
 }
 
 /// Returns the items with the hashes that a node requests.
 pub(crate) fn requested_items(shared: &Shared, hashes: &[u64]) -> Answer {
-    Answer::Fetched(encode(&shared.configuration().items().with_hashes(hashes)))
+    Answer::Fetched(encode(&shared.view().accepted().with_hashes(hashes)))
 }
 
 fn encode<'a>(items: impl IntoIterator<Item = &'a Arc<Item>>) -> Vec<u8> {
--- a/crates/arbutuslane_node/src/shared.rs
+++ b/crates/arbutuslane_node/src/shared.rs
@@ -13,7 +13,8 @@
 use arbutuslane_event::buffer::Buffer;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_item::item::MAX_LISTED_ITEMS;
-use arbutuslane_item::prelude::{Item, Table};
+use arbutuslane_item::prelude::{Item, Position, Table};
+use arbutuslane_item::view::View;
 use arbutuslane_limit::bucket::Bucket;
 use arbutuslane_limit::budget::RetryBudget;
 use arbutuslane_limit::memory::Memory;
@@ -119,6 +120,8 @@
     pub(crate) departures: Departures,
     /// The accepted items that control instances announced.
     pub(crate) announced: Announced,
+    /// The items that this node knows, from which the configuration is built.
+    view: Mutex<View>,
     configuration: RwLock<Arc<Configuration>>,
     remote_servers: RwLock<Arc<Vec<RemoteServer>>>,
     token: RwLock<Arc<String>>,
@@ -203,6 +206,7 @@
             stop: Stop::default(),
             departures,
             announced: Announced::default(),
+            view: Mutex::default(),
             configuration: RwLock::default(),
             remote_servers: RwLock::default(),
             token: RwLock::new(Arc::new(token)),
@@ -230,24 +234,53 @@
         true
     }
 
-    /// Puts the items into force that are newer than those in force; returns their number.
+    /// Locks the items that this node knows.
+    pub(crate) fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds accepted items to those that this node knows; returns the number of new ones.
     pub(crate) fn adopt_items(&self, mut items: Vec<Arc<Item>>) -> usize {
-        let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        let mut view = self.view();
         self.state.remove_outdated(&mut items);
-        let mut table = current.items().clone();
-        let adopted = table.merge_all(items);
+        let adopted = view.merge_accepted(items);
         if !adopted.is_empty() {
             self.state.record_versions(&adopted);
-            if self.completeness.is_behind() {
-                self.completeness.set_behind(!self.state.is_covered_by(&table));
-            }
-            *current = Arc::new(table.into());
+            self.put_in_force(&view);
         }
-        drop(current);
+        drop(view);
         log_items_in_force(&adopted);
         adopted.len()
     }
 
+    /// Changes what this node knows of its items, and puts into force what it uses then.
+    pub(crate) fn update_view<T>(&self, update: impl FnOnce(&mut View) -> T) -> T {
+        let mut view = self.view();
+        let result = update(&mut view);
+        if view.in_force().digest() != self.configuration().items().digest() {
+            self.put_in_force(&view);
+        }
+        self.completeness.set_stage(view.stage());
+        result
+    }
+
+    /// Uses a state that a control instance has stored and that may not be accepted.
+    pub(crate) fn use_stored(&self, position: Position, stored: &Table) {
+        let mut items: Vec<Arc<Item>> = stored.items().cloned().collect();
+        // Keys that were withdrawn before the start stay withdrawn.
+        self.state.remove_outdated(&mut items);
+        let mut table = Table::default();
+        table.set_all(items);
+        self.update_view(|view| view.use_stored(position, table));
+    }
+
+    fn put_in_force(&self, view: &View) {
+        let items = view.in_force().clone();
+        self.completeness.set_behind(!self.state.is_covered_by(&items));
+        let configuration = Arc::new(Configuration::from(items));
+        *self.configuration.write().unwrap_or_else(PoisonError::into_inner) = configuration;
+    }
+
     /// Returns whether the configuration in force may be used.
     pub(crate) fn is_configured(&self) -> bool {
         let known = !self.configuration().is_empty();
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -51,7 +51,8 @@
     SyncItems {
         /// The hash of each bucket of the sender's table.
         buckets: Vec<u64>,
-        /// Whether the response should include items that are not known to be accepted.
+        /// Whether the sender needs any state that the receiver has, because too few control instances
+        /// are left to tell what is accepted.
         unaccepted: bool,
         /// The largest number of items in the response; of more items it contains the hashes.
         /// `None`, which earlier releases send, stands for no limit.
@@ -62,7 +63,7 @@
     FetchItems {
         /// The hashes of the items.
         hashes: Vec<u64>,
-        /// Whether the response should include items that are not known to be accepted.
+        /// See [`Message::SyncItems`].
         unaccepted: bool,
     },
     /// Announces accepted catalogue items, which the receiver fetches if it lacks them.
@@ -173,6 +174,10 @@
         /// Whether more items differ than `hashes` names.
         #[serde(default)]
         more: bool,
+        /// The position of the state that the items belong to, encoded; none if the responder is no
+        /// control instance, or knows of no accepted state.
+        #[serde(default)]
+        position: Option<Vec<u8>>,
     },
     /// The response to [`Message::FetchItems`]: the items that the receiver has, encoded.
     Fetched(Vec<u8>),
