Tell requests that crash servers from others by host, caller and variant

Cause: strikes were kept by a hash of method, path, query and the first 16 KiB of the body, and each served request with that hash cleared them. Change: the identity of a request has host, caller and workspace, and a variant: the other header fields and the rest of a body that is held. A good run clears the strikes of its variant and narrows the others to theirs; two strikes of one variant convict that variant, two of different ones the request. Related: the check for another request under the same idempotency key used the same hash. Ruled out: header fields in the hash (a client may change one with each resend), and no clearing at all. The tests' report_strike sends the new record; the checks are the same.

--- a/crates/arbutuslane_node/src/cluster/keyed.rs
+++ b/crates/arbutuslane_node/src/cluster/keyed.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutuslane_core::hash;
 use arbutuslane_record::message::{Kind, Request, Response as Reply, StoredResponse};
 use arbutuslane_record::prelude::{Coordinator, Decision, Group, Key, key};
 use arbutuslane_record::store::MAX_ANSWER_BYTES;
@@ -18,7 +17,7 @@
 use crate::peers;
 use crate::shared::Shared;
 use crate::timeout::within;
-use crate::traffic::{self, Outcome, Pool, Refusal, RoutedRequest, ServerResponse, Worker, status};
+use crate::traffic::{Outcome, Pool, Refusal, RoutedRequest, ServerResponse, Worker, status};
 
 #[cfg(test)]
 mod tests;
@@ -26,9 +25,6 @@
 /// The longest wait for a majority of replicas: many times the round trip between failure domains.
 pub(crate) const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The number of bytes at the start of a request body that its fingerprint covers.
-pub(crate) const FINGERPRINT_BODY_BYTES: usize = 16 << 10;
-
 /// The result of the claim stage: whether a request may be dispatched.
 pub(crate) enum KeyClaim {
     /// The request has no key or may be repeated without harm, so that it needs no claim.
@@ -64,7 +60,7 @@
     let key = key::of(&routed.service, &String::from_utf8_lossy(key_text.as_bytes()));
     let remaining = routed.deadline.remaining(worker.shared.clock.now());
     let timeout = CLAIM_TIMEOUT.min(remaining / 2);
-    let claimed = claim(worker, key, routed.fingerprint, Kind::Booking, timeout).await;
+    let claimed = claim(worker, key, routed.identity.request, Kind::Booking, timeout).await;
     let Some((coordinator, decision)) = claimed else { return Err(no_group()) };
     if decision == Some(Decision::Dispatch) {
         return Ok(KeyClaim::Held(ClaimedKey { coordinator }));
@@ -212,14 +208,6 @@
     Refusal { try_other_server: false, ..Refusal::not_run(error) }
 }
 
-/// Returns a hash of the method, path and query, and the first 16 KiB of the body.
-pub(crate) fn fingerprint(request: &traffic::Request) -> u64 {
-    let mut bytes = format!("{} {}\n", request.method, request.target).into_bytes();
-    let prefix = request.upload.buffered_prefix();
-    bytes.extend_from_slice(&prefix[..prefix.len().min(FINGERPRINT_BODY_BYTES)]);
-    hash::of_bytes(&bytes)
-}
-
 async fn collect_body(server_response: ServerResponse) -> Result<Bytes, Refusal> {
     let mut stream = server_response.body;
     let mut body = BytesMut::new();
--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -12,7 +12,7 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_record::message;
-use arbutuslane_record::prelude::{Coordinator, Decision, Strikes, Verdict, key};
+use arbutuslane_record::prelude::{Coordinator, Decision, Identity, Strike, Strikes, Verdict, key};
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout_checked};
@@ -46,9 +46,6 @@
 /// responses of a sound server do.
 const CLOSE_PROBE_DELAYS: [Duration; 1] = [Duration::from_millis(100)];
 
-/// The fingerprint of a request whose entry sent none.
-const NO_FINGERPRINT: u64 = 0;
-
 /// The strikes that this node knows as an owner.
 #[derive(Debug, Default)]
 pub(crate) struct StrikeTable(Mutex<Strikes>);
@@ -93,9 +90,9 @@
 }
 
 /// Returns whether a request has a strike.
-pub(crate) fn has_strike(worker: &Worker, fingerprint: u64) -> bool {
+pub(crate) fn has_strike(worker: &Worker, identity: Identity) -> bool {
     let now = worker.shared.clock.now();
-    worker.shared.cluster.strikes.lock().verdict(now, fingerprint) != Verdict::Unrestricted
+    worker.shared.cluster.strikes.lock().verdict(now, identity) != Verdict::Unrestricted
 }
 
 /// Returns whether claims can be granted: by register groups, which only the control instances of a
@@ -105,12 +102,12 @@
 }
 
 /// Refuses a quarantined request; returns whether the request needs an exclusive claim to run.
-pub(crate) fn requires_claim(worker: &Worker, fingerprint: u64) -> Result<bool, Refusal> {
-    if fingerprint == NO_FINGERPRINT {
+pub(crate) fn requires_claim(worker: &Worker, identity: Identity) -> Result<bool, Refusal> {
+    if !identity.is_known() {
         return Ok(false);
     }
     let now = worker.shared.clock.now();
-    match worker.shared.cluster.strikes.lock().verdict(now, fingerprint) {
+    match worker.shared.cluster.strikes.lock().verdict(now, identity) {
         Verdict::Unrestricted => Ok(false),
         Verdict::Exclusive => Ok(has_claims(&worker.shared)),
         Verdict::Quarantined { until } => Err(quarantined(until.saturating_sub(now))),
@@ -122,15 +119,16 @@
 pub(crate) async fn claim_exclusive_run(
     worker: &Worker,
     service: &str,
-    fingerprint: u64,
+    identity: Identity,
     remaining: Duration,
 ) -> Result<Option<ExclusiveClaim>, Refusal> {
-    if !requires_claim(worker, fingerprint)? {
+    if !requires_claim(worker, identity)? {
         return Ok(None);
     }
-    let key = key::of(service, &format!("strike-{fingerprint:016x}"));
+    let request = identity.request;
+    let key = key::of(service, &format!("strike-{request:016x}"));
     let timeout = keyed::CLAIM_TIMEOUT.min(remaining / 2);
-    let claimed = keyed::claim(worker, key, fingerprint, message::Kind::Exclusive, timeout).await;
+    let claimed = keyed::claim(worker, key, request, message::Kind::Exclusive, timeout).await;
     let Some((coordinator, Some(Decision::Dispatch))) = claimed else {
         let error = "this request has crashed a server and runs one at a time";
         return Err(Refusal {
@@ -142,7 +140,7 @@
     let (shared, pool) = (Arc::clone(&worker.shared), Rc::clone(&worker.pool));
     let claim = ExclusiveClaim { shared, pool, coordinator, dispatched: false };
     // Another owner may have reported a crash while the claim was pending.
-    requires_claim(worker, fingerprint)?;
+    requires_claim(worker, identity)?;
     Ok(Some(claim))
 }
 
@@ -151,10 +149,10 @@
     shared: &Arc<Shared>,
     pool: &Rc<Pool>,
     service: &str,
-    fingerprint: u64,
+    identity: Identity,
 ) {
-    shared.cluster.strikes.lock().clear(fingerprint);
-    let message = peer::Message::ClearStrikes { service: service.to_string(), fingerprint };
+    let cleared = shared.cluster.strikes.lock().clear(identity);
+    let message = message_of(shared, &cleared);
     let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
     let service = service.to_string();
     let _task = ntex::rt::spawn(async move { broadcast(&shared, &pool, &service, &message).await });
@@ -187,21 +185,20 @@
 
     /// Records a strike against a request at every owner of the service if the process has ended;
     /// returns whether it has.
-    pub(crate) async fn strike_if_crashed(self, fingerprint: u64) -> bool {
-        if fingerprint == NO_FINGERPRINT || !self.has_ended().await {
+    pub(crate) async fn strike_if_crashed(self, identity: Identity) -> bool {
+        if !identity.is_known() || !self.has_ended().await {
             return false;
         }
         let Self { shared, pool, server, .. } = self;
         let now = shared.clock.now();
-        shared.cluster.strikes.lock().strike(now, fingerprint, &server.id, server.incarnation);
-        let verdict = shared.cluster.strikes.lock().verdict(now, fingerprint);
-        record_strike(&shared, &server, fingerprint, verdict, now);
-        let message = peer::Message::Strike {
-            service: server.service.clone(),
-            server: server.id.clone(),
-            incarnation: server.incarnation,
-            fingerprints: vec![fingerprint],
+        let (strike, verdict) = {
+            let mut strikes = shared.cluster.strikes.lock();
+            strikes.sweep(now);
+            let strike = strikes.strike(now, identity, &server.id, server.incarnation);
+            (strike, strikes.verdict(now, identity))
         };
+        record_strike(&shared, &server, identity, verdict, now);
+        let message = message_of(&shared, &[strike]);
         let broadcast = broadcast(&shared, &pool, &server.service, &message);
         if timeout_checked(BROADCAST_TIMEOUT, broadcast).await.is_err() {
             tracing::warn!(event = "strike-late", server = server.id);
@@ -231,8 +228,14 @@
 }
 
 /// Records the events of a strike and of the quarantine that follows it.
-fn record_strike(shared: &Shared, server: &Server, fingerprint: u64, verdict: Verdict, now: Time) {
-    let fingerprint = format!("{fingerprint:016x}");
+fn record_strike(
+    shared: &Shared,
+    server: &Server,
+    identity: Identity,
+    verdict: Verdict,
+    now: Time,
+) {
+    let fingerprint = format!("{:016x}", identity.request);
     let (strikes, quarantine) = match verdict {
         Verdict::Quarantined { until } => (2, Some(until.saturating_sub(now))),
         Verdict::Unrestricted | Verdict::Exclusive => (1, None),
@@ -245,21 +248,28 @@
     }
 }
 
-/// Records strikes that another owner reported.
-pub(crate) fn record_reported(
-    shared: &Shared,
-    now: Time,
-    server: &str,
-    incarnation: u64,
-    fingerprints: &[u64],
-) {
+/// Merges strikes that another process told.
+pub(crate) fn merge(shared: &Shared, told: Vec<peer::strike::Strike>) {
+    let now = shared.clock.now();
     let mut strikes = shared.cluster.strikes.lock();
     strikes.sweep(now);
-    for fingerprint in fingerprints {
-        strikes.strike(now, *fingerprint, server, incarnation);
+    for strike in told {
+        let (strike, until) = strike.into_strike(now);
+        strikes.merge(now, strike, until);
     }
 }
 
+/// Returns the message that tells others of strikes.
+fn message_of(shared: &Shared, told: &[Strike]) -> peer::Message {
+    let now = shared.clock.now();
+    let strikes = shared.cluster.strikes.lock();
+    let convert = |strike| {
+        let until = strikes.until(strike).unwrap_or(now);
+        peer::strike::Strike::new(strike, until, now)
+    };
+    peer::Message::Strikes { strikes: told.iter().map(convert).collect() }
+}
+
 /// Sends a message to the other owners of a service and waits for all of them.
 async fn broadcast(shared: &Arc<Shared>, pool: &Rc<Pool>, service: &str, message: &peer::Message) {
     let remote_servers = shared.remote_servers();
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -130,13 +130,8 @@
             let response = shared.cluster.handle_register(shared, &request);
             peer::Answer::Register(response.into())
         }
-        peer::Message::Strike { server, incarnation, fingerprints, .. } => {
-            let now = shared.clock.now();
-            cluster::strikes::record_reported(shared, now, &server, incarnation, &fingerprints);
-            peer::Answer::Done
-        }
-        peer::Message::ClearStrikes { fingerprint, .. } => {
-            shared.cluster.strikes.lock().clear(fingerprint);
+        peer::Message::Strikes { strikes } => {
+            cluster::strikes::merge(shared, strikes);
             peer::Answer::Done
         }
         peer::Message::SyncItems { buckets, max_items, .. } => {
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -142,7 +142,7 @@
         known_limit: selected.known_limit,
         summary: selected.summary.map(|summary| (worker.thread_id, summary)),
         deadline: routed.deadline,
-        fingerprint: routed.fingerprint,
+        identity: routed.identity,
         request: routed.request.clone(),
     };
     match selected.location {
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -304,13 +304,13 @@
 }
 
 /// Returns a hash that the first request and the caller's resends of it have in common: of the
-/// caller, the service, and the idempotency key or, without one, the fingerprint.
+/// caller, the service, and the idempotency key or, without one, the content.
 fn resend_id(routed: &RoutedRequest) -> u64 {
     let headers = &routed.request.headers;
     let caller = fields::text(headers, "x-forwarded-for").unwrap_or_default();
     let request = match fields::text(headers, header::IDEMPOTENCY_KEY) {
         Some(key) => key.to_string(),
-        None => format!("{:016x}", routed.fingerprint),
+        None => format!("{:016x}", routed.identity.request),
     };
     hash::of_bytes(format!("{caller} {} {request}", routed.service).as_bytes())
 }
--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -8,8 +8,8 @@
 
 use arbutuslane_listen::bodies::IncomingBody;
 use arbutuslane_listen::connections::{Request as CountedRequest, unless_given_way};
+use arbutuslane_record::strike::REQUEST_BODY_BYTES;
 
-use crate::cluster::keyed;
 use crate::metrics::count;
 use crate::shared::Shared;
 use crate::timeout::{Elapsed, within};
@@ -114,7 +114,7 @@
     held.unwrap_or(Err(ReadError::GaveWay))
 }
 
-/// Reads a body until it ends or the memory is used up. The bytes that the fingerprint covers are
+/// Reads a body until it ends or the memory is used up. The bytes that identify the request are
 /// read in any case.
 async fn hold_in(
     shared: &Shared,
@@ -133,7 +133,7 @@
         }
         let place = shared.streams.take().ok_or(ReadError::GaveWay)?;
         body.push_unreserved(&chunk);
-        if body.len() >= keyed::FINGERPRINT_BODY_BYTES {
+        if body.len() >= REQUEST_BODY_BYTES {
             return Ok(Upload::stream(body, payload, bounds.length, bounds.limit, place));
         }
     }
--- a/crates/arbutuslane_node/src/traffic/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod handshake;
 mod hedge;
 mod http1_pipeline;
+mod identity;
 mod intake;
 mod limiter;
 pub(crate) mod listener;
--- a/crates/arbutuslane_node/src/traffic/owner/exchange/tests.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/exchange/tests.rs
@@ -9,6 +9,7 @@
 
 use arbutuslane_catalogue::entry::Class;
 use arbutuslane_limit::deadline::Deadline;
+use arbutuslane_record::prelude::Identity;
 use arbutuslane_wire::announce::Announcement;
 
 use crate::interface::Native;
@@ -67,7 +68,7 @@
         known_limit: None,
         summary: None,
         deadline,
-        fingerprint: 0,
+        identity: Identity::default(),
         request,
     }
 }
--- a/crates/arbutuslane_node/src/traffic/owner/execution.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/execution.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use arbutuslane_record::prelude::Identity;
+
 use crate::announce::Server;
 use crate::cluster::strikes::{self, CrashCheck, ExclusiveClaim};
 use crate::condition::RunningRequest;
@@ -20,7 +22,7 @@
     shared: Arc<Shared>,
     pool: Rc<Pool>,
     server: Arc<Server>,
-    fingerprint: u64,
+    identity: Identity,
     running: RunningRequest,
     /// Whether a server has crashed during an earlier execution of the request.
     has_strike: bool,
@@ -30,11 +32,11 @@
 }
 
 impl Execution {
-    /// Begins the execution of a request with `fingerprint` on `server`.
+    /// Begins the execution of a request on `server`.
     pub(super) fn new(
         worker: &Worker,
         server: &Arc<Server>,
-        fingerprint: u64,
+        identity: Identity,
         running: RunningRequest,
         permit: Permit,
     ) -> Self {
@@ -42,9 +44,9 @@
             shared: Arc::clone(&worker.shared),
             pool: Rc::clone(&worker.pool),
             server: Arc::clone(server),
-            fingerprint,
+            identity,
             running,
-            has_strike: strikes::has_strike(worker, fingerprint),
+            has_strike: strikes::has_strike(worker, identity),
             claim: None,
             _permit: permit,
         }
@@ -69,12 +71,12 @@
     /// the body as well (`is_close_delimited`).
     pub(crate) fn complete(mut self, is_close_delimited: bool) {
         let (shared, pool) = (Arc::clone(&self.shared), Rc::clone(&self.pool));
-        let (server, fingerprint) = (Arc::clone(&self.server), self.fingerprint);
+        let (server, identity) = (Arc::clone(&self.server), self.identity);
         let claim = self.claim.take();
         let has_strike = self.has_strike;
         let clear_strikes = move || {
             if has_strike {
-                strikes::clear_strikes(&shared, &pool, &server.service, fingerprint);
+                strikes::clear_strikes(&shared, &pool, &server.service, identity);
             }
             if let Some(claim) = claim {
                 claim.release();
@@ -85,7 +87,7 @@
         }
         let check = CrashCheck::after_close(&self.shared, &self.pool, &self.server);
         ntex::rt::spawn(async move {
-            if !check.strike_if_crashed(fingerprint).await {
+            if !check.strike_if_crashed(identity).await {
                 clear_strikes();
             }
         });
@@ -98,8 +100,8 @@
         let is_broken = matches!(failure, Failure::Closed(_));
         let check = is_broken.then(|| {
             let check = CrashCheck::after_failure(&self.shared, &self.pool, &self.server);
-            let fingerprint = self.fingerprint;
-            ntex::rt::spawn(async move { check.strike_if_crashed(fingerprint).await })
+            let identity = self.identity;
+            ntex::rt::spawn(async move { check.strike_if_crashed(identity).await })
         });
         // The request may still run, so that its claim is not withdrawn.
         drop(self.claim.take());
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -153,7 +153,7 @@
     if let Some(limit) = server_request.known_limit {
         server.learn_limit(limit);
     }
-    strikes::requires_claim(worker, server_request.fingerprint)?;
+    strikes::requires_claim(worker, server_request.identity)?;
     if server_request.repeat == Repeat::Retry
         && !repeats::admits(worker, &server.service, server_request)
     {
@@ -207,13 +207,9 @@
     // Checked after the queue, because another run of the request may have crashed a server
     // meanwhile.
     let remaining = deadline.remaining(clock.now());
-    let mut claim = strikes::claim_exclusive_run(
-        worker,
-        &server.service,
-        server_request.fingerprint,
-        remaining,
-    )
-    .await?;
+    let mut claim =
+        strikes::claim_exclusive_run(worker, &server.service, server_request.identity, remaining)
+            .await?;
     if let Some((source, summary)) = &server_request.summary {
         server.health.record(*source, *summary);
     }
@@ -226,8 +222,8 @@
     }
     remember_run(worker, &server_request);
     repeats::count(worker, &server.service, &server_request);
-    let fingerprint = server_request.fingerprint;
-    let mut execution = Execution::new(worker, &server, fingerprint, running, permit);
+    let identity = server_request.identity;
+    let mut execution = Execution::new(worker, &server, identity, running, permit);
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
--- a/crates/arbutuslane_node/src/traffic/owner/work.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/work.rs
@@ -11,6 +11,7 @@
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_limit::gate::Arrival;
 use arbutuslane_listen::connections::Request as CountedRequest;
+use arbutuslane_record::prelude::Identity;
 use arbutuslane_wire::header;
 
 use super::{FORWARD, OFFER, Repeat, statement};
@@ -55,8 +56,8 @@
     pub(crate) summary: Option<(u64, Summary)>,
     /// The time after which the response is useless.
     pub(crate) deadline: Deadline,
-    /// Identifies requests with the same content, to recognise those that crash servers.
-    pub(crate) fingerprint: u64,
+    /// Identifies the request, to recognise those that crash servers.
+    pub(crate) identity: Identity,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
 }
@@ -136,9 +137,8 @@
     let is_offered = incoming.headers().contains_key(header::OFFERED);
     let known_limit =
         fields::text(incoming.headers(), header::LIMIT).and_then(statement::parse_limit);
-    let fingerprint = fields::text(incoming.headers(), header::FINGERPRINT);
-    let fingerprint = fingerprint.and_then(|text| u64::from_str_radix(text, 16).ok());
-    let fingerprint = fingerprint.unwrap_or_default();
+    let identity = fields::text(incoming.headers(), header::FINGERPRINT);
+    let identity = identity.and_then(|text| text.parse().ok()).unwrap_or_default();
     let service = String::new();
     Ok(ServerRequest {
         service,
@@ -156,7 +156,7 @@
         known_limit,
         summary,
         deadline,
-        fingerprint,
+        identity,
         request,
     })
 }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -122,7 +122,7 @@
 fn to_owner(worker: &Worker, server_request: &ServerRequest, target: String) -> Request {
     let mut request = Request { target, ..server_request.request.clone() };
     let headers = &mut request.headers;
-    fields::set(headers, header::FINGERPRINT, &format!("{:016x}", server_request.fingerprint));
+    fields::set(headers, header::FINGERPRINT, &server_request.identity.to_string());
     fields::set(headers, header::TOKEN, &worker.shared.token());
     fields::set(headers, header::SERVER, &server_request.server);
     fields::set(headers, header::INCARNATION, &server_request.incarnation.to_string());
--- a/crates/arbutuslane_node/src/traffic/route.rs
+++ b/crates/arbutuslane_node/src/traffic/route.rs
@@ -12,14 +12,15 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_limit::deadline::Deadline;
 use arbutuslane_listen::connections::Request as CountedRequest;
+use arbutuslane_record::prelude::Identity;
 
-use crate::cluster::keyed;
 use crate::configuration::{Configuration, Workspace};
 
 use super::allowance;
 use super::client::Request;
 use super::deadline;
 use super::fields;
+use super::identity;
 use super::intake;
 use super::owner;
 use super::refusal::Refusal;
@@ -90,8 +91,8 @@
     pub(crate) parent: Option<String>,
     /// The request with its end-to-end header fields.
     pub(crate) request: Request,
-    /// Identifies requests with the same content.
-    pub(crate) fingerprint: u64,
+    /// Identifies the request among its resends and others.
+    pub(crate) identity: Identity,
 }
 
 /// Returns the configuration in force; a node that has just started waits for its first one.
@@ -198,7 +199,7 @@
     }
     let method = incoming.method.clone();
     let request = Request { method, target: target.to_string(), headers, upload };
-    let fingerprint = keyed::fingerprint(&request);
+    let identity = identity::of(&request, dialect);
     let parent = dialect.parent_id(owner::request_id(dialect, &request.headers));
     let parent = parent.map(str::to_string);
     let (importance, is_call) = workspace::importance(
@@ -223,7 +224,7 @@
         attempts,
         parent,
         request,
-        fingerprint,
+        identity,
     })
 }
 
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -7,7 +7,8 @@
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
-use arbutuslane_core::hash;
+use arbutuslane_core::time::Time;
+use arbutuslane_record::strike::{self, Content, Identity, QUARANTINE_DURATION, Scope, Strike};
 use arbutuslane_wire::{codec, peer};
 
 use crate::keys::start_fleet;
@@ -15,6 +16,9 @@
 use crate::support::server::write;
 use crate::support::{Node, Server, call, caller, encode_request, open_connection};
 
+/// The host that the requests of the tests name.
+const HOST: &str = "test";
+
 /// How a server crashes.
 #[derive(Debug, Clone, Copy, Default)]
 struct Crash {
@@ -163,17 +167,16 @@
     assert_eq!(caller::read_response(&mut stream, false).unwrap().text(), "11");
 }
 
-/// Reports to `node` that the request with this head and body crashed a server. Returns the status.
+/// Reports to `node` that a request with this head and body crashed a server, in a variant that no other
+/// request has. Returns the status.
 fn report_strike(node: &Node, head: &str, body: &[u8]) -> u16 {
-    let mut bytes = format!("{head}\n").into_bytes();
-    bytes.extend_from_slice(&body[..body.len().min(16 << 10)]);
-    let message = peer::Message::Strike {
-        service: "bookings".to_string(),
-        server: "lost".to_string(),
-        incarnation: 1,
-        fingerprints: vec![hash::of_bytes(&bytes)],
-    };
-    let body = codec::encode(&message).unwrap();
+    let (method, target) = head.split_once(' ').unwrap();
+    let content = Content { method, target, host: HOST, body, ..Content::default() };
+    let crash = strike::Crash { server: "lost".to_string(), incarnation: 1, variant: 1 };
+    let request = Identity::new(&content, 1).request;
+    let strike = Strike { request, crash, scope: Scope::Request };
+    let strikes = vec![peer::strike::Strike::new(&strike, QUARANTINE_DURATION, Time::ZERO)];
+    let body = codec::encode(&peer::Message::Strikes { strikes }).unwrap();
     call(node.peer_address, "POST", "/v1/peer", &[("arbutuslane-token", "secret")], &body).status
 }
 
--- a/crates/arbutuslane_record/src/lib.rs
+++ b/crates/arbutuslane_record/src/lib.rs
@@ -6,7 +6,7 @@
 //! and decides whether the request is dispatched, answered with a stored response or refused. A
 //! server may be ejected only under a [`Permit`](permit::Permit), a lease that a majority of the
 //! replicas grants from their [`GrantTable`](permit::GrantTable)s. [`Strikes`](strike::Strikes)
-//! counts crashes by request.
+//! tells which requests have crashed servers.
 //!
 //! ```
 //! use std::time::Duration;
@@ -40,5 +40,5 @@
     pub use crate::message::{Claim, Kind, Request, Response, StoredResponse};
     pub use crate::permit::{GrantTable, Permit};
     pub use crate::replica::{Recovering, RegisterReplica, Replica, Voting};
-    pub use crate::strike::{Strikes, Verdict};
+    pub use crate::strike::{Identity, Strike, Strikes, Verdict};
 }
--- /dev/null
+++ b/crates/arbutuslane_record/src/strike/mod.rs
@@ -0,0 +1,77 @@
+//! Strikes against requests during which servers crashed.
+//!
+//! [`Identity`] says which requests are the same, and [`Strikes`] what the fleet knows against them. A
+//! [`Strike`] is a record that only ever loses [`Scope`], so that the records of different nodes merge
+//! in any order.
+
+mod identity;
+mod table;
+
+use std::time::Duration;
+
+use arbutuslane_core::id::{Incarnation, ServerId};
+use arbutuslane_core::time::Time;
+
+pub use identity::{Content, Fingerprint, Identity, ParseError, REQUEST_BODY_BYTES, Variant};
+pub use table::Strikes;
+
+/// The time for which a strike counts and a quarantine lasts.
+pub const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
+
+/// The restriction under which a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may run without restriction.
+    Unrestricted,
+    /// The request may run only under a claim, so that few run at a time in the fleet.
+    Exclusive,
+    /// The request may not run before the given time.
+    Quarantined {
+        /// The end of the quarantine.
+        until: Time,
+    },
+}
+
+/// The crash of a server while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Crash {
+    /// The server.
+    pub server: ServerId,
+    /// The incarnation of the server that ended.
+    pub incarnation: Incarnation,
+    /// The variant of the request that it ran.
+    pub variant: Variant,
+}
+
+/// The requests that a strike counts against; it only ever gets narrower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scope {
+    /// All variants of the request.
+    Request,
+    /// The variant that ran at the crash; another one has run without a crash since.
+    Variant,
+    /// None; the variant itself has run without a crash since.
+    Cleared,
+}
+
+/// A crash that counts against a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Strike {
+    /// The request.
+    pub request: Fingerprint,
+    /// The crash.
+    pub crash: Crash,
+    /// The variants that it counts against.
+    pub scope: Scope,
+}
+
+impl Strike {
+    /// Returns whether the strike counts against a variant of its request.
+    pub fn applies_to(&self, variant: Variant) -> bool {
+        match self.scope {
+            Scope::Request => true,
+            Scope::Variant => self.crash.variant == variant,
+            Scope::Cleared => false,
+        }
+    }
+}
--- a/crates/arbutuslane_record/tests/strikes.rs
+++ b/crates/arbutuslane_record/tests/strikes.rs
@@ -8,7 +8,7 @@
 use arbutuslane_core::time::Time;
 use arbutuslane_record::message::Request;
 use arbutuslane_record::prelude::*;
-use arbutuslane_record::strike::QUARANTINE_DURATION;
+use arbutuslane_record::strike::{Fingerprint, QUARANTINE_DURATION, Variant};
 use rand::RngExt;
 use support::{check, first_violation, millis};
 
@@ -24,6 +24,15 @@
     NoExclusiveClaim,
 }
 
+/// Returns the identity of a request in its usual variant.
+fn identity(request: Fingerprint) -> Identity {
+    variant(request, 1)
+}
+
+fn variant(request: Fingerprint, variant: Variant) -> Identity {
+    Identity { request, variant }
+}
+
 /// Owners that share strikes, and one replica group.
 struct Fleet {
     now: Time,
@@ -50,10 +59,10 @@
     fn admit(
         &mut self,
         owner: usize,
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         mutation: Option<Mutation>,
     ) -> Option<Option<Coordinator>> {
-        match self.owners[owner].verdict(self.now, fingerprint) {
+        match self.owners[owner].verdict(self.now, identity(fingerprint)) {
             Verdict::Quarantined { .. } => None,
             Verdict::Exclusive if mutation != Some(Mutation::NoExclusiveClaim) => {
                 self.attempts += 1;
@@ -95,7 +104,8 @@
             }
             for fingerprint in fingerprints {
                 let incarnation = u64::from(self.crashes);
-                strikes.strike(self.now, *fingerprint, &format!("server-{owner}"), incarnation);
+                let server = format!("server-{owner}");
+                strikes.strike(self.now, identity(*fingerprint), &server, incarnation);
             }
         }
     }
@@ -169,20 +179,48 @@
     assert!(fleet.admit(5, 77, None).is_none());
     fleet.withdraw(&claim);
     for strikes in &mut fleet.owners {
-        strikes.clear(77);
+        strikes.clear(identity(77));
     }
-    assert_eq!(fleet.owners[5].verdict(fleet.now, 77), Verdict::Unrestricted);
+    assert_eq!(fleet.owners[5].verdict(fleet.now, identity(77)), Verdict::Unrestricted);
 }
 
 /// Guards against a quarantine that ends too early or never, and a crash that counts twice.
 #[test]
 fn verdict_quarantine_end() {
     let mut strikes = Strikes::default();
-    strikes.strike(Duration::ZERO, 66, "server-1", 1);
-    strikes.strike(Duration::ZERO, 66, "server-1", 1);
-    assert_eq!(strikes.verdict(Duration::ZERO, 66), Verdict::Exclusive);
-    strikes.strike(millis(500), 66, "server-2", 1);
+    strikes.strike(Duration::ZERO, identity(66), "server-1", 1);
+    strikes.strike(Duration::ZERO, identity(66), "server-1", 1);
+    assert_eq!(strikes.verdict(Duration::ZERO, identity(66)), Verdict::Exclusive);
+    strikes.strike(millis(500), identity(66), "server-2", 1);
     let until = millis(500) + QUARANTINE_DURATION;
-    assert_eq!(strikes.verdict(until - millis(1), 66), Verdict::Quarantined { until });
-    assert_eq!(strikes.verdict(until, 66), Verdict::Unrestricted);
+    assert_eq!(strikes.verdict(until - millis(1), identity(66)), Verdict::Quarantined { until });
+    assert_eq!(strikes.verdict(until, identity(66)), Verdict::Unrestricted);
+}
+
+/// Guards against a request that crashes servers without end, because another one that differs in a header
+/// field or at the end of its body clears its strikes, and against a conviction of that other one.
+#[test]
+fn verdict_variants() {
+    let mut strikes = Strikes::default();
+    let (crashing, sound) = (variant(66, 1), variant(66, 2));
+    for crash in 0..2 {
+        strikes.strike(Duration::ZERO, crashing, &format!("server-{crash}"), 1);
+        assert_eq!(strikes.verdict(Duration::ZERO, sound), Verdict::Exclusive);
+        assert_eq!(strikes.clear(sound).len(), 1);
+        assert_eq!(strikes.verdict(Duration::ZERO, sound), Verdict::Unrestricted);
+    }
+    let until = QUARANTINE_DURATION;
+    assert_eq!(strikes.verdict(Duration::ZERO, crashing), Verdict::Quarantined { until });
+    assert_eq!(strikes.clear(crashing).len(), 2);
+    assert_eq!(strikes.verdict(Duration::ZERO, crashing), Verdict::Unrestricted);
+}
+
+/// Guards against a request that crashes servers without end, because a header field differs in each resend.
+#[test]
+fn verdict_changing_variants() {
+    let mut strikes = Strikes::default();
+    strikes.strike(Duration::ZERO, variant(66, 1), "server-1", 1);
+    strikes.strike(Duration::ZERO, variant(66, 2), "server-2", 1);
+    let until = QUARANTINE_DURATION;
+    assert_eq!(strikes.verdict(Duration::ZERO, variant(66, 3)), Verdict::Quarantined { until });
 }
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -123,6 +123,5 @@
 /// No other server may be tried, because the request has crashed one.
 pub const REFUSAL_FINAL: &str = "final";
 
-/// The fingerprint that identifies requests that crash servers (16 hexadecimal digits), on requests
-/// to an owner.
+/// The identity of a request that may crash servers (32 hexadecimal digits), on requests to an owner.
 pub const FINGERPRINT: &str = "arbutuslane-fingerprint";
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -3,6 +3,7 @@
 pub mod departure;
 pub mod gossip;
 pub mod register;
+pub mod strike;
 
 use std::net::SocketAddr;
 
@@ -20,23 +21,10 @@
     Gossip(gossip::Message),
     /// A request to a replica of quorum registers.
     Register(register::Message),
-    /// Reports requests that crashed a server to an owner of other servers of the service.
-    Strike {
-        /// The service.
-        service: String,
-        /// The server that crashed.
-        server: String,
-        /// The incarnation of that server.
-        incarnation: u64,
-        /// The fingerprints of the requests that the server was running.
-        fingerprints: Vec<u64>,
-    },
-    /// Reports to an owner of other servers of the service that a request ran without a crash.
-    ClearStrikes {
-        /// The service.
-        service: String,
-        /// The fingerprint of the request.
-        fingerprint: u64,
+    /// Reports strikes against requests, also those that were cleared.
+    Strikes {
+        /// The strikes.
+        strikes: Vec<strike::Strike>,
     },
     /// Reports the revision and group epochs that a node has in force to a control instance.
     InForce {
