Convict a request that crashes servers only by runs that began after a strike was known

Cause: each end of a server gave a strike to every request that it was running, and two strikes refused a request, whatever was known when its runs began. No run was left to clear it. Change: a strike names the strikes that were known when its run began. Without one it makes a suspect; with one it convicts, as long as that one still counts. Suspects run as trials: one at a time at a server, two in the fleet in two failure domains where the request crashed no server (trial::Arbiter, a node chosen by rendezvous hashing). A good trial clears what was known when it began. A request that had been served within a minute before is tried once more 10 s after its conviction. Ruled out: only runs that were alone at their server (they hardly are), and trials at all servers at once (begin_bursts). verdict_quarantine_end and the fleet of verdict_random_schedules state now what was known when a run began; the bounds are the same. Two strikes of which none was known before convicted without evidence, so that check was wrong.

--- a/crates/arbutuslane_node/src/cluster/mod.rs
+++ b/crates/arbutuslane_node/src/cluster/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod report;
 pub(crate) mod state;
 pub(crate) mod strikes;
+pub(crate) mod trials;
 mod watch;
 
 pub(crate) use state::Cluster;
--- a/crates/arbutuslane_node/src/cluster/state.rs
+++ b/crates/arbutuslane_node/src/cluster/state.rs
@@ -21,6 +21,7 @@
 use super::delta;
 use super::registers::Registers;
 use super::strikes::StrikeTable;
+use super::trials::Trials;
 
 /// Membership, configurations, register replicas and strikes as this node knows them.
 #[derive(Debug)]
@@ -30,6 +31,8 @@
     pub(crate) registers: Registers,
     /// The strikes against requests that crashed servers.
     pub(crate) strikes: StrikeTable,
+    /// The runs of requests with strikes.
+    pub(crate) trials: Trials,
     next_request_id: AtomicU64,
     control_contact: Mutex<ControlContact>,
 }
@@ -63,6 +66,7 @@
             membership,
             registers,
             strikes: StrikeTable::default(),
+            trials: Trials::default(),
             next_request_id: AtomicU64::new(0),
             control_contact,
         }
--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -1,9 +1,8 @@
 //! Protects backend servers from requests that crash them.
 //!
-//! A request that crashed a server has a strike at every owner of its service: it runs one at a
-//! time in the fleet, under a claim, and is quarantined after the second strike. Where nobody grants
-//! claims, it runs without one until then: requests that ran beside it at the crash have a strike too,
-//! and lose it with the first run that does not end in a crash.
+//! A request that was running when its server crashed has a strike at every owner of its service. It then
+//! runs as a trial only ([`super::trials`]), and under a claim where these are granted. A trial that ends in
+//! a crash convicts the request, and one that ends well clears the strikes from before.
 
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,6 +12,7 @@
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_record::message;
 use arbutuslane_record::prelude::{Coordinator, Decision, Identity, Strike, Strikes, Verdict, key};
+use arbutuslane_record::strike::Crash;
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout_checked};
@@ -89,28 +89,21 @@
     }
 }
 
-/// Returns whether a request has a strike.
-pub(crate) fn has_strike(worker: &Worker, identity: Identity) -> bool {
-    let now = worker.shared.clock.now();
-    worker.shared.cluster.strikes.lock().verdict(now, identity) != Verdict::Unrestricted
-}
-
 /// Returns whether claims can be granted: by register groups, which only the control instances of a
 /// catalogue assign.
-fn has_claims(shared: &Shared) -> bool {
+pub(super) fn has_claims(shared: &Shared) -> bool {
     shared.settings.source == Source::Catalogue
 }
 
-/// Refuses a quarantined request; returns whether the request needs an exclusive claim to run.
-pub(crate) fn requires_claim(worker: &Worker, identity: Identity) -> Result<bool, Refusal> {
+/// Returns the restriction under which a request may run; refuses a quarantined one.
+pub(super) fn verdict(worker: &Worker, identity: Identity) -> Result<Verdict, Refusal> {
     if !identity.is_known() {
-        return Ok(false);
+        return Ok(Verdict::Unrestricted);
     }
     let now = worker.shared.clock.now();
     match worker.shared.cluster.strikes.lock().verdict(now, identity) {
-        Verdict::Unrestricted => Ok(false),
-        Verdict::Exclusive => Ok(has_claims(&worker.shared)),
         Verdict::Quarantined { until } => Err(quarantined(until.saturating_sub(now))),
+        verdict => Ok(verdict),
     }
 }
 
@@ -122,7 +115,7 @@
     identity: Identity,
     remaining: Duration,
 ) -> Result<Option<ExclusiveClaim>, Refusal> {
-    if !requires_claim(worker, identity)? {
+    if verdict(worker, identity)? == Verdict::Unrestricted || !has_claims(&worker.shared) {
         return Ok(None);
     }
     let request = identity.request;
@@ -140,18 +133,27 @@
     let (shared, pool) = (Arc::clone(&worker.shared), Rc::clone(&worker.pool));
     let claim = ExclusiveClaim { shared, pool, coordinator, dispatched: false };
     // Another owner may have reported a crash while the claim was pending.
-    requires_claim(worker, identity)?;
+    verdict(worker, identity)?;
     Ok(Some(claim))
 }
 
-/// Clears the strikes of a request that ran without a crash, here and at the other owners.
-pub(crate) fn clear_strikes(
+/// Records that a request ran without a crash, and clears its strikes that were known when the run began,
+/// here and at the other owners.
+pub(crate) fn record_good_run(
     shared: &Arc<Shared>,
     pool: &Rc<Pool>,
     service: &str,
     identity: Identity,
+    known: &[Crash],
 ) {
-    let cleared = shared.cluster.strikes.lock().clear(identity);
+    let cleared = {
+        let mut strikes = shared.cluster.strikes.lock();
+        strikes.record_served(shared.clock.now(), identity);
+        strikes.clear(identity, known)
+    };
+    if cleared.is_empty() {
+        return;
+    }
     let message = message_of(shared, &cleared);
     let (shared, pool) = (Arc::clone(shared), Rc::clone(pool));
     let service = service.to_string();
@@ -183,9 +185,9 @@
         Self { probe_delays, ..Self::after_failure(shared, pool, server) }
     }
 
-    /// Records a strike against a request at every owner of the service if the process has ended;
-    /// returns whether it has.
-    pub(crate) async fn strike_if_crashed(self, identity: Identity) -> bool {
+    /// Records a strike against a request at every owner of the service if the process has ended; returns
+    /// whether it has. `known` are the crashes that counted against the request when its run began.
+    pub(crate) async fn strike_if_crashed(self, identity: Identity, known: &[Crash]) -> bool {
         if !identity.is_known() || !self.has_ended().await {
             return false;
         }
@@ -194,7 +196,10 @@
         let (strike, verdict) = {
             let mut strikes = shared.cluster.strikes.lock();
             strikes.sweep(now);
-            let strike = strikes.strike(now, identity, &server.id, server.incarnation);
+            let Identity { request, variant } = identity;
+            let (server, incarnation) = (server.id.clone(), server.incarnation);
+            let crash = Crash { server, incarnation, variant };
+            let strike = strikes.strike(now, request, crash, &shared.settings.domain, known);
             (strike, strikes.verdict(now, identity))
         };
         record_strike(&shared, &server, identity, verdict, now);
@@ -238,7 +243,7 @@
     let fingerprint = format!("{:016x}", identity.request);
     let (strikes, quarantine) = match verdict {
         Verdict::Quarantined { until } => (2, Some(until.saturating_sub(now))),
-        Verdict::Unrestricted | Verdict::Exclusive => (1, None),
+        Verdict::Unrestricted | Verdict::Exclusive { .. } => (1, None),
     };
     let kind = Kind::Strike { fingerprint: fingerprint.clone(), strikes };
     shared.events.record(Draft::new(kind).service(&server.service).server(&server.id));
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -9,6 +9,7 @@
 use ntex::http::{HeaderMap, Method, Response, StatusCode};
 use ntex::util::Bytes;
 
+use arbutuslane_record::trial::Trial;
 use arbutuslane_wire::{codec, header, peer};
 
 use crate::cluster;
@@ -134,6 +135,16 @@
             cluster::strikes::merge(shared, strikes);
             peer::Answer::Done
         }
+        peer::Message::BeginTrial { request, server, domain, max, for_ms } => {
+            let trial = Trial { max, request, server, domain };
+            let duration = Duration::from_millis(for_ms);
+            let is_granted = shared.cluster.trials.grant(shared, trial, duration);
+            peer::Answer::Trial { is_granted }
+        }
+        peer::Message::EndTrial { request, server } => {
+            shared.cluster.trials.release(request, &server);
+            peer::Answer::Done
+        }
         peer::Message::SyncItems { buckets, max_items, .. } => {
             cluster::items::differing_items(shared, &buckets, max_items)
         }
--- a/crates/arbutuslane_node/src/traffic/attempt.rs
+++ b/crates/arbutuslane_node/src/traffic/attempt.rs
@@ -184,7 +184,8 @@
                 RefusalCause::Stale
                 | RefusalCause::Limited
                 | RefusalCause::Suspect
-                | RefusalCause::RepeatLimit => {}
+                | RefusalCause::RepeatLimit
+                | RefusalCause::Trial => {}
                 RefusalCause::Full | RefusalCause::Shed => attempt_guard.record_refusal(),
                 _ if refusal.outcome == Outcome::NotRun => {}
                 _ => {
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -279,7 +279,7 @@
         return Some(AttemptFailure::Final);
     }
     Some(match (refusal.cause, refusal.outcome) {
-        (RefusalCause::Stale, _) => AttemptFailure::Unavailable,
+        (RefusalCause::Stale | RefusalCause::Trial, _) => AttemptFailure::Unavailable,
         (RefusalCause::Full | RefusalCause::Limited, _) => AttemptFailure::Busy,
         (RefusalCause::Suspect, _) => AttemptFailure::Suspect,
         (RefusalCause::RepeatLimit, _) => AttemptFailure::RepeatLimit,
--- a/crates/arbutuslane_node/src/traffic/owner/execution.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/execution.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use arbutuslane_record::prelude::Identity;
+use arbutuslane_record::strike::Crash;
 
 use crate::announce::Server;
 use crate::cluster::strikes::{self, CrashCheck, ExclusiveClaim};
+use crate::cluster::trials::Trial;
 use crate::condition::RunningRequest;
 use crate::shared::Shared;
 use crate::traffic::admission::Permit;
@@ -24,8 +26,8 @@
     server: Arc<Server>,
     identity: Identity,
     running: RunningRequest,
-    /// Whether a server has crashed during an earlier execution of the request.
-    has_strike: bool,
+    /// The trial that this is, if strikes count against the request.
+    trial: Option<Trial>,
     /// The claim of a request with a strike.
     claim: Option<ExclusiveClaim>,
     _permit: Permit,
@@ -46,7 +48,7 @@
             server: Arc::clone(server),
             identity,
             running,
-            has_strike: strikes::has_strike(worker, identity),
+            trial: None,
             claim: None,
             _permit: permit,
         }
@@ -57,6 +59,17 @@
         &self.server
     }
 
+    /// Makes the execution a trial, which is about to be sent.
+    pub(super) fn begin_trial(&mut self, trial: Option<Trial>) {
+        self.trial = trial;
+        self.trial.iter_mut().for_each(Trial::dispatch);
+    }
+
+    /// Ends the trial of a request that the server did not run.
+    pub(super) fn end_trial(&mut self) {
+        self.trial.take().into_iter().for_each(Trial::end);
+    }
+
     /// Holds `claim` until the end of the execution, whose response has begun.
     pub(super) fn hold_claim(&mut self, claim: Option<ExclusiveClaim>) {
         self.claim = claim;
@@ -72,24 +85,22 @@
     pub(crate) fn complete(mut self, is_close_delimited: bool) {
         let (shared, pool) = (Arc::clone(&self.shared), Rc::clone(&self.pool));
         let (server, identity) = (Arc::clone(&self.server), self.identity);
-        let claim = self.claim.take();
-        let has_strike = self.has_strike;
-        let clear_strikes = move || {
-            if has_strike {
-                strikes::clear_strikes(&shared, &pool, &server.service, identity);
-            }
-            if let Some(claim) = claim {
-                claim.release();
+        let (claim, trial) = (self.claim.take(), self.trial.take());
+        let known = trial.as_ref().map(|trial| trial.known.clone()).unwrap_or_default();
+        let end = move |has_crashed: bool, known: &[Crash]| {
+            if !has_crashed {
+                strikes::record_good_run(&shared, &pool, &server.service, identity, known);
+                claim.into_iter().for_each(ExclusiveClaim::release);
             }
+            trial.into_iter().for_each(Trial::end);
         };
         if !is_close_delimited {
-            return clear_strikes();
+            return end(false, &known);
         }
         let check = CrashCheck::after_close(&self.shared, &self.pool, &self.server);
         ntex::rt::spawn(async move {
-            if !check.strike_if_crashed(identity).await {
-                clear_strikes();
-            }
+            let has_crashed = check.strike_if_crashed(identity, &known).await;
+            end(has_crashed, &known);
         });
     }
 
@@ -100,8 +111,13 @@
         let is_broken = matches!(failure, Failure::Closed(_));
         let check = is_broken.then(|| {
             let check = CrashCheck::after_failure(&self.shared, &self.pool, &self.server);
-            let identity = self.identity;
-            ntex::rt::spawn(async move { check.strike_if_crashed(identity).await })
+            let (identity, trial) = (self.identity, self.trial.take());
+            ntex::rt::spawn(async move {
+                let known = trial.as_ref().map(|trial| trial.known.clone()).unwrap_or_default();
+                let has_crashed = check.strike_if_crashed(identity, &known).await;
+                trial.into_iter().for_each(Trial::end);
+                has_crashed
+            })
         });
         // The request may still run, so that its claim is not withdrawn.
         drop(self.claim.take());
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::announce::Server;
 use crate::cluster::strikes::{self, ExclusiveClaim};
+use crate::cluster::trials;
 use crate::metrics::{Stage, count};
 use crate::settings;
 
@@ -153,7 +154,7 @@
     if let Some(limit) = server_request.known_limit {
         server.learn_limit(limit);
     }
-    strikes::requires_claim(worker, server_request.identity)?;
+    trials::check(worker, &server, server_request.identity)?;
     if server_request.repeat == Repeat::Retry
         && !repeats::admits(worker, &server.service, server_request)
     {
@@ -207,6 +208,7 @@
     // Checked after the queue, because another run of the request may have crashed a server
     // meanwhile.
     let remaining = deadline.remaining(clock.now());
+    let trial = trials::begin(worker, &server, server_request.identity, remaining).await?;
     let mut claim =
         strikes::claim_exclusive_run(worker, &server.service, server_request.identity, remaining)
             .await?;
@@ -224,6 +226,7 @@
     repeats::count(worker, &server.service, &server_request);
     let identity = server_request.identity;
     let mut execution = Execution::new(worker, &server, identity, running, permit);
+    execution.begin_trial(trial);
     let dispatched_at = clock.now();
     let dialect = worker.shared.interface.dialect();
     let received = match send(worker, &server, &server_request).await {
@@ -255,6 +258,7 @@
         if let Some(claim) = claim {
             claim.release();
         }
+        execution.end_trial();
         return Err(refusal);
     }
     if dialect.statuses_guarantee_not_run && implies_not_run(received.status) {
@@ -319,6 +323,7 @@
         if let Some(claim) = claim {
             claim.release();
         }
+        execution.end_trial();
         return refusal;
     }
     match execution.fail(&failure).await {
--- a/crates/arbutuslane_node/src/traffic/refusal.rs
+++ b/crates/arbutuslane_node/src/traffic/refusal.rs
@@ -53,6 +53,8 @@
     Silent,
     /// The allowance of the request's workspace is used up.
     Allowance,
+    /// The request may crash servers, so that few of its runs are tried at a time, and not here now.
+    Trial,
     /// No other server may be tried, because the request has crashed one.
     Final,
 }
@@ -95,6 +97,13 @@
         Self { cause: RefusalCause::Suspect, wait: Some(wait), ..refusal }
     }
 
+    /// Returns a refusal of a request that may crash servers, while other runs of it are tried.
+    pub(crate) fn trial() -> Self {
+        let error =
+            "this request may have crashed a server, and few of its runs are tried at a time";
+        Self { cause: RefusalCause::Trial, ..Self::not_run(error) }
+    }
+
     /// Returns a refusal of a repeated request beyond the limit on repeats.
     pub(crate) fn repeat_limit() -> Self {
         let refusal = Self::not_run("the fleet repeats too many requests to the service");
@@ -171,6 +180,7 @@
             RefusalCause::Suspect => return "suspect",
             RefusalCause::RepeatLimit => return "repeat-limit",
             RefusalCause::Silent => return "silent",
+            RefusalCause::Trial => return "trial",
             RefusalCause::Final => return "crashed-server",
             RefusalCause::Allowance => return "allowance",
             RefusalCause::Sound => {}
@@ -224,6 +234,9 @@
             RefusalCause::RepeatLimit => {
                 builder.header(header::REFUSAL, header::REFUSAL_REPEAT_LIMIT);
             }
+            RefusalCause::Trial => {
+                builder.header(header::REFUSAL, header::REFUSAL_TRIAL);
+            }
             RefusalCause::Final => {
                 builder.header(header::REFUSAL, header::REFUSAL_FINAL);
             }
--- a/crates/arbutuslane_node/src/traffic/remote.rs
+++ b/crates/arbutuslane_node/src/traffic/remote.rs
@@ -216,6 +216,7 @@
         Some(header::REFUSAL_FULL) => RefusalCause::Full,
         Some(header::REFUSAL_LIMITED) => RefusalCause::Limited,
         Some(header::REFUSAL_SUSPECT) => RefusalCause::Suspect,
+        Some(header::REFUSAL_TRIAL) => RefusalCause::Trial,
         Some(header::REFUSAL_FINAL) => RefusalCause::Final,
         _ => RefusalCause::Sound,
     };
--- a/crates/arbutuslane_record/src/lib.rs
+++ b/crates/arbutuslane_record/src/lib.rs
@@ -6,7 +6,8 @@
 //! and decides whether the request is dispatched, answered with a stored response or refused. A
 //! server may be ejected only under a [`Permit`](permit::Permit), a lease that a majority of the
 //! replicas grants from their [`GrantTable`](permit::GrantTable)s. [`Strikes`](strike::Strikes)
-//! tells which requests have crashed servers.
+//! tells which requests have crashed servers, and the
+//! [`Arbiter`](trial::Arbiter) which of them may run.
 //!
 //! ```
 //! use std::time::Duration;
@@ -31,6 +32,7 @@
 pub mod replica;
 pub mod store;
 pub mod strike;
+pub mod trial;
 
 /// The types that most users of this crate need.
 pub mod prelude {
--- a/crates/arbutuslane_record/src/strike/mod.rs
+++ b/crates/arbutuslane_record/src/strike/mod.rs
@@ -5,26 +5,42 @@
 //! in any order.
 
 mod identity;
+mod served;
 mod table;
 
 use std::time::Duration;
 
-use arbutuslane_core::id::{Incarnation, ServerId};
+use arbutuslane_core::id::{DomainName, Incarnation, ServerId};
 use arbutuslane_core::time::Time;
 
+use crate::trial::MAX_TRIALS;
+
 pub use identity::{Content, Fingerprint, Identity, ParseError, REQUEST_BODY_BYTES, Variant};
 pub use table::Strikes;
 
+/// The most crashes that a strike names as known when its run began; one of them is enough.
+pub const MAX_KNOWN: usize = 4;
+
 /// The time for which a strike counts and a quarantine lasts.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
 
+/// The time after which a convicted request that had been served before is tried once more. All servers of a
+/// service that end in turn may convict a popular request; it is back then.
+pub const RETRIAL_DELAY: Duration = Duration::from_secs(10);
+
+/// The most convicting strikes with which a request is tried once more.
+const MAX_RETRIAL_STRIKES: usize = 2;
+
 /// The restriction under which a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// The request may run without restriction.
     Unrestricted,
-    /// The request may run only under a claim, so that few run at a time in the fleet.
-    Exclusive,
+    /// The request may run only as a trial, of which few run at a time in the fleet.
+    Exclusive {
+        /// The most trials at a time.
+        trials: usize,
+    },
     /// The request may not run before the given time.
     Quarantined {
         /// The end of the quarantine.
@@ -61,6 +77,13 @@
     pub request: Fingerprint,
     /// The crash.
     pub crash: Crash,
+    /// The failure domain of the server.
+    pub domain: DomainName,
+    /// The crashes that counted against the request when the run began. With one of them, this one
+    /// convicts; a run that began before any was known proves nothing.
+    pub known: Vec<Crash>,
+    /// Whether the request had been served a moment before, so that another cause is likely.
+    pub was_served: bool,
     /// The variants that it counts against.
     pub scope: Scope,
 }
--- a/crates/arbutuslane_record/src/strike/table.rs
+++ b/crates/arbutuslane_record/src/strike/table.rs
@@ -1,9 +1,13 @@
 //! The strikes that one process knows.
 
-use arbutuslane_core::id::Incarnation;
+use arbutuslane_core::id::DomainName;
 use arbutuslane_core::time::Time;
 
-use super::{Crash, Fingerprint, Identity, QUARANTINE_DURATION, Scope, Strike, Verdict};
+use super::served::Served;
+use super::{
+    Crash, Fingerprint, Identity, MAX_KNOWN, MAX_RETRIAL_STRIKES, MAX_TRIALS, QUARANTINE_DURATION,
+    RETRIAL_DELAY, Scope, Strike, Verdict,
+};
 
 /// A strike with the end of the time for which it counts.
 #[derive(Debug, Clone)]
@@ -16,26 +20,37 @@
 #[derive(Debug, Clone, Default)]
 pub struct Strikes {
     entries: Vec<Entry>,
+    served: Served,
 }
 
 impl Strikes {
-    /// Records that the given incarnation of a server crashed while it ran a request; returns the strike.
+    /// Records that a server in `domain` crashed while it ran a request, and that the crashes in `known`
+    /// counted against the request when the run began; returns the strike.
     pub fn strike(
         &mut self,
         now: Time,
-        identity: Identity,
-        server: &str,
-        incarnation: Incarnation,
+        request: Fingerprint,
+        crash: Crash,
+        domain: &str,
+        known: &[Crash],
     ) -> Strike {
-        let Identity { request, variant } = identity;
-        let crash = Crash { server: server.to_string(), incarnation, variant };
-        let strike = Strike { request, crash, scope: Scope::Request };
+        let known = known[..known.len().min(MAX_KNOWN)].to_vec();
+        let domain = domain.to_string();
+        let variant = crash.variant;
+        let was_served = self.served.contains(now, Identity { request, variant });
+        let scope = Scope::Request;
+        let strike = Strike { request, crash, domain, known, was_served, scope };
         self.merge(now, strike.clone(), now + QUARANTINE_DURATION);
         strike
     }
 
+    /// Records that a request has run without a crash at a server of this process.
+    pub fn record_served(&mut self, now: Time, identity: Identity) {
+        self.served.record(now, identity);
+    }
+
     /// Merges a strike that another process told, which counts until `until`. The same crash counts once.
-    pub fn merge(&mut self, now: Time, strike: Strike, until: Time) {
+    pub fn merge(&mut self, now: Time, mut strike: Strike, until: Time) {
         self.sweep(now);
         let until = until.min(now + QUARANTINE_DURATION);
         if until <= now {
@@ -45,18 +60,24 @@
             Ok(index) => {
                 let known = &mut self.entries[index].strike;
                 known.scope = known.scope.max(strike.scope);
+                known.was_served |= strike.was_served;
+            }
+            Err(index) => {
+                let (request, variant) = (strike.request, strike.crash.variant);
+                strike.was_served |= self.served.contains(now, Identity { request, variant });
+                self.entries.insert(index, Entry { strike, until });
             }
-            Err(index) => self.entries.insert(index, Entry { strike, until }),
         }
     }
 
-    /// Records that a request has run without a crash: clears the strikes of its variant, and narrows the
-    /// others to theirs. Returns the strikes that have changed.
-    pub fn clear(&mut self, identity: Identity) -> Vec<Strike> {
+    /// Records that a request has run without a crash, and that the crashes in `known` counted against it
+    /// when the run began: clears those of its variant, and narrows the others to theirs. Returns the
+    /// strikes that have changed.
+    pub fn clear(&mut self, identity: Identity, known: &[Crash]) -> Vec<Strike> {
         let mut changed = Vec::new();
         for entry in &mut self.entries {
             let strike = &mut entry.strike;
-            if strike.request != identity.request {
+            if strike.request != identity.request || !known.contains(&strike.crash) {
                 continue;
             }
             let scope = match strike.crash.variant == identity.variant {
@@ -73,24 +94,66 @@
 
     /// Returns the restriction under which a request may run now.
     pub fn verdict(&self, now: Time, identity: Identity) -> Verdict {
-        let entries = self.of_request(identity.request);
-        // The strikes of a request expire together.
-        let until = entries.iter().map(|entry| entry.until).max().filter(|until| now < *until);
-        let strikes = entries.iter().map(|entry| &entry.strike);
-        let applying: Vec<&Strike> =
-            strikes.filter(|strike| strike.applies_to(identity.variant)).collect();
-        let Some(until) = until.filter(|_| !applying.is_empty()) else {
+        let applying = self.applying(now, identity);
+        if applying.is_empty() {
             return Verdict::Unrestricted;
+        }
+        let convicts = |strike: &&&Strike| self.convicts(strike, identity);
+        let convicting = applying.iter().filter(convicts).count();
+        if convicting == 0 {
+            return Verdict::Exclusive { trials: MAX_TRIALS };
+        }
+        let entries = self.of_request(identity.request).iter();
+        let end = entries.map(|entry| entry.until).max().unwrap_or(now);
+        let was_served = applying.iter().any(|strike| strike.was_served);
+        let until = match was_served && convicting <= MAX_RETRIAL_STRIKES {
+            true => end.saturating_sub(QUARANTINE_DURATION) + RETRIAL_DELAY,
+            false => end,
         };
-        let is_convicted = applying.iter().enumerate().any(|(index, first)| {
-            applying[index + 1..].iter().any(|second| convicts(first, second, identity))
-        });
-        match is_convicted {
+        match now < until {
             true => Verdict::Quarantined { until },
-            false => Verdict::Exclusive,
+            false => Verdict::Exclusive { trials: 1 },
         }
     }
 
+    /// Returns the crashes that count against a request.
+    pub fn known(&self, now: Time, identity: Identity) -> Vec<Crash> {
+        let applying = self.applying(now, identity);
+        applying.into_iter().map(|strike| strike.crash.clone()).collect()
+    }
+
+    /// Returns the failure domains in which the request has crashed servers, in ascending order.
+    pub fn domains(&self, now: Time, identity: Identity) -> Vec<DomainName> {
+        let applying = self.applying(now, identity).into_iter();
+        let mut domains: Vec<_> = applying.map(|strike| strike.domain.clone()).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
+    /// Returns the strikes that count against a request. Those of one request expire together.
+    fn applying(&self, now: Time, identity: Identity) -> Vec<&Strike> {
+        let entries = self.of_request(identity.request);
+        if entries.iter().all(|entry| now >= entry.until) {
+            return Vec::new();
+        }
+        let strikes = entries.iter().map(|entry| &entry.strike);
+        strikes.filter(|strike| strike.applies_to(identity.variant)).collect()
+    }
+
+    /// Returns whether a strike that counts against a request convicts it: with one that was known when
+    /// its run began, and still counts. Two of one variant say nothing about others.
+    fn convicts(&self, strike: &Strike, identity: Identity) -> bool {
+        strike.known.iter().any(|known| {
+            let found = self.find(identity.request, known).ok();
+            // A strike that is not known here may not have been cleared.
+            let still_counts =
+                found.is_none_or(|index| self.entries[index].strike.applies_to(identity.variant));
+            let variant = strike.crash.variant;
+            still_counts && (known.variant != variant || variant == identity.variant)
+        })
+    }
+
     /// Returns the time until which a strike counts.
     pub fn until(&self, strike: &Strike) -> Option<Time> {
         let index = self.find(strike.request, &strike.crash).ok()?;
@@ -122,10 +185,3 @@
         })
     }
 }
-
-/// Returns whether two strikes that apply to a request convict it: two of one variant say nothing about
-/// others.
-fn convicts(first: &Strike, second: &Strike, identity: Identity) -> bool {
-    let variant = first.crash.variant;
-    variant != second.crash.variant || variant == identity.variant
-}
--- a/crates/arbutuslane_wire/src/header.rs
+++ b/crates/arbutuslane_wire/src/header.rs
@@ -120,6 +120,9 @@
 /// The id of the source of a baseline (16 hexadecimal digits), on requests to an owner.
 pub const BASELINE_SOURCE: &str = "arbutuslane-baseline-source";
 
+/// The request may crash servers, and this server or the fleet tries another such run now.
+pub const REFUSAL_TRIAL: &str = "trial";
+
 /// No other server may be tried, because the request has crashed one.
 pub const REFUSAL_FINAL: &str = "final";
 
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -26,6 +26,26 @@
         /// The strikes.
         strikes: Vec<strike::Strike>,
     },
+    /// Asks whether a request that may crash servers may run now.
+    BeginTrial {
+        /// The fingerprint of the request.
+        request: u64,
+        /// The server that is to run it.
+        server: String,
+        /// The failure domain of the server.
+        domain: String,
+        /// The most such runs of the request at a time.
+        max: usize,
+        /// The time within which the run ends.
+        for_ms: u64,
+    },
+    /// Reports that such a run has ended.
+    EndTrial {
+        /// The fingerprint of the request.
+        request: u64,
+        /// The server.
+        server: String,
+    },
     /// Reports the revision and group epochs that a node has in force to a control instance.
     InForce {
         /// The node.
@@ -176,6 +196,11 @@
         /// The loans, in the order of the requests.
         loans: Vec<AllowanceLoan>,
     },
+    /// The response to [`Message::BeginTrial`].
+    Trial {
+        /// Whether the request may run.
+        is_granted: bool,
+    },
     /// The response to [`Message::FetchDepartures`].
     Departures(Vec<departure::Departure>),
     /// The response of a control instance to [`Message::KeepDepartures`]: they are on its disk.
--- a/crates/arbutuslane_wire/src/peer/strike.rs
+++ b/crates/arbutuslane_wire/src/peer/strike.rs
@@ -11,6 +11,9 @@
 pub struct Strike {
     request: u64,
     crash: Crash,
+    domain: String,
+    known: Vec<Crash>,
+    was_served: bool,
     scope: Scope,
     /// The time for which the strike still counts.
     remaining_ms: u64,
@@ -42,6 +45,9 @@
         Self {
             request: strike.request,
             crash: Crash::from(&strike.crash),
+            domain: strike.domain.clone(),
+            known: strike.known.iter().map(Crash::from).collect(),
+            was_served: strike.was_served,
             scope,
             remaining_ms: millis(until.saturating_sub(now)),
         }
@@ -54,7 +60,14 @@
             Scope::Variant => strike::Scope::Variant,
             Scope::Cleared => strike::Scope::Cleared,
         };
-        let strike = strike::Strike { request: self.request, crash: self.crash.into(), scope };
+        let strike = strike::Strike {
+            request: self.request,
+            crash: self.crash.into(),
+            domain: self.domain,
+            known: self.known.into_iter().map(Into::into).collect(),
+            was_served: self.was_served,
+            scope,
+        };
         // The table bounds what a peer states.
         let remaining = Duration::from_millis(self.remaining_ms);
         (strike, now.saturating_add(remaining))
