--- a/crates/arbutuslane_item/src/view.rs
+++ b/crates/arbutuslane_item/src/view.rs
@@ -3,7 +3,7 @@
 //! A node uses accepted items, once it has all of them. While too few control instances are left to tell
 //! which state is the newest accepted one, a node that has just started would serve nothing. It then
 //! uses the newest accepted state that an instance remembers, and only where none remembers one, the
-//! newest state that one has stored. Such a [`Fallback`] may have been refused since, under a version
+//! newest state that one has stored. Such a fallback may have been refused since, under a version
 //! that is higher than every accepted one. It is therefore kept apart from the accepted items, and is
 //! dropped as a whole once an accepted state is known.
 
