Keep strikes on the disks of control instances, and have nodes learn those that they missed

Cause: strikes were told once to the owners known then, and kept in memory only; a node that started asked nobody. Change: the keepers of departures (control instances and three nodes) get each strike, control instances write it to a log of its own, a node that starts asks for strikes in the same exchange as for departures, before it believes announcements, and every node compares 16 hashes with a random keeper each second. Cleared strikes stay as records that win. At most 1,024 strikes and 8 of a request stay, the same ones everywhere. The log of departures is generic now (kept_log). Ruled out: cleared strikes that come back (compare_cleared), and a second way beside that of the departures.

--- a/crates/arbutuslane_control/src/items/core.rs
+++ b/crates/arbutuslane_control/src/items/core.rs
@@ -28,8 +28,8 @@
 use crate::gossip::{GossipDelegate, MemberChange};
 use crate::token::Tokens;
 
-use super::departures::Departures;
 use super::disk::DiskHandle;
+use super::kept::KeptForNodes;
 use super::leader::{Decision, Order};
 use super::outbox::Outbox;
 use super::settings::Settings;
@@ -56,8 +56,8 @@
     pub(super) counters: Counters,
     replication: Mutex<Replication>,
     members: Mutex<Members>,
-    /// The departures of servers that this instance keeps for nodes.
-    pub(super) departures: Departures,
+    /// What this instance keeps for nodes.
+    pub(super) kept: KeptForNodes,
     pub(super) clock: Clock,
     /// The accepted items that nodes have yet to be told of.
     pub(super) outbox: Outbox,
@@ -135,7 +135,7 @@
     pub(super) fn new(
         settings: Settings,
         disk: DiskHandle,
-        departures: Departures,
+        kept: KeptForNodes,
         replication: Replication,
         events: Events,
         incarnation: Incarnation,
@@ -157,8 +157,8 @@
             counters: Counters::default(),
             replication: Mutex::new(replication),
             members: Mutex::default(),
-            clock: departures.clock(),
-            departures,
+            clock: kept.clock(),
+            kept,
             outbox: Outbox::default(),
             orders,
             incarnation,
--- a/crates/arbutuslane_control/src/items/daemon.rs
+++ b/crates/arbutuslane_control/src/items/daemon.rs
@@ -19,8 +19,8 @@
 use crate::gossip;
 
 use super::core::Core;
-use super::departures::Departures;
 use super::interface::OperatorFormat;
+use super::kept::KeptForNodes;
 use super::leader::Order;
 use super::listener::{self, Opened, ServerState};
 use super::settings::Settings;
@@ -82,7 +82,7 @@
         }
     };
     let is_new = recovered.is_emptied || recovered.damage.is_some();
-    let departures = Departures::start(&settings.data, is_new, Clock::start_counting_suspension())?;
+    let kept = KeptForNodes::start(&settings.data, is_new, Clock::start_counting_suspension())?;
     let listeners = listener::open_all(&settings)?;
     let quorum = settings.lost_disks + 1;
     let replication = Replication::new(&settings.name, quorum, recovered.replication);
@@ -96,15 +96,8 @@
     let record = Record::new(&settings.name, incarnation, advertised, &settings.domain);
     let seeds = settings.other_seeds();
     let (orders, orders_inbox) = unbounded_channel();
-    let core = Core::new(
-        settings,
-        disk,
-        departures,
-        replication,
-        Arc::clone(&events),
-        incarnation,
-        orders,
-    );
+    let core =
+        Core::new(settings, disk, kept, replication, Arc::clone(&events), incarnation, orders);
     let (gossip, inbox) = gossip::channel();
     gossip::start(record, seeds, Arc::clone(&core), Arc::clone(&core.tokens), inbox);
     let version = env!("CARGO_PKG_VERSION").to_string();
--- a/crates/arbutuslane_control/src/items/departure_log.rs
+++ b/crates/arbutuslane_control/src/items/kept_log.rs
@@ -1,13 +1,11 @@
-//! The log of the departures that a control instance keeps for nodes.
+//! The log of what a control instance keeps for nodes.
 
 use arbutuslane_core::time::Time;
-use arbutuslane_member::departure::Keeper;
 use arbutuslane_storage::prelude::*;
 use arbutuslane_wire::codec;
-use arbutuslane_wire::peer::departure;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::departures::OfNode;
 use super::writer::Folder;
 
 #[cfg(test)]
@@ -16,44 +14,52 @@
 /// The number of log entries after which a snapshot replaces the log; bounds its size.
 const ENTRIES_BEFORE_SNAPSHOT: u64 = 1_024;
 
-/// The departures of one node, in an entry or in a snapshot.
-#[derive(Debug, Serialize, Deserialize)]
-struct Record {
-    node: String,
-    departures: Vec<departure::Departure>,
+/// What a control instance keeps for nodes for a while.
+pub(super) trait Kept: Default {
+    /// What is kept at a time.
+    type Entry: Clone;
+
+    /// The serialized form of an entry.
+    type Record: Serialize + DeserializeOwned + From<Self::Entry> + Into<Self::Entry>;
+
+    /// Keeps an entry from `now` on.
+    fn keep(&mut self, entry: &Self::Entry, now: Time);
+
+    /// Returns all that still matters at `now`.
+    fn all(&self, now: Time) -> Vec<Self::Entry>;
 }
 
 /// The metadata of the log.
 #[derive(Debug, Serialize, Deserialize)]
 struct Meta {
-    /// Whether the log has all departures that matter.
+    /// Whether the log has all entries that matter.
     complete: bool,
 }
 
-/// Writes departures to a folder.
+/// Writes entries to a folder.
 ///
-/// After a fault, such as a full disk, nothing is durable until [`reopen`](DepartureLog::reopen)
-/// succeeds, which writes all departures that still matter.
+/// After a fault, such as a full disk, nothing is durable until [`reopen`](KeptLog::reopen)
+/// succeeds, which writes all entries that still matter.
 #[derive(Debug)]
-pub(super) struct DepartureLog<F: Folder> {
+pub(super) struct KeptLog<F: Folder, K: Kept> {
     folder: F,
     /// `None` after a fault, until the log is reopened.
     log: Option<Log<F::Disk>>,
-    keeper: Keeper,
+    kept: K,
     next_index: u64,
     entries_since_snapshot: u64,
     is_complete: bool,
 }
 
-impl<F: Folder> DepartureLog<F> {
-    /// Opens the folder and reads its departures, which all are kept anew from `now` on and are returned
+impl<F: Folder, K: Kept> KeptLog<F, K> {
+    /// Opens the folder and reads its entries, which all are kept anew from `now` on and are returned
     /// in the order in which they were written. A damaged log is set aside. `is_new` states whether the
-    /// disk was empty or damaged, so that departures may be missing.
+    /// disk was empty or damaged, so that entries may be missing.
     ///
     /// # Errors
     ///
     /// Returns an error if the folder cannot be read.
-    pub(super) fn open(folder: F, is_new: bool, now: Time) -> Result<(Self, Vec<OfNode>), Error> {
+    pub(super) fn open(folder: F, is_new: bool, now: Time) -> Result<(Self, Vec<K::Entry>), Error> {
         let opened = Log::open(folder.open()?, log::DEFAULT_SEGMENT_BYTES);
         let (log, found, is_damaged) = match opened {
             Ok((log, found)) => (log, found, false),
@@ -67,16 +73,16 @@
         };
         let snapshot_index = found.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let last_index = found.entries.last().map_or(0, |entry| entry.index).max(snapshot_index);
-        let departures = decode_all(&found)?;
-        let mut keeper = Keeper::default();
-        for (node, departures) in &departures {
-            keeper.keep(node, departures.clone(), now);
+        let entries = Self::decode_all(&found)?;
+        let mut kept = K::default();
+        for entry in &entries {
+            kept.keep(entry, now);
         }
         let meta: Option<Meta> = found.meta.as_deref().map(decode).transpose()?;
         let mut opened = Self {
             folder,
             log: Some(log),
-            keeper,
+            kept,
             next_index: if is_damaged { 1 } else { last_index + 1 },
             entries_since_snapshot: 0,
             // Also in the starts that follow, until those that are missing no longer matter.
@@ -86,15 +92,15 @@
         if written.is_err() || is_damaged && opened.save_snapshot(now).is_err() {
             opened.log = None;
         }
-        Ok((opened, departures))
+        Ok((opened, entries))
     }
 
-    /// Returns whether the log has all departures that matter.
+    /// Returns whether the log has all entries that matter.
     pub(super) fn is_complete(&self) -> bool {
         self.is_complete
     }
 
-    /// Records that departures which may be missing no longer matter.
+    /// Records that entries which may be missing no longer matter.
     pub(super) fn set_complete(&mut self) {
         self.is_complete = true;
         if self.write_meta().is_err() {
@@ -107,24 +113,24 @@
         self.log.is_some()
     }
 
-    /// Makes departures durable, each of which is kept from the time beside it on.
+    /// Makes entries durable, each of which is kept from the time beside it on.
     ///
     /// # Errors
     ///
-    /// After an error the departures may be on the disk or not, and nothing is written before
-    /// [`reopen`](DepartureLog::reopen).
-    pub(super) fn write(&mut self, departures: &[(OfNode, Time)]) -> Result<(), Error> {
-        for ((node, departures), now) in departures {
-            self.keeper.keep(node, departures.clone(), *now);
+    /// After an error the entries may be on the disk or not, and nothing is written before
+    /// [`reopen`](KeptLog::reopen).
+    pub(super) fn write(&mut self, entries: &[(K::Entry, Time)]) -> Result<(), Error> {
+        for (entry, now) in entries {
+            self.kept.keep(entry, *now);
         }
-        let result = self.append(departures);
+        let result = self.append(entries);
         if result.is_err() {
             self.log = None;
         }
         result
     }
 
-    /// Opens the log again after a fault and writes all departures that still matter at `now`.
+    /// Opens the log again after a fault and writes all that still matters at `now`.
     pub(super) fn reopen(&mut self, now: Time) {
         self.log = None;
         let opened = self.folder.open();
@@ -142,16 +148,13 @@
         log.append(&Batch { meta: Some(meta), entries: Vec::new() })
     }
 
-    fn append(&mut self, departures: &[(OfNode, Time)]) -> Result<(), Error> {
+    fn append(&mut self, entries: &[(K::Entry, Time)]) -> Result<(), Error> {
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
-        let Some((_, now)) = departures.last() else { return Ok(()) };
+        let Some((_, now)) = entries.last() else { return Ok(()) };
         let mut batch = Batch::default();
-        for (index, (departures, _)) in (self.next_index..).zip(departures) {
-            batch.entries.push(Entry {
-                index,
-                term: 1,
-                payload: encode(&Record::from(departures))?,
-            });
+        for (index, (entry, _)) in (self.next_index..).zip(entries) {
+            let payload = encode(&K::Record::from(entry.clone()))?;
+            batch.entries.push(Entry { index, term: 1, payload });
         }
         let entries = batch.entries.len() as u64;
         log.append(&batch)?;
@@ -164,49 +167,36 @@
     }
 
     fn save_snapshot(&mut self, now: Time) -> Result<(), Error> {
-        let records: Vec<Record> = self.keeper.all(now).iter().map(Record::from).collect();
+        let records: Vec<K::Record> = self.kept.all(now).into_iter().map(Into::into).collect();
         let payload = encode(&records)?;
         let Some(log) = &mut self.log else { return Err(Error::Stopped) };
         log.save_snapshot(&Snapshot { index: self.next_index - 1, term: 1, payload }, false)?;
         self.entries_since_snapshot = 0;
         Ok(())
     }
-}
-
-impl From<&OfNode> for Record {
-    fn from((node, departures): &OfNode) -> Self {
-        let departures = departures.iter().cloned().map(Into::into).collect();
-        Self { node: node.clone(), departures }
-    }
-}
-
-impl From<Record> for OfNode {
-    fn from(record: Record) -> Self {
-        (record.node, record.departures.into_iter().map(Into::into).collect())
-    }
-}
 
-fn decode_all(found: &log::Recovered) -> Result<Vec<OfNode>, Error> {
-    let mut all = Vec::new();
-    if let Some(snapshot) = &found.snapshot {
-        let records: Vec<Record> = decode(&snapshot.payload)?;
-        all.extend(records.into_iter().map(OfNode::from));
-    }
-    for entry in &found.entries {
-        let record: Record = decode(&entry.payload)?;
-        all.push(record.into());
+    fn decode_all(found: &log::Recovered) -> Result<Vec<K::Entry>, Error> {
+        let mut all = Vec::new();
+        if let Some(snapshot) = &found.snapshot {
+            let records: Vec<K::Record> = decode(&snapshot.payload)?;
+            all.extend(records.into_iter().map(Into::into));
+        }
+        for entry in &found.entries {
+            let record: K::Record = decode(&entry.payload)?;
+            all.push(record.into());
+        }
+        Ok(all)
     }
-    Ok(all)
 }
 
 fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
     codec::encode(value).map_err(|error| codec_error(&error))
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
     codec::decode(bytes).map_err(|error| codec_error(&error))
 }
 
 fn codec_error(error: &codec::Error) -> Error {
-    Error::Corrupt { file: "departures".to_string(), offset: 0, reason: error.to_string() }
+    Error::Corrupt { file: "kept".to_string(), offset: 0, reason: error.to_string() }
 }
--- a/crates/arbutuslane_control/src/items/departure_log/tests.rs
+++ b/crates/arbutuslane_control/src/items/kept_log/tests.rs
@@ -1,11 +1,17 @@
-//! Tests of the log of departures on a fake disk.
+//! Tests of the log, with departures, on a fake disk.
 
 use arbutuslane_core::rng;
-use arbutuslane_member::departure::{Departure, RETENTION, Stage};
+use arbutuslane_event::clock::wall_ms;
+use arbutuslane_member::departure::{Departure, Keeper, RETENTION, Stage};
+use arbutuslane_record::prelude::{Identity, Strike, Strikes};
+use arbutuslane_record::strike::Crash;
 use rand::RngExt;
 
+use super::super::kept::OfNode;
 use super::*;
 
+type DepartureLog<F> = KeptLog<F, Keeper>;
+
 fn of_node(number: u64) -> OfNode {
     let server = format!("s{number}");
     (
@@ -110,3 +116,27 @@
     let (log, _) = DepartureLog::open(disk.clone(), false, Time::ZERO).unwrap();
     assert!(log.is_complete());
 }
+
+/// Guards against strikes that do not outlast the end of all processes, and against a cleared strike that comes
+/// back with the log.
+#[test]
+fn open_strikes() {
+    let disk = disk::Fake::new(5);
+    let crash = |server: &str| Crash { server: server.to_string(), incarnation: 1, variant: 1 };
+    let identity = Identity { request: 7, variant: 1 };
+    let now = Time::ZERO;
+    let (mut log, _) = KeptLog::<_, Strikes>::open(disk.clone(), true, now).unwrap();
+    let mut known = Strikes::default();
+    for server in ["s1", "s2"] {
+        let strike = Strike::new(7, crash(server)).at(wall_ms());
+        log.write(&[(vec![known.strike(now, strike)], now)]).unwrap();
+    }
+    let expired = Strike::new(8, crash("s1")).at(wall_ms() - 3_600_000);
+    log.write(&[(vec![expired], now)]).unwrap();
+    log.write(&[(known.clear(identity, &[crash("s1")]), now)]).unwrap();
+    drop(log);
+    disk.crash();
+    let (log, _) = KeptLog::<_, Strikes>::open(disk, false, now).unwrap();
+    assert_eq!(log.kept.known(now, identity), [crash("s2")]);
+    assert!(log.kept.known(now, Identity { request: 8, variant: 1 }).is_empty());
+}
--- a/crates/arbutuslane_control/src/items/server.rs
+++ b/crates/arbutuslane_control/src/items/server.rs
@@ -12,7 +12,7 @@
 use arbutuslane_listen::connections::{Connections, Request as CountedRequest};
 use arbutuslane_listen::receive::{self, Bounds, Received};
 use arbutuslane_wire::peer::{Answer, Message};
-use arbutuslane_wire::{codec, header, operator};
+use arbutuslane_wire::{codec, header, operator, peer};
 use ntex::client::Client;
 use ntex::http::StatusCode;
 use ntex::http::header::CONTENT_LENGTH;
@@ -22,8 +22,8 @@
 use crate::gossip::GossipHandle;
 
 use super::core::{Core, Step};
-use super::departures::OfNode;
 use super::interface::{OperatorFormat, OperatorRequest};
+use super::kept::OfNode;
 use super::leader::{self, Decision};
 use super::{agreement, compare, settle};
 
@@ -160,6 +160,10 @@
             keep_departures(&shared.core, (node, departures), on_disk).await
         }
         Message::FetchDepartures { node, on_disk } => kept_departures(&shared.core, &node, on_disk),
+        Message::Strikes { strikes, buckets } => {
+            shared.core.kept.strikes.merge(strikes).await;
+            kept_strikes(&shared.core, &buckets)
+        }
         Message::ItemAgreement(bytes) => match agreement::handle(&shared.core, &bytes).await {
             Some(answer) => answer,
             None => return HttpResponse::BadRequest().finish(),
@@ -174,7 +178,7 @@
 
 /// Keeps departures for a node. Nodes of earlier releases learn only that they are kept.
 async fn keep_departures(core: &Core, departures: OfNode, on_disk: bool) -> Answer {
-    let is_durable = core.departures.keep(departures, core.clock.now()).await;
+    let is_durable = core.kept.departures.keep(departures, core.clock.now()).await;
     match on_disk {
         true if is_durable => Answer::DeparturesKept { quorum: core.replication().own_quorum() },
         true => Answer::Unsupported,
@@ -184,14 +188,26 @@
 
 fn kept_departures(core: &Core, node: &str, on_disk: bool) -> Answer {
     let now = core.clock.now();
-    let departures = core.departures.of_node(node, now).into_iter().map(Into::into).collect();
+    let departures = core.kept.departures.lock().departures(node, now);
+    let departures = departures.into_iter().map(Into::into).collect();
     if !on_disk {
         return Answer::Departures(departures);
     }
-    let quorum = core.replication().own_quorum().filter(|_| core.departures.is_complete(now));
+    let quorum = core.replication().own_quorum().filter(|_| core.kept.departures.is_complete(now));
     Answer::DeparturesOnDisk { departures, quorum }
 }
 
+/// Returns the strikes that a node asks for, which has these hashes of its buckets.
+fn kept_strikes(core: &Core, buckets: &[u64]) -> Answer {
+    let now = core.clock.now();
+    let strikes = core.kept.strikes.lock();
+    let differing = if buckets.is_empty() { Vec::new() } else { strikes.differing(buckets) };
+    let until = |strike| strikes.until(strike).unwrap_or(now);
+    let convert = |strike| peer::strike::Strike::new(strike, until(strike), now);
+    let buckets = strikes.buckets().to_vec();
+    Answer::Strikes { strikes: differing.iter().map(convert).collect(), buckets }
+}
+
 /// Handles requests to all paths without a route, which form the operators' interface.
 pub(super) async fn handle_operator_request(
     request: HttpRequest,
--- a/crates/arbutuslane_node/src/cluster/control.rs
+++ b/crates/arbutuslane_node/src/cluster/control.rs
@@ -16,7 +16,7 @@
 use crate::traffic::Pool;
 use crate::{configuration, peers};
 
-use super::{bursts, departures, items, permits, report};
+use super::{bursts, departures, items, permits, report, strikes};
 
 /// The time between two steps of gossip and configuration.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -33,6 +33,7 @@
     let pool = Pool::new();
     let _bursts = ntex::rt::spawn(bursts::run(Arc::clone(&shared)));
     let _departures = ntex::rt::spawn(departures::run(Arc::clone(&shared), Rc::clone(&pool)));
+    let _strikes = ntex::rt::spawn(strikes::run(Arc::clone(&shared), Rc::clone(&pool)));
     let _permits = ntex::rt::spawn(permits::run(Arc::clone(&shared), Rc::clone(&pool)));
     let from_items = shared.settings.source == Source::Items;
     if from_items {
--- a/crates/arbutuslane_node/src/cluster/departures.rs
+++ b/crates/arbutuslane_node/src/cluster/departures.rs
@@ -26,6 +26,7 @@
 use crate::traffic::Pool;
 
 use super::items::members;
+use super::strikes;
 
 /// The number of other nodes that keep departures beside all control instances.
 const KEEPER_NODES: usize = 3;
@@ -125,9 +126,9 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns the instances that keep departures for this node: all control instances, the seeds, and
+/// Returns the instances that keep departures and strikes for this node: all control instances, the seeds, and
 /// nodes that are chosen by their names, so that they are the same after a restart.
-fn keepers(shared: &Shared) -> Vec<SocketAddr> {
+pub(super) fn keepers(shared: &Shared) -> Vec<SocketAddr> {
     let mut keepers: Vec<SocketAddr> = shared.control().iter().copied().collect();
     let seeds = shared.settings.gossip_seeds().into_iter();
     keepers.extend(seeds.filter_map(|seed| seed.parse::<SocketAddr>().ok()));
@@ -279,6 +280,10 @@
         for departure in departures {
             apply(shared, &departure.into());
         }
+        // A server must get no request that crashed others while this node was away.
+        if !strikes::compare_with(shared, pool, keeper).await {
+            return false;
+        }
         lock(&shared.departures.recovery).record_response(&address, storage);
     }
     let missing = shared.departures.missing_at(keeper, shared.clock.now());
--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -4,11 +4,13 @@
 //! runs as a trial only ([`super::trials`]), and under a claim where these are granted. A trial that ends in
 //! a crash convicts the request, and one that ends well clears the strikes from before.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
+use arbutuslane_event::clock::wall_ms;
 use arbutuslane_event::prelude::{Draft, Kind};
 use arbutuslane_record::message;
 use arbutuslane_record::prelude::{Coordinator, Decision, Identity, Strike, Strikes, Verdict, key};
@@ -16,6 +18,7 @@
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout_checked};
+use rand::seq::IndexedRandom;
 
 use crate::announce::Server;
 use crate::peers;
@@ -23,12 +26,21 @@
 use crate::shared::Shared;
 use crate::traffic::{Failure, Pool, Refusal, RefusalCause, Worker};
 
-use super::keyed;
+use super::{departures, keyed};
 
 /// How long an owner waits for other owners to acknowledge a strike before it returns the failure
 /// of the request.
 const BROADCAST_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The time between two comparisons of strikes with a keeper.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The longest wait for the response to a comparison.
+const COMPARE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The error of a message that an instance of earlier code cannot read.
+const MALFORMED: &str = "status 400 Bad Request";
+
 /// The longest wait for a connection that probes whether a server's process has ended.
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -199,7 +211,8 @@
             let Identity { request, variant } = identity;
             let (server, incarnation) = (server.id.clone(), server.incarnation);
             let crash = Crash { server, incarnation, variant };
-            let strike = strikes.strike(now, request, crash, &shared.settings.domain, known);
+            let strike = Strike::new(request, crash).at(wall_ms()).after(known);
+            let strike = strikes.strike(now, strike.in_domain(&shared.settings.domain));
             (strike, strikes.verdict(now, identity))
         };
         record_strike(&shared, &server, identity, verdict, now);
@@ -264,27 +277,72 @@
     }
 }
 
+/// Returns the strikes that a process asks for, which has these hashes of its buckets.
+pub(crate) fn answer(shared: &Shared, buckets: &[u64]) -> peer::Answer {
+    let now = shared.clock.now();
+    let strikes = shared.cluster.strikes.lock();
+    let differing = if buckets.is_empty() { Vec::new() } else { strikes.differing(buckets) };
+    let buckets = strikes.buckets().to_vec();
+    peer::Answer::Strikes { strikes: encode(&strikes, &differing, now), buckets }
+}
+
 /// Returns the message that tells others of strikes.
 fn message_of(shared: &Shared, told: &[Strike]) -> peer::Message {
-    let now = shared.clock.now();
     let strikes = shared.cluster.strikes.lock();
-    let convert = |strike| {
-        let until = strikes.until(strike).unwrap_or(now);
-        peer::strike::Strike::new(strike, until, now)
+    let strikes = encode(&strikes, told, shared.clock.now());
+    peer::Message::Strikes { strikes, buckets: Vec::new() }
+}
+
+fn encode(strikes: &Strikes, told: &[Strike], now: Time) -> Vec<peer::strike::Strike> {
+    let until = |strike| strikes.until(strike).unwrap_or(now);
+    told.iter().map(|strike| peer::strike::Strike::new(strike, until(strike), now)).collect()
+}
+
+/// Compares strikes with keepers in turn, until the process ends. A strike is told once to those that
+/// are known then; what this node or others missed, they learn here.
+pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
+    loop {
+        sleep(COMPARE_INTERVAL).await;
+        let keepers = departures::keepers(&shared);
+        if let Some(keeper) = keepers.choose(&mut rand::rng()) {
+            compare_with(&shared, &pool, *keeper).await;
+        }
+    }
+}
+
+/// Makes this node and the instance at `address` know the same strikes; returns whether it responded.
+pub(super) async fn compare_with(shared: &Shared, pool: &Rc<Pool>, address: SocketAddr) -> bool {
+    let buckets = shared.cluster.strikes.lock().buckets().to_vec();
+    let message = peer::Message::Strikes { strikes: Vec::new(), buckets };
+    let answer = peers::send(shared, pool, address, &message, COMPARE_TIMEOUT).await;
+    let theirs = match answer {
+        Ok(peer::Answer::Strikes { strikes, buckets }) => {
+            merge(shared, strikes);
+            buckets
+        }
+        // Instances of another kind or of earlier code keep none.
+        Ok(_) => return true,
+        Err(error) => return error == MALFORMED,
     };
-    peer::Message::Strikes { strikes: told.iter().map(convert).collect() }
+    let missing = shared.cluster.strikes.lock().differing(&theirs);
+    if !missing.is_empty() {
+        let message = message_of(shared, &missing);
+        let _ = peers::send(shared, pool, address, &message, COMPARE_TIMEOUT).await;
+    }
+    true
 }
 
-/// Sends a message to the other owners of a service and waits for all of them.
+/// Sends a message to the other owners of a service and to the keepers, and waits for all of them.
 async fn broadcast(shared: &Arc<Shared>, pool: &Rc<Pool>, service: &str, message: &peer::Message) {
     let remote_servers = shared.remote_servers();
     let remote_servers = remote_servers.iter().filter(|remote| remote.service == service);
-    let mut owners: Vec<_> = remote_servers.map(|remote| remote.address).collect();
-    owners.sort_unstable();
-    owners.dedup();
-    let sends =
-        owners.iter().map(|owner| peers::send(shared, pool, *owner, message, BROADCAST_TIMEOUT));
-    join_all(sends).await;
+    let mut receivers = departures::keepers(shared);
+    receivers.extend(remote_servers.map(|remote| remote.address));
+    receivers.sort_unstable();
+    receivers.dedup();
+    let send =
+        |address: &SocketAddr| peers::send(shared, pool, *address, message, BROADCAST_TIMEOUT);
+    join_all(receivers.iter().map(send)).await;
 }
 
 fn quarantined(remaining: Duration) -> Refusal {
--- a/crates/arbutuslane_node/src/peers.rs
+++ b/crates/arbutuslane_node/src/peers.rs
@@ -131,9 +131,9 @@
             let response = shared.cluster.handle_register(shared, &request);
             peer::Answer::Register(response.into())
         }
-        peer::Message::Strikes { strikes } => {
+        peer::Message::Strikes { strikes, buckets } => {
             cluster::strikes::merge(shared, strikes);
-            peer::Answer::Done
+            cluster::strikes::answer(shared, &buckets)
         }
         peer::Message::BeginTrial { request, server, domain, max, for_ms } => {
             let trial = Trial { max, request, server, domain };
--- a/crates/arbutuslane_node/tests/faults/strikes.rs
+++ b/crates/arbutuslane_node/tests/faults/strikes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use arbutuslane_core::time::Time;
-use arbutuslane_record::strike::{self, Content, Identity, QUARANTINE_DURATION, Scope, Strike};
+use arbutuslane_record::strike::{self, Content, Identity, QUARANTINE_DURATION, Strike};
 use arbutuslane_wire::{codec, peer};
 
 use crate::keys::start_fleet;
@@ -174,11 +174,9 @@
     let content = Content { method, target, host: HOST, body, ..Content::default() };
     let crash = strike::Crash { server: "lost".to_string(), incarnation: 1, variant: 1 };
     let request = Identity::new(&content, 1).request;
-    let (domain, known) = (String::new(), Vec::new());
-    let scope = Scope::Request;
-    let strike = Strike { request, crash, domain, known, was_served: false, scope };
+    let strike = Strike::new(request, crash);
     let strikes = vec![peer::strike::Strike::new(&strike, QUARANTINE_DURATION, Time::ZERO)];
-    let body = codec::encode(&peer::Message::Strikes { strikes }).unwrap();
+    let body = codec::encode(&peer::Message::Strikes { strikes, buckets: Vec::new() }).unwrap();
     call(node.peer_address, "POST", "/v1/peer", &[("arbutuslane-token", "secret")], &body).status
 }
 
--- a/crates/arbutuslane_record/src/strike/mod.rs
+++ b/crates/arbutuslane_record/src/strike/mod.rs
@@ -4,12 +4,14 @@
 //! [`Strike`] is a record that only ever loses [`Scope`], so that the records of different nodes merge
 //! in any order.
 
+mod bound;
 mod identity;
 mod served;
 mod table;
 
 use std::time::Duration;
 
+use arbutuslane_core::hash;
 use arbutuslane_core::id::{DomainName, Incarnation, ServerId};
 use arbutuslane_core::time::Time;
 
@@ -31,6 +33,15 @@
 /// The most convicting strikes with which a request is tried once more.
 const MAX_RETRIAL_STRIKES: usize = 2;
 
+/// The number of buckets in which the strikes of two processes are compared.
+pub const BUCKETS: usize = 16;
+
+/// The most strikes that a process keeps.
+pub const MAX_STRIKES: usize = 1_024;
+
+/// The most strikes against one request that a process keeps.
+pub const MAX_REQUEST_STRIKES: usize = 8;
+
 /// The restriction under which a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -77,6 +88,8 @@
     pub request: Fingerprint,
     /// The crash.
     pub crash: Crash,
+    /// The time of day of the crash in milliseconds, by the clock of the server's owner.
+    pub at_ms: u64,
     /// The failure domain of the server.
     pub domain: DomainName,
     /// The crashes that counted against the request when the run began. With one of them, this one
@@ -89,6 +102,47 @@
 }
 
 impl Strike {
+    /// Returns a strike against all variants of a request that was not known to have crashed servers.
+    pub fn new(request: Fingerprint, crash: Crash) -> Self {
+        Self {
+            request,
+            crash,
+            at_ms: 0,
+            domain: DomainName::new(),
+            known: Vec::new(),
+            was_served: false,
+            scope: Scope::Request,
+        }
+    }
+
+    /// Sets the time of day of the crash.
+    #[must_use]
+    pub fn at(mut self, at_ms: u64) -> Self {
+        self.at_ms = at_ms;
+        self
+    }
+
+    /// Sets the failure domain of the server.
+    #[must_use]
+    pub fn in_domain(mut self, domain: &str) -> Self {
+        self.domain = domain.to_string();
+        self
+    }
+
+    /// Sets the crashes that counted against the request when the run began.
+    #[must_use]
+    pub fn after(mut self, known: &[Crash]) -> Self {
+        self.known = known[..known.len().min(MAX_KNOWN)].to_vec();
+        self
+    }
+
+    /// Returns a hash of all that processes have to agree on.
+    fn hash(&self) -> u64 {
+        let Self { request, crash, known, was_served, scope, .. } = self;
+        let text = format!("{request} {crash:?} {known:?} {was_served} {scope:?}");
+        hash::of_bytes(text.as_bytes())
+    }
+
     /// Returns whether the strike counts against a variant of its request.
     pub fn applies_to(&self, variant: Variant) -> bool {
         match self.scope {
--- a/crates/arbutuslane_record/src/strike/table.rs
+++ b/crates/arbutuslane_record/src/strike/table.rs
@@ -3,17 +3,18 @@
 use arbutuslane_core::id::DomainName;
 use arbutuslane_core::time::Time;
 
+use super::bound;
 use super::served::Served;
 use super::{
-    Crash, Fingerprint, Identity, MAX_KNOWN, MAX_RETRIAL_STRIKES, MAX_TRIALS, QUARANTINE_DURATION,
+    BUCKETS, Crash, Fingerprint, Identity, MAX_RETRIAL_STRIKES, MAX_TRIALS, QUARANTINE_DURATION,
     RETRIAL_DELAY, Scope, Strike, Verdict,
 };
 
 /// A strike with the end of the time for which it counts.
 #[derive(Debug, Clone)]
-struct Entry {
-    strike: Strike,
-    until: Time,
+pub(super) struct Entry {
+    pub(super) strike: Strike,
+    pub(super) until: Time,
 }
 
 /// The strikes that one process knows, in ascending order of the requests and their crashes.
@@ -24,22 +25,10 @@
 }
 
 impl Strikes {
-    /// Records that a server in `domain` crashed while it ran a request, and that the crashes in `known`
-    /// counted against the request when the run began; returns the strike.
-    pub fn strike(
-        &mut self,
-        now: Time,
-        request: Fingerprint,
-        crash: Crash,
-        domain: &str,
-        known: &[Crash],
-    ) -> Strike {
-        let known = known[..known.len().min(MAX_KNOWN)].to_vec();
-        let domain = domain.to_string();
-        let variant = crash.variant;
-        let was_served = self.served.contains(now, Identity { request, variant });
-        let scope = Scope::Request;
-        let strike = Strike { request, crash, domain, known, was_served, scope };
+    /// Records a crash at a server of this process; returns the strike as it is known then.
+    pub fn strike(&mut self, now: Time, mut strike: Strike) -> Strike {
+        let (request, variant) = (strike.request, strike.crash.variant);
+        strike.was_served = self.served.contains(now, Identity { request, variant });
         self.merge(now, strike.clone(), now + QUARANTINE_DURATION);
         strike
     }
@@ -49,23 +38,28 @@
         self.served.record(now, identity);
     }
 
-    /// Merges a strike that another process told, which counts until `until`. The same crash counts once.
-    pub fn merge(&mut self, now: Time, mut strike: Strike, until: Time) {
+    /// Merges a strike that another process told, which counts until `until`; returns it as it is known
+    /// then, if that is new. The same crash counts once.
+    pub fn merge(&mut self, now: Time, mut strike: Strike, until: Time) -> Option<Strike> {
         self.sweep(now);
         let until = until.min(now + QUARANTINE_DURATION);
         if until <= now {
-            return;
+            return None;
         }
         match self.find(strike.request, &strike.crash) {
             Ok(index) => {
                 let known = &mut self.entries[index].strike;
+                let before = (known.scope, known.was_served);
                 known.scope = known.scope.max(strike.scope);
                 known.was_served |= strike.was_served;
+                (before != (known.scope, known.was_served)).then(|| known.clone())
             }
             Err(index) => {
                 let (request, variant) = (strike.request, strike.crash.variant);
                 strike.was_served |= self.served.contains(now, Identity { request, variant });
-                self.entries.insert(index, Entry { strike, until });
+                self.entries.insert(index, Entry { strike: strike.clone(), until });
+                bound::apply(&mut self.entries, request);
+                Some(strike)
             }
         }
     }
@@ -154,6 +148,31 @@
         })
     }
 
+    /// Returns all strikes that still count at `now`, also those that were cleared.
+    pub fn all(&self, now: Time) -> Vec<Strike> {
+        let counting = self.entries.iter().filter(|entry| now < entry.until);
+        counting.map(|entry| entry.strike.clone()).collect()
+    }
+
+    /// Returns the hash of each bucket of strikes, by which processes find out where they differ.
+    pub fn buckets(&self) -> [u64; BUCKETS] {
+        let mut buckets = [0; BUCKETS];
+        for entry in &self.entries {
+            buckets[bucket(entry.strike.request)] ^= entry.strike.hash();
+        }
+        buckets
+    }
+
+    /// Returns the strikes in the buckets whose hashes differ from those in `theirs`.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Strike> {
+        let own = self.buckets();
+        let differs = |entry: &&Entry| {
+            let bucket = bucket(entry.strike.request);
+            theirs.get(bucket) != Some(&own[bucket])
+        };
+        self.entries.iter().filter(differs).map(|entry| entry.strike.clone()).collect()
+    }
+
     /// Returns the time until which a strike counts.
     pub fn until(&self, strike: &Strike) -> Option<Time> {
         let index = self.find(strike.request, &strike.crash).ok()?;
@@ -185,3 +204,7 @@
         })
     }
 }
+
+fn bucket(request: Fingerprint) -> usize {
+    usize::try_from(request % BUCKETS as u64).unwrap_or(0)
+}
--- a/crates/arbutuslane_record/tests/fleet/mod.rs
+++ b/crates/arbutuslane_record/tests/fleet/mod.rs
@@ -5,11 +5,12 @@
 use arbutuslane_core::rng::{self, Rng};
 use arbutuslane_core::time::Time;
 use arbutuslane_record::prelude::*;
-use arbutuslane_record::strike::{Crash, Fingerprint};
+use arbutuslane_record::strike::{Crash, Fingerprint, QUARANTINE_DURATION};
 use arbutuslane_record::trial::{Arbiter, Trial};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
+use crate::STABILITY_WINDOW;
 use crate::support::millis;
 
 /// The time between two steps.
@@ -21,6 +22,12 @@
 /// The longest time until an owner knows that its server has ended.
 const DETECTION_MS: u64 = 170;
 
+/// The number of keepers with disks.
+const KEEPERS: usize = 3;
+
+/// The time between two comparisons of an owner with a keeper.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The longest time of a message.
 const MESSAGE_MS: u64 = 200;
 
@@ -58,6 +65,10 @@
     up_at: Time,
     has_trial: bool,
     runs: Vec<Run>,
+    /// The time until which the owner is cut off, or away.
+    unreachable_until: Time,
+    /// The last time at which the owner was not in touch with the others.
+    last_trouble: Option<Time>,
 }
 
 /// What happens at an owner later.
@@ -77,8 +88,24 @@
     owners: Vec<Owner>,
     arbiter: Arbiter,
     events: Vec<(Time, usize, Event)>,
-    /// The times at which runs began, with their requests.
-    pub(crate) arrivals: Vec<(Time, Fingerprint)>,
+    /// The strikes on the disks of the keepers.
+    keepers: Vec<Strikes>,
+    /// The time until which each keeper is away.
+    keepers_away_until: Vec<Time>,
+    /// The share of messages that are lost.
+    pub(crate) loss: f64,
+    next_comparison: Time,
+    /// The runs that began.
+    pub(crate) arrivals: Vec<Arrival>,
+}
+
+/// A run that began at a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Arrival {
+    pub(crate) at: Time,
+    pub(crate) request: Fingerprint,
+    /// Whether its owner was in touch for long enough.
+    pub(crate) is_in_touch: bool,
 }
 
 impl Fleet {
@@ -91,6 +118,8 @@
             up_at: Time::ZERO,
             has_trial: false,
             runs: Vec::new(),
+            unreachable_until: Time::ZERO,
+            last_trouble: None,
         };
         Self {
             now: Time::ZERO,
@@ -98,6 +127,10 @@
             owners: (0..domains * servers).map(owner).collect(),
             arbiter: Arbiter::default(),
             events: Vec::new(),
+            keepers: vec![Strikes::default(); KEEPERS],
+            keepers_away_until: vec![Time::ZERO; KEEPERS],
+            loss: 0.0,
+            next_comparison: Time::ZERO,
             arrivals: Vec::new(),
         }
     }
@@ -122,7 +155,8 @@
         let mut order: Vec<usize> = (0..self.owners.len()).collect();
         order.shuffle(&mut self.rng);
         for owner in order.into_iter().take(MAX_OWNERS) {
-            if self.owners[owner].up_at > self.now {
+            let Owner { up_at, unreachable_until, .. } = &self.owners[owner];
+            if *up_at > self.now || *unreachable_until > self.now {
                 continue;
             }
             match self.owners[owner].strikes.verdict(self.now, request.identity) {
@@ -155,9 +189,10 @@
     }
 
     fn begin(&mut self, owner: usize, request: Request, is_trial: bool) {
-        self.arrivals.push((self.now, request.identity.request));
         let now = self.now;
         let owner = &mut self.owners[owner];
+        let is_in_touch = owner.last_trouble.is_none_or(|at| now > at + STABILITY_WINDOW);
+        self.arrivals.push(Arrival { at: now, request: request.identity.request, is_in_touch });
         let known = owner.strikes.known(now, request.identity);
         owner.has_trial |= is_trial;
         owner.runs.push(Run { request, known, is_trial, ends_at: now + request.work });
@@ -193,6 +228,10 @@
             for (_, owner, event) in due {
                 self.handle(owner, event);
             }
+            if now >= self.next_comparison {
+                self.next_comparison = now + COMPARE_INTERVAL;
+                (0..self.owners.len()).for_each(|owner| self.compare(owner));
+            }
             for owner in 0..self.owners.len() {
                 self.end_runs(owner);
             }
@@ -204,7 +243,8 @@
             Event::Strike { request, crash, known, is_trial } => {
                 let domain = self.owners[owner].domain.clone();
                 let strikes = &mut self.owners[owner].strikes;
-                let strike = strikes.strike(self.now, request, crash, &domain, &known);
+                let strike = Strike::new(request, crash).in_domain(&domain).after(&known);
+                let strike = strikes.strike(self.now, strike);
                 self.tell(owner, &strike);
                 if is_trial {
                     let told_at = self.now + millis(MESSAGE_MS);
@@ -212,16 +252,84 @@
                 }
             }
             Event::Release(request) => self.arbiter.release(request, &format!("s{owner}")),
+            Event::Told(_) if !self.reaches(owner) => {}
             Event::Told(strike) => {
-                let until = self.now + arbutuslane_record::strike::QUARANTINE_DURATION;
+                let until = self.now + QUARANTINE_DURATION;
                 self.owners[owner].strikes.merge(self.now, strike, until);
             }
         }
     }
 
+    /// Sends a request from the clients beside an owner that is cut off to the server beside it.
+    pub(crate) fn send_beside(&mut self, owner: usize, request: Request) {
+        let verdict = self.owners[owner].strikes.verdict(self.now, request.identity);
+        if self.owners[owner].up_at <= self.now && verdict == Verdict::Unrestricted {
+            self.begin(owner, request, false);
+        }
+    }
+
+    /// Cuts an owner off from all others for a while.
+    pub(crate) fn cut_off(&mut self, owner: usize, time: Duration) {
+        let until = self.now + time;
+        self.owners[owner].unreachable_until = until;
+        self.owners[owner].last_trouble = Some(until);
+    }
+
+    /// Kills the process of an owner, which is back after a while without what it knew. Its server runs on.
+    pub(crate) fn restart(&mut self, owner: usize, time: Duration) {
+        self.cut_off(owner, time);
+        let owner = &mut self.owners[owner];
+        owner.strikes = Strikes::default();
+        owner.runs.clear();
+        owner.has_trial = false;
+    }
+
+    /// Stops a keeper for a while; its disk is kept.
+    pub(crate) fn stop_keeper(&mut self, keeper: usize, time: Duration) {
+        self.keepers_away_until[keeper] = self.now + time;
+    }
+
+    fn reaches(&self, owner: usize) -> bool {
+        self.owners[owner].unreachable_until <= self.now
+    }
+
+    /// Makes an owner and a random keeper know the same, as owners do each second. One that has started asks
+    /// all keepers before it hands out requests.
+    fn compare(&mut self, owner: usize) {
+        if !self.reaches(owner) {
+            return;
+        }
+        let is_starting =
+            self.owners[owner].last_trouble.is_some_and(|at| self.now < at + COMPARE_INTERVAL);
+        let picked = self.rng.random_range(0..KEEPERS);
+        for keeper in 0..KEEPERS {
+            let is_away = self.keepers_away_until[keeper] > self.now;
+            if is_away || (keeper != picked && !is_starting) {
+                continue;
+            }
+            let (now, until) = (self.now, self.now + QUARANTINE_DURATION);
+            let (owner, keeper) = (&mut self.owners[owner].strikes, &mut self.keepers[keeper]);
+            for strike in keeper.differing(&owner.buckets()) {
+                owner.merge(now, strike, until);
+            }
+            for strike in owner.differing(&keeper.buckets()) {
+                keeper.merge(now, strike, until);
+            }
+        }
+    }
+
     fn tell(&mut self, from: usize, strike: &Strike) {
+        let until = self.now + QUARANTINE_DURATION;
+        if !self.reaches(from) {
+            return;
+        }
+        for keeper in 0..KEEPERS {
+            if self.keepers_away_until[keeper] <= self.now && !self.rng.random_bool(self.loss) {
+                self.keepers[keeper].merge(self.now, strike.clone(), until);
+            }
+        }
         for to in 0..self.owners.len() {
-            if to != from {
+            if to != from && !self.rng.random_bool(self.loss) {
                 let at = self.now + millis(self.rng.random_range(0..MESSAGE_MS));
                 self.events.push((at, to, Event::Told(strike.clone())));
             }
--- a/crates/arbutuslane_record/tests/strikes.rs
+++ b/crates/arbutuslane_record/tests/strikes.rs
@@ -132,7 +132,7 @@
             }
             for run in runs {
                 let crash = crash(&format!("server-{owner}"), u64::from(self.crashes), 1);
-                strikes.strike(self.now, run.request, crash, "a", &run.known);
+                strikes.strike(self.now, Strike::new(run.request, crash).after(&run.known));
             }
         }
     }
@@ -217,7 +217,8 @@
 /// Records a crash of a run that began when all known strikes counted.
 fn strike_again(strikes: &mut Strikes, now: Time, identity: Identity, server: &str) {
     let known = strikes.known(now, identity);
-    strikes.strike(now, identity.request, crash(server, 1, identity.variant), "a", &known);
+    let crash = crash(server, 1, identity.variant);
+    strikes.strike(now, Strike::new(identity.request, crash).after(&known));
 }
 
 /// Guards against a quarantine that ends too early or never, and a crash that counts twice.
@@ -268,7 +269,7 @@
 fn verdict_same_moment() {
     let mut strikes = Strikes::default();
     for server in ["server-1", "server-2", "server-3"] {
-        strikes.strike(Duration::ZERO, 66, crash(server, 1, 1), "a", &[]);
+        strikes.strike(Duration::ZERO, Strike::new(66, crash(server, 1, 1)));
     }
     assert_eq!(strikes.verdict(Duration::ZERO, identity(66)), SUSPECT);
 }
--- a/crates/arbutuslane_wire/src/peer.rs
+++ b/crates/arbutuslane_wire/src/peer.rs
@@ -25,6 +25,9 @@
     Strikes {
         /// The strikes.
         strikes: Vec<strike::Strike>,
+        /// The hash of each bucket of the sender's strikes, if it asks for those in which the receiver's
+        /// differ; empty otherwise.
+        buckets: Vec<u64>,
     },
     /// Asks whether a request that may crash servers may run now.
     BeginTrial {
@@ -196,6 +199,13 @@
         /// The loans, in the order of the requests.
         loans: Vec<AllowanceLoan>,
     },
+    /// The response to [`Message::Strikes`].
+    Strikes {
+        /// The strikes that were asked for.
+        strikes: Vec<strike::Strike>,
+        /// The hash of each bucket of the sender's strikes.
+        buckets: Vec<u64>,
+    },
     /// The response to [`Message::BeginTrial`].
     Trial {
         /// Whether the request may run.
--- a/crates/arbutuslane_wire/src/peer/strike.rs
+++ b/crates/arbutuslane_wire/src/peer/strike.rs
@@ -11,6 +11,7 @@
 pub struct Strike {
     request: u64,
     crash: Crash,
+    at_ms: u64,
     domain: String,
     known: Vec<Crash>,
     was_served: bool,
@@ -45,6 +46,7 @@
         Self {
             request: strike.request,
             crash: Crash::from(&strike.crash),
+            at_ms: strike.at_ms,
             domain: strike.domain.clone(),
             known: strike.known.iter().map(Crash::from).collect(),
             was_served: strike.was_served,
@@ -63,6 +65,7 @@
         let strike = strike::Strike {
             request: self.request,
             crash: self.crash.into(),
+            at_ms: self.at_ms,
             domain: self.domain,
             known: self.known.into_iter().map(Into::into).collect(),
             was_served: self.was_served,
