--- a/crates/arbutuslane_control/src/items/listener.rs
+++ b/crates/arbutuslane_control/src/items/listener.rs
@@ -47,6 +47,7 @@
 /// Opens the listeners that the settings name.
 pub(super) fn open_all(settings: &Settings) -> Result<Vec<Opened>, Error> {
     let budget = Budget::new(settings.memory_mb, settings.descriptors);
+    budget.log();
     let addresses = std::iter::once((&settings.listen, MAIN_SHARE))
         .chain(settings.metrics.iter().map(|address| (address, METRICS_SHARE)));
     let mut opened = Vec::new();
--- a/crates/arbutuslane_listen/src/budget.rs
+++ b/crates/arbutuslane_listen/src/budget.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Logs what the process may use, of which a part follows from the system.
+    pub fn log(&self) {
+        let memory_mb = self.memory / BYTES_PER_MEGABYTE;
+        tracing::info!(event = "limits", memory_mb, descriptors = self.descriptors);
+    }
+
     /// Returns the number of connections that a listener with `share` may have.
     ///
     /// ```
--- a/crates/arbutuslane_node/src/traffic/listener.rs
+++ b/crates/arbutuslane_node/src/traffic/listener.rs
@@ -107,6 +107,7 @@
         listeners.extend(address.map(|address| (name, Purpose::Admin, address)));
     }
     let budget = Budget::new(settings.memory_mb, settings.descriptors);
+    budget.log();
     let mut handles = ListenerHandles::default();
     let mut served = Vec::new();
     for (name, purpose, address) in listeners {
