--- a/crates/arbutuslane_control/src/items/disk.rs
+++ b/crates/arbutuslane_control/src/items/disk.rs
@@ -108,9 +108,9 @@
     }
 }
 
-/// The data folder in the file system.
+/// A folder of a log in the file system.
 #[derive(Debug)]
-struct DataFolder(PathBuf);
+pub(super) struct DataFolder(pub(super) PathBuf);
 
 impl Folder for DataFolder {
     type Disk = disk::Real;
--- a/crates/arbutuslane_control/src/items/kept.rs
+++ b/crates/arbutuslane_control/src/items/kept.rs
@@ -12,15 +12,13 @@
 use arbutuslane_member::departure::{Departure, Keeper, RETENTION};
 use arbutuslane_record::prelude::{Strike, Strikes};
 use arbutuslane_record::strike::QUARANTINE_DURATION;
-use arbutuslane_storage::prelude::*;
+use arbutuslane_storage::prelude::Error;
 use arbutuslane_wire::peer;
 use serde::{Deserialize, Serialize};
 
-use crate::store::open_disk;
-
+use super::disk::DataFolder;
 use super::disk_thread::{self, Handle, Target};
 use super::kept_log::{Kept, KeptLog};
-use super::writer::Folder;
 
 /// The folders of the logs in the data folder.
 const DEPARTURES_FOLDER: &str = "departures";
@@ -51,23 +49,11 @@
 
 /// The log on its disk thread.
 struct TimedLog<K: Kept> {
-    log: KeptLog<LogFolder, K>,
+    log: KeptLog<DataFolder, K>,
     clock: Clock,
     complete_from: Time,
 }
 
-/// The folder of a log in the file system.
-#[derive(Debug)]
-struct LogFolder(PathBuf);
-
-impl Folder for LogFolder {
-    type Disk = disk::Real;
-
-    fn open(&self) -> Result<disk::Real, Error> {
-        open_disk(&self.0)
-    }
-}
-
 impl KeptForNodes {
     /// Reads what is in the data folder. `is_new` states whether the disk was empty or damaged, so that
     /// something may be missing.
@@ -100,7 +86,7 @@
         retention: Duration,
     ) -> Result<Self, Error> {
         let now = clock.now();
-        let (log, recovered) = KeptLog::<_, K>::open(LogFolder(folder), is_new, now)?;
+        let (log, recovered) = KeptLog::<_, K>::open(DataFolder(folder), is_new, now)?;
         let mut kept = K::default();
         for entry in &recovered {
             kept.keep(entry, now);
--- a/crates/arbutuslane_node/src/cluster/trials.rs
+++ b/crates/arbutuslane_node/src/cluster/trials.rs
@@ -155,9 +155,15 @@
     let place = Place::take(worker, server).ok_or_else(Refusal::trial)?;
     let request = identity.request;
     let mut trial = Trial { known: Vec::new(), place, arbiter: None, request, is_running: false };
+    let wanted = trial::Trial {
+        max: trials,
+        request,
+        server: server.id.clone(),
+        domain: worker.shared.settings.domain.clone(),
+    };
     // Where claims are granted, one of them is enough.
     if !strikes::has_claims(&worker.shared) {
-        let arbiter = ask(worker, server, (request, trials), remaining).await;
+        let arbiter = ask(worker, &server.service, wanted, remaining).await;
         trial.arbiter = Some(arbiter.ok_or_else(Refusal::trial)?);
     }
     // Another owner may have told of a crash or of a good run meanwhile.
@@ -189,24 +195,22 @@
 /// Asks for a trial; returns the arbiter that allows it.
 async fn ask(
     worker: &Worker,
-    server: &Server,
-    (request, max): (Fingerprint, usize),
+    service: &str,
+    wanted: trial::Trial,
     remaining: Duration,
 ) -> Option<Node> {
     let shared = &worker.shared;
     let duration = remaining + END_MARGIN;
-    let domain = shared.settings.domain.clone();
-    for arbiter in arbiters(shared, &server.service, request) {
+    let message = peer::Message::BeginTrial {
+        request: wanted.request,
+        server: wanted.server.clone(),
+        domain: wanted.domain.clone(),
+        max: wanted.max,
+        for_ms: millis(duration),
+    };
+    for arbiter in arbiters(shared, service, wanted.request) {
         let Node::Peer(address) = arbiter else {
-            let trial = trial::Trial { max, request, server: server.id.clone(), domain };
-            return shared.cluster.trials.grant(shared, trial, duration).then_some(arbiter);
-        };
-        let message = peer::Message::BeginTrial {
-            request,
-            server: server.id.clone(),
-            domain: domain.clone(),
-            max,
-            for_ms: millis(duration),
+            return shared.cluster.trials.grant(shared, wanted, duration).then_some(arbiter);
         };
         let timeout = ARBITER_TIMEOUT.min(remaining / 2);
         match peers::send(shared, &worker.pool, address, &message, timeout).await {
