Repeat a comparison of strikes at once when no keeper responds

Cause: after a cut, the pooled connections of a node to its keepers may be silent. Each comparison then waits 0.6 s, closes one of them, and the next one picks another keeper a second later, so that a node could be back for more than 3 s without the strikes from meanwhile. Change: if the random keeper does not respond, the node compares with four at once, up to twice. The hash of a strike no longer depends on the debug form of its type.

--- a/crates/arbutuslane_node/src/cluster/strikes.rs
+++ b/crates/arbutuslane_node/src/cluster/strikes.rs
@@ -18,7 +18,7 @@
 use arbutuslane_wire::peer;
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout_checked};
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 
 use crate::announce::Server;
 use crate::peers;
@@ -35,6 +35,12 @@
 /// The time between two comparisons of strikes with a keeper.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a comparison is repeated at once when no keeper responds.
+const MAX_REPEATS: u32 = 2;
+
+/// The number of keepers that a repeated comparison is made with at the same time.
+const REPEATED_KEEPERS: usize = 4;
+
 /// The longest wait for the response to a comparison.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -303,9 +309,18 @@
 pub(crate) async fn run(shared: Arc<Shared>, pool: Rc<Pool>) {
     loop {
         sleep(COMPARE_INTERVAL).await;
-        let keepers = departures::keepers(&shared);
-        if let Some(keeper) = keepers.choose(&mut rand::rng()) {
-            compare_with(&shared, &pool, *keeper).await;
+        let mut keepers = departures::keepers(&shared);
+        keepers.shuffle(&mut rand::rng());
+        let Some(first) = keepers.first() else { continue };
+        let mut has_compared = compare_with(&shared, &pool, *first).await;
+        // A node that was cut off may have silent connections, which the first requests on them close.
+        for _ in 0..MAX_REPEATS {
+            if has_compared {
+                break;
+            }
+            let others = keepers.iter().take(REPEATED_KEEPERS);
+            let comparisons = others.map(|keeper| compare_with(&shared, &pool, *keeper));
+            has_compared = join_all(comparisons).await.contains(&true);
         }
     }
 }
--- a/crates/arbutuslane_record/src/strike/mod.rs
+++ b/crates/arbutuslane_record/src/strike/mod.rs
@@ -70,6 +70,13 @@
     pub variant: Variant,
 }
 
+impl Crash {
+    /// Returns a text that is the same in every release, for hashes.
+    fn text(&self) -> String {
+        format!("{} {} {:016x}", self.server, self.incarnation, self.variant)
+    }
+}
+
 /// The requests that a strike counts against; it only ever gets narrower.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
@@ -138,8 +145,18 @@
 
     /// Returns a hash of all that processes have to agree on.
     fn hash(&self) -> u64 {
-        let Self { request, crash, known, was_served, scope, .. } = self;
-        let text = format!("{request} {crash:?} {known:?} {was_served} {scope:?}");
+        let mut text = format!("{:016x} {}", self.request, self.crash.text());
+        for known in &self.known {
+            text.push(' ');
+            text.push_str(&known.text());
+        }
+        let scope = match self.scope {
+            Scope::Request => 'r',
+            Scope::Variant => 'v',
+            Scope::Cleared => 'c',
+        };
+        text.push(scope);
+        text.push(if self.was_served { 's' } else { 'n' });
         hash::of_bytes(text.as_bytes())
     }
 
