Let the timeout of a route cover the bodies of downloads whose servers pause

Change: where routes are items, the deadline covers the body: a server that pauses for 0.25 s after it is cut. A download of which bytes keep coming goes on. With a catalogue nothing changes.

--- a/crates/arbutuslane_node/src/traffic/answer.rs
+++ b/crates/arbutuslane_node/src/traffic/answer.rs
@@ -14,6 +14,7 @@
 use arbutuslane_limit::deadline::Deadline;
 
 use crate::announce::Server;
+use crate::settings::Source;
 
 use super::client::{Body, Failure, ReceivedResponse};
 use super::fields;
@@ -51,12 +52,20 @@
         }
     }
 
-    /// Returns the deadline for the end of the body, where the request has `deadline`.
+    /// Returns the deadline for the end of the body, where the request has `deadline`. A body with a stated
+    /// length may go on after it, as long as bytes come.
     ///
-    /// The deadline of a download applies to the head only, unless its body has no stated length
-    /// and therefore possibly no end.
-    pub(crate) fn body_deadline(&self, class: Class, deadline: Deadline) -> Option<Deadline> {
-        (class != Class::Download || self.body.length().is_none()).then_some(deadline)
+    /// With a catalogue, the deadline of a download applies to the head only, unless its body has no
+    /// stated length and therefore possibly no end. The timeout of a route that is an item is the longest
+    /// time that its operator lets callers wait, also for the next bytes.
+    pub(crate) fn body_deadline(
+        &self,
+        class: Class,
+        source: Source,
+        deadline: Deadline,
+    ) -> Option<Deadline> {
+        let is_head_only = class == Class::Download && source == Source::Catalogue;
+        (!is_head_only || self.body.length().is_none()).then_some(deadline)
     }
 }
 
--- a/crates/arbutuslane_node/src/traffic/entry.rs
+++ b/crates/arbutuslane_node/src/traffic/entry.rs
@@ -81,7 +81,8 @@
             return refusal.response();
         }
     };
-    let deadline = response.body_deadline(routed.class, routed.deadline);
+    let source = worker.shared.settings.source;
+    let deadline = response.body_deadline(routed.class, source, routed.deadline);
     let delivery = Delivery::new(&worker.shared, in_flight, &id)
         .with_counted(counted)
         .with_io(io)
--- a/crates/arbutuslane_node/src/traffic/owner/mod.rs
+++ b/crates/arbutuslane_node/src/traffic/owner/mod.rs
@@ -115,7 +115,8 @@
             let (class, deadline) = (server_request.class, server_request.deadline);
             delivery = delivery.with_idempotent(class.is_repeatable());
             let result = run(&worker, server_request).await;
-            result.map(|response| (response.body_deadline(class, deadline), response))
+            let source = worker.shared.settings.source;
+            result.map(|response| (response.body_deadline(class, source, deadline), response))
         }
         Err(refusal) => Err(refusal),
     };
