Read the rest of a body that gives way, so that its refusal is not lost

Cause: the payload was dropped with the refusal; the connection closed with unread bytes and was reset, and the refusal lost. Change: after a refusal for want of memory or for its size, the rest of a body is read, up to 1 MiB and 1 s, as after other refusals.

--- a/crates/arbutuslane_node/src/traffic/intake.rs
+++ b/crates/arbutuslane_node/src/traffic/intake.rs
@@ -55,7 +55,7 @@
 /// in time.
 pub(super) async fn read_upload(
     shared: &Shared,
-    payload: Payload,
+    mut payload: Payload,
     bounds: Bounds<'_>,
 ) -> Result<Upload, Refusal> {
     if bounds.length.is_some_and(|length| length > bounds.limit) {
@@ -64,20 +64,26 @@
     if matches!(payload, Payload::None) {
         return Ok(Upload::Empty);
     }
-    let reading = unless_given_way(bounds.counted, hold(shared, payload, bounds));
-    let received = within(bounds.time, reading).await;
-    match received.map(|held| held.unwrap_or(Err(ReadError::GaveWay))) {
-        Ok(Ok(upload)) => {
+    let reading = unless_given_way(bounds.counted, hold(shared, &mut payload, bounds));
+    let held = match within(bounds.time, reading).await {
+        Ok(Ok(held)) => held,
+        // The connection itself is needed for others.
+        Ok(Err(_)) => return Err(gave_way()),
+        Err(Elapsed) => return Err(late_body()),
+    };
+    let refusal = match held {
+        Ok(upload) => {
             if matches!(upload, Upload::Stream(_)) {
                 count(&shared.metrics.streamed_bodies);
             }
-            Ok(upload)
+            return Ok(upload);
         }
-        Ok(Err(ReadError::TooLarge)) => Err(body_too_large(bounds.limit)),
-        Ok(Err(ReadError::Incomplete)) => Err(incomplete_body()),
-        Ok(Err(ReadError::GaveWay)) => Err(gave_way()),
-        Err(Elapsed) => Err(late_body()),
-    }
+        Err(ReadError::Incomplete) => return Err(incomplete_body()),
+        Err(ReadError::TooLarge) => body_too_large(bounds.limit),
+        Err(ReadError::GaveWay) => gave_way(),
+    };
+    discard(&mut payload).await;
+    Err(refusal)
 }
 
 /// Reads the rest of a body whose request is refused.
@@ -107,7 +113,11 @@
 }
 
 /// Reads a body until it ends or the memory is used up, unless it has to give way to a smaller one.
-async fn hold(shared: &Shared, payload: Payload, bounds: Bounds<'_>) -> Result<Upload, ReadError> {
+async fn hold(
+    shared: &Shared,
+    payload: &mut Payload,
+    bounds: Bounds<'_>,
+) -> Result<Upload, ReadError> {
     // Dropped after the bytes, so that others wake when the memory is free.
     let incoming = shared.bodies.begin();
     let held = incoming.unless_given_way(hold_in(shared, &incoming, payload, bounds)).await;
@@ -119,7 +129,7 @@
 async fn hold_in(
     shared: &Shared,
     incoming: &IncomingBody,
-    mut payload: Payload,
+    payload: &mut Payload,
     bounds: Bounds<'_>,
 ) -> Result<Upload, ReadError> {
     let mut body = HeldBody::new(&shared.body_memory);
@@ -134,7 +144,8 @@
         let place = shared.streams.take().ok_or(ReadError::GaveWay)?;
         body.push_unreserved(&chunk);
         if body.len() >= REQUEST_BODY_BYTES {
-            return Ok(Upload::stream(body, payload, bounds.length, bounds.limit, place));
+            let rest = std::mem::take(payload);
+            return Ok(Upload::stream(body, rest, bounds.length, bounds.limit, place));
         }
     }
     match bounds.length.is_none_or(|length| length == body.len() as u64) {
