Bring about the first list of voters also when a founder is known late

Cause: the first list was proposed only after a change. Change: the instance that leads asks for the list in its repair rounds. Evidence: first_list_late failed on ("condition was not met within 20 s: all vote") and passes; the process tests passed in 3 of 3 runs.

--- a/crates/arbutuslane_control/src/items/settle.rs
+++ b/crates/arbutuslane_control/src/items/settle.rs
@@ -76,7 +76,7 @@
         };
         sleep(if is_settled { REPAIR_INTERVAL } else { START_INTERVAL }).await;
         round = round.wrapping_add(1);
-        if Instant::now() >= next_request_at && voters::wants_place(&core) {
+        if Instant::now() >= next_request_at && voters::wants_change(&core) {
             voters::request_place(&core, &client).await;
             next_request_at = Instant::now() + voters::REQUEST_INTERVAL;
         }
--- a/crates/arbutuslane_control/src/items/voters.rs
+++ b/crates/arbutuslane_control/src/items/voters.rs
@@ -118,9 +118,16 @@
     outcome.is_accepted
 }
 
+/// Returns whether this instance should ask for another list of voters: for a place among them, or for the
+/// first list, which the change that came before all founders were known could not bring.
+pub(super) fn wants_change(core: &Core) -> bool {
+    let leads = core.replication().leads();
+    wants_place(core) || (leads && lack_first_list(core))
+}
+
 /// Returns whether this instance should ask for a place among the voters. Until it knows them, it first
 /// has [`START_TIMEOUT`] to fetch the state of the others, because it would have to lead in order to ask.
-pub(super) fn wants_place(core: &Core) -> bool {
+fn wants_place(core: &Core) -> bool {
     let replication = core.replication();
     let knows_voters = replication.is_complete() || core.clock.now() >= START_TIMEOUT;
     knows_voters && replication.wants_place()
